--- /dev/null
+++ b/crates/coordination/src/dispatch.rs
@@ -0,0 +1,160 @@
+//! Which orders are due at which worker. Orders follow from the replicated
+//! state: what a worker should run or stop and has not yet confirmed is sent
+//! again until it has, so a lost order or answer never leaves a task hanging.
+
+use crate::moment::Moment;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+use yuccalink_state::Machine;
+use yuccalink_state::id::{Epoch, TaskId, WorkerKey};
+use yuccalink_state::task::{Task, TaskPhase};
+
+/// Time after which an order without an answer is sent again.
+pub const RESEND: Duration = Duration::from_secs(1);
+/// Most orders in one message.
+pub const BATCH_MAX: usize = 512;
+
+/// What a worker is told about one task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Order {
+    /// Run it, from its last checkpoint if it has one.
+    Start,
+    /// Save it and stop it.
+    Checkpoint,
+    /// Stop it.
+    Stop,
+}
+
+/// An order that is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Due {
+    /// The task.
+    pub task: TaskId,
+    /// The placement that the order is about.
+    pub epoch: Epoch,
+    /// What to do.
+    pub order: Order,
+}
+
+/// Remembers when each unconfirmed order was last sent.
+#[derive(Debug, Default)]
+pub struct Dispatch {
+    sent: HashMap<(TaskId, Epoch, Order), Moment>,
+}
+
+impl Dispatch {
+    /// A dispatcher that has sent nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The orders to send to one worker now; they count as sent.
+    ///
+    /// ```
+    /// # use yuccalink_coordination::{Moment, dispatch::Dispatch};
+    /// # use yuccalink_state::{Machine, id::WorkerKey};
+    /// assert!(Dispatch::new().due(Moment::ZERO, &Machine::new(), WorkerKey(0)).is_empty());
+    /// ```
+    pub fn due(&mut self, now: Moment, machine: &Machine, worker: WorkerKey) -> Vec<Due> {
+        let mut due = Vec::new();
+        for task in machine.held_by(worker) {
+            let Some(order) = order_for(machine, task) else { continue };
+            let at = self.sent.entry((task.id, task.epoch, order)).or_insert(Moment::ZERO);
+            let first = *at == Moment::ZERO;
+            if first || now.since(*at) >= RESEND {
+                *at = now.max(Moment(1));
+                due.push(Due { task: task.id, epoch: task.epoch, order });
+            }
+            if due.len() == BATCH_MAX {
+                break;
+            }
+        }
+        due
+    }
+
+    /// Forgets orders that the state no longer asks for.
+    pub fn tidy(&mut self, machine: &Machine) {
+        self.sent.retain(|(id, epoch, order), _| {
+            let task = machine.task(*id).filter(|task| task.epoch == *epoch);
+            task.and_then(|task| order_for(machine, task)) == Some(*order)
+        });
+    }
+
+    /// Lets an order be sent again at once, after its sending failed.
+    pub fn failed(&mut self, due: &Due) {
+        self.sent.remove(&(due.task, due.epoch, due.order));
+    }
+
+    /// Unconfirmed orders remembered.
+    pub fn len(&self) -> usize {
+        self.sent.len()
+    }
+
+    /// Whether every order is confirmed.
+    pub fn is_empty(&self) -> bool {
+        self.sent.is_empty()
+    }
+}
+
+fn order_for(machine: &Machine, task: &Task) -> Option<Order> {
+    use yuccalink_state::task::StopReason;
+    match task.phase {
+        TaskPhase::Placed(_) => Some(Order::Start),
+        TaskPhase::Stopping(_, StopReason::Cancel) => Some(Order::Stop),
+        TaskPhase::Stopping(_, StopReason::Evict) => {
+            let document = &machine.service_at(task.service).accepted.document;
+            Some(if document.gives_up.checkpoint { Order::Checkpoint } else { Order::Stop })
+        }
+        TaskPhase::Waiting | TaskPhase::Running(_) | TaskPhase::Ended(_) => None,
+    }
+}
+
+/// What a worker says it holds, against what it should hold.
+///
+/// A task that should run there but is not held any more is missing only when
+/// it was so at two heartbeats in a row: one may have crossed with the order.
+#[derive(Debug, Default)]
+pub struct Reconcile {
+    missing: BTreeMap<(TaskId, Epoch), u32>,
+}
+
+/// What a heartbeat showed to differ.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Differences {
+    /// Should run on the worker, which has lost them.
+    pub lost: Vec<(TaskId, Epoch)>,
+    /// Held by the worker, which must drop them.
+    pub stray: Vec<(TaskId, Epoch)>,
+}
+
+impl Reconcile {
+    /// Compares one heartbeat with the state.
+    pub fn compare(
+        &mut self,
+        machine: &Machine,
+        worker: WorkerKey,
+        held: &[(TaskId, Epoch)],
+    ) -> Differences {
+        let mut found = Differences::default();
+        for task in machine.held_by(worker) {
+            let at = (task.id, task.epoch);
+            let running = matches!(task.phase, TaskPhase::Running(_) | TaskPhase::Stopping(..));
+            if !running || held.contains(&at) {
+                self.missing.remove(&at);
+                continue;
+            }
+            let times = self.missing.entry(at).or_default();
+            *times += 1;
+            if *times >= 2 {
+                self.missing.remove(&at);
+                found.lost.push(at);
+            }
+        }
+        let should = |id: &TaskId, epoch: &Epoch| {
+            let task = machine.task(*id);
+            task.is_some_and(|t| t.epoch == *epoch && t.worker() == Some(worker))
+        };
+        found.stray.extend(held.iter().filter(|(id, epoch)| !should(id, epoch)));
+        found
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/invariants.rs
@@ -0,0 +1,188 @@
+//! Checks of what must always hold. Any test can attach them; each returns
+//! every breach it finds, in words.
+
+use std::collections::{BTreeMap, HashMap};
+use yuccalink_state::id::{Epoch, Name, TaskId, WorkerKey};
+use yuccalink_state::{Machine, Resources};
+
+/// A promise that does not hold.
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Breach {
+    /// worker {0} is committed beyond what it has
+    OverCommitted(Name),
+    /// worker {0} counts commitments that its tasks do not add up to
+    WrongSum(Name),
+    /// task {task} ran as epoch {first} and epoch {second} at once
+    TwoPlaces {
+        /// The task.
+        task: TaskId,
+        /// The earlier start.
+        first: Epoch,
+        /// The later start.
+        second: Epoch,
+    },
+    /// task {0} finished twice
+    FinishedTwice(TaskId),
+    /// request {0} got an answer that was not its own
+    WrongAnswer(Box<str>),
+    /// request {0} must run at most once and ran {1} times
+    RanAgain(Box<str>, u32),
+    /// request {0} was called "not run" and had run
+    FalseNotRun(Box<str>),
+    /// runner {runner} held {held} requests and has {slots} slots
+    OverSlots {
+        /// The runner.
+        runner: Box<str>,
+        /// Requests at once.
+        held: u32,
+        /// Its slots.
+        slots: u32,
+    },
+}
+
+/// Commitments of each worker against its capacity and its tasks.
+///
+/// ```
+/// # use yuccalink_coordination::invariants::commitments;
+/// assert!(commitments(&yuccalink_state::Machine::new()).is_empty());
+/// ```
+pub fn commitments(machine: &Machine) -> Vec<Breach> {
+    let mut sums: BTreeMap<WorkerKey, Resources> = BTreeMap::new();
+    for task in machine.tasks() {
+        if let Some(key) = task.worker() {
+            let sum = sums.entry(key).or_default();
+            *sum = sum.plus(task.need).unwrap_or(*sum);
+        }
+    }
+    let mut found = Vec::new();
+    for (key, worker) in machine.workers() {
+        let sum = sums.get(&key).copied().unwrap_or_default();
+        if sum != worker.committed {
+            found.push(Breach::WrongSum(worker.spec.name.clone()));
+        }
+        if !worker.spec.capacity.holds(sum) {
+            found.push(Breach::OverCommitted(worker.spec.name.clone()));
+        }
+    }
+    found
+}
+
+/// Watches what workers really do with tasks.
+#[derive(Debug, Default)]
+pub struct TaskWatch {
+    running: HashMap<TaskId, Epoch>,
+    finished: HashMap<TaskId, u32>,
+    breaches: Vec<Breach>,
+}
+
+impl TaskWatch {
+    /// A worker began to run a task.
+    pub fn started(&mut self, task: TaskId, epoch: Epoch) {
+        if let Some(first) = self.running.insert(task, epoch) {
+            self.breaches.push(Breach::TwoPlaces { task, first, second: epoch });
+        }
+    }
+
+    /// A worker no longer runs a task.
+    pub fn stopped(&mut self, task: TaskId, epoch: Epoch) {
+        if self.running.get(&task) == Some(&epoch) {
+            self.running.remove(&task);
+        }
+    }
+
+    /// A worker ran a task to its end.
+    pub fn finished(&mut self, task: TaskId, epoch: Epoch) {
+        self.stopped(task, epoch);
+        let times = self.finished.entry(task).or_default();
+        *times += 1;
+        if *times > 1 {
+            self.breaches.push(Breach::FinishedTwice(task));
+        }
+    }
+
+    /// What was found.
+    pub fn breaches(&self) -> &[Breach] {
+        &self.breaches
+    }
+}
+
+/// What a caller was told of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// A whole answer that carries this tag of the request it is for.
+    Answer(u64),
+    /// That the request did not run.
+    NotRun,
+    /// That nobody knows.
+    Unknown,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Request {
+    once: bool,
+    tag: u64,
+    runs: u32,
+    told: Vec<Told>,
+}
+
+/// Watches what runners really do with requests and what callers are told.
+#[derive(Debug, Default)]
+pub struct RequestWatch {
+    requests: BTreeMap<Box<str>, Request>,
+    held: BTreeMap<Box<str>, u32>,
+    breaches: Vec<Breach>,
+}
+
+impl RequestWatch {
+    /// A caller sends a request; `tag` is what its answer must carry.
+    pub fn sent(&mut self, name: &str, tag: u64, once: bool) {
+        let request = self.requests.entry(name.into()).or_default();
+        request.tag = tag;
+        request.once = once;
+    }
+
+    /// A runner begins to run a request.
+    pub fn ran(&mut self, name: &str, runner: &str, slots: u32) {
+        self.requests.entry(name.into()).or_default().runs += 1;
+        let held = self.held.entry(runner.into()).or_default();
+        *held += 1;
+        if *held > slots {
+            let breach = Breach::OverSlots { runner: runner.into(), held: *held, slots };
+            self.breaches.push(breach);
+        }
+    }
+
+    /// A runner is done with a request.
+    pub fn done(&mut self, runner: &str) {
+        if let Some(held) = self.held.get_mut(runner) {
+            *held = held.saturating_sub(1);
+        }
+    }
+
+    /// A caller is told something.
+    pub fn told(&mut self, name: &str, told: Told) {
+        self.requests.entry(name.into()).or_default().told.push(told);
+    }
+
+    /// What was found, at the end of a run.
+    pub fn breaches(&self) -> Vec<Breach> {
+        let mut found = self.breaches.clone();
+        for (name, request) in &self.requests {
+            if request.once && request.runs > 1 {
+                found.push(Breach::RanAgain(name.clone(), request.runs));
+            }
+            for told in &request.told {
+                match told {
+                    Told::Answer(tag) if *tag != request.tag => {
+                        found.push(Breach::WrongAnswer(name.clone()));
+                    }
+                    Told::NotRun if request.runs > 0 => {
+                        found.push(Breach::FalseNotRun(name.clone()));
+                    }
+                    Told::Answer(_) | Told::NotRun | Told::Unknown => {}
+                }
+            }
+        }
+        found
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/moment.rs
@@ -0,0 +1,92 @@
+//! Instants on a clock that only moves forward, and the bounds on how far two
+//! such clocks may drift apart.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// Most that one machine's clock may run fast or slow against another's, in
+/// parts per million. Leases are counted longer by this much where they were
+/// granted, so that a holder with the slowest clock allowed stops first.
+pub const DRIFT_PPM: u64 = 10_000;
+
+/// Microseconds since some start that one process chose.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[display("{}.{:06}s", _0 / 1_000_000, _0 % 1_000_000)]
+#[serde(transparent)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// The start.
+    pub const ZERO: Self = Self(0);
+
+    /// The moment this many milliseconds after the start.
+    ///
+    /// ```
+    /// use yuccalink_coordination::Moment;
+    /// assert_eq!(Moment::from_millis(2), Moment(2_000));
+    /// ```
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(ms * 1_000)
+    }
+
+    /// Time from `earlier` to `self`, zero when `earlier` is later.
+    ///
+    /// ```
+    /// # use yuccalink_coordination::Moment;
+    /// # use std::time::Duration;
+    /// assert_eq!(Moment(5).since(Moment(2)), Duration::from_micros(3));
+    /// assert_eq!(Moment(2).since(Moment(5)), Duration::ZERO);
+    /// ```
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
+/// How long the granter of a lease must wait before it may count a lease of
+/// `span` as ended, counted from when it last granted it.
+///
+/// ```
+/// use std::time::Duration;
+/// use yuccalink_coordination::moment::surely_ended_after;
+/// assert_eq!(surely_ended_after(Duration::from_secs(1)), Duration::from_millis(1020));
+/// ```
+#[must_use]
+pub fn surely_ended_after(span: Duration) -> Duration {
+    // Both clocks may be off, in opposite directions.
+    let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX / 2);
+    span + Duration::from_micros(
+        micros / 1_000_000 * 2 * DRIFT_PPM + micros % 1_000_000 * 2 * DRIFT_PPM / 1_000_000,
+    )
+}
--- /dev/null
+++ b/crates/coordination/src/router.rs
@@ -0,0 +1,504 @@
+//! Routing at one entry VM: which of the runners that this entry owns gets a
+//! request, who waits, and who is refused at once.
+//!
+//! A runner is owned by one entry at a time, so counting here is enough to
+//! keep it within its slots. Waiting is late-bound: a request waits for the
+//! service, not for a runner, and the worthiest waiting one gets the next slot.
+
+use crate::moment::Moment;
+use crate::retry::Budget;
+use slotmap::{SlotMap, new_key_type};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+use yuccalink_state::id::{Incarnation, Name};
+use yuccalink_state::target::RunnerSpec;
+
+/// Failures in a row after which a runner is ejected for a while.
+pub const EJECT_AFTER: u32 = 5;
+/// First ejection time; it doubles with each further one.
+pub const EJECT_FIRST: Duration = Duration::from_secs(1);
+/// Longest ejection time.
+pub const EJECT_LONGEST: Duration = Duration::from_secs(30);
+/// At most one in this many of a service's runners is ejected at once, so that
+/// bad luck or a fault of the service itself cannot eject them all.
+pub const EJECT_SHARE: usize = 3;
+/// Waiting requests allowed per slot of the service.
+pub const QUEUE_PER_SLOT: usize = 4;
+/// Service time assumed before any was seen.
+const FIRST_GUESS: Duration = Duration::from_millis(10);
+/// Weight of the newest service time, as one in this many.
+const SMOOTHING: u32 = 8;
+
+new_key_type! {
+    /// Key of a runner at this entry.
+    pub struct RunnerKey;
+    /// Key of a service's pool of runners at this entry.
+    struct PoolKey;
+}
+
+/// A request that asks for a runner.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival<'a> {
+    /// The service asked.
+    pub service: &'a Name,
+    /// When its caller stops waiting.
+    pub deadline: Moment,
+    /// What a correct answer is worth.
+    pub worth: u32,
+    /// A runner that this request already failed on.
+    pub avoid: Option<RunnerKey>,
+}
+
+/// A slot of a runner, held until [`Router::release`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The runner.
+    pub runner: RunnerKey,
+    /// When it was given.
+    pub at: Moment,
+}
+
+/// Names a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// Why a request is refused without having run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Refusal {
+    /// no runner of this service is known here
+    NoRunner,
+    /// every runner of this service is ejected, leaving or silent
+    NoneHealthy,
+    /// the queue of this service is full
+    QueueFull,
+    /// the deadline would pass while waiting
+    TooLate,
+}
+
+/// What becomes of a request that arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be sent now.
+    Go(Grant),
+    /// It waits under this ticket until [`Router::release`] or
+    /// [`Router::abandon`] names it.
+    Wait(Ticket),
+    /// It is refused; try again after the given time.
+    Refuse(Refusal, Duration),
+}
+
+/// How a granted request ended at its runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The whole answer came.
+    Answered,
+    /// The runner could not be reached, cut the answer or failed.
+    Failed,
+    /// The caller went away; nothing is learnt of the runner.
+    Abandoned,
+}
+
+/// A waiting request's turn has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turn {
+    /// The request.
+    pub ticket: Ticket,
+    /// Its slot.
+    pub grant: Grant,
+}
+
+/// Whether a runner may be given requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It may.
+    Open,
+    /// Nothing new until the moment named.
+    Ejected(Moment),
+    /// It said that it leaves, or it is silent.
+    Closed,
+}
+
+/// A runner as this entry sees it.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// What it announced.
+    pub spec: RunnerSpec,
+    /// Whether it may be given requests.
+    pub standing: Standing,
+    /// Requests of this entry that it holds.
+    pub busy: u32,
+    /// Requests of an earlier owner that it still holds.
+    pub reserved: u32,
+    /// Most that `busy` was since the last heartbeat.
+    pub peak: u32,
+    failures: u32,
+    ejections: u32,
+    pool: PoolKey,
+}
+
+impl Runner {
+    fn open_at(&self, now: Moment) -> bool {
+        match self.standing {
+            Standing::Open => true,
+            Standing::Ejected(until) => now >= until && self.busy == 0,
+            Standing::Closed => false,
+        }
+    }
+
+    fn free(&self) -> u32 {
+        self.spec.slots.saturating_sub(self.busy + self.reserved)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    deadline: Moment,
+    avoid: Option<RunnerKey>,
+}
+
+#[derive(Debug)]
+struct Pool {
+    name: Name,
+    runners: Vec<RunnerKey>,
+    queue: BTreeMap<(Reverse<u32>, Ticket), Waiting>,
+    service_time: Duration,
+    budget: Budget,
+    next: usize,
+}
+
+/// Counts since the start, for metrics and for tests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests given a slot.
+    pub granted: u64,
+    /// Requests that had to wait.
+    pub waited: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Runners ejected.
+    pub ejected: u64,
+}
+
+/// Routing state of one entry VM.
+#[derive(Debug)]
+pub struct Router {
+    zone: Name,
+    runners: SlotMap<RunnerKey, Runner>,
+    by_name: HashMap<Name, RunnerKey>,
+    pools: SlotMap<PoolKey, Pool>,
+    pool_by_name: HashMap<Name, PoolKey>,
+    tickets: HashMap<Ticket, (PoolKey, Reverse<u32>)>,
+    last_ticket: u64,
+    counts: Counts,
+}
+
+impl Router {
+    /// A router without runners for an entry VM in `zone`.
+    ///
+    /// ```
+    /// use yuccalink_coordination::{Moment, router::*};
+    /// use yuccalink_state::id::Name;
+    /// let mut router = Router::new(Name::new("brno")?);
+    /// let quotes = Name::new("quotes")?;
+    /// let arrival = Arrival { service: &quotes, deadline: Moment::from_millis(9), worth: 1, avoid: None };
+    /// assert!(matches!(router.admit(Moment::ZERO, arrival), Admission::Refuse(Refusal::NoRunner, _)));
+    /// # Ok::<(), yuccalink_state::id::BadName>(())
+    /// ```
+    pub fn new(zone: Name) -> Self {
+        Self {
+            zone,
+            runners: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            pools: SlotMap::with_key(),
+            pool_by_name: HashMap::new(),
+            tickets: HashMap::new(),
+            last_ticket: 0,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Adds a runner that this entry now owns, or renews what is known of it.
+    /// `reserved` is how many requests it still holds for an earlier owner.
+    /// Requests whose turn has come are pushed to `turns`.
+    pub fn own(&mut self, now: Moment, spec: RunnerSpec, reserved: u32, turns: &mut Vec<Turn>) {
+        if let Some(key) = self.by_name.get(&spec.name).copied()
+            && let Some(runner) = self.runners.get_mut(key)
+        {
+            let same_pool = runner.spec.service == spec.service;
+            if same_pool && runner.spec.incarnation == spec.incarnation {
+                if runner.standing == Standing::Closed {
+                    runner.standing = Standing::Open;
+                }
+                runner.spec = spec;
+                self.serve_queue_of(now, key, turns);
+                return;
+            }
+            self.disown(&spec.name);
+        }
+        let pool = self.pool(&spec.service);
+        let name = spec.name.clone();
+        let key = self.runners.insert(Runner {
+            spec,
+            standing: Standing::Open,
+            busy: 0,
+            reserved,
+            peak: 0,
+            failures: 0,
+            ejections: 0,
+            pool,
+        });
+        self.by_name.insert(name, key);
+        self.pools[pool].runners.push(key);
+        self.serve_queue_of(now, key, turns);
+    }
+
+    /// Forgets a runner. Requests that it holds still end by
+    /// [`Router::release`], which then does nothing.
+    pub fn disown(&mut self, name: &Name) {
+        let Some(key) = self.by_name.remove(name) else { return };
+        if let Some(runner) = self.runners.remove(key) {
+            self.pools[runner.pool].runners.retain(|other| *other != key);
+        }
+    }
+
+    /// Gives a runner nothing new; what it holds goes on.
+    pub fn close(&mut self, name: &Name) {
+        if let Some(runner) = self.by_name.get(name).and_then(|key| self.runners.get_mut(*key)) {
+            runner.standing = Standing::Closed;
+        }
+    }
+
+    /// Takes in a runner's own count of requests, which may be late: only what
+    /// exceeds the most that this entry had there is somebody else's.
+    pub fn reported(&mut self, now: Moment, name: &Name, busy: u32, turns: &mut Vec<Turn>) {
+        let Some(key) = self.by_name.get(name).copied() else { return };
+        let Some(runner) = self.runners.get_mut(key) else { return };
+        runner.reserved = busy.saturating_sub(runner.peak).min(runner.reserved);
+        runner.peak = runner.busy;
+        self.serve_queue_of(now, key, turns);
+    }
+
+    /// Decides on a request.
+    pub fn admit(&mut self, now: Moment, arrival: Arrival<'_>) -> Admission {
+        let Some(pool_key) = self.pool_by_name.get(arrival.service).copied() else {
+            return self.refuse(Refusal::NoRunner, Duration::from_secs(1));
+        };
+        if self.pools[pool_key].runners.is_empty() {
+            return self.refuse(Refusal::NoRunner, Duration::from_secs(1));
+        }
+        // Those that wait go first: a newcomer takes a free slot only if nobody waits.
+        if self.pools[pool_key].queue.is_empty()
+            && let Some(key) = self.choose(now, pool_key, arrival.avoid)
+        {
+            return Admission::Go(self.grant(now, key));
+        }
+        self.enqueue(now, pool_key, arrival)
+    }
+
+    fn enqueue(&mut self, now: Moment, pool_key: PoolKey, arrival: Arrival<'_>) -> Admission {
+        let pool = &self.pools[pool_key];
+        let slots = self.open_slots(now, pool);
+        if slots == 0 {
+            return self.refuse(Refusal::NoneHealthy, EJECT_FIRST);
+        }
+        let ahead = pool.queue.range(..(Reverse(arrival.worth), Ticket(u64::MAX))).count();
+        let rounds = u32::try_from(ahead / slots + 1).unwrap_or(u32::MAX);
+        let wait = pool.service_time.saturating_mul(rounds);
+        if now + wait > arrival.deadline {
+            return self.refuse(Refusal::TooLate, wait);
+        }
+        if pool.queue.len() >= slots * QUEUE_PER_SLOT {
+            return self.refuse(Refusal::QueueFull, wait);
+        }
+        self.last_ticket += 1;
+        self.counts.waited += 1;
+        let ticket = Ticket(self.last_ticket);
+        let rank = Reverse(arrival.worth);
+        let waiting = Waiting { ticket, deadline: arrival.deadline, avoid: arrival.avoid };
+        self.pools[pool_key].queue.insert((rank, ticket), waiting);
+        self.tickets.insert(ticket, (pool_key, rank));
+        Admission::Wait(ticket)
+    }
+
+    fn refuse(&mut self, why: Refusal, retry: Duration) -> Admission {
+        self.counts.refused += 1;
+        Admission::Refuse(why, retry)
+    }
+
+    /// Takes a request that no longer waits out of the queue; false when its
+    /// turn had already come.
+    pub fn abandon(&mut self, ticket: Ticket) -> bool {
+        let Some((pool, rank)) = self.tickets.remove(&ticket) else { return false };
+        self.pools[pool].queue.remove(&(rank, ticket));
+        true
+    }
+
+    /// Gives a slot back and hands it to whoever is next.
+    pub fn release(&mut self, now: Moment, grant: Grant, ended: Ended, turns: &mut Vec<Turn>) {
+        let Some(runner) = self.runners.get_mut(grant.runner) else { return };
+        runner.busy = runner.busy.saturating_sub(1);
+        let pool = runner.pool;
+        match ended {
+            Ended::Answered => {
+                runner.failures = 0;
+                runner.ejections = 0;
+                if matches!(runner.standing, Standing::Ejected(_)) {
+                    runner.standing = Standing::Open;
+                }
+                let pool = &mut self.pools[pool];
+                let took = now.since(grant.at);
+                pool.service_time = (pool.service_time * (SMOOTHING - 1) + took) / SMOOTHING;
+                pool.budget.earn();
+            }
+            Ended::Failed => self.failed(now, grant.runner),
+            Ended::Abandoned => {}
+        }
+        self.serve_queue(now, pool, turns);
+    }
+
+    /// Whether a failed request of `service` may be tried once more.
+    pub fn may_retry(&mut self, service: &Name) -> bool {
+        let Some(key) = self.pool_by_name.get(service) else { return false };
+        self.pools[*key].budget.spend()
+    }
+
+    /// The runner with `key`, if this entry still owns it.
+    pub fn runner(&self, key: RunnerKey) -> Option<&Runner> {
+        self.runners.get(key)
+    }
+
+    /// All runners that this entry owns.
+    pub fn runners(&self) -> impl Iterator<Item = &Runner> {
+        self.runners.values()
+    }
+
+    /// Requests waiting for `service`.
+    pub fn queued(&self, service: &Name) -> usize {
+        self.pool_by_name.get(service).map_or(0, |key| self.pools[*key].queue.len())
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    fn pool(&mut self, service: &Name) -> PoolKey {
+        if let Some(key) = self.pool_by_name.get(service) {
+            return *key;
+        }
+        let key = self.pools.insert(Pool {
+            name: service.clone(),
+            runners: Vec::new(),
+            queue: BTreeMap::new(),
+            service_time: FIRST_GUESS,
+            budget: Budget::default(),
+            next: 0,
+        });
+        self.pool_by_name.insert(service.clone(), key);
+        key
+    }
+
+    fn open_slots(&self, now: Moment, pool: &Pool) -> usize {
+        let open = pool.runners.iter().filter_map(|key| self.runners.get(*key));
+        open.filter(|runner| runner.open_at(now)).map(|runner| runner.spec.slots as usize).sum()
+    }
+
+    /// The open runner with the smallest share of its slots in use; its own
+    /// zone first, then in turn.
+    fn choose(
+        &mut self,
+        now: Moment,
+        pool: PoolKey,
+        avoid: Option<RunnerKey>,
+    ) -> Option<RunnerKey> {
+        let pool = &mut self.pools[pool];
+        let count = pool.runners.len();
+        pool.next = (pool.next + 1) % count.max(1);
+        let mut best = None;
+        for step in 0..count {
+            let key = pool.runners[(pool.next + step) % count];
+            let Some(runner) = self.runners.get(key) else { continue };
+            if runner.free() == 0 || !runner.open_at(now) || avoid == Some(key) && count > 1 {
+                continue;
+            }
+            let share = (runner.busy + runner.reserved) * 1024 / runner.spec.slots.max(1);
+            let rank = (share, runner.spec.zone != self.zone);
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    fn grant(&mut self, now: Moment, key: RunnerKey) -> Grant {
+        let runner = &mut self.runners[key];
+        runner.busy += 1;
+        runner.peak = runner.peak.max(runner.busy);
+        self.counts.granted += 1;
+        Grant { runner: key, at: now }
+    }
+
+    fn serve_queue_of(&mut self, now: Moment, key: RunnerKey, turns: &mut Vec<Turn>) {
+        if let Some(runner) = self.runners.get(key) {
+            self.serve_queue(now, runner.pool, turns);
+        }
+    }
+
+    fn serve_queue(&mut self, now: Moment, pool: PoolKey, turns: &mut Vec<Turn>) {
+        while let Some((rank, waiting)) = self.pools[pool].queue.first_key_value() {
+            let (rank, waiting) = (*rank, waiting.clone());
+            if waiting.deadline <= now {
+                // Its own timer answers it; a slot spent on it would be wasted.
+                self.pools[pool].queue.remove(&rank);
+                self.tickets.remove(&waiting.ticket);
+                continue;
+            }
+            let Some(key) = self.choose(now, pool, waiting.avoid) else { return };
+            self.pools[pool].queue.remove(&rank);
+            self.tickets.remove(&waiting.ticket);
+            turns.push(Turn { ticket: waiting.ticket, grant: self.grant(now, key) });
+        }
+    }
+
+    fn failed(&mut self, now: Moment, key: RunnerKey) {
+        let runner = &mut self.runners[key];
+        runner.failures += 1;
+        let probe_failed = matches!(runner.standing, Standing::Ejected(_));
+        if runner.standing == Standing::Closed || (runner.failures < EJECT_AFTER && !probe_failed) {
+            return;
+        }
+        let pool = &self.pools[runner.pool];
+        let all = pool.runners.len();
+        let ejected = pool
+            .runners
+            .iter()
+            .filter(|key| matches!(self.runners[**key].standing, Standing::Ejected(_)))
+            .count();
+        if !probe_failed && (ejected + 1) * EJECT_SHARE > all {
+            return;
+        }
+        let runner = &mut self.runners[key];
+        let span = EJECT_FIRST.saturating_mul(1 << runner.ejections.min(5)).min(EJECT_LONGEST);
+        runner.ejections += 1;
+        runner.standing = Standing::Ejected(now + span);
+        self.counts.ejected += 1;
+    }
+
+    /// Services with a pool here, and how many runners each has.
+    pub fn pools(&self) -> impl Iterator<Item = (&Name, usize)> {
+        self.pools.values().map(|pool| (&pool.name, pool.runners.len()))
+    }
+
+    /// Requests of this entry that a runner holds, if it is owned here.
+    pub fn in_flight(&self, name: &Name) -> Option<u32> {
+        self.by_name.get(name).and_then(|key| self.runners.get(*key)).map(|runner| runner.busy)
+    }
+
+    /// Whether a runner of this run is owned here.
+    pub fn owns(&self, name: &Name, run: Incarnation) -> bool {
+        let key = self.by_name.get(name);
+        key.and_then(|key| self.runners.get(*key)).is_some_and(|r| r.spec.incarnation == run)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,358 @@
+//! The HTTP interface for targets, operators and the platform.
+
+use crate::leader::unacceptable_document;
+use crate::shared::Shared;
+use rand::{Rng as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use serde::de::DeserializeOwned;
+use std::cell::RefCell;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use xitca_web::body::RequestBody;
+use xitca_web::http::{WebRequest, WebResponse};
+use yuccalink_protocol::api::{
+    Announce, Applied, CancelTasks, Heartbeat, LIST_MAX, Leave, SubmitTasks,
+};
+use yuccalink_protocol::document;
+use yuccalink_protocol::peer::{Answer, Ask, TaskFilter};
+use yuccalink_protocol::problem::{Kind, Problem, Ran};
+use yuccalink_protocol::request::{IDEMPOTENCY_KEY, check_key};
+use yuccalink_state::id::{Name, TaskId};
+use yuccalink_transport::http::{HeaderMap, Method, StatusCode, request::Parts};
+use yuccalink_transport::reply;
+use yuccalink_transport::server::{Handler, read_body};
+
+/// Largest body on this interface, in bytes.
+const BODY_MAX: usize = 4 * 1024 * 1024;
+/// Time in which a body must come.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Longest wait until a document is in force everywhere.
+const FORCE_WAIT: Duration = Duration::from_secs(10);
+/// Header that names who applies a document.
+const AUTHOR: &str = "yuccalink-author";
+
+pub(crate) struct Admin {
+    shared: Arc<Shared>,
+    rng: RefCell<Pcg64Mcg>,
+}
+
+/// A request that has been taken apart.
+struct Asked<'a> {
+    method: &'a Method,
+    path: Vec<&'a str>,
+    query: &'a str,
+    headers: &'a HeaderMap,
+    body: RequestBody,
+}
+
+type Response = Result<WebResponse, Problem>;
+
+impl Handler for Admin {
+    async fn handle(&self, req: WebRequest) -> WebResponse {
+        let (head, ext) = req.into_parts();
+        let (_, body) = ext.replace_body(());
+        self.answer(&head, body).await.unwrap_or_else(|problem| reply::problem(&problem))
+    }
+}
+
+impl Admin {
+    pub(crate) fn new(shared: Arc<Shared>, seed: u64) -> Self {
+        Self { shared, rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)) }
+    }
+
+    async fn answer(&self, head: &Parts, body: RequestBody) -> Response {
+        let path: Vec<&str> = head.uri.path().split('/').skip(1).collect();
+        let query = head.uri.query().unwrap_or_default();
+        let asked = Asked { method: &head.method, path, query, headers: &head.headers, body };
+        match asked.path.as_slice() {
+            ["livez"] => Ok(reply::text(StatusCode::OK, "alive\n")),
+            ["readyz"] => Ok(self.ready()),
+            ["v1", "targets", ..] => self.targets(asked).await,
+            ["v1", "services", ..] => self.services(asked).await,
+            ["v1", "tasks", ..] => self.tasks(asked).await,
+            ["v1", "status"] => self.status(&asked).await,
+            ["v1", "decisions"] => self.decisions(&asked).await,
+            _ => Err(no_path(head.uri.path())),
+        }
+    }
+
+    fn ready(&self) -> WebResponse {
+        let red = |why: &str| reply::text(StatusCode::SERVICE_UNAVAILABLE, why);
+        if self.shared.is_draining() {
+            return red("draining\n");
+        }
+        if !self.shared.has_lease() {
+            return red("out of touch with the leader\n");
+        }
+        reply::text(StatusCode::OK, "ready\n")
+    }
+
+    async fn targets(&self, asked: Asked<'_>) -> Response {
+        let path = asked.path.clone();
+        match (asked.method.as_str(), path.as_slice()) {
+            ("GET", ["v1", "targets"]) => self.pass(Ask::Targets).await,
+            ("POST", ["v1", "targets"]) => {
+                let announce: Announce = json(asked.body).await?;
+                let (target, busy) = announce.into_parts();
+                check_target(&target)?;
+                self.pass(Ask::Announce { target, busy }).await
+            }
+            ("POST", ["v1", "targets", name, "heartbeat"]) => {
+                let name = named(name)?;
+                let beat: Heartbeat = json(asked.body).await?;
+                if beat.held.len() > LIST_MAX || beat.reports.len() > LIST_MAX {
+                    let what =
+                        format!("more than {LIST_MAX} items in a list; send several heartbeats");
+                    return Err(Problem::new(Kind::TooLarge, Ran::NotRun, what));
+                }
+                self.pass(Ask::Heartbeat { name, beat }).await
+            }
+            ("POST", ["v1", "targets", name, "leave"]) => {
+                let name = named(name)?;
+                let leave: Leave = json(asked.body).await?;
+                self.pass(Ask::Leave { name, incarnation: leave.incarnation }).await
+            }
+            _ => Err(no_method(&asked)),
+        }
+    }
+
+    async fn services(&self, asked: Asked<'_>) -> Response {
+        let path = asked.path.clone();
+        match (asked.method.as_str(), path.as_slice()) {
+            ("GET", ["v1", "services"]) => self.pass(Ask::Services).await,
+            ("GET", ["v1", "services", name]) => self.pass(Ask::Service(named(name)?)).await,
+            ("PUT", ["v1", "services", name]) => self.apply(named(name)?, asked).await,
+            ("POST", ["v1", "services", name, "check"]) => {
+                read_document(&named(name)?, asked.body).await?;
+                Ok(reply::json(StatusCode::OK, &serde_json::json!({ "ok": true })))
+            }
+            _ => Err(no_method(&asked)),
+        }
+    }
+
+    async fn apply(&self, name: Name, asked: Asked<'_>) -> Response {
+        let wait = !asked.query.split('&').any(|part| part == "wait=false");
+        let author = asked.headers.get(AUTHOR).and_then(|value| value.to_str().ok());
+        let author = author.filter(|text| text.len() <= 255).unwrap_or("unnamed").into();
+        let text = read_document(&name, asked.body).await?;
+        match self.shared.ask(Ask::Apply { text, author }).await {
+            Answer::Applied(mut applied) => {
+                if wait {
+                    self.wait_in_force(&mut applied).await;
+                }
+                Ok(reply::json(StatusCode::OK, &applied))
+            }
+            other => answer(other),
+        }
+    }
+
+    async fn wait_in_force(&self, applied: &mut Applied) {
+        let until = Instant::now() + FORCE_WAIT;
+        while Instant::now() < until {
+            match self.shared.ask(Ask::InForce { revision: applied.revision }).await {
+                Answer::InForce { everywhere, waiting_for } => {
+                    applied.in_force_everywhere = everywhere;
+                    applied.waiting_for = waiting_for;
+                    if everywhere {
+                        return;
+                    }
+                }
+                _ => tokio::time::sleep(Duration::from_millis(100)).await,
+            }
+        }
+    }
+
+    async fn tasks(&self, asked: Asked<'_>) -> Response {
+        let path = asked.path.clone();
+        match (asked.method.as_str(), path.as_slice()) {
+            ("GET", ["v1", "tasks"]) => self.pass(Ask::Tasks(filter(asked.query)?)).await,
+            ("POST", ["v1", "tasks"]) => {
+                let key = self.submission_key(asked.headers)?;
+                let tasks: SubmitTasks = json(asked.body).await?;
+                self.pass(Ask::Submit { key, tasks }).await
+            }
+            ("POST", ["v1", "tasks", "cancel"]) => {
+                let cancel: CancelTasks = json(asked.body).await?;
+                self.pass(Ask::Cancel(cancel.tasks)).await
+            }
+            ("GET", ["v1", "tasks", id]) => self.pass(Ask::Task(task_id(id)?)).await,
+            ("POST", ["v1", "tasks", id, "cancel"]) => {
+                self.pass(Ask::Cancel(vec![task_id(id)?])).await
+            }
+            _ => Err(no_method(&asked)),
+        }
+    }
+
+    /// Without a key a submission that is sent again adds tasks again.
+    fn submission_key(&self, headers: &HeaderMap) -> Result<Box<str>, Problem> {
+        match headers.get(IDEMPOTENCY_KEY) {
+            Some(value) => check_key(value.as_bytes())
+                .map(Into::into)
+                .map_err(|bad| Problem::new(Kind::BadRequest, Ran::NotRun, bad.to_string())),
+            None => {
+                let mut rng = self.rng.borrow_mut();
+                Ok(format!("drawn-{:016x}{:016x}", rng.next_u64(), rng.next_u64()).into())
+            }
+        }
+    }
+
+    async fn status(&self, asked: &Asked<'_>) -> Response {
+        only_get(asked)?;
+        match self.shared.ask(Ask::Status).await {
+            Answer::Status(mut status) => {
+                status.entry = self.shared.config.name.clone();
+                Ok(reply::json(StatusCode::OK, &status))
+            }
+            other => answer(other),
+        }
+    }
+
+    /// This daemon's routing decisions and the leader's placements.
+    async fn decisions(&self, asked: &Asked<'_>) -> Response {
+        only_get(asked)?;
+        let mut all = self.shared.decisions.list();
+        if let Answer::Decisions(others) = self.shared.ask(Ask::Decisions).await {
+            let own = &self.shared.config.name;
+            all.extend(others.into_iter().filter(|decision| decision.entry != *own));
+        }
+        all.sort_by_key(|decision| std::cmp::Reverse(decision.at_ms));
+        Ok(reply::json(StatusCode::OK, &all))
+    }
+
+    async fn pass(&self, ask: Ask) -> Response {
+        answer(self.shared.ask(ask).await)
+    }
+}
+
+fn answer(answer: Answer) -> Response {
+    let ok = StatusCode::OK;
+    Ok(match answer {
+        Answer::Applied(value) => reply::json(ok, &value),
+        Answer::InForce { everywhere, waiting_for } => reply::json(
+            ok,
+            &serde_json::json!({ "everywhere": everywhere, "waiting-for": waiting_for }),
+        ),
+        Answer::Services(value) => reply::json(ok, &value),
+        Answer::Service(value) => reply::json(ok, &value),
+        Answer::Submitted(value) => reply::json(StatusCode::ACCEPTED, &value),
+        Answer::Cancelled(value) => reply::json(ok, &value),
+        Answer::Task(value) => reply::json(ok, &value),
+        Answer::Tasks(value) => reply::json(ok, &value),
+        Answer::Welcome(value) => reply::json(ok, &value),
+        Answer::Request(_) | Answer::Done => reply::json(ok, &serde_json::json!({ "ok": true })),
+        Answer::Status(value) => reply::json(ok, &value),
+        Answer::Targets(value) => reply::json(ok, &value),
+        Answer::Decisions(value) => reply::json(ok, &value),
+        Answer::Problem(problem) => return Err(problem),
+    })
+}
+
+async fn json<T>(body: RequestBody) -> Result<T, Problem>
+where
+    T: DeserializeOwned,
+{
+    let bytes = bytes(body).await?;
+    serde_json::from_slice(&bytes).map_err(|error| {
+        let what =
+            format!("the body is not the JSON expected here: {error}; see docs/PROTOCOLS.md");
+        Problem::new(Kind::BadRequest, Ran::NotRun, what)
+    })
+}
+
+async fn bytes(body: RequestBody) -> Result<bytes::Bytes, Problem> {
+    read_body(body, BODY_MAX, BODY_TIME).await.map_err(|bad| {
+        let kind = match bad {
+            yuccalink_transport::server::BadBody::TooLarge(_) => Kind::TooLarge,
+            _ => Kind::BadRequest,
+        };
+        Problem::new(kind, Ran::NotRun, bad.to_string())
+    })
+}
+
+async fn read_document(name: &Name, body: RequestBody) -> Result<Box<str>, Problem> {
+    let bytes = bytes(body).await?;
+    let text = std::str::from_utf8(&bytes).map_err(|_| {
+        Problem::new(Kind::BadRequest, Ran::NotRun, "the document is not UTF-8; save it as UTF-8")
+    })?;
+    let document = document::read(text).map_err(|faults| unacceptable_document(&faults))?;
+    if document.service != *name {
+        let what = format!(
+            "the document is for `{}` and was sent for `{name}`; make both the same",
+            document.service
+        );
+        return Err(Problem::new(Kind::Unacceptable, Ran::NotRun, what));
+    }
+    Ok(text.into())
+}
+
+fn check_target(target: &yuccalink_state::target::TargetSpec) -> Result<(), Problem> {
+    use yuccalink_state::target::TargetSpec;
+    let unacceptable = |what: &str| Err(Problem::new(Kind::Unacceptable, Ran::NotRun, what));
+    if target.address().parse::<std::net::SocketAddr>().is_err() {
+        return unacceptable("address must be IP:PORT, such as 10.0.0.7:9000");
+    }
+    match target {
+        TargetSpec::Runner(spec) if spec.slots == 0 || spec.slots > 4096 => {
+            unacceptable("slots must be from 1 to 4096")
+        }
+        TargetSpec::Runner(spec) if spec.connections < spec.slots => {
+            unacceptable("connections must be at least slots: each request takes one")
+        }
+        TargetSpec::Worker(spec) if spec.capacity.millicores == 0 => {
+            unacceptable("capacity.millicores must be at least 1")
+        }
+        TargetSpec::Runner(_) | TargetSpec::Worker(_) => Ok(()),
+    }
+}
+
+fn named(text: &str) -> Result<Name, Problem> {
+    Name::new(text).map_err(|bad| Problem::new(Kind::BadRequest, Ran::NotRun, bad.to_string()))
+}
+
+fn task_id(text: &str) -> Result<TaskId, Problem> {
+    let digits = text.strip_prefix('t').unwrap_or(text);
+    digits.parse().map(TaskId).map_err(|_| {
+        let what = format!("`{text}` is no task number; write one such as 7 or t7");
+        Problem::new(Kind::BadRequest, Ran::NotRun, what)
+    })
+}
+
+fn filter(query: &str) -> Result<TaskFilter, Problem> {
+    const PAGE: u32 = 100;
+    let mut filter = TaskFilter { limit: PAGE, ..TaskFilter::default() };
+    let bad = |what: String| Problem::new(Kind::BadRequest, Ran::NotRun, what);
+    for part in query.split('&').filter(|part| !part.is_empty()) {
+        let (name, value) = part.split_once('=').unwrap_or((part, ""));
+        let number = || value.parse().map_err(|_| bad(format!("{name} must be a whole number")));
+        match name {
+            "service" => filter.service = Some(named(value)?),
+            "phase" => filter.phase = Some(value.into()),
+            "after" => filter.after = number()?,
+            "limit" => filter.limit = u32::try_from(number()?).unwrap_or(u32::MAX),
+            _ => {
+                let what = format!("`{name}` is not known; use service, phase, after or limit");
+                return Err(bad(what));
+            }
+        }
+    }
+    Ok(filter)
+}
+
+fn only_get(asked: &Asked<'_>) -> Result<(), Problem> {
+    match *asked.method {
+        Method::GET => Ok(()),
+        _ => Err(no_method(asked)),
+    }
+}
+
+fn no_method(asked: &Asked<'_>) -> Problem {
+    let path = asked.path.join("/");
+    let what = format!("{} /{path} is not offered; see docs/PROTOCOLS.md", asked.method);
+    Problem::new(Kind::MethodNotAllowed, Ran::NotRun, what)
+}
+
+fn no_path(path: &str) -> Problem {
+    let what = format!("there is nothing at {path}; see docs/PROTOCOLS.md");
+    Problem::new(Kind::NotFound, Ran::NotRun, what)
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,213 @@
+//! Starts and stops all parts of one daemon.
+
+use crate::admin::Admin;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::control::{self, Parts, Storage};
+use crate::error::{Error, Result};
+use crate::journal::Journal;
+use crate::shared::{CONTROL_QUEUE, Shared};
+use crate::traffic::Traffic;
+use rand::TryRng as _;
+use rand::rngs::SysRng;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot, watch};
+use yuccalink_state::id::Incarnation;
+use yuccalink_transport::server::{Limits, Server};
+
+/// Threads for targets and operators.
+const CONTROL_THREADS: usize = 1;
+/// Connections of targets and operators at once.
+const CONTROL_CONNECTIONS: usize = 4096;
+/// How often a stopping daemon looks whether it may go on.
+const POLL: Duration = Duration::from_millis(10);
+
+/// A running daemon.
+pub struct Daemon {
+    shared: Arc<Shared>,
+    callers: Server,
+    admin: Server,
+    peer: SocketAddr,
+    stop: watch::Sender<bool>,
+    control: JoinHandle<Result<()>>,
+    failed: oneshot::Receiver<yuccalink_state::Error>,
+}
+
+impl std::fmt::Debug for Daemon {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Daemon").field("config", &self.shared.config).finish_non_exhaustive()
+    }
+}
+
+impl Daemon {
+    /// Recovers the state, listens, and serves.
+    ///
+    /// # Errors
+    /// [`Error`] when a port is taken or the data folder cannot be used; then
+    /// nothing is left running.
+    ///
+    /// ```
+    /// use yuccalink_daemon::{Config, Daemon};
+    /// let folder = tempfile::tempdir()?;
+    /// let any = "127.0.0.1:0".parse()?;
+    /// let config = Config::builder().name("e1").data(folder.path());
+    /// let config = config.callers(any).control(any).peer(any).build()?;
+    /// let daemon = Daemon::start(config)?;
+    /// assert_ne!(daemon.callers().port(), 0);
+    /// daemon.kill();
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn start(mut config: Config) -> Result<Self> {
+        let callers = listen(config.callers, "callers", "callers")?;
+        let admin = listen(config.control, "targets and operators", "control")?;
+        let peers = listen(config.peer, "daemons", "peer")?;
+        config.callers = address(&callers);
+        config.control = address(&admin);
+        config.peer = address(&peers);
+        let peer = config.peer;
+        let storage = match &config.data {
+            Some(folder) => Some(recover(folder)?),
+            None => None,
+        };
+        let (asks_tx, asks) = mpsc::channel(CONTROL_QUEUE);
+        let shared = Arc::new(Shared::new(config, Clock::start(), asks_tx));
+        let (stop, stopped) = watch::channel(false);
+        let (failed_tx, failed) = oneshot::channel();
+        let parts = Parts {
+            shared: shared.clone(),
+            peer_listener: peers,
+            asks,
+            storage,
+            incarnation: Incarnation(draw()),
+            stop: stopped,
+            failed: failed_tx,
+        };
+        let control = thread::Builder::new()
+            .name("control".into())
+            .spawn(move || control::run(parts))
+            .map_err(Error::Thread)?;
+        let callers = serve_callers(&shared, callers)?;
+        let admin = serve_admin(&shared, admin)?;
+        log::info!(
+            "entry {} in zone {}: callers at {}, targets and operators at {}, daemons at {peer}",
+            shared.config.name,
+            shared.config.zone,
+            callers.address(),
+            admin.address()
+        );
+        Ok(Self { shared, callers, admin, peer, stop, control, failed })
+    }
+
+    /// Where callers' requests come in.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Where targets and operators connect.
+    pub fn control(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Where other daemons connect.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// The error of the disk, once it has failed; the daemon must then end.
+    pub fn failure(&mut self) -> Option<yuccalink_state::Error> {
+        self.failed.try_recv().ok()
+    }
+
+    /// Stops gracefully: turns red, goes on serving until the balancer has
+    /// noticed, refuses new requests, finishes what is in flight, and returns.
+    ///
+    /// # Errors
+    /// [`Error::Stopped`] when the control thread had ended before.
+    pub fn drain(self) -> Result<()> {
+        let config = &self.shared.config;
+        log::info!("draining: red for the balancer, still serving for {:?}", config.drain_delay);
+        self.shared.start_draining();
+        thread::sleep(config.drain_delay);
+        self.shared.start_refusing();
+        let until = Instant::now() + config.drain_timeout;
+        while self.shared.in_flight.load(Ordering::Acquire) > 0 && Instant::now() < until {
+            thread::sleep(POLL);
+        }
+        let left = self.shared.in_flight.load(Ordering::Acquire);
+        if left > 0 {
+            log::warn!("{left} requests were still in flight after {:?}", config.drain_timeout);
+        }
+        self.callers.stop();
+        let result = stop_control(&self.stop, self.control);
+        self.admin.stop();
+        log::info!("stopped");
+        result
+    }
+
+    /// Stops at once, as tests do: what is in flight is cut off, what was
+    /// acknowledged is on the disk.
+    pub fn kill(self) {
+        self.shared.start_refusing();
+        let _ = stop_control(&self.stop, self.control);
+    }
+}
+
+fn stop_control(stop: &watch::Sender<bool>, thread: JoinHandle<Result<()>>) -> Result<()> {
+    let _ = stop.send(true);
+    thread.join().unwrap_or(Err(Error::Stopped))
+}
+
+fn listen(at: SocketAddr, whom: &'static str, flag: &'static str) -> Result<TcpListener> {
+    TcpListener::bind(at).map_err(|source| Error::Listen {
+        address: at.to_string().into(),
+        whom,
+        flag,
+        source,
+    })
+}
+
+fn address(listener: &TcpListener) -> SocketAddr {
+    listener.local_addr().unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)))
+}
+
+fn recover(folder: &std::path::Path) -> Result<Storage> {
+    let started = Instant::now();
+    let (journal, recovered, last) = Journal::open(folder)?;
+    log::info!(
+        "recovered {} up to record {last}, {} of them from the log, in {:?}",
+        folder.display(),
+        recovered.replayed,
+        started.elapsed()
+    );
+    Ok(Storage { journal, machine: recovered.machine, last })
+}
+
+fn serve_callers(shared: &Arc<Shared>, listener: TcpListener) -> Result<Server> {
+    let config = &shared.config;
+    let limits = Limits {
+        threads: config.traffic_threads,
+        connections: config.connections,
+        head_timeout: config.head_timeout,
+        idle_timeout: config.idle_timeout,
+    };
+    let shared = shared.clone();
+    Server::start(listener, limits, move || Traffic::new(shared.clone(), draw()))
+        .map_err(Error::Thread)
+}
+
+fn serve_admin(shared: &Arc<Shared>, listener: TcpListener) -> Result<Server> {
+    let limits =
+        Limits { threads: CONTROL_THREADS, connections: CONTROL_CONNECTIONS, ..Limits::default() };
+    let shared = shared.clone();
+    Server::start(listener, limits, move || Admin::new(shared.clone(), draw()))
+        .map_err(Error::Thread)
+}
+
+/// A number from the system's generator, to seed others and to name this run.
+fn draw() -> u64 {
+    SysRng.try_next_u64().unwrap_or_else(|_| crate::clock::unix_ms())
+}
--- /dev/null
+++ b/crates/daemon/src/decisions.rs
@@ -0,0 +1,45 @@
+//! The last decisions of this daemon: each is one log line, kept for operators.
+
+use crate::clock::unix_ms;
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+use yuccalink_protocol::api::DecisionView;
+use yuccalink_state::id::Name;
+
+/// Decisions kept.
+pub(crate) const KEPT: usize = 1000;
+/// Log target of decisions, for filters.
+pub(crate) const TARGET: &str = "yuccalink::decision";
+
+#[derive(Debug)]
+pub(crate) struct Decisions {
+    entry: Name,
+    ring: Mutex<VecDeque<(u64, Box<str>)>>,
+}
+
+impl Decisions {
+    pub(crate) fn new(entry: Name) -> Self {
+        Self { entry, ring: Mutex::new(VecDeque::with_capacity(KEPT)) }
+    }
+
+    /// Logs a decision and keeps it.
+    pub(crate) fn note(&self, line: String) {
+        log::info!(target: TARGET, "{line}");
+        let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
+        if ring.len() == KEPT {
+            ring.pop_front();
+        }
+        ring.push_back((unix_ms(), line.into()));
+    }
+
+    /// Newest first.
+    pub(crate) fn list(&self) -> Vec<DecisionView> {
+        let ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
+        let view = |(at_ms, line): &(u64, Box<str>)| DecisionView {
+            at_ms: *at_ms,
+            entry: self.entry.clone(),
+            line: line.clone(),
+        };
+        ring.iter().rev().map(view).collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry.rs
@@ -0,0 +1,191 @@
+//! The entry's side of control: applies what the leader tells, keeps the view
+//! of the traffic threads and the lease that lets this entry serve.
+
+use crate::shared::{Owner, Shared, View};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use yuccalink_coordination::Moment;
+use yuccalink_coordination::entries::Lease;
+use yuccalink_protocol::peer::{EntryState, Neighbour, News, RunnerChange};
+use yuccalink_state::document::Document;
+use yuccalink_state::id::{Incarnation, Name};
+
+pub(crate) struct Entry {
+    shared: Arc<Shared>,
+    incarnation: Incarnation,
+    lease: Lease,
+    revision: u64,
+    term: u64,
+    table_version: u64,
+    told_owned: u64,
+    documents: BTreeMap<Name, Arc<Document>>,
+    runners: BTreeMap<Name, RunnerChange>,
+    neighbours: Vec<Neighbour>,
+    releasing: Vec<Name>,
+}
+
+impl Entry {
+    pub(crate) fn new(shared: Arc<Shared>, incarnation: Incarnation) -> Self {
+        Self {
+            shared,
+            incarnation,
+            lease: Lease::default(),
+            revision: 0,
+            term: 0,
+            table_version: 0,
+            told_owned: 0,
+            documents: BTreeMap::new(),
+            runners: BTreeMap::new(),
+            neighbours: Vec::new(),
+            releasing: Vec::new(),
+        }
+    }
+
+    /// What to tell the leader now.
+    pub(crate) fn state(&mut self, leaving: bool) -> EntryState {
+        let let_go = self.let_go();
+        let config = &self.shared.config;
+        let owned = match self.told_owned == self.term {
+            true => Vec::new(),
+            false => self.owned_specs(),
+        };
+        EntryState {
+            entry: config.name.clone(),
+            incarnation: self.incarnation,
+            callers: config.callers_address().to_string().into(),
+            zone: config.zone.clone(),
+            acked: self.revision,
+            draining: self.shared.is_draining(),
+            term: self.term,
+            table_version: self.table_version,
+            let_go,
+            owned,
+            leaving,
+        }
+    }
+
+    fn owned_specs(&self) -> Vec<yuccalink_state::target::RunnerSpec> {
+        let routing = self.shared.routing();
+        let owned = routing.router.runners().filter(|r| !self.releasing.contains(&r.spec.name));
+        owned.map(|runner| runner.spec.clone()).collect()
+    }
+
+    /// Runners that another entry shall have and that hold nothing of ours any more.
+    fn let_go(&mut self) -> Vec<Name> {
+        let mut routing = self.shared.routing();
+        let mut gone = Vec::new();
+        self.releasing.retain(|name| match routing.router.in_flight(name) {
+            Some(busy) if busy > 0 => true,
+            _ => {
+                routing.router.disown(name);
+                gone.push(name.clone());
+                false
+            }
+        });
+        gone
+    }
+
+    /// Takes in news that answer a request sent at `sent`, then renews the lease.
+    pub(crate) fn apply(&mut self, news: News, sent: Moment) {
+        // A late answer of an earlier leader must not bring back what a later one
+        // has replaced.
+        if news.term < self.term {
+            return;
+        }
+        if news.term > self.term {
+            log::info!("following the leader of term {}", news.term);
+            self.told_owned = self.term;
+            self.term = news.term;
+            self.runners.clear();
+        } else {
+            self.told_owned = self.term;
+        }
+        let mut changed = self.take_documents(news.documents);
+        self.revision = self.revision.max(news.revision);
+        self.table_version = news.table_version;
+        changed |= !news.runners.is_empty() || self.neighbours != news.entries;
+        self.neighbours = news.entries;
+        self.take_runners(news.runners);
+        if changed {
+            self.publish();
+        }
+        self.lease.renew(sent);
+        self.shared.set_lease(self.lease.until());
+    }
+
+    fn take_documents(&mut self, documents: Vec<yuccalink_state::document::Accepted>) -> bool {
+        let mut changed = false;
+        for accepted in documents {
+            // Revisions only grow: an answer that was overtaken changes nothing.
+            if accepted.revision.0 <= self.revision {
+                continue;
+            }
+            let document = Arc::new(accepted.document);
+            log::info!(
+                "service {} version {} is in force here (revision {})",
+                document.service,
+                document.version,
+                accepted.revision
+            );
+            self.documents.insert(document.service.clone(), document);
+            changed = true;
+        }
+        changed
+    }
+
+    fn take_runners(&mut self, runners: Vec<RunnerChange>) {
+        for change in runners {
+            self.route(&change);
+            self.runners.insert(change.spec.name.clone(), change);
+        }
+    }
+
+    fn route(&mut self, change: &RunnerChange) {
+        let now = self.shared.clock.now();
+        let name = &change.spec.name;
+        let mine = change.owner.as_ref() == Some(&self.shared.config.name);
+        let mut routing = self.shared.routing();
+        let had = routing.router.in_flight(name).is_some();
+        if mine && change.usable {
+            self.releasing.retain(|other| other != name);
+            routing.change(now, |router, turns| {
+                if had {
+                    router.reported(now, name, change.busy, turns);
+                }
+                router.own(now, change.spec.clone(), change.busy, turns);
+            });
+        } else if had {
+            routing.router.close(name);
+            if !mine && !self.releasing.contains(name) {
+                self.releasing.push(name.clone());
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let mut owners: HashMap<Box<str>, BTreeMap<Name, Owner>> = HashMap::new();
+        for change in self.runners.values().filter(|change| change.usable) {
+            let Some(owner) = &change.owner else { continue };
+            let found = self.neighbours.iter().find(|n| n.name == *owner && !n.draining);
+            let Some(callers) = found.and_then(|entry| entry.callers.parse().ok()) else {
+                continue;
+            };
+            let service = owners.entry(change.spec.service.as_str().into()).or_default();
+            let owner = service.entry(owner.clone()).or_insert_with(|| Owner {
+                name: owner.clone(),
+                callers,
+                slots: 0,
+            });
+            owner.slots += change.spec.slots;
+        }
+        let documents = self.documents.iter();
+        let view = View {
+            services: documents.map(|(name, doc)| (name.as_str().into(), doc.clone())).collect(),
+            owners: owners
+                .into_iter()
+                .map(|(service, owners)| (service, owners.into_values().collect()))
+                .collect(),
+        };
+        self.shared.view.store(Arc::new(view));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,30 @@
+//! The daemon as a library. [`Config`] says what to run, [`Daemon::start`]
+//! runs it, and the program `yuccalinkd` only reads flags and waits for signals.
+//!
+//! Threads: one for control state (`control`), one for the disk (`journal`),
+//! one for targets and operators, and the traffic threads for callers.
+
+mod admin;
+mod clock;
+mod config;
+mod control;
+mod daemon;
+mod decisions;
+mod entry;
+mod error;
+mod journal;
+mod leader;
+mod link;
+mod logging;
+mod metrics;
+mod orders;
+mod peers;
+mod shared;
+mod traffic;
+mod upstream;
+mod views;
+
+pub use config::{Config, ConfigBuilder, Peer};
+pub use daemon::Daemon;
+pub use error::{Error, Result};
+pub use logging::start as start_logging;
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,83 @@
+//! StatsD metrics. All names are listed in `docs/OPERATIONS.md`.
+
+use cadence::{BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, QueuingMetricSink};
+use cadence::{StatsdClient, Timed};
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+const PREFIX: &str = "yuccalink";
+/// Metrics waiting to be sent; more are dropped.
+const QUEUE: usize = 64 * 1024;
+
+/// Sends metrics, or nothing where no address is set.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    client: StatsdClient,
+    on: bool,
+}
+
+/// How a caller's request ended, as a metric's tag.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Result {
+    Answered,
+    NotRun,
+    Unknown,
+    Failed,
+}
+
+impl Result {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+impl Metrics {
+    pub(crate) fn new(statsd: Option<SocketAddr>) -> Self {
+        let sink = statsd.and_then(|address| {
+            let any = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+            let socket = UdpSocket::bind(any).ok()?;
+            socket.set_nonblocking(true).ok()?;
+            BufferedUdpMetricSink::from(address, socket).ok()
+        });
+        match sink {
+            Some(sink) => {
+                let queue = QueuingMetricSink::with_capacity(sink, QUEUE);
+                Self { client: StatsdClient::from_sink(PREFIX, queue), on: true }
+            }
+            None => {
+                if let Some(address) = statsd {
+                    log::error!("cannot send metrics to {address}; check --statsd");
+                }
+                Self { client: StatsdClient::from_sink(PREFIX, NopMetricSink), on: false }
+            }
+        }
+    }
+
+    pub(crate) fn request(&self, service: &str, result: Result, took: Duration) {
+        if !self.on {
+            return;
+        }
+        let result = result.name();
+        let count = self.client.count_with_tags("requests", 1);
+        let _ = count.with_tag("service", service).with_tag("result", result).try_send();
+        let time = self.client.time_with_tags("request_time", took);
+        let _ = time.with_tag("service", service).try_send();
+    }
+
+    pub(crate) fn count(&self, name: &str, by: u64) {
+        if self.on {
+            let _ = self.client.count(name, i64::try_from(by).unwrap_or(i64::MAX));
+        }
+    }
+
+    pub(crate) fn gauge(&self, name: &str, value: u64) {
+        if self.on {
+            let _ = self.client.gauge(name, value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/orders.rs
@@ -0,0 +1,88 @@
+//! Sends orders to workers, one message at a time to each.
+
+use crate::leader::{Leader, OrderBatch};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+use yuccalink_protocol::api::{Orders, OrdersTaken};
+use yuccalink_state::command::TaskReport;
+use yuccalink_state::id::WorkerKey;
+use yuccalink_transport::http::{Request, header};
+use yuccalink_transport::pool::{Pool, PoolSettings};
+
+/// Longest wait for a worker's answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer of a worker, in bytes.
+const ANSWER_MAX: usize = 4 * 1024 * 1024;
+
+pub(crate) struct Sender {
+    leader: Rc<RefCell<Leader>>,
+    pool: Pool,
+    busy: RefCell<BTreeSet<WorkerKey>>,
+}
+
+impl Sender {
+    pub(crate) fn new(leader: Rc<RefCell<Leader>>) -> Self {
+        let settings = PoolSettings { idle_per_address: 1, ..PoolSettings::default() };
+        Self { leader, pool: Pool::new(settings), busy: RefCell::default() }
+    }
+
+    /// Sends what is due, for ever.
+    pub(crate) async fn run(self: Rc<Self>) {
+        let wake = self.leader.borrow().orders.clone();
+        loop {
+            wake.notified().await;
+            let batches = self.leader.borrow_mut().orders_due(&self.busy.borrow());
+            for batch in batches {
+                self.busy.borrow_mut().insert(batch.worker);
+                let sender = self.clone();
+                tokio::task::spawn_local(async move { sender.deliver(batch).await });
+            }
+            self.pool.tidy();
+        }
+    }
+
+    async fn deliver(&self, batch: OrderBatch) {
+        let OrderBatch { worker, name, incarnation, address, due, orders } = batch;
+        let sent = self.send(&address, &Orders { incarnation, orders }).await;
+        self.busy.borrow_mut().remove(&worker);
+        let mut leader = self.leader.borrow_mut();
+        match sent {
+            Ok(reports) => leader.reported(reports),
+            Err(why) => {
+                log::warn!(
+                    "{} orders to worker {name} failed: {why}; sending them again",
+                    due.len()
+                );
+                leader.orders_failed(&due);
+            }
+        }
+        leader.orders.notify_one();
+    }
+
+    async fn send(&self, address: &str, orders: &Orders) -> Result<Vec<TaskReport>, String> {
+        let to: SocketAddr = address.parse().map_err(|e| format!("address {address}: {e}"))?;
+        let body = serde_json::to_vec(orders).map_err(|e| e.to_string())?;
+        let req = Request::post("/v1/orders")
+            .header(header::HOST, address)
+            .header(header::CONTENT_TYPE, yuccalink_transport::reply::JSON)
+            .body(body.into())
+            .map_err(|e| e.to_string())?;
+        let deadline = Instant::now() + TIMEOUT;
+        let mut answer = self.pool.send(to, req, deadline).await.map_err(|e| e.to_string())?;
+        let whole = tokio::time::timeout_at(deadline, answer.whole(ANSWER_MAX));
+        let body = whole
+            .await
+            .map_err(|_| "the answer came too slowly".to_string())?
+            .map_err(|e| e.to_string())?
+            .ok_or("the answer is too large")?;
+        if !answer.head.status.is_success() {
+            return Err(format!("status {}", answer.head.status));
+        }
+        let taken: OrdersTaken = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
+        Ok(taken.reports)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,226 @@
+//! What all threads share: the view that traffic reads, swapped whole by the
+//! control thread, and the routing state behind one short lock.
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::decisions::Decisions;
+use crate::metrics::Metrics;
+use arc_swap::ArcSwap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use yuccalink_coordination::Moment;
+use yuccalink_coordination::router::{
+    Admission, Arrival, Ended, Grant, Refusal, Router, Ticket, Turn,
+};
+use yuccalink_protocol::peer::{Answer, Ask};
+use yuccalink_protocol::problem::{Kind, Problem, Ran};
+use yuccalink_state::document::Document;
+use yuccalink_state::id::Name;
+
+/// Requests to the control thread that may wait; more are refused at once.
+pub(crate) const CONTROL_QUEUE: usize = 4096;
+/// Longest wait for the leader's answer.
+pub(crate) const ASK_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// An entry that owns runners of a service.
+#[derive(Clone, Debug)]
+pub(crate) struct Owner {
+    pub(crate) name: Name,
+    pub(crate) callers: SocketAddr,
+    pub(crate) slots: u32,
+}
+
+/// What traffic threads know of the system. Never changed, only replaced.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    pub(crate) services: HashMap<Box<str>, Arc<Document>>,
+    pub(crate) owners: HashMap<Box<str>, Vec<Owner>>,
+}
+
+/// A request to the leader and where its answer goes.
+#[derive(Debug)]
+pub(crate) struct ToLeader {
+    pub(crate) ask: Ask,
+    pub(crate) reply: oneshot::Sender<Answer>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Routing {
+    pub(crate) router: Router,
+    waiting: HashMap<Ticket, oneshot::Sender<Grant>>,
+    turns: Vec<Turn>,
+}
+
+/// How a request is let in.
+#[derive(Debug)]
+pub(crate) enum Entrance {
+    Go(Grant),
+    Wait(Ticket, oneshot::Receiver<Grant>),
+    Refuse(Refusal, Duration),
+}
+
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) config: Config,
+    pub(crate) clock: Clock,
+    pub(crate) view: ArcSwap<View>,
+    pub(crate) decisions: Decisions,
+    pub(crate) metrics: Metrics,
+    pub(crate) in_flight: AtomicUsize,
+    routing: Mutex<Routing>,
+    lease_until: AtomicU64,
+    draining: AtomicBool,
+    refusing: AtomicBool,
+    leader: mpsc::Sender<ToLeader>,
+}
+
+impl Shared {
+    pub(crate) fn new(config: Config, clock: Clock, leader: mpsc::Sender<ToLeader>) -> Self {
+        let router = Router::new(config.zone.clone());
+        Self {
+            decisions: Decisions::new(config.name.clone()),
+            metrics: Metrics::new(config.statsd),
+            config,
+            clock,
+            view: ArcSwap::default(),
+            in_flight: AtomicUsize::new(0),
+            routing: Mutex::new(Routing { router, waiting: HashMap::new(), turns: Vec::new() }),
+            lease_until: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
+            leader,
+        }
+    }
+
+    pub(crate) fn routing(&self) -> MutexGuard<'_, Routing> {
+        self.routing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this entry may serve: an entry whose lease ran out may be cut off
+    /// and would route by documents that are no longer in force.
+    pub(crate) fn has_lease(&self) -> bool {
+        self.clock.now().0 < self.lease_until.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_lease(&self, until: Moment) {
+        self.lease_until.store(until.0, Ordering::Release);
+    }
+
+    /// Red for the balancer, while requests are still served.
+    pub(crate) fn start_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// New requests are refused from now on.
+    pub(crate) fn start_refusing(&self) {
+        self.refusing.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::Acquire)
+    }
+
+    /// Asks the leader and waits for its answer, at most [`ASK_TIMEOUT`].
+    pub(crate) async fn ask(&self, ask: Ask) -> Answer {
+        let (reply, answer) = oneshot::channel();
+        if self.leader.try_send(ToLeader { ask, reply }).is_err() {
+            return Answer::Problem(
+                Problem::new(
+                    Kind::Overloaded,
+                    Ran::NotRun,
+                    "too many requests wait for the leader",
+                )
+                .retry_after(500),
+            );
+        }
+        match tokio::time::timeout(ASK_TIMEOUT, answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => Answer::Problem(no_leader()),
+        }
+    }
+
+    pub(crate) fn admit(&self, arrival: Arrival<'_>) -> Entrance {
+        let now = self.clock.now();
+        let mut routing = self.routing();
+        match routing.router.admit(now, arrival) {
+            Admission::Go(grant) => Entrance::Go(grant),
+            Admission::Wait(ticket) => {
+                let (tx, rx) = oneshot::channel();
+                routing.waiting.insert(ticket, tx);
+                Entrance::Wait(ticket, rx)
+            }
+            Admission::Refuse(why, retry) => Entrance::Refuse(why, retry),
+        }
+    }
+
+    /// Stops waiting. A slot that came at the same moment is given back.
+    pub(crate) fn abandon(&self, ticket: Ticket, mut rx: oneshot::Receiver<Grant>) {
+        let now = self.clock.now();
+        let mut routing = self.routing();
+        routing.waiting.remove(&ticket);
+        if !routing.router.abandon(ticket)
+            && let Ok(grant) = rx.try_recv()
+        {
+            routing.release(now, grant, Ended::Abandoned);
+        }
+    }
+
+    pub(crate) fn release(&self, grant: Grant, ended: Ended) {
+        let now = self.clock.now();
+        self.routing().release(now, grant, ended);
+    }
+
+    pub(crate) fn runner_of(&self, grant: Grant) -> Option<(SocketAddr, Name)> {
+        self.routing().place(grant)
+    }
+}
+
+/// The problem of a request that the leader did not answer.
+pub(crate) fn no_leader() -> Problem {
+    let what = "no leader answered in time; the request may or may not have been decided. Send it \
+                again with the same key or version";
+    Problem::new(Kind::NotServing, Ran::Unknown, what).retry_after(1000)
+}
+
+impl Routing {
+    fn place(&self, grant: Grant) -> Option<(SocketAddr, Name)> {
+        let spec = &self.router.runner(grant.runner)?.spec;
+        Some((spec.address.parse().ok()?, spec.name.clone()))
+    }
+
+    fn release(&mut self, now: Moment, grant: Grant, ended: Ended) {
+        let mut turns = std::mem::take(&mut self.turns);
+        self.router.release(now, grant, ended, &mut turns);
+        self.hand_out(now, turns);
+    }
+
+    /// Changes the router and hands out the turns that come of it.
+    pub(crate) fn change<F>(&mut self, now: Moment, change: F)
+    where
+        F: FnOnce(&mut Router, &mut Vec<Turn>),
+    {
+        let mut turns = std::mem::take(&mut self.turns);
+        change(&mut self.router, &mut turns);
+        self.hand_out(now, turns);
+    }
+
+    fn hand_out(&mut self, now: Moment, mut turns: Vec<Turn>) {
+        while let Some(turn) = turns.pop() {
+            let waiting = self.waiting.remove(&turn.ticket);
+            let taken = waiting.is_some_and(|tx| tx.send(turn.grant).is_ok());
+            if !taken {
+                // Its caller has just gone: the slot goes to the next one.
+                self.router.release(now, turn.grant, Ended::Abandoned, &mut turns);
+            }
+        }
+        self.turns = turns;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic.rs
@@ -0,0 +1,751 @@
+//! Callers' requests: one is read, routed, sent to a runner, and its whole
+//! answer goes back to its own caller.
+
+use crate::clock::unix_ms;
+use crate::metrics;
+use crate::shared::{Entrance, Owner, Shared, View};
+use crate::upstream::{Call, copy_end_to_end, from_ledger, to_ledger};
+use bytes::Bytes;
+use rand::{Rng as _, RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use std::cell::RefCell;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+use xitca_web::body::ResponseBody;
+use xitca_web::http::{WebRequest, WebResponse};
+use yuccalink_coordination::router::{Arrival, Ended, Grant, Refusal, RunnerKey, Ticket};
+use yuccalink_protocol::peer::{Answer as LeaderAnswer, Ask};
+use yuccalink_protocol::problem::{Kind, Problem, Ran};
+use yuccalink_protocol::request::{self, DEADLINE, HANDED_ON, IDEMPOTENCY_KEY};
+use yuccalink_state::command::{RequestBegin, RequestEnd};
+use yuccalink_state::document::{Document, RequestKind};
+use yuccalink_state::ledger::{
+    ANSWER_MAX, Answer as KeptAnswer, Ended as Outcome, RequestKey, Verdict,
+};
+use yuccalink_transport::body::{Piece, passed};
+use yuccalink_transport::http::{HeaderName, HeaderValue, Method, StatusCode};
+use yuccalink_transport::pool::{self, NoAnswer, Pool, PoolSettings};
+use yuccalink_transport::reply;
+use yuccalink_transport::server::{BadBody, Handler, read_body};
+
+/// Answers up to this size are read whole before they are passed on, which
+/// frees the runner's slot however slowly the caller reads.
+const WHOLE_MAX: u64 = 64 * 1024;
+/// First pause before asking again what became of the same request elsewhere.
+const RUNNING_PAUSE: Duration = Duration::from_millis(50);
+/// Header by which a runner says that it refused before it started.
+const RUNNER_NOT_RUN: &str = "yuccalink-not-run";
+/// Header that names the runner, on answers.
+const ANSWERED_BY: &str = "yuccalink-runner";
+/// Longest the ledger waits for an outcome after the deadline, in milliseconds.
+const LEDGER_GRACE_MS: u64 = 5_000;
+
+/// Answers callers' requests on one thread.
+pub(crate) struct Traffic {
+    shared: Arc<Shared>,
+    pool: Pool,
+    rng: RefCell<Pcg64Mcg>,
+}
+
+/// A request while it is being served.
+struct Serving {
+    call: Call,
+    document: Arc<Document>,
+    kind: RequestKind,
+    deadline: Instant,
+    handed_on: bool,
+    key: Option<RequestKey>,
+}
+
+/// A slot that is given back however the request ends.
+struct Slot {
+    shared: Arc<Shared>,
+    grant: Grant,
+    ended: Ended,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.shared.release(self.grant, self.ended);
+    }
+}
+
+/// A waiting request that leaves the queue however its caller leaves.
+struct Queued<'a> {
+    shared: &'a Shared,
+    waiting: Option<(Ticket, oneshot::Receiver<Grant>)>,
+}
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        if let Some((ticket, rx)) = self.waiting.take() {
+            self.shared.abandon(ticket, rx);
+        }
+    }
+}
+
+struct InFlight(Arc<Shared>);
+
+impl InFlight {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.in_flight.fetch_add(1, Ordering::AcqRel);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Why a try at one runner brought no answer.
+enum Miss {
+    /// It surely did not run.
+    NotRun(Box<str>),
+    /// It may have run.
+    Unknown(Box<str>),
+    /// The deadline passed after it was sent.
+    Late,
+}
+
+impl Traffic {
+    pub(crate) fn new(shared: Arc<Shared>, seed: u64) -> Self {
+        let settings = PoolSettings {
+            idle_per_address: idle_per_thread(shared.config.traffic_threads),
+            connect_timeout: shared.config.connect_timeout,
+        };
+        Self { shared, pool: Pool::new(settings), rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)) }
+    }
+
+    async fn serve(&self, req: WebRequest) -> Result<WebResponse, Problem> {
+        if self.shared.is_refusing() {
+            return Err(self.come_back(Kind::NotServing, "this entry is stopping", 1000));
+        }
+        if !self.shared.has_lease() {
+            let what = "this entry is out of touch with the others and must not serve";
+            return Err(self.come_back(Kind::NotServing, what, 1000));
+        }
+        let serving = self.read(req).await?;
+        self.dispatch(serving).await
+    }
+
+    async fn read(&self, req: WebRequest) -> Result<Serving, Problem> {
+        let started = Instant::now();
+        let (head, body) = req.into_parts();
+        let path = head.uri.path().to_string();
+        let (service, inner) = request::split(&path).ok_or_else(|| {
+            not_found("the path names no service; send requests to /SERVICE/...".into())
+        })?;
+        let view = self.shared.view.load();
+        let document = view.services.get(service).cloned().ok_or_else(|| {
+            not_found(format!("no service is called `{service}`; check the first part of the path"))
+        })?;
+        let kind =
+            request::kind(&document, head.method.as_str(), inner).cloned().ok_or_else(|| {
+                not_found(format!(
+                    "`{service}` has no kind of request for {} {inner}; see its document",
+                    head.method
+                ))
+            })?;
+        let deadline = started + deadline_of(&kind, head.headers.get(DEADLINE))?;
+        let key = key_of(&document, &kind, head.headers.get(IDEMPOTENCY_KEY))?;
+        let config = &self.shared.config;
+        let (_, body) = body.replace_body(());
+        let body = read_body(body, config.body_max, config.body_timeout).await;
+        let body = body.map_err(|bad| bad_body(&bad))?;
+        let handed_on = head.headers.contains_key(HANDED_ON);
+        let call = Call { method: head.method, uri: head.uri, headers: head.headers, body };
+        Ok(Serving { call, document, kind, deadline, handed_on, key })
+    }
+
+    async fn dispatch(&self, serving: Serving) -> Result<WebResponse, Problem> {
+        let serving = Arc::new(serving);
+        match &serving.key {
+            Some(key) => self.once(&serving, key).await,
+            None => self.route(&serving, None).await,
+        }
+    }
+
+    // ---- at most once ----
+
+    /// Lets a request with a key run if it is the first, and otherwise says what
+    /// became of the first.
+    async fn once(&self, serving: &Arc<Serving>, key: &RequestKey) -> Result<WebResponse, Problem> {
+        // An entry without runners of the service hands the request on before it
+        // is noted, so that the entry that sends it also notes it.
+        if !serving.handed_on && !self.owns(&serving.document) {
+            return self.hand_on(serving, Refusal::NoRunner, Duration::from_secs(1)).await;
+        }
+        let attempt = self.rng.borrow_mut().next_u64();
+        let mut pause = RUNNING_PAUSE;
+        loop {
+            match self.begin(serving, key, attempt).await? {
+                Verdict::Go => return self.run_once(serving, key).await,
+                Verdict::Answered(kept) => return Ok(again(&kept)),
+                Verdict::Running if Instant::now() + pause < serving.deadline => {
+                    sleep(pause).await;
+                    pause = (pause * 2).min(Duration::from_secs(1));
+                }
+                Verdict::Running => {
+                    let what = "the same request is still under way; ask again with the same key";
+                    return Err(
+                        Problem::new(Kind::InProgress, Ran::Unknown, what).retry_after(1000)
+                    );
+                }
+                Verdict::AnsweredTooLarge => {
+                    let what = "it ran once and was answered; the answer was too large to keep";
+                    return Err(Problem::new(Kind::AnswerNotKept, Ran::Ran, what));
+                }
+                Verdict::Unknown => {
+                    let what = "it was sent once and its outcome was lost; ask the service whether \
+                                it took effect, and use a new key to send it again";
+                    return Err(Problem::new(Kind::OutcomeUnknown, Ran::Unknown, what));
+                }
+                Verdict::KeyReused => {
+                    let what = "this Idempotency-Key was used for another request; use a new key";
+                    return Err(Problem::new(Kind::KeyReused, Ran::NotRun, what));
+                }
+                Verdict::Full => {
+                    let what = "too many requests with keys are remembered; send it again later";
+                    return Err(self.come_back(Kind::Overloaded, what, 5000));
+                }
+            }
+        }
+    }
+
+    async fn begin(
+        &self,
+        serving: &Serving,
+        key: &RequestKey,
+        attempt: u64,
+    ) -> Result<Verdict, Problem> {
+        let call = &serving.call;
+        let at_ms = unix_ms();
+        let left = serving.deadline.saturating_duration_since(Instant::now());
+        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let ask = Ask::RequestBegin(RequestBegin {
+            key: key.clone(),
+            digest: request::digest(call.method.as_str(), call.path(), &call.body),
+            attempt,
+            at_ms,
+            until_ms: at_ms.saturating_add(left).saturating_add(LEDGER_GRACE_MS),
+        });
+        match self.shared.ask(ask).await {
+            LeaderAnswer::Request(verdict) => Ok(verdict),
+            LeaderAnswer::Problem(mut problem) => {
+                // Nothing has been sent to a runner, whatever the leader noted.
+                problem.ran = Ran::NotRun;
+                self.end(key, Outcome::NotRun).await;
+                Err(problem)
+            }
+            _ => Err(self.come_back(Kind::NotServing, "the leader gave no verdict", 1000)),
+        }
+    }
+
+    async fn run_once(
+        &self,
+        serving: &Arc<Serving>,
+        key: &RequestKey,
+    ) -> Result<WebResponse, Problem> {
+        let mut noted = Noted { shared: self.shared.clone(), key: Some(key.clone()) };
+        let result = self.route(serving, Some(&mut noted)).await;
+        if let Err(problem) = &result
+            && let Some(key) = noted.key.take()
+        {
+            let outcome = match problem.ran {
+                Ran::NotRun => Outcome::NotRun,
+                Ran::Ran | Ran::Unknown => Outcome::Unknown,
+            };
+            self.end(&key, outcome).await;
+        }
+        result
+    }
+
+    async fn end(&self, key: &RequestKey, ended: Outcome) {
+        let _ = self.shared.ask(Ask::RequestEnd(RequestEnd { key: key.clone(), ended })).await;
+    }
+
+    // ---- routing ----
+
+    fn owns(&self, document: &Document) -> bool {
+        let view = self.shared.view.load();
+        let owners = view.owners.get(document.service.as_str());
+        owners.is_some_and(|owners| owners.iter().any(|o| o.name == self.shared.config.name))
+    }
+
+    async fn route(
+        &self,
+        serving: &Arc<Serving>,
+        mut noted: Option<&mut Noted>,
+    ) -> Result<WebResponse, Problem> {
+        let mut avoid = None;
+        loop {
+            let slot = match self.slot(serving, avoid).await {
+                Ok(slot) => slot,
+                Err(Turned::Away(why, retry)) if noted.is_none() && !serving.handed_on => {
+                    return self.hand_on(serving, why, retry).await;
+                }
+                Err(Turned::Away(why, retry)) => return Err(self.refusal(serving, why, retry)),
+                Err(Turned::Late) => {
+                    self.decide(serving, "gave up waiting; its deadline passed in the queue");
+                    let what = "the deadline passed while the request waited for a runner";
+                    return Err(
+                        Problem::new(Kind::DeadlinePassed, Ran::NotRun, what).retry_after(1000)
+                    );
+                }
+            };
+            let runner = slot.grant.runner;
+            let miss = match self.exchange(serving, slot, noted.as_deref_mut()).await {
+                Ok(response) => return Ok(response),
+                Err(miss) => miss,
+            };
+            if self.may_try_again(serving, &miss, avoid) {
+                avoid = Some(runner);
+                continue;
+            }
+            return Err(self.missed(miss));
+        }
+    }
+
+    async fn slot(&self, serving: &Serving, avoid: Option<RunnerKey>) -> Result<Slot, Turned> {
+        let left = serving.deadline.saturating_duration_since(Instant::now());
+        let arrival = Arrival {
+            service: &serving.document.service,
+            deadline: self.shared.clock.now() + left,
+            worth: serving.kind.worth,
+            avoid,
+        };
+        let slot = |grant| Slot { shared: self.shared.clone(), grant, ended: Ended::Abandoned };
+        match self.shared.admit(arrival) {
+            Entrance::Go(grant) => Ok(slot(grant)),
+            Entrance::Refuse(why, retry) => Err(Turned::Away(why, retry)),
+            Entrance::Wait(ticket, rx) => {
+                let mut queued = Queued { shared: &self.shared, waiting: Some((ticket, rx)) };
+                let Some((_, rx)) = &mut queued.waiting else { return Err(Turned::Late) };
+                match timeout_at(serving.deadline, rx).await {
+                    Ok(Ok(grant)) => {
+                        queued.waiting = None;
+                        Ok(slot(grant))
+                    }
+                    Ok(Err(_)) | Err(_) => Err(Turned::Late),
+                }
+            }
+        }
+    }
+
+    fn may_try_again(&self, serving: &Serving, miss: &Miss, tried: Option<RunnerKey>) -> bool {
+        let safe = match miss {
+            Miss::NotRun(_) => true,
+            Miss::Unknown(_) => serving.kind.idempotent,
+            Miss::Late => false,
+        };
+        safe && tried.is_none()
+            && Instant::now() < serving.deadline
+            && self.shared.routing().router.may_retry(&serving.document.service)
+    }
+
+    fn missed(&self, miss: Miss) -> Problem {
+        match miss {
+            Miss::NotRun(what) => self.come_back(Kind::RunnerFailed, &what, 1000),
+            Miss::Unknown(what) => Problem::new(Kind::RunnerFailed, Ran::Unknown, what),
+            Miss::Late => {
+                let what = "the runner did not answer before the deadline";
+                Problem::new(Kind::DeadlinePassed, Ran::Unknown, what)
+            }
+        }
+    }
+
+    fn refusal(&self, serving: &Serving, why: Refusal, retry: Duration) -> Problem {
+        self.decide(serving, &format!("refused: {why}"));
+        let kind = match why {
+            Refusal::NoRunner | Refusal::NoneHealthy => Kind::NoRunner,
+            Refusal::QueueFull | Refusal::TooLate => Kind::Overloaded,
+        };
+        let ms = u64::try_from(retry.as_millis()).unwrap_or(1000).max(50);
+        let what = format!("{}: {why}; nothing was sent", serving.document.service);
+        self.come_back(kind, &what, ms)
+    }
+
+    // ---- one try at one runner ----
+
+    async fn exchange(
+        &self,
+        serving: &Arc<Serving>,
+        mut slot: Slot,
+        noted: Option<&mut Noted>,
+    ) -> Result<WebResponse, Miss> {
+        let Some((address, name)) = self.shared.runner_of(slot.grant) else {
+            return Err(Miss::NotRun("the runner has just left".into()));
+        };
+        self.decide(serving, &format!("to runner {name} at {address}"));
+        let left = serving.deadline.saturating_duration_since(Instant::now());
+        let req = serving.call.request(address, left);
+        let answer = match self.pool.send(address, req, serving.deadline).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                slot.ended = Ended::Failed;
+                return Err(miss(&name, &error));
+            }
+        };
+        if answer.head.headers.contains_key(RUNNER_NOT_RUN) {
+            return Err(Miss::NotRun(format!("runner {name} refused it before starting").into()));
+        }
+        let failed = answer.head.status.is_server_error();
+        let mut response = self.pass_on(serving, answer, slot, noted, failed).await?;
+        if let Ok(value) = HeaderValue::from_str(name.as_str()) {
+            response.headers_mut().insert(HeaderName::from_static(ANSWERED_BY), value);
+        }
+        Ok(response)
+    }
+
+    async fn pass_on(
+        &self,
+        serving: &Arc<Serving>,
+        mut answer: pool::Answer,
+        mut slot: Slot,
+        noted: Option<&mut Noted>,
+        failed: bool,
+    ) -> Result<WebResponse, Miss> {
+        let ended = if failed { Ended::Failed } else { Ended::Answered };
+        let no_body = serving.call.method == Method::HEAD;
+        let size = answer.announced();
+        let mut response = WebResponse::new(ResponseBody::none());
+        *response.status_mut() = answer.head.status;
+        copy_end_to_end(&answer.head.headers, response.headers_mut());
+        let keep = noted.is_some();
+        let small = size.is_some_and(|size| size <= WHOLE_MAX);
+        let keepable = keep && size.is_none_or(|size| size <= ANSWER_MAX as u64);
+        if no_body || small || keepable {
+            let limit = if keep { ANSWER_MAX } else { WHOLE_MAX as usize };
+            let start = read_start(&mut answer, limit, serving.deadline).await;
+            let (start, whole) = start.inspect_err(|_| slot.ended = Ended::Failed)?;
+            if whole {
+                slot.ended = ended;
+                drop(slot);
+                if let Some(noted) = noted {
+                    noted.answered(&response, &start).await;
+                }
+                if !no_body {
+                    *response.body_mut() = ResponseBody::bytes(start);
+                }
+                return Ok(response);
+            }
+            return Ok(self.stream(serving, answer, slot, noted, response, (start, None)).await);
+        }
+        Ok(self.stream(serving, answer, slot, noted, response, (Bytes::new(), size)).await)
+    }
+
+    /// Passes a large answer on as it comes, within a bounded buffer.
+    async fn stream(
+        &self,
+        serving: &Arc<Serving>,
+        answer: pool::Answer,
+        slot: Slot,
+        noted: Option<&mut Noted>,
+        mut response: WebResponse,
+        (start, size): (Bytes, Option<u64>),
+    ) -> WebResponse {
+        if let Some(noted) = noted
+            && let Some(key) = noted.key.take()
+        {
+            self.end(&key, Outcome::AnsweredTooLarge).await;
+        }
+        let (tx, body) = passed(size);
+        *response.body_mut() = body;
+        let pump = Pump {
+            stall: self.shared.config.stall_timeout,
+            deadline: serving.deadline,
+            in_flight: InFlight::new(&self.shared),
+        };
+        tokio::task::spawn_local(pump.run(answer, slot, tx, start));
+        response
+    }
+
+    // ---- handing on ----
+
+    /// Hands a request to another entry that owns runners of the service.
+    async fn hand_on(
+        &self,
+        serving: &Arc<Serving>,
+        why: Refusal,
+        retry: Duration,
+    ) -> Result<WebResponse, Problem> {
+        let Some(owner) = self.other_owner(&self.shared.view.load(), &serving.document) else {
+            return Err(self.refusal(serving, why, retry));
+        };
+        self.decide(serving, &format!("handed on to entry {}: {why}", owner.name));
+        let mut call = serving.call.clone();
+        if let Ok(value) = HeaderValue::from_str(self.shared.config.name.as_str()) {
+            call.headers.insert(HeaderName::from_static(HANDED_ON), value);
+        }
+        let left = serving.deadline.saturating_duration_since(Instant::now());
+        let req = call.request(owner.callers, left);
+        let answer = match self.pool.send(owner.callers, req, serving.deadline).await {
+            Ok(answer) => answer,
+            Err(error) if error.surely_not_sent() => return Err(self.refusal(serving, why, retry)),
+            Err(error) => return Err(self.missed(miss(&owner.name, &error))),
+        };
+        let size = answer.announced();
+        let mut response = WebResponse::new(ResponseBody::none());
+        *response.status_mut() = answer.head.status;
+        copy_end_to_end(&answer.head.headers, response.headers_mut());
+        if serving.call.method == Method::HEAD {
+            return Ok(response);
+        }
+        let (tx, body) = passed(size);
+        *response.body_mut() = body;
+        let pump = Pump {
+            stall: self.shared.config.stall_timeout,
+            deadline: serving.deadline,
+            in_flight: InFlight::new(&self.shared),
+        };
+        tokio::task::spawn_local(pump.run(answer, (), tx, Bytes::new()));
+        Ok(response)
+    }
+
+    /// One of the other owners, drawn by their slots.
+    fn other_owner(&self, view: &View, document: &Document) -> Option<Owner> {
+        let owners = view.owners.get(document.service.as_str())?;
+        let others = || owners.iter().filter(|o| o.name != self.shared.config.name);
+        let all: u32 = others().map(|owner| owner.slots).sum();
+        if all == 0 {
+            return None;
+        }
+        let mut at = self.rng.borrow_mut().random_range(0..all);
+        for owner in others() {
+            if at < owner.slots {
+                return Some(owner.clone());
+            }
+            at -= owner.slots;
+        }
+        None
+    }
+
+    // ---- telling ----
+
+    fn decide(&self, serving: &Serving, what: &str) {
+        let call = &serving.call;
+        self.shared.decisions.note(format!(
+            "{} {} ({}/{}) {what}",
+            call.method,
+            call.path(),
+            serving.document.service,
+            serving.kind.name
+        ));
+    }
+
+    /// A refusal that names a moment to come back, spread so that refused
+    /// callers do not all come back at once.
+    fn come_back(&self, kind: Kind, what: &str, ms: u64) -> Problem {
+        let jittered = self.rng.borrow_mut().random_range(ms..=ms.saturating_mul(2).max(ms + 1));
+        Problem::new(kind, Ran::NotRun, what).retry_after(jittered)
+    }
+}
+
+enum Turned {
+    Away(Refusal, Duration),
+    Late,
+}
+
+/// A request that the ledger has noted as under way.
+struct Noted {
+    shared: Arc<Shared>,
+    key: Option<RequestKey>,
+}
+
+impl Noted {
+    /// Keeps the whole answer before its caller gets it, so that a resend is
+    /// given the same.
+    async fn answered(&mut self, response: &WebResponse, body: &Bytes) {
+        let Some(key) = self.key.take() else { return };
+        let answer = KeptAnswer {
+            status: response.status().as_u16(),
+            headers: to_ledger(response.headers()),
+            body: body.as_ref().into(),
+        };
+        let end = RequestEnd { key, ended: Outcome::Answered(answer) };
+        if let LeaderAnswer::Problem(problem) = self.shared.ask(Ask::RequestEnd(end)).await {
+            log::warn!("an answer could not be kept for resends: {}", problem.detail);
+        }
+    }
+}
+
+/// Moves an answer from its source to its caller.
+struct Pump {
+    stall: Duration,
+    deadline: Instant,
+    in_flight: InFlight,
+}
+
+/// What holds something until the whole answer has been read.
+trait Held {
+    fn finished(&mut self, whole: bool);
+}
+
+impl Held for Slot {
+    fn finished(&mut self, whole: bool) {
+        self.ended = if whole { Ended::Answered } else { Ended::Failed };
+    }
+}
+
+impl Held for () {
+    fn finished(&mut self, _: bool) {}
+}
+
+impl Pump {
+    /// Ends without [`Piece::End`] when the source breaks off, the deadline
+    /// passes or the caller stalls; the caller's connection is then cut.
+    async fn run<H>(
+        self,
+        mut answer: pool::Answer,
+        mut held: H,
+        tx: mpsc::Sender<Piece>,
+        start: Bytes,
+    ) where
+        H: Held,
+    {
+        let _in_flight = self.in_flight;
+        if !start.is_empty() && tx.send(Piece::Data(start)).await.is_err() {
+            return;
+        }
+        loop {
+            let piece = match timeout_at(self.deadline, answer.next()).await {
+                Ok(Ok(Some(bytes))) => Piece::Data(bytes),
+                Ok(Ok(None)) => Piece::End,
+                Ok(Err(_)) | Err(_) => return held.finished(false),
+            };
+            let last = matches!(piece, Piece::End);
+            if last {
+                held.finished(true);
+                drop(held);
+                let _ = timeout(self.stall, tx.send(piece)).await;
+                return;
+            }
+            // A caller that takes nothing must not keep a runner's slot.
+            match timeout(self.stall, tx.send(piece)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) | Err(_) => return,
+            }
+        }
+    }
+}
+
+impl Handler for Traffic {
+    async fn handle(&self, req: WebRequest) -> WebResponse {
+        let started = Instant::now();
+        let _in_flight = InFlight::new(&self.shared);
+        let service =
+            request::split(req.uri().path()).map(|(service, _)| Box::<str>::from(service));
+        let result = self.serve(req).await;
+        let service = service.unwrap_or_default();
+        let outcome = match &result {
+            Ok(_) => metrics::Result::Answered,
+            Err(problem) => match problem.ran {
+                Ran::NotRun => metrics::Result::NotRun,
+                Ran::Unknown => metrics::Result::Unknown,
+                Ran::Ran => metrics::Result::Failed,
+            },
+        };
+        self.shared.metrics.request(&service, outcome, started.elapsed());
+        result.unwrap_or_else(|problem| reply::problem(&problem))
+    }
+}
+
+async fn read_start(
+    answer: &mut pool::Answer,
+    limit: usize,
+    deadline: Instant,
+) -> Result<(Bytes, bool), Miss> {
+    let mut start: Vec<Bytes> = Vec::new();
+    let mut size = 0;
+    let whole = loop {
+        let next = timeout_at(deadline, answer.next()).await.map_err(|_| Miss::Late)?;
+        match next {
+            Ok(None) => break true,
+            Ok(Some(chunk)) => {
+                size += chunk.len();
+                start.push(chunk);
+                if size > limit {
+                    break false;
+                }
+            }
+            Err(error) => {
+                let what = format!("the runner broke off its answer: {error}");
+                return Err(Miss::Unknown(what.into()));
+            }
+        }
+    };
+    let bytes = match start.len() {
+        1 => start.pop().unwrap_or_default(),
+        _ => start.concat().into(),
+    };
+    Ok((bytes, whole))
+}
+
+fn miss(name: &impl std::fmt::Display, error: &NoAnswer) -> Miss {
+    let what = format!("{name} did not answer: {error}").into();
+    match error {
+        NoAnswer::Timeout => Miss::Late,
+        other if other.surely_not_sent() => Miss::NotRun(what),
+        _ => Miss::Unknown(what),
+    }
+}
+
+/// Idle connections per thread, so that all threads together stay well within
+/// the 64 connections of a runner.
+fn idle_per_thread(threads: usize) -> usize {
+    const IDLE_PER_RUNNER: usize = 32;
+    (IDLE_PER_RUNNER / threads.max(1)).max(1)
+}
+
+fn deadline_of(kind: &RequestKind, header: Option<&HeaderValue>) -> Result<Duration, Problem> {
+    let most = kind.deadline_ms;
+    let Some(header) = header else { return Ok(Duration::from_millis(most)) };
+    let asked = header.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    let Some(asked) = asked else {
+        let what = format!("{DEADLINE} must be a whole number of milliseconds");
+        return Err(Problem::new(Kind::BadRequest, Ran::NotRun, what));
+    };
+    Ok(Duration::from_millis(asked.min(most)))
+}
+
+/// The ledger's key of a request that must run at most once. Kinds that are
+/// idempotent need no ledger, whatever the caller sends.
+fn key_of(
+    document: &Document,
+    kind: &RequestKind,
+    header: Option<&HeaderValue>,
+) -> Result<Option<RequestKey>, Problem> {
+    let Some(header) = header else { return Ok(None) };
+    let key = request::check_key(header.as_bytes())
+        .map_err(|bad| Problem::new(Kind::BadRequest, Ran::NotRun, bad.to_string()))?;
+    if kind.idempotent {
+        return Ok(None);
+    }
+    Ok(Some(RequestKey { service: document.service.clone(), key: key.into() }))
+}
+
+fn bad_body(bad: &BadBody) -> Problem {
+    let kind = match bad {
+        BadBody::TooLarge(_) => Kind::TooLarge,
+        BadBody::TooSlow | BadBody::Broken => Kind::BadRequest,
+    };
+    Problem::new(kind, Ran::NotRun, bad.to_string())
+}
+
+fn not_found(what: String) -> Problem {
+    Problem::new(Kind::NotFound, Ran::NotRun, what)
+}
+
+fn again(kept: &KeptAnswer) -> WebResponse {
+    let mut response = WebResponse::new(ResponseBody::bytes(Bytes::copy_from_slice(&kept.body)));
+    *response.status_mut() = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
+    *response.headers_mut() = from_ledger(kept);
+    let repeated = HeaderName::from_static("yuccalink-repeated");
+    response.headers_mut().insert(repeated, HeaderValue::from_static("true"));
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/upstream.rs
@@ -0,0 +1,89 @@
+//! Building the request that goes to a runner or to another entry, and the
+//! answer that goes back, without the headers of either connection.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use std::net::SocketAddr;
+use std::time::Duration;
+use yuccalink_protocol::request::{DEADLINE, HOP_BY_HOP};
+use yuccalink_state::ledger::{self, Header};
+use yuccalink_transport::http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
+
+/// A caller's request, read whole, so that it can be sent more than once.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Call {
+    pub(crate) fn path(&self) -> &str {
+        self.uri.path()
+    }
+
+    /// The request for `to`, with what is left of its deadline.
+    pub(crate) fn request(&self, to: SocketAddr, left: Duration) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        let target = self.uri.path_and_query().map_or("/", |target| target.as_str());
+        *req.uri_mut() = target.parse().unwrap_or_else(|_| Uri::from_static("/"));
+        let headers = req.headers_mut();
+        copy_end_to_end(&self.headers, headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        if !headers.contains_key(header::HOST)
+            && let Ok(host) = HeaderValue::from_str(&to.to_string())
+        {
+            headers.insert(header::HOST, host);
+        }
+        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(HeaderName::from_static(DEADLINE), HeaderValue::from(left));
+        req
+    }
+}
+
+/// Copies all headers but those of the connection, and those that the
+/// `Connection` header names.
+pub(crate) fn copy_end_to_end(from: &HeaderMap, to: &mut HeaderMap) {
+    let named: Vec<&str> = from
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(str::trim)
+        .collect();
+    for (name, value) in from {
+        let hop = HOP_BY_HOP.contains(&name.as_str())
+            || named.iter().any(|other| other.eq_ignore_ascii_case(name.as_str()));
+        if !hop {
+            to.append(name, value.clone());
+        }
+    }
+}
+
+/// Headers as the ledger keeps them.
+pub(crate) fn to_ledger(headers: &HeaderMap) -> Box<[Header]> {
+    let mut kept = HeaderMap::new();
+    copy_end_to_end(headers, &mut kept);
+    kept.remove(header::CONTENT_LENGTH);
+    let header = |(name, value): (&HeaderName, &HeaderValue)| Header {
+        name: name.as_str().into(),
+        value: value.as_bytes().into(),
+    };
+    kept.iter().map(header).collect()
+}
+
+/// Headers as the ledger kept them.
+pub(crate) fn from_ledger(answer: &ledger::Answer) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for header in &answer.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
--- /dev/null
+++ b/crates/daemon/src/views.rs
@@ -0,0 +1,50 @@
+//! The leader's state as operators see it.
+
+use yuccalink_protocol::api::{ServiceView, TaskView};
+use yuccalink_state::Machine;
+use yuccalink_state::document::Accepted;
+use yuccalink_state::task::{Ending, Task, TaskPhase};
+
+pub(crate) fn service(accepted: &Accepted, with_text: bool) -> ServiceView {
+    ServiceView {
+        service: accepted.document.service.clone(),
+        team: accepted.document.team.clone(),
+        version: accepted.document.version,
+        revision: accepted.revision.0,
+        author: accepted.author.clone(),
+        text: with_text.then(|| accepted.text.clone()),
+    }
+}
+
+pub(crate) fn phase(task: &Task) -> &'static str {
+    match &task.phase {
+        TaskPhase::Waiting => "waiting",
+        TaskPhase::Placed(_) => "placed",
+        TaskPhase::Running(_) => "running",
+        TaskPhase::Stopping(..) => "stopping",
+        TaskPhase::Ended(Ending::Finished) => "finished",
+        TaskPhase::Ended(Ending::Failed(_)) => "failed",
+        TaskPhase::Ended(Ending::Cancelled) => "cancelled",
+    }
+}
+
+pub(crate) fn task(machine: &Machine, task: &Task) -> TaskView {
+    let reason = match &task.phase {
+        TaskPhase::Ended(Ending::Failed(reason)) => Some(reason.clone()),
+        _ => None,
+    };
+    let worker = task.worker().map(|key| machine.worker_at(key).spec.name.clone());
+    TaskView {
+        task: task.id,
+        service: machine.service_at(task.service).accepted.document.service.clone(),
+        kind: task.kind.clone(),
+        phase: phase(task).into(),
+        reason,
+        worker,
+        epoch: task.epoch,
+        done_ms: task.checkpoint.map_or(0, |saved| saved.done_ms),
+        evictions: task.evictions,
+        failures: task.failures,
+        urgent: task.urgent,
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,12 @@
+//! Small stand-ins for what is outside: a runner, a worker and a caller, each
+//! written against the public protocol only. The examples are thin wraps of
+//! them, and tests watch through them what really happens to requests and tasks.
+
+pub mod caller;
+pub mod runner;
+mod target;
+pub mod worker;
+
+pub use caller::{Caller, Reply};
+pub use runner::FakeRunner;
+pub use worker::FakeWorker;
--- /dev/null
+++ b/crates/fakes/src/runner.rs
@@ -0,0 +1,305 @@
+//! A small runner: answers requests as their headers ask it to.
+//!
+//! `fake-delay-ms` waits, `fake-size` sends that many bytes, `fake-status` sets
+//! the status, `fake-cut` breaks off after half, `fake-chunked` hides the length,
+//! `fake-refuse` refuses before starting. The answer repeats the request's
+//! `fake-tag` header, or else its body.
+
+use crate::target::{Announcer, Told, incarnation};
+use bytes::Bytes;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+use xitca_web::body::ResponseBody;
+use xitca_web::http::{WebRequest, WebResponse};
+use yuccalink_coordination::invariants::RequestWatch;
+use yuccalink_protocol::api::{Announce, Heartbeat, Leave};
+use yuccalink_state::id::{Incarnation, Name};
+use yuccalink_state::target::RunnerSpec;
+use yuccalink_transport::body::{Piece, passed};
+use yuccalink_transport::http::{HeaderMap, StatusCode};
+use yuccalink_transport::reply;
+use yuccalink_transport::server::{Handler, Limits, Server, read_body};
+
+const BODY_MAX: usize = 64 * 1024 * 1024;
+const CHUNK: usize = 64 * 1024;
+/// Pause after an announcement that was not taken.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// What a runner is.
+#[derive(Clone, Debug)]
+pub struct RunnerSettings {
+    /// Its name.
+    pub name: Name,
+    /// The service it answers for.
+    pub service: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Requests at once.
+    pub slots: u32,
+    /// Connections at once.
+    pub connections: u32,
+    /// Where it listens; port 0 takes any.
+    pub listen: SocketAddr,
+    /// Where entries take announcements.
+    pub entries: Vec<SocketAddr>,
+    /// Threads that answer.
+    pub threads: usize,
+}
+
+#[derive(Default)]
+struct State {
+    busy: AtomicU32,
+    most: AtomicU32,
+    served: AtomicU64,
+    leaving: AtomicBool,
+    stop: AtomicBool,
+    frozen: AtomicBool,
+    watch: Mutex<Option<Arc<Mutex<RequestWatch>>>>,
+}
+
+/// A running runner.
+pub struct FakeRunner {
+    address: SocketAddr,
+    state: Arc<State>,
+    server: Option<Server>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl FakeRunner {
+    /// Listens, and announces itself until it is taken.
+    ///
+    /// # Errors
+    /// When it cannot listen.
+    pub fn start(settings: RunnerSettings) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(settings.listen)?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(State::default());
+        let answers = state.clone();
+        let (name, slots) = (settings.name.clone(), settings.slots);
+        let limits = Limits { threads: settings.threads, ..Limits::default() };
+        let server = Server::start(listener, limits, move || Answers {
+            state: answers.clone(),
+            name: name.clone(),
+            slots,
+        })?;
+        let announces = state.clone();
+        let thread = thread::Builder::new()
+            .name("runner-announce".into())
+            .spawn(move || run_local(announce(settings, address, announces)))?;
+        Ok(Self { address, state, server: Some(server), thread: Some(thread) })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Most requests it ever held at once.
+    pub fn most(&self) -> u32 {
+        self.state.most.load(Ordering::SeqCst)
+    }
+
+    /// Requests it has begun.
+    pub fn served(&self) -> u64 {
+        self.state.served.load(Ordering::SeqCst)
+    }
+
+    /// Reports what it does to `watch`; requests are named by `fake-name`.
+    pub fn watch(&self, watch: Arc<Mutex<RequestWatch>>) {
+        *self.state.watch.lock().unwrap_or_else(PoisonError::into_inner) = Some(watch);
+    }
+
+    /// Says that it leaves; goes on answering.
+    pub fn leave(&self) {
+        self.state.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Stops its heartbeats, as a cut-off runner's would be; goes on answering.
+    pub fn silence(&self) {
+        self.state.frozen.store(true, Ordering::SeqCst);
+    }
+
+    /// Stops it.
+    pub fn stop(&mut self) {
+        self.state.stop.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+        if let Some(server) = self.server.take() {
+            server.stop();
+        }
+    }
+}
+
+/// Runs a future on a runtime of this thread.
+pub(crate) fn run_local<F>(work: F)
+where
+    F: Future<Output = ()>,
+{
+    match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => LocalSet::new().block_on(&runtime, work),
+        Err(error) => log::error!("no runtime: {error}"),
+    }
+}
+
+async fn announce(settings: RunnerSettings, address: SocketAddr, state: Arc<State>) {
+    let mut entries = Announcer::new(settings.entries.clone());
+    let run = Incarnation(incarnation());
+    let path = format!("/v1/targets/{}", settings.name);
+    let mut known = false;
+    while !state.stop.load(Ordering::SeqCst) {
+        if state.frozen.load(Ordering::SeqCst) {
+            sleep(AGAIN).await;
+            continue;
+        }
+        let busy = state.busy.load(Ordering::SeqCst);
+        let told = if !known {
+            let spec = RunnerSpec {
+                name: settings.name.clone(),
+                incarnation: run,
+                service: settings.service.clone(),
+                address: address.to_string().into(),
+                slots: settings.slots,
+                connections: settings.connections,
+                zone: settings.zone.clone(),
+            };
+            entries.tell("/v1/targets", &Announce::Runner { spec, busy }).await
+        } else if state.leaving.load(Ordering::SeqCst) {
+            entries.tell(&format!("{path}/leave"), &Leave { incarnation: run }).await
+        } else {
+            let beat = Heartbeat { incarnation: run, busy, ..Heartbeat::default() };
+            entries.tell(&format!("{path}/heartbeat"), &beat).await
+        };
+        let pause = match told {
+            Told::Welcome(welcome) => {
+                known = true;
+                Duration::from_millis(welcome.heartbeat_ms)
+            }
+            Told::Announce => {
+                known = false;
+                Duration::ZERO
+            }
+            Told::Failed(why) => {
+                log::debug!("runner {}: {why}", settings.name);
+                AGAIN
+            }
+        };
+        pause_unless(&state, pause).await;
+    }
+}
+
+/// Sleeps in short steps, so that a stop or a leave is said at once.
+async fn pause_unless(state: &State, pause: Duration) {
+    const STEP: Duration = Duration::from_millis(20);
+    let leaving = state.leaving.load(Ordering::SeqCst);
+    let until = tokio::time::Instant::now() + pause;
+    while tokio::time::Instant::now() < until {
+        if state.stop.load(Ordering::SeqCst) || state.leaving.load(Ordering::SeqCst) != leaving {
+            return;
+        }
+        sleep(STEP.min(until - tokio::time::Instant::now())).await;
+    }
+}
+
+struct Answers {
+    state: Arc<State>,
+    name: Name,
+    slots: u32,
+}
+
+/// Counts a request while it is held.
+struct Busy<'a>(&'a Answers);
+
+impl<'a> Busy<'a> {
+    fn new(answers: &'a Answers, headers: &HeaderMap) -> Self {
+        let state = &answers.state;
+        state.served.fetch_add(1, Ordering::SeqCst);
+        let now = state.busy.fetch_add(1, Ordering::SeqCst) + 1;
+        state.most.fetch_max(now, Ordering::SeqCst);
+        if let Some(watch) = &*state.watch.lock().unwrap_or_else(PoisonError::into_inner) {
+            let request = text(headers, "fake-name").unwrap_or_default();
+            let mut watch = watch.lock().unwrap_or_else(PoisonError::into_inner);
+            watch.ran(request, answers.name.as_str(), answers.slots);
+        }
+        Self(answers)
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        let state = &self.0.state;
+        if let Some(watch) = &*state.watch.lock().unwrap_or_else(PoisonError::into_inner) {
+            watch.lock().unwrap_or_else(PoisonError::into_inner).done(self.0.name.as_str());
+        }
+        state.busy.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name).and_then(|value| value.parse().ok())
+}
+
+impl Handler for Answers {
+    async fn handle(&self, req: WebRequest) -> WebResponse {
+        let (head, ext) = req.into_parts();
+        let (_, body) = ext.replace_body(());
+        if head.headers.contains_key("fake-refuse") {
+            let mut refused = reply::text(StatusCode::SERVICE_UNAVAILABLE, "refused");
+            refused.headers_mut().insert("yuccalink-not-run", "1".parse().expect("a constant"));
+            return refused;
+        }
+        let busy = Busy::new(self, &head.headers);
+        let body = read_body(body, BODY_MAX, Duration::from_secs(30)).await.unwrap_or_default();
+        if let Some(ms) = number(&head.headers, "fake-delay-ms") {
+            sleep(Duration::from_millis(ms)).await;
+        }
+        let content = match (number(&head.headers, "fake-size"), text(&head.headers, "fake-tag")) {
+            (Some(size), _) => return large(&head.headers, size),
+            (None, Some(tag)) => Bytes::copy_from_slice(tag.as_bytes()),
+            (None, None) => body,
+        };
+        drop(busy);
+        let status = number(&head.headers, "fake-status").and_then(|s| u16::try_from(s).ok());
+        let mut response = WebResponse::new(ResponseBody::bytes(content));
+        *response.status_mut() =
+            status.and_then(|s| StatusCode::from_u16(s).ok()).unwrap_or(StatusCode::OK);
+        response
+    }
+}
+
+/// An answer of `size` bytes, sent in chunks and broken off if asked to.
+fn large(headers: &HeaderMap, size: u64) -> WebResponse {
+    let cut = headers.contains_key("fake-cut");
+    let announced = (!headers.contains_key("fake-chunked")).then_some(size);
+    let delay = number(headers, "fake-chunk-delay-ms");
+    let (tx, body) = passed(announced);
+    tokio::task::spawn_local(async move {
+        let until = if cut { size / 2 } else { size };
+        let mut sent = 0;
+        let chunk = Bytes::from(vec![b'y'; CHUNK]);
+        while sent < until {
+            let count = (until - sent).min(CHUNK as u64);
+            let piece = chunk.slice(..usize::try_from(count).unwrap_or(CHUNK));
+            if tx.send(Piece::Data(piece)).await.is_err() {
+                return;
+            }
+            sent += count;
+            if let Some(ms) = delay {
+                sleep(Duration::from_millis(ms)).await;
+            }
+        }
+        if !cut {
+            let _ = tx.send(Piece::End).await;
+        }
+    });
+    WebResponse::new(body)
+}
--- /dev/null
+++ b/crates/fakes/src/target.rs
@@ -0,0 +1,85 @@
+//! What runners and workers share: announcing, heartbeats, and a last word.
+
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+use yuccalink_protocol::api::Welcome;
+use yuccalink_transport::http::{Request, header};
+use yuccalink_transport::pool::{Pool, PoolSettings};
+
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+const ANSWER_MAX: usize = 1024 * 1024;
+
+/// Talks to the entries, one after the other, as the balancer would have it.
+pub(crate) struct Announcer {
+    entries: Vec<SocketAddr>,
+    next: usize,
+    pool: Pool,
+}
+
+/// What a message to an entry came to.
+pub(crate) enum Told {
+    /// It was taken.
+    Welcome(Welcome),
+    /// The target is not known: it must announce itself.
+    Announce,
+    /// Something else; try again.
+    Failed(String),
+}
+
+impl Announcer {
+    pub(crate) fn new(entries: Vec<SocketAddr>) -> Self {
+        Self { entries, next: 0, pool: Pool::new(PoolSettings::default()) }
+    }
+
+    pub(crate) async fn tell<T>(&mut self, path: &str, message: &T) -> Told
+    where
+        T: Serialize,
+    {
+        let Some(entry) = self.entries.get(self.next % self.entries.len().max(1)).copied() else {
+            return Told::Failed("no entry is set".into());
+        };
+        self.next += 1;
+        match self.post(entry, path, message).await {
+            Ok((200, body)) => match serde_json::from_slice(&body) {
+                Ok(welcome) => Told::Welcome(welcome),
+                Err(_) => Told::Welcome(Welcome { heartbeat_ms: 1000, lease_ms: None }),
+            },
+            Ok((404, _)) => Told::Announce,
+            Ok((status, body)) => {
+                Told::Failed(format!("status {status}: {}", String::from_utf8_lossy(&body)))
+            }
+            Err(why) => Told::Failed(why),
+        }
+    }
+
+    async fn post<T>(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        message: &T,
+    ) -> Result<(u16, Vec<u8>), String>
+    where
+        T: Serialize,
+    {
+        let body = serde_json::to_vec(message).map_err(|e| e.to_string())?;
+        let req = Request::post(path)
+            .header(header::HOST, entry.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(body.into())
+            .map_err(|e| e.to_string())?;
+        let deadline = Instant::now() + TIMEOUT;
+        let mut answer = self.pool.send(entry, req, deadline).await.map_err(|e| e.to_string())?;
+        let whole = tokio::time::timeout_at(deadline, answer.whole(ANSWER_MAX)).await;
+        let body = whole.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?;
+        Ok((answer.head.status.as_u16(), body.unwrap_or_default().to_vec()))
+    }
+}
+
+/// A number for this run of the program.
+pub(crate) fn incarnation() -> u64 {
+    use rand::TryRng as _;
+    rand::rngs::SysRng.try_next_u64().unwrap_or(1) >> 1
+}
--- /dev/null
+++ b/crates/fakes/src/worker.rs
@@ -0,0 +1,411 @@
+//! A small worker: "runs" each task for the time that its payload asks for.
+//!
+//! A payload such as `run=200ms fail` runs for 200 ms and then fails; without
+//! one, a task runs for its declared time. Tasks save their state when ordered to.
+
+use crate::runner::run_local;
+use crate::target::{Announcer, Told, incarnation};
+use std::collections::{BTreeMap, HashMap};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+use xitca_web::http::{WebRequest, WebResponse};
+use yuccalink_coordination::invariants::TaskWatch;
+use yuccalink_protocol::api::{
+    Announce, Heartbeat, Held, Leave, OrderTask, Orders, OrdersTaken, Start,
+};
+use yuccalink_protocol::units;
+use yuccalink_state::Resources;
+use yuccalink_state::command::{TaskEvent, TaskReport};
+use yuccalink_state::id::{Epoch, Incarnation, Name, TaskId};
+use yuccalink_state::worker::WorkerSpec;
+use yuccalink_transport::http::StatusCode;
+use yuccalink_transport::reply;
+use yuccalink_transport::server::{Handler, Limits, Server, read_body};
+
+const BODY_MAX: usize = 64 * 1024 * 1024;
+/// How often running tasks are looked at.
+const STEP: Duration = Duration::from_millis(10);
+/// Pause after a message that was not taken.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// What a worker is.
+#[derive(Clone, Debug)]
+pub struct WorkerSettings {
+    /// Its name.
+    pub name: Name,
+    /// All that it has.
+    pub capacity: Resources,
+    /// Its rack.
+    pub rack: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where it listens; port 0 takes any.
+    pub listen: SocketAddr,
+    /// Where entries take announcements.
+    pub entries: Vec<SocketAddr>,
+}
+
+struct Running {
+    epoch: Epoch,
+    need: Resources,
+    began: Instant,
+    before: Duration,
+    ends: Duration,
+    fails: bool,
+}
+
+impl Running {
+    fn done(&self) -> Duration {
+        self.before + self.began.elapsed()
+    }
+}
+
+#[derive(Default)]
+struct Tasks {
+    running: BTreeMap<TaskId, Running>,
+    seen: HashMap<TaskId, Epoch>,
+    reports: Vec<TaskReport>,
+    watch: Option<Arc<Mutex<TaskWatch>>>,
+}
+
+struct State {
+    capacity: Resources,
+    incarnation: Incarnation,
+    tasks: Mutex<Tasks>,
+    lease_until: Mutex<Option<Instant>>,
+    stop: AtomicBool,
+    frozen: AtomicBool,
+    leaving: AtomicBool,
+    dropped: AtomicU64,
+    over: AtomicU64,
+}
+
+/// A running worker.
+pub struct FakeWorker {
+    address: SocketAddr,
+    state: Arc<State>,
+    server: Option<Server>,
+    thread: Option<JoinHandle<()>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl FakeWorker {
+    /// Listens for orders, and announces itself until it is taken.
+    ///
+    /// # Errors
+    /// When it cannot listen.
+    pub fn start(settings: WorkerSettings) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(settings.listen)?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(State {
+            capacity: settings.capacity,
+            incarnation: Incarnation(incarnation()),
+            tasks: Mutex::default(),
+            lease_until: Mutex::default(),
+            stop: AtomicBool::new(false),
+            frozen: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            dropped: AtomicU64::new(0),
+            over: AtomicU64::new(0),
+        });
+        let orders = state.clone();
+        let limits = Limits { threads: 1, ..Limits::default() };
+        let server = Server::start(listener, limits, move || TakesOrders(orders.clone()))?;
+        let announces = state.clone();
+        let thread = thread::Builder::new().name("worker-announce".into()).spawn(move || {
+            run_local(async move {
+                tokio::task::spawn_local(work(announces.clone()));
+                announce(settings, address, announces).await;
+            });
+        })?;
+        Ok(Self { address, state, server: Some(server), thread: Some(thread) })
+    }
+
+    /// Where it takes orders.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Reports what it does to `watch`.
+    pub fn watch(&self, watch: Arc<Mutex<TaskWatch>>) {
+        lock(&self.state.tasks).watch = Some(watch);
+    }
+
+    /// Tasks that it runs now.
+    pub fn running(&self) -> usize {
+        lock(&self.state.tasks).running.len()
+    }
+
+    /// Tasks that it dropped because its lease had ended.
+    pub fn dropped(&self) -> u64 {
+        self.state.dropped.load(Ordering::SeqCst)
+    }
+
+    /// How often it was ordered to run more than it holds.
+    pub fn over(&self) -> u64 {
+        self.state.over.load(Ordering::SeqCst)
+    }
+
+    /// Cuts it off from the entries; it goes on running until its lease ends.
+    pub fn silence(&self, silent: bool) {
+        self.state.frozen.store(silent, Ordering::SeqCst);
+    }
+
+    /// Says that it leaves; finishes what it has.
+    pub fn leave(&self) {
+        self.state.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Stops it.
+    pub fn stop(&mut self) {
+        self.state.stop.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+        if let Some(server) = self.server.take() {
+            server.stop();
+        }
+    }
+}
+
+async fn announce(settings: WorkerSettings, address: SocketAddr, state: Arc<State>) {
+    let mut entries = Announcer::new(settings.entries.clone());
+    let run = state.incarnation;
+    let path = format!("/v1/targets/{}", settings.name);
+    let mut known = false;
+    let mut told_leaving = false;
+    while !state.stop.load(Ordering::SeqCst) {
+        if state.frozen.load(Ordering::SeqCst) {
+            sleep(AGAIN).await;
+            continue;
+        }
+        let sent = Instant::now();
+        let (told, reported) = if known {
+            if state.leaving.load(Ordering::SeqCst) && !told_leaving {
+                let left =
+                    entries.tell(&format!("{path}/leave"), &Leave { incarnation: run }).await;
+                told_leaving = matches!(left, Told::Welcome(_));
+            }
+            let (beat, reported) = heartbeat(&state);
+            (entries.tell(&format!("{path}/heartbeat"), &beat).await, reported)
+        } else {
+            let spec = WorkerSpec {
+                name: settings.name.clone(),
+                incarnation: run,
+                address: address.to_string().into(),
+                capacity: settings.capacity,
+                rack: settings.rack.clone(),
+                zone: settings.zone.clone(),
+            };
+            (entries.tell("/v1/targets", &Announce::Worker { spec }).await, 0)
+        };
+        let pause = match told {
+            Told::Welcome(welcome) => {
+                known = true;
+                lock(&state.tasks).reports.drain(..reported);
+                // The lease counts from when the message was sent: what the
+                // answer's way back took is not the system's to give.
+                let lease = Duration::from_millis(welcome.lease_ms.unwrap_or(10_000));
+                *lock(&state.lease_until) = Some(sent + lease);
+                Duration::from_millis(welcome.heartbeat_ms)
+            }
+            Told::Announce => {
+                // A new leader learns its workers anew. Had it given this run up, the
+                // lease would have ended before, and with it every task here.
+                known = false;
+                Duration::ZERO
+            }
+            Told::Failed(why) => {
+                log::debug!("worker {}: {why}", settings.name);
+                AGAIN
+            }
+        };
+        wait(&state, pause).await;
+    }
+}
+
+/// Waits for the next heartbeat; a report cuts the wait short.
+async fn wait(state: &State, pause: Duration) {
+    let until = Instant::now() + pause;
+    while Instant::now() < until && !state.stop.load(Ordering::SeqCst) {
+        sleep(STEP).await;
+        if !lock(&state.tasks).reports.is_empty() {
+            return;
+        }
+    }
+}
+
+fn heartbeat(state: &State) -> (Heartbeat, usize) {
+    let tasks = lock(&state.tasks);
+    let running = tasks.running.iter().map(|(task, run)| Held { task: *task, epoch: run.epoch });
+    let reported = tasks.reports.iter().map(|r| Held { task: r.task, epoch: r.epoch });
+    let millicores = tasks.running.values().map(|run| run.need.millicores).sum();
+    let memory_mib = tasks.running.values().map(|run| run.need.memory_mib).sum();
+    let beat = Heartbeat {
+        incarnation: state.incarnation,
+        busy: u32::try_from(tasks.running.len()).unwrap_or(u32::MAX),
+        millicores,
+        memory_mib,
+        held: running.chain(reported).collect(),
+        reports: tasks.reports.clone(),
+    };
+    (beat, tasks.reports.len())
+}
+
+/// Ends tasks whose time has come, and all of them when the lease has ended.
+async fn work(state: Arc<State>) {
+    while !state.stop.load(Ordering::SeqCst) {
+        sleep(STEP).await;
+        let lease_over = lock(&state.lease_until).is_some_and(|until| Instant::now() >= until);
+        if lease_over {
+            drop_all(&state);
+            continue;
+        }
+        let mut tasks = lock(&state.tasks);
+        let over: Vec<TaskId> = tasks
+            .running
+            .iter()
+            .filter(|(_, run)| run.done() >= run.ends)
+            .map(|(id, _)| *id)
+            .collect();
+        for task in over {
+            let Some(run) = tasks.running.remove(&task) else { continue };
+            let event = if run.fails {
+                note(&tasks, |watch| watch.stopped(task, run.epoch));
+                TaskEvent::Failed { reason: "the payload asked for it".into() }
+            } else {
+                note(&tasks, |watch| watch.finished(task, run.epoch));
+                TaskEvent::Finished
+            };
+            tasks.reports.push(TaskReport { task, epoch: run.epoch, event });
+        }
+    }
+}
+
+fn note<F>(tasks: &Tasks, tell: F)
+where
+    F: FnOnce(&mut TaskWatch),
+{
+    if let Some(watch) = &tasks.watch {
+        tell(&mut lock(watch));
+    }
+}
+
+fn drop_all(state: &State) {
+    let mut tasks = lock(&state.tasks);
+    let running = std::mem::take(&mut tasks.running);
+    state.dropped.fetch_add(running.len() as u64, Ordering::SeqCst);
+    for (task, run) in running {
+        note(&tasks, |watch| watch.stopped(task, run.epoch));
+        tasks.reports.push(TaskReport { task, epoch: run.epoch, event: TaskEvent::Stopped });
+    }
+}
+
+struct TakesOrders(Arc<State>);
+
+impl Handler for TakesOrders {
+    async fn handle(&self, req: WebRequest) -> WebResponse {
+        let (_, ext) = req.into_parts();
+        let (_, body) = ext.replace_body(());
+        if self.0.frozen.load(Ordering::SeqCst) {
+            // Cut off: the order is neither taken nor answered.
+            std::future::pending::<()>().await;
+        }
+        let body = read_body(body, BODY_MAX, Duration::from_secs(5)).await.unwrap_or_default();
+        let Ok(orders) = serde_json::from_slice::<Orders>(&body) else {
+            return reply::text(StatusCode::BAD_REQUEST, "these are no orders\n");
+        };
+        if orders.incarnation != self.0.incarnation {
+            return reply::text(StatusCode::CONFLICT, "these orders are for another run\n");
+        }
+        let reports = orders.orders.into_iter().filter_map(|order| self.obey(order)).collect();
+        reply::json(StatusCode::OK, &OrdersTaken { reports })
+    }
+}
+
+impl TakesOrders {
+    fn obey(&self, order: OrderTask) -> Option<TaskReport> {
+        match order {
+            OrderTask::Start(start) => self.start(&start),
+            OrderTask::Checkpoint(held) => self.stop(held, true),
+            OrderTask::Stop(held) => self.stop(held, false),
+            OrderTask::Throttle { .. } => None,
+        }
+    }
+
+    fn start(&self, start: &Start) -> Option<TaskReport> {
+        let Start { task, epoch, .. } = *start;
+        let report = |event| Some(TaskReport { task, epoch, event });
+        let alive = lock(&self.0.lease_until).is_some_and(|until| Instant::now() < until);
+        if !alive {
+            // A late order to a worker whose lease has ended is for a task that
+            // may be placed elsewhere by now.
+            return report(TaskEvent::Refused { reason: "the lease has ended".into() });
+        }
+        let mut tasks = lock(&self.0.tasks);
+        if let Some(run) = tasks.running.get(&task)
+            && run.epoch == epoch
+        {
+            return report(TaskEvent::Started);
+        }
+        // An order that is sent again must not run a task again.
+        if tasks.seen.get(&task).is_some_and(|seen| *seen >= epoch) {
+            return None;
+        }
+        let used = tasks.running.values().try_fold(start.need, |sum, run| sum.plus(run.need));
+        if used.is_none_or(|used| !self.0.capacity.holds(used)) {
+            self.0.over.fetch_add(1, Ordering::SeqCst);
+            return report(TaskEvent::Refused { reason: "there is no room".into() });
+        }
+        tasks.seen.insert(task, epoch);
+        tasks.running.insert(task, running(start));
+        note(&tasks, |watch| watch.started(task, epoch));
+        report(TaskEvent::Started)
+    }
+
+    fn stop(&self, held: Held, save: bool) -> Option<TaskReport> {
+        let Held { task, epoch } = held;
+        let mut tasks = lock(&self.0.tasks);
+        let seen = tasks.seen.entry(task).or_insert(epoch);
+        *seen = (*seen).max(epoch);
+        let run = tasks.running.get(&task).filter(|run| run.epoch == epoch).map(Running::done);
+        match run {
+            None if tasks.reports.iter().any(|r| r.task == task && r.epoch == epoch) => {
+                return None;
+            }
+            None => return Some(TaskReport { task, epoch, event: TaskEvent::Stopped }),
+            Some(done) => {
+                tasks.running.remove(&task);
+                note(&tasks, |watch| watch.stopped(task, epoch));
+                if save {
+                    let done_ms = u64::try_from(done.as_millis()).unwrap_or(u64::MAX);
+                    let event = TaskEvent::Checkpointed { done_ms };
+                    tasks.reports.push(TaskReport { task, epoch, event });
+                }
+                tasks.reports.push(TaskReport { task, epoch, event: TaskEvent::Stopped });
+            }
+        }
+        None
+    }
+}
+
+fn running(start: &Start) -> Running {
+    let words: Vec<&str> = start.payload.split_whitespace().collect();
+    let asked = words.iter().find_map(|word| word.strip_prefix("run="));
+    let ends = asked.and_then(|time| units::millis(time).ok()).unwrap_or(start.duration_ms);
+    Running {
+        epoch: start.epoch,
+        need: start.need,
+        began: Instant::now(),
+        before: Duration::from_millis(start.done_ms),
+        ends: Duration::from_millis(ends),
+        fails: words.contains(&"fail"),
+    }
+}
--- /dev/null
+++ b/crates/operator/src/client.rs
@@ -0,0 +1,257 @@
+//! A client of the daemons' HTTP interface.
+
+use crate::error::{Error, Refused, Result};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+use yuccalink_protocol::api::{
+    Applied, CancelTasks, Cancelled, DecisionView, ServiceView, Status, SubmitTasks, Submitted,
+    TargetView, TaskView,
+};
+use yuccalink_protocol::problem::Problem;
+use yuccalink_protocol::request::IDEMPOTENCY_KEY;
+use yuccalink_state::id::TaskId;
+use yuccalink_transport::http::{Method, Request, header};
+use yuccalink_transport::pool::{Pool, PoolSettings};
+
+/// Largest answer, in bytes.
+const ANSWER_MAX: usize = 64 * 1024 * 1024;
+/// Pause between rounds over all servers.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Sets up a [`Client`].
+#[derive(Clone, Debug)]
+pub struct ClientBuilder {
+    servers: Vec<SocketAddr>,
+    author: Box<str>,
+    timeout: Duration,
+}
+
+/// Talks to the first of its servers that answers.
+pub struct Client {
+    servers: Vec<SocketAddr>,
+    author: Box<str>,
+    timeout: Duration,
+    pool: Pool,
+}
+
+impl ClientBuilder {
+    /// Daemons to try, in order; the default is 127.0.0.1:8081.
+    #[must_use]
+    pub fn servers(mut self, servers: Vec<SocketAddr>) -> Self {
+        self.servers = servers;
+        self
+    }
+
+    /// Who applies documents; shown to others who race.
+    #[must_use]
+    pub fn author(mut self, author: impl Into<Box<str>>) -> Self {
+        self.author = author.into();
+        self
+    }
+
+    /// Longest wait for one answer.
+    #[must_use]
+    pub fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// The client; its calls must run on a `LocalSet`.
+    pub fn build(self) -> Client {
+        let Self { servers, author, timeout } = self;
+        Client { servers, author, timeout, pool: Pool::new(PoolSettings::default()) }
+    }
+}
+
+struct Call<'a> {
+    method: Method,
+    path: &'a str,
+    kind: &'static str,
+    body: Vec<u8>,
+    key: Option<&'a str>,
+}
+
+impl Client {
+    /// A client of the daemon on this machine.
+    ///
+    /// ```
+    /// use yuccalink_operator::Client;
+    /// let client = Client::builder().author("anna").build();
+    /// # drop(client);
+    /// ```
+    pub fn builder() -> ClientBuilder {
+        ClientBuilder {
+            servers: vec![SocketAddr::from(([127, 0, 0, 1], 8081))],
+            author: "unnamed".into(),
+            timeout: Duration::from_secs(15),
+        }
+    }
+
+    /// Puts a document in force. Sending the same text again is safe.
+    ///
+    /// # Errors
+    /// [`Error::Refused`] with a conflict or faults, [`Error::Unreachable`].
+    pub async fn apply(&self, service: &str, text: &str, wait: bool) -> Result<Applied> {
+        let path = format!("/v1/services/{service}?wait={wait}");
+        let body = text.as_bytes().to_vec();
+        let call =
+            Call { method: Method::PUT, path: &path, kind: "application/toml", body, key: None };
+        self.call(call).await
+    }
+
+    /// The document in force, with its text.
+    ///
+    /// # Errors
+    /// [`Error::Refused`] when there is none.
+    pub async fn service(&self, service: &str) -> Result<ServiceView> {
+        self.get(&format!("/v1/services/{service}")).await
+    }
+
+    /// All documents in force, without texts.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`].
+    pub async fn services(&self) -> Result<Vec<ServiceView>> {
+        self.get("/v1/services").await
+    }
+
+    /// Adds tasks. Sending the same key again is safe.
+    ///
+    /// # Errors
+    /// [`Error::Refused`] with the remedy.
+    pub async fn submit(&self, tasks: &SubmitTasks, key: &str) -> Result<Submitted> {
+        self.post("/v1/tasks", tasks, Some(key)).await
+    }
+
+    /// Cancels tasks.
+    ///
+    /// # Errors
+    /// [`Error::Refused`] with the remedy.
+    pub async fn cancel(&self, tasks: Vec<TaskId>) -> Result<Vec<Cancelled>> {
+        self.post("/v1/tasks/cancel", &CancelTasks { tasks }, None).await
+    }
+
+    /// One task.
+    ///
+    /// # Errors
+    /// [`Error::Refused`] when it is not known.
+    pub async fn task(&self, task: TaskId) -> Result<TaskView> {
+        self.get(&format!("/v1/tasks/{task}")).await
+    }
+
+    /// A page of tasks; `query` such as `service=quotes&after=100`.
+    ///
+    /// # Errors
+    /// [`Error::Refused`] when the query is not understood.
+    pub async fn tasks(&self, query: &str) -> Result<Vec<TaskView>> {
+        self.get(&format!("/v1/tasks?{query}")).await
+    }
+
+    /// The leader's view of the system.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`].
+    pub async fn status(&self) -> Result<Status> {
+        self.get("/v1/status").await
+    }
+
+    /// All targets.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`].
+    pub async fn targets(&self) -> Result<Vec<TargetView>> {
+        self.get("/v1/targets").await
+    }
+
+    /// The last decisions, newest first.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`].
+    pub async fn decisions(&self) -> Result<Vec<DecisionView>> {
+        self.get("/v1/decisions").await
+    }
+
+    async fn get<T>(&self, path: &str) -> Result<T>
+    where
+        T: DeserializeOwned,
+    {
+        let call = Call { method: Method::GET, path, kind: "", body: Vec::new(), key: None };
+        self.call(call).await
+    }
+
+    async fn post<B, T>(&self, path: &str, body: &B, key: Option<&str>) -> Result<T>
+    where
+        B: Serialize,
+        T: DeserializeOwned,
+    {
+        let body = serde_json::to_vec(body).map_err(|e| Error::Answer(e.to_string().into()))?;
+        let kind = yuccalink_transport::reply::JSON;
+        self.call(Call { method: Method::POST, path, kind, body, key }).await
+    }
+
+    /// Tries each server in turn until one answers or the time is up. Every call
+    /// is safe to send again: by its key, its version, or because it only reads.
+    async fn call<T>(&self, call: Call<'_>) -> Result<T>
+    where
+        T: DeserializeOwned,
+    {
+        let deadline = Instant::now() + self.timeout;
+        let mut last: Box<str> = "none is set".into();
+        loop {
+            for server in &self.servers {
+                match self.try_server(*server, &call, deadline).await {
+                    Ok((true, body)) => {
+                        return serde_json::from_slice(&body)
+                            .map_err(|e| Error::Answer(e.to_string().into()));
+                    }
+                    Ok((false, body)) => {
+                        let problem: Problem = serde_json::from_slice(&body)
+                            .map_err(|e| Error::Answer(e.to_string().into()))?;
+                        if problem.kind.ends_with("not-serving") && Instant::now() < deadline {
+                            last = problem.detail;
+                            continue;
+                        }
+                        return Err(Error::Refused(Refused(problem)));
+                    }
+                    Err(why) => last = why.into(),
+                }
+            }
+            if Instant::now() + PAUSE >= deadline {
+                let all: Vec<String> = self.servers.iter().map(ToString::to_string).collect();
+                return Err(Error::Unreachable { server: all.join(", ").into(), why: last });
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn try_server(
+        &self,
+        server: SocketAddr,
+        call: &Call<'_>,
+        deadline: Instant,
+    ) -> std::result::Result<(bool, Vec<u8>), String> {
+        let mut req = Request::builder()
+            .method(call.method.clone())
+            .uri(call.path)
+            .header(header::HOST, server.to_string())
+            .header("yuccalink-author", &*self.author);
+        if !call.kind.is_empty() {
+            req = req.header(header::CONTENT_TYPE, call.kind);
+        }
+        if let Some(key) = call.key {
+            req = req.header(IDEMPOTENCY_KEY, key);
+        }
+        let req = req.body(call.body.clone().into()).map_err(|e| e.to_string())?;
+        let mut answer = self.pool.send(server, req, deadline).await.map_err(|e| e.to_string())?;
+        let ok = answer.head.status.is_success();
+        let whole = tokio::time::timeout_at(deadline, answer.whole(ANSWER_MAX)).await;
+        let body = whole
+            .map_err(|_| "the answer came too slowly".to_string())?
+            .map_err(|e| e.to_string())?
+            .ok_or("the answer is too large")?;
+        Ok((ok, body.to_vec()))
+    }
+}
--- /dev/null
+++ b/crates/operator/src/command.rs
@@ -0,0 +1,258 @@
+//! What the program `yuccalink` does: each command takes a client and returns
+//! its output, as a value for `--json` and as text for people.
+
+use crate::client::Client;
+use crate::error::{Error, Result};
+use crate::render;
+use serde_json::{Value, json};
+use similar::TextDiff;
+use std::fs;
+use std::io::{self, Read as _, Write as _};
+use std::path::Path;
+use std::time::Duration;
+use yuccalink_protocol::api::{SubmitTasks, TaskView};
+use yuccalink_protocol::document;
+use yuccalink_state::Document;
+use yuccalink_state::id::TaskId;
+
+/// How often a waiting command looks again.
+const POLL: Duration = Duration::from_millis(200);
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Check documents without sending them.
+    Check {
+        /// Files; `-` is standard input.
+        files: Vec<Box<str>>,
+    },
+    /// Put a document in force.
+    Apply {
+        /// A file; `-` is standard input.
+        file: Box<str>,
+        /// Return as soon as it is accepted.
+        no_wait: bool,
+    },
+    /// Print the document in force.
+    Get {
+        /// The service.
+        service: Box<str>,
+    },
+    /// List the documents in force.
+    List,
+    /// Compare a file with what is in force.
+    Diff {
+        /// A file; `-` is standard input.
+        file: Box<str>,
+    },
+    /// Add tasks.
+    Submit {
+        /// What to add.
+        tasks: SubmitTasks,
+        /// Same key, same answer; drawn when absent.
+        key: Option<Box<str>>,
+        /// Wait until all have ended.
+        wait: bool,
+    },
+    /// Cancel tasks.
+    Cancel {
+        /// Their numbers.
+        tasks: Vec<TaskId>,
+    },
+    /// List tasks.
+    Tasks {
+        /// A filter, as the daemon takes it.
+        query: Box<str>,
+    },
+    /// Show one task.
+    Task {
+        /// Its number.
+        task: TaskId,
+        /// Wait until it has ended.
+        wait: bool,
+    },
+    /// Show the state of the system.
+    Status,
+    /// List targets.
+    Targets,
+    /// List the last decisions.
+    Decisions,
+}
+
+/// A command's output in both forms.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Output {
+    /// For people.
+    pub text: String,
+    /// For programs.
+    pub json: Value,
+}
+
+fn output<T>(value: &T, text: String) -> Result<Output>
+where
+    T: serde::Serialize,
+{
+    let json = serde_json::to_value(value).map_err(|e| Error::Answer(e.to_string().into()))?;
+    Ok(Output { text, json })
+}
+
+/// Carries out a command. Its calls must run on a `LocalSet`.
+///
+/// # Errors
+/// [`Error`], whose exit code is the program's.
+pub async fn run(client: &Client, command: Command) -> Result<Output> {
+    match command {
+        Command::Check { files } => check(&files),
+        Command::Apply { file, no_wait } => apply(client, &file, no_wait).await,
+        Command::Get { service } => {
+            let found = client.service(&service).await?;
+            let text = found.text.as_deref().unwrap_or_default().to_string();
+            output(&found, text)
+        }
+        Command::List => {
+            let all = client.services().await?;
+            output(&all, render::services(&all))
+        }
+        Command::Diff { file } => diff(client, &file).await,
+        Command::Submit { tasks, key, wait } => submit(client, &tasks, key, wait).await,
+        Command::Cancel { tasks } => {
+            let all = client.cancel(tasks).await?;
+            output(&all, render::cancelled(&all))
+        }
+        Command::Tasks { query } => {
+            let all = client.tasks(&query).await?;
+            output(&all, render::tasks(&all))
+        }
+        Command::Task { task, wait } => {
+            let view = if wait { ended(client, task).await? } else { client.task(task).await? };
+            output(&view, render::tasks(std::slice::from_ref(&view)))
+        }
+        Command::Status => {
+            let status = client.status().await?;
+            output(&status, render::status(&status))
+        }
+        Command::Targets => {
+            let all = client.targets().await?;
+            output(&all, render::targets(&all))
+        }
+        Command::Decisions => {
+            let all = client.decisions().await?;
+            output(&all, render::decisions(&all))
+        }
+    }
+}
+
+fn check(files: &[Box<str>]) -> Result<Output> {
+    let mut text = String::new();
+    let mut good = Vec::new();
+    for file in files {
+        let (_, document) = read(file)?;
+        text.push_str(&format!(
+            "{file}: {} version {} is good\n",
+            document.service, document.version
+        ));
+        good.push(
+            json!({ "file": file, "service": document.service, "version": document.version }),
+        );
+    }
+    Ok(Output { text, json: good.into() })
+}
+
+async fn apply(client: &Client, file: &str, no_wait: bool) -> Result<Output> {
+    let (text, document) = read(file)?;
+    if !no_wait {
+        progress(&format!("applying {} version {} ...", document.service, document.version));
+    }
+    let applied = client.apply(document.service.as_str(), &text, !no_wait).await?;
+    if !no_wait && !applied.in_force_everywhere {
+        let names: Vec<String> = applied.waiting_for.iter().map(ToString::to_string).collect();
+        let waiting = if names.is_empty() { "unknown entries".into() } else { names.join(", ") };
+        return Err(Error::NotInForce {
+            service: document.service.as_str().into(),
+            version: document.version,
+            waiting: waiting.into(),
+        });
+    }
+    output(&applied, render::applied(&applied))
+}
+
+async fn diff(client: &Client, file: &str) -> Result<Output> {
+    let (text, document) = read(file)?;
+    let found = client.service(document.service.as_str()).await?;
+    let force = found.text.unwrap_or_default();
+    if *force == *text {
+        return Ok(Output { text: String::new(), json: json!({ "different": false }) });
+    }
+    let diff = TextDiff::from_lines(&*force, &*text);
+    let shown = diff.unified_diff().header("in force", file).to_string();
+    print(&shown)?;
+    Err(Error::Different)
+}
+
+async fn submit(
+    client: &Client,
+    tasks: &SubmitTasks,
+    key: Option<Box<str>>,
+    wait: bool,
+) -> Result<Output> {
+    let key = key.unwrap_or_else(drawn_key);
+    let done = client.submit(tasks, &key).await?;
+    if !wait {
+        return output(&done, render::submitted(&done));
+    }
+    let mut views = Vec::new();
+    for at in 0..u64::from(done.count) {
+        progress(&format!("waiting for task {} of {} ...", at + 1, done.count));
+        views.push(ended(client, TaskId(done.first.0 + at)).await?);
+    }
+    output(&views, render::tasks(&views))
+}
+
+async fn ended(client: &Client, task: TaskId) -> Result<TaskView> {
+    loop {
+        let view = client.task(task).await?;
+        if matches!(&*view.phase, "finished" | "failed" | "cancelled") {
+            return Ok(view);
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// A key that no other submission has: a resend within this command is safe.
+fn drawn_key() -> Box<str> {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let nanos = since.map_or(0, |since| since.as_nanos());
+    format!("command-{nanos:x}-{:x}", std::process::id()).into()
+}
+
+fn read(file: &str) -> Result<(String, Document)> {
+    let fail = |source| Error::Read { path: file.into(), source };
+    let text = match file {
+        "-" => {
+            let mut text = String::new();
+            io::stdin().read_to_string(&mut text).map_err(fail)?;
+            text
+        }
+        path => fs::read_to_string(Path::new(path)).map_err(fail)?,
+    };
+    let document =
+        document::read(&text).map_err(|faults| Error::Document { path: file.into(), faults })?;
+    Ok((text, document))
+}
+
+/// Says on standard error what a command waits for.
+fn progress(what: &str) {
+    let _ = writeln!(io::stderr(), "{what}");
+}
+
+/// Prints; a reader that has seen enough is no error.
+///
+/// # Errors
+/// [`Error::Output`] when standard output fails otherwise.
+pub fn print(text: &str) -> Result<()> {
+    let mut out = io::stdout().lock();
+    match out.write_all(text.as_bytes()).and_then(|()| out.flush()) {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => Err(Error::Output(error)),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,11 @@
+//! The operator's side as a library: [`Client`] talks to any daemon of the
+//! system, [`command`] holds what the program `yuccalink` does with it.
+
+mod client;
+pub mod command;
+pub mod completions;
+mod error;
+pub mod render;
+
+pub use client::{Client, ClientBuilder};
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/protocol/schema/peer.capnp
@@ -0,0 +1,64 @@
+@0xb7c3f1f0a8d25e41;
+# What daemons say to each other. Data fields hold values in the codec of the
+# replicated log, so that a command has one encoding on disk and on the wire.
+
+interface Peer {
+  hello @0 (hello :Hello) -> (welcome :Welcome);
+  # First call on each connection; refused when the versions differ.
+
+  ask @1 (asks :List(Data)) -> (answers :List(Data));
+  # Requests that the leader decides, in one batch. Refused by a daemon that
+  # does not lead.
+
+  sync @2 (state :EntryState) -> (news :News);
+  # An entry tells what it has put in force and asks for what is newer. The
+  # answer renews its configuration lease. Held back while there is no news.
+
+  raft @3 (messages :List(Data)) -> ();
+  # Messages of the consensus between voters.
+}
+
+struct Hello {
+  version @0 :UInt32;
+  entry @1 :Text;
+  incarnation @2 :UInt64;
+}
+
+struct Welcome {
+  version @0 :UInt32;
+  entry @1 :Text;
+}
+
+struct EntryState {
+  entry @0 :Text;
+  incarnation @1 :UInt64;
+  callers @2 :Text;
+  zone @3 :Text;
+  acked @4 :UInt64;
+  draining @5 :Bool;
+  term @6 :UInt64;
+  # The leader's term that tableVersion belongs to.
+  tableVersion @7 :UInt64;
+  letGo @8 :List(Text);
+  # Runners that this entry no longer routes to.
+  owned @9 :List(Data);
+  # Runners that it routes to, told once to each new leader.
+  leaving @10 :Bool;
+  # It has stopped serving: the last word of a daemon that exits.
+}
+
+struct News {
+  term @0 :UInt64;
+  revision @1 :UInt64;
+  documents @2 :List(Data);
+  tableVersion @3 :UInt64;
+  runners @4 :List(Data);
+  entries @5 :List(EntryInfo);
+}
+
+struct EntryInfo {
+  name @0 :Text;
+  callers @1 :Text;
+  zone @2 :Text;
+  draining @3 :Bool;
+}
--- /dev/null
+++ b/crates/protocol/src/document.rs
@@ -0,0 +1,274 @@
+//! Reads the TOML text of a service document and checks it whole: every fault
+//! is reported at once, with its place and its remedy.
+
+use crate::fields::{Collector, Faults, Section, flag, text, thousandths, unit, whole};
+use crate::units::{mebibytes, millis, minute_of_day};
+use sha2::{Digest as _, Sha256};
+use toml::de::{DeTable, DeValue};
+use yuccalink_state::Resources;
+use yuccalink_state::document::{
+    Digest, Document, GivesUp, Peak, RequestKind, Spread, TaskClass, TaskKind,
+};
+use yuccalink_state::id::Name;
+
+/// Largest document text, in bytes.
+pub const TEXT_MAX: usize = 64 * 1024;
+/// Most kinds of request, and most kinds of task.
+pub const KINDS_MAX: usize = 64;
+/// Longest deadline of a request, in milliseconds.
+pub const DEADLINE_MAX_MS: u64 = 10 * 60 * 1000;
+/// Highest worth of a request kind.
+pub const WORTH_MAX: u64 = 1_000_000;
+const PROCESSORS_MAX: u64 = 4_096;
+const MEMORY_MAX_MIB: u64 = 64 * 1024 * 1024;
+const ACCELERATORS_MAX: u64 = 1_024;
+const EVICTIONS_MAX: u64 = 1_000;
+
+/// Reads and checks a document.
+///
+/// # Errors
+/// [`Faults`], all of them.
+///
+/// ```
+/// use yuccalink_protocol::document::read;
+/// let text = "service = 'quotes'\nteam = 'vlecna-sit'\nversion = 1\n";
+/// assert_eq!(read(text)?.version, 1);
+/// let faults = read("service = 'Quotes'\nversoin = 1\n").unwrap_err();
+/// assert_eq!(faults.0.len(), 4);
+/// # Ok::<(), yuccalink_protocol::fields::Faults>(())
+/// ```
+pub fn read(source: &str) -> Result<Document, Faults> {
+    let mut out = Collector::new(source);
+    if source.len() > TEXT_MAX {
+        let what =
+            format!("the text has {} bytes, {TEXT_MAX} are allowed; shorten it", source.len());
+        out.add(0, "", what);
+        return Err(out.finish());
+    }
+    let (table, broken) = DeTable::parse_recoverable(source);
+    for error in &broken {
+        let at = error.span().map_or(0, |span| span.start);
+        out.add(at, "", format!("not TOML: {}; correct it there", error.message()));
+    }
+    if !out.is_clean() {
+        return Err(out.finish());
+    }
+    let document = whole_document(table.get_ref(), &mut out);
+    match document {
+        Some(document) if out.is_clean() => Ok(document),
+        _ => Err(out.finish()),
+    }
+}
+
+/// Digest that tells a resent text from a changed one.
+///
+/// ```
+/// # use yuccalink_protocol::document::digest;
+/// assert_ne!(digest("a"), digest("b"));
+/// ```
+pub fn digest(source: &str) -> Digest {
+    Sha256::digest(source.as_bytes()).into()
+}
+
+fn whole_document(table: &DeTable<'_>, out: &mut Collector<'_>) -> Option<Document> {
+    let mut root = Section::new(table, String::new(), 0);
+    let service = root.required(out, "service", "\"quotes\"", name);
+    let team = root.required(out, "team", "\"sales\"", name);
+    let version = root.required(out, "version", "1", |v| whole(v, 1, u64::MAX >> 1));
+    let peak = root.section(out, "peak").map(|section| peak(section, out));
+    let gives_up = root
+        .section(out, "gives-up")
+        .map_or_else(|| Some(GivesUp::default()), |section| gives_up(section, out));
+    let requests = requests(root.sections(out, "request", KINDS_MAX), out);
+    let tasks = tasks(root.sections(out, "task", KINDS_MAX), out);
+    root.close(out);
+    Some(Document {
+        service: service?,
+        team: team?,
+        version: version?,
+        peak: match peak {
+            Some(peak) => Some(peak?),
+            None => None,
+        },
+        requests: requests.into(),
+        tasks: tasks.into(),
+        gives_up: gives_up?,
+    })
+}
+
+fn name(value: &DeValue<'_>) -> Result<Name, Box<str>> {
+    Name::new(text(value)?).map_err(|bad| bad.to_string().into())
+}
+
+fn peak(mut section: Section<'_, '_>, out: &mut Collector<'_>) -> Option<Peak> {
+    let zone = section.required(out, "time-zone", "\"Europe/Prague\"", time_zone);
+    let minute = |v: &DeValue<'_>| unit(minute_of_day(text(v)?));
+    let start = section.required(out, "start", "\"08:30\"", minute);
+    let end = section.required(out, "end", "\"17:30\"", minute);
+    if start.is_some() && start == end {
+        section.fault(out, "end", "equals start; a peak needs some length, or leave [peak] out");
+    }
+    section.close(out);
+    Some(Peak { time_zone: zone?, start_minute: start?, end_minute: end? })
+}
+
+fn time_zone(value: &DeValue<'_>) -> Result<Box<str>, Box<str>> {
+    let zone = text(value)?;
+    match jiff::tz::TimeZone::get(zone) {
+        Ok(_) => Ok(zone.into()),
+        Err(_) => {
+            Err(format!("`{zone}` is no IANA time zone; write one such as Europe/Prague").into())
+        }
+    }
+}
+
+fn gives_up(mut section: Section<'_, '_>, out: &mut Collector<'_>) -> Option<GivesUp> {
+    let throttle = section.optional(out, "throttle", flag).unwrap_or(false);
+    let checkpoint = section.optional(out, "checkpoint", flag).unwrap_or(false);
+    let stop = section.optional(out, "stop", flag).unwrap_or(false);
+    let evictions = section.optional(out, "evictions", |v| whole(v, 0, EVICTIONS_MAX)).unwrap_or(0);
+    let wait = section.optional(out, "batch-wait", |v| unit(millis(text(v)?))).unwrap_or(0);
+    if evictions > 0 && !checkpoint && !stop {
+        let what = "needs `checkpoint = true` or `stop = true`: there is no other way to evict";
+        section.fault(out, "evictions", what);
+    }
+    if evictions == 0 && (checkpoint || stop) {
+        let what = "must be at least 1 where checkpoint or stop is true; set it or drop those";
+        section.fault(out, "evictions", what);
+    }
+    section.close(out);
+    let evictions = u32::try_from(evictions).ok()?;
+    Some(GivesUp { throttle, checkpoint, stop, evictions, batch_wait_ms: wait })
+}
+
+fn requests(sections: Vec<Section<'_, '_>>, out: &mut Collector<'_>) -> Vec<RequestKind> {
+    let mut kinds: Vec<RequestKind> = Vec::new();
+    for mut section in sections {
+        let start = section.start();
+        let label = section.path("name");
+        let Some(kind) = request(&mut section, out) else {
+            section.close(out);
+            continue;
+        };
+        section.close(out);
+        if kinds.iter().any(|other| other.name == kind.name) {
+            out.add(start, &label, format!("`{}` is there twice; rename one", kind.name));
+        }
+        if kinds.iter().any(|other| other.method == kind.method && other.path == kind.path) {
+            let what =
+                format!("`{}` is never reached: an earlier kind matches the same", kind.name);
+            out.add(start, &label, format!("{what}; change its method or path"));
+        }
+        kinds.push(kind);
+    }
+    kinds
+}
+
+fn request(section: &mut Section<'_, '_>, out: &mut Collector<'_>) -> Option<RequestKind> {
+    let name = section.required(out, "name", "\"draft\"", name);
+    let method = section.optional(out, "method", method);
+    let path = section.required(out, "path", "\"/drafts/*\"", path);
+    let idempotent = section.required(out, "idempotent", "true", flag);
+    let deadline = section.required(out, "deadline", "\"2s\"", deadline);
+    let worth = section.optional(out, "worth", |v| whole(v, 1, WORTH_MAX)).unwrap_or(1);
+    Some(RequestKind {
+        name: name?,
+        method,
+        path: path?,
+        idempotent: idempotent?,
+        deadline_ms: deadline?,
+        worth: u32::try_from(worth).ok()?,
+    })
+}
+
+fn method(value: &DeValue<'_>) -> Result<Box<str>, Box<str>> {
+    const METHODS: [&str; 6] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
+    let method = text(value)?;
+    if METHODS.contains(&method) {
+        return Ok(method.into());
+    }
+    Err(format!("`{method}` is not one of {}; or leave it out for any", METHODS.join(", ")).into())
+}
+
+fn path(value: &DeValue<'_>) -> Result<Box<str>, Box<str>> {
+    let path = text(value)?;
+    if !path.starts_with('/') || path.contains(['?', '#', ' ']) {
+        return Err(format!("`{path}` is no path; write one such as \"/drafts/*\"").into());
+    }
+    let mut segments = path.split('/').skip(1).peekable();
+    while let Some(segment) = segments.next() {
+        if segment == "**" && segments.peek().is_some() {
+            return Err("`**` matches the rest of a path; put it last".into());
+        }
+        if segment.contains('*') && segment != "*" && segment != "**" {
+            return Err(format!("`{segment}`: a `*` stands for one whole segment").into());
+        }
+    }
+    Ok(path.into())
+}
+
+fn deadline(value: &DeValue<'_>) -> Result<u64, Box<str>> {
+    let ms = unit(millis(text(value)?))?;
+    if (1..=DEADLINE_MAX_MS).contains(&ms) {
+        return Ok(ms);
+    }
+    Err("must be from 1ms to 10m; run longer work as a task".into())
+}
+
+fn tasks(sections: Vec<Section<'_, '_>>, out: &mut Collector<'_>) -> Vec<TaskKind> {
+    let mut kinds: Vec<TaskKind> = Vec::new();
+    for mut section in sections {
+        let start = section.start();
+        let label = section.path("name");
+        let kind = task(&mut section, out);
+        section.close(out);
+        let Some(kind) = kind else { continue };
+        if kinds.iter().any(|other| other.name == kind.name) {
+            out.add(start, &label, format!("`{}` is there twice; rename one", kind.name));
+        }
+        kinds.push(kind);
+    }
+    kinds
+}
+
+fn task(section: &mut Section<'_, '_>, out: &mut Collector<'_>) -> Option<TaskKind> {
+    let name = section.required(out, "name", "\"watcher\"", name);
+    let processors = section.required(out, "processors", "0.5", |v| thousandths(v, PROCESSORS_MAX));
+    let memory = section.required(out, "memory", "\"512MiB\"", memory);
+    let accelerators =
+        section.optional(out, "accelerators", |v| whole(v, 0, ACCELERATORS_MAX)).unwrap_or(0);
+    let duration = section.required(out, "duration", "\"30m\"", |v| unit(millis(text(v)?)));
+    let class = section.optional(out, "class", class).unwrap_or_default();
+    let spread = section.optional(out, "spread", spread).unwrap_or_default();
+    let need = Resources {
+        millicores: processors?,
+        memory_mib: memory?,
+        accelerators: u32::try_from(accelerators).ok()?,
+    };
+    Some(TaskKind { name: name?, need, duration_ms: duration?, class, spread })
+}
+
+fn memory(value: &DeValue<'_>) -> Result<u64, Box<str>> {
+    let amount = unit(mebibytes(text(value)?))?;
+    if (1..=MEMORY_MAX_MIB).contains(&amount) {
+        return Ok(amount);
+    }
+    Err("must be from 1MiB to 64TiB".into())
+}
+
+fn class(value: &DeValue<'_>) -> Result<TaskClass, Box<str>> {
+    match text(value)? {
+        "latency-critical" => Ok(TaskClass::LatencyCritical),
+        "batch" => Ok(TaskClass::Batch),
+        other => Err(format!("`{other}` is neither \"latency-critical\" nor \"batch\"").into()),
+    }
+}
+
+fn spread(value: &DeValue<'_>) -> Result<Spread, Box<str>> {
+    match text(value)? {
+        "none" => Ok(Spread::None),
+        "racks" => Ok(Spread::Racks),
+        "zones" => Ok(Spread::Zones),
+        other => Err(format!("`{other}` is none of \"none\", \"racks\", \"zones\"").into()),
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/peer.rs
@@ -0,0 +1,420 @@
+//! Messages between daemons: what an entry asks the leader, and their mapping
+//! to the Cap'n Proto schema.
+
+use crate::api::{
+    Applied, Cancelled, DecisionView, EntryView, Heartbeat, ServiceView, Status, SubmitTasks,
+    Submitted, TargetView, TaskView, Welcome,
+};
+use crate::problem::Problem;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use yuccalink_state::command::{RequestBegin, RequestEnd};
+use yuccalink_state::document::Accepted;
+use yuccalink_state::id::{Incarnation, Name, TaskId};
+use yuccalink_state::ledger::Verdict;
+use yuccalink_state::target::{RunnerSpec, TargetSpec};
+
+/// Version of the protocol between daemons; daemons of another refuse to talk.
+pub const VERSION: u32 = 1;
+/// Largest encoded message part, in bytes.
+pub const PART_MAX: usize = 8 * 1024 * 1024;
+
+/// What an entry asks the leader to decide.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Put a document in force; the text was checked by the entry and is
+    /// checked again by the leader.
+    Apply {
+        /// The document's text.
+        text: Box<str>,
+        /// Who applies it.
+        author: Box<str>,
+    },
+    /// Whether a revision is in force everywhere.
+    InForce {
+        /// The revision.
+        revision: u64,
+    },
+    /// All documents, without texts.
+    Services,
+    /// One document, with its text.
+    Service(Name),
+    /// Add tasks.
+    Submit {
+        /// Same key, same answer.
+        key: Box<str>,
+        /// What to add.
+        tasks: SubmitTasks,
+    },
+    /// Cancel tasks.
+    Cancel(Vec<TaskId>),
+    /// One task.
+    Task(TaskId),
+    /// Tasks, a page at a time.
+    Tasks(TaskFilter),
+    /// A target announces itself.
+    Announce {
+        /// What it is.
+        target: TargetSpec,
+        /// Requests that it holds.
+        busy: u32,
+    },
+    /// A target's regular word.
+    Heartbeat {
+        /// The target.
+        name: Name,
+        /// Its word.
+        beat: Heartbeat,
+    },
+    /// A target leaves.
+    Leave {
+        /// The target.
+        name: Name,
+        /// This run of its program.
+        incarnation: Incarnation,
+    },
+    /// A request that must run at most once is about to be sent.
+    RequestBegin(RequestBegin),
+    /// Such a request ended.
+    RequestEnd(RequestEnd),
+    /// The leader's view of the system.
+    Status,
+    /// All targets.
+    Targets,
+    /// The leader's last decisions.
+    Decisions,
+}
+
+/// Which tasks to list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskFilter {
+    /// Only of this service.
+    pub service: Option<Name>,
+    /// Only in this phase.
+    pub phase: Option<Box<str>>,
+    /// Only above this number.
+    pub after: u64,
+    /// At most this many.
+    pub limit: u32,
+}
+
+/// What the leader answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// To [`Ask::Apply`].
+    Applied(Applied),
+    /// To [`Ask::InForce`].
+    InForce {
+        /// Whether it is.
+        everywhere: bool,
+        /// Entries that may still serve an older one.
+        waiting_for: Vec<Name>,
+    },
+    /// To [`Ask::Services`].
+    Services(Vec<ServiceView>),
+    /// To [`Ask::Service`].
+    Service(ServiceView),
+    /// To [`Ask::Submit`].
+    Submitted(Submitted),
+    /// To [`Ask::Cancel`].
+    Cancelled(Vec<Cancelled>),
+    /// To [`Ask::Task`].
+    Task(TaskView),
+    /// To [`Ask::Tasks`].
+    Tasks(Vec<TaskView>),
+    /// To [`Ask::Announce`] and [`Ask::Heartbeat`].
+    Welcome(Welcome),
+    /// To [`Ask::RequestBegin`].
+    Request(Verdict),
+    /// To [`Ask::Status`].
+    Status(Box<Status>),
+    /// To [`Ask::Targets`].
+    Targets(Vec<TargetView>),
+    /// To [`Ask::Decisions`].
+    Decisions(Vec<DecisionView>),
+    /// Done, with nothing to say.
+    Done,
+    /// It cannot be done.
+    Problem(Problem),
+}
+
+/// A runner as an entry needs to know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerChange {
+    /// What it announced.
+    pub spec: RunnerSpec,
+    /// Whether it is to be used.
+    pub usable: bool,
+    /// Requests it said it holds.
+    pub busy: u32,
+    /// The entry that routes to it.
+    pub owner: Option<Name>,
+}
+
+/// An entry, for others to hand requests on to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Neighbour {
+    /// Its name.
+    pub name: Name,
+    /// Where it takes callers' requests.
+    pub callers: Box<str>,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Whether it is about to stop.
+    pub draining: bool,
+}
+
+/// What an entry tells the leader, and what it knows already.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryState {
+    /// Its name.
+    pub entry: Name,
+    /// This run of its daemon.
+    pub incarnation: Incarnation,
+    /// Where it takes callers' requests.
+    pub callers: Box<str>,
+    /// Its availability zone.
+    pub zone: Name,
+    /// The revision it has in force.
+    pub acked: u64,
+    /// Whether it is about to stop.
+    pub draining: bool,
+    /// The term that `table_version` belongs to.
+    pub term: u64,
+    /// What it knows of the table of runners.
+    pub table_version: u64,
+    /// Runners that it no longer routes to.
+    pub let_go: Vec<Name>,
+    /// Runners that it routes to, told once to each new leader.
+    pub owned: Vec<RunnerSpec>,
+    /// It has stopped serving.
+    pub leaving: bool,
+}
+
+/// What is new for an entry.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// The leader's term.
+    pub term: u64,
+    /// Revision of the last accepted document.
+    pub revision: u64,
+    /// Documents accepted since the entry's revision.
+    pub documents: Vec<Accepted>,
+    /// Version of the table of runners.
+    pub table_version: u64,
+    /// Runners that changed since the entry's version.
+    pub runners: Vec<RunnerChange>,
+    /// All entries that may serve.
+    pub entries: Vec<Neighbour>,
+}
+
+/// What is wrong with a message between daemons.
+#[derive(Debug, displaydoc::Display)]
+pub enum BadMessage {
+    /// a daemon sent a part that cannot be decoded: {0}; run the same release everywhere
+    Codec(postcard::Error),
+    /// a daemon sent a message that cannot be read: {0}; run the same release everywhere
+    Schema(capnp::Error),
+    /// a daemon sent text that is not UTF-8: {0}; run the same release everywhere
+    Text(std::str::Utf8Error),
+    /// a daemon sent {0}; run the same release everywhere
+    Name(yuccalink_state::id::BadName),
+    /// a part of {0} bytes is over the limit of 8 MiB; ask for less at a time
+    TooLarge(usize),
+}
+
+impl std::error::Error for BadMessage {}
+
+impl From<capnp::Error> for BadMessage {
+    fn from(error: capnp::Error) -> Self {
+        Self::Schema(error)
+    }
+}
+
+impl From<std::str::Utf8Error> for BadMessage {
+    fn from(error: std::str::Utf8Error) -> Self {
+        Self::Text(error)
+    }
+}
+
+impl From<yuccalink_state::id::BadName> for BadMessage {
+    fn from(error: yuccalink_state::id::BadName) -> Self {
+        Self::Name(error)
+    }
+}
+
+/// Encodes one part of a message.
+///
+/// # Errors
+/// [`BadMessage::TooLarge`] over [`PART_MAX`].
+///
+/// ```
+/// # use yuccalink_protocol::peer::*;
+/// let bytes = encode(&Ask::Status)?;
+/// assert_eq!(decode::<Ask>(&bytes)?, Ask::Status);
+/// # Ok::<(), BadMessage>(())
+/// ```
+pub fn encode<T>(value: &T) -> Result<Vec<u8>, BadMessage>
+where
+    T: Serialize,
+{
+    let bytes = postcard::to_stdvec(value).map_err(BadMessage::Codec)?;
+    match bytes.len() <= PART_MAX {
+        true => Ok(bytes),
+        false => Err(BadMessage::TooLarge(bytes.len())),
+    }
+}
+
+/// Decodes one part of a message.
+///
+/// # Errors
+/// [`BadMessage::Codec`] when the bytes are no such value.
+pub fn decode<T>(bytes: &[u8]) -> Result<T, BadMessage>
+where
+    T: DeserializeOwned,
+{
+    if bytes.len() > PART_MAX {
+        return Err(BadMessage::TooLarge(bytes.len()));
+    }
+    postcard::from_bytes(bytes).map_err(BadMessage::Codec)
+}
+
+fn name(reader: capnp::text::Reader<'_>) -> Result<Name, BadMessage> {
+    Ok(Name::new(reader.to_str()?)?)
+}
+
+fn write_parts<T>(mut list: capnp::data_list::Builder<'_>, values: &[T]) -> Result<(), BadMessage>
+where
+    T: Serialize,
+{
+    for (at, value) in (0..).zip(values) {
+        list.set(at, &encode(value)?);
+    }
+    Ok(())
+}
+
+/// Reads every part of a list.
+///
+/// # Errors
+/// [`BadMessage`] at the first part that cannot be read.
+pub fn read_parts<T>(list: capnp::data_list::Reader<'_>) -> Result<Vec<T>, BadMessage>
+where
+    T: DeserializeOwned,
+{
+    list.iter().map(|part| decode(part?)).collect()
+}
+
+/// Writes a list of asks or answers into a message.
+///
+/// # Errors
+/// [`BadMessage::TooLarge`] when one is over [`PART_MAX`].
+pub fn fill_parts<T>(list: capnp::data_list::Builder<'_>, values: &[T]) -> Result<(), BadMessage>
+where
+    T: Serialize,
+{
+    write_parts(list, values)
+}
+
+/// How many items a list has, as Cap'n Proto counts them.
+pub fn count<T>(values: &[T]) -> u32 {
+    u32::try_from(values.len()).unwrap_or(u32::MAX)
+}
+
+impl EntryState {
+    /// Writes the state into a message.
+    ///
+    /// # Errors
+    /// [`BadMessage`] when a part is too large.
+    pub fn fill(
+        &self,
+        mut to: crate::peer_capnp::entry_state::Builder<'_>,
+    ) -> Result<(), BadMessage> {
+        to.set_entry(self.entry.as_str());
+        to.set_incarnation(self.incarnation.0);
+        to.set_callers(&*self.callers);
+        to.set_zone(self.zone.as_str());
+        to.set_acked(self.acked);
+        to.set_draining(self.draining);
+        to.set_term(self.term);
+        to.set_table_version(self.table_version);
+        to.set_leaving(self.leaving);
+        let mut let_go = to.reborrow().init_let_go(count(&self.let_go));
+        for (at, name) in (0..).zip(&self.let_go) {
+            let_go.set(at, name.as_str());
+        }
+        write_parts(to.init_owned(count(&self.owned)), &self.owned)
+    }
+
+    /// Reads a state from a message.
+    ///
+    /// # Errors
+    /// [`BadMessage`] when it is malformed.
+    pub fn read(from: crate::peer_capnp::entry_state::Reader<'_>) -> Result<Self, BadMessage> {
+        let let_go = from.get_let_go()?.iter().map(|text| name(text?)).collect::<Result<_, _>>()?;
+        Ok(Self {
+            entry: name(from.get_entry()?)?,
+            incarnation: Incarnation(from.get_incarnation()),
+            callers: from.get_callers()?.to_str()?.into(),
+            zone: name(from.get_zone()?)?,
+            acked: from.get_acked(),
+            draining: from.get_draining(),
+            term: from.get_term(),
+            table_version: from.get_table_version(),
+            let_go,
+            owned: read_parts(from.get_owned()?)?,
+            leaving: from.get_leaving(),
+        })
+    }
+}
+
+impl News {
+    /// Writes the news into a message.
+    ///
+    /// # Errors
+    /// [`BadMessage`] when a part is too large.
+    pub fn fill(&self, mut to: crate::peer_capnp::news::Builder<'_>) -> Result<(), BadMessage> {
+        to.set_term(self.term);
+        to.set_revision(self.revision);
+        to.set_table_version(self.table_version);
+        write_parts(to.reborrow().init_documents(count(&self.documents)), &self.documents)?;
+        write_parts(to.reborrow().init_runners(count(&self.runners)), &self.runners)?;
+        let mut entries = to.init_entries(count(&self.entries));
+        for (at, entry) in (0..).zip(&self.entries) {
+            let mut to = entries.reborrow().get(at);
+            to.set_name(entry.name.as_str());
+            to.set_callers(&*entry.callers);
+            to.set_zone(entry.zone.as_str());
+            to.set_draining(entry.draining);
+        }
+        Ok(())
+    }
+
+    /// Reads news from a message.
+    ///
+    /// # Errors
+    /// [`BadMessage`] when it is malformed.
+    pub fn read(from: crate::peer_capnp::news::Reader<'_>) -> Result<Self, BadMessage> {
+        let mut entries = Vec::new();
+        for entry in from.get_entries()?.iter() {
+            entries.push(Neighbour {
+                name: name(entry.get_name()?)?,
+                callers: entry.get_callers()?.to_str()?.into(),
+                zone: name(entry.get_zone()?)?,
+                draining: entry.get_draining(),
+            });
+        }
+        Ok(Self {
+            term: from.get_term(),
+            revision: from.get_revision(),
+            documents: read_parts(from.get_documents()?)?,
+            table_version: from.get_table_version(),
+            runners: read_parts(from.get_runners()?)?,
+            entries,
+        })
+    }
+}
+
+/// What `yuccalink status` shows of one entry; kept here so that daemon and
+/// command agree on the order.
+pub fn sort_entries(entries: &mut [EntryView]) {
+    entries.sort_by(|a, b| a.entry.cmp(&b.entry));
+}
--- /dev/null
+++ b/crates/protocol/src/problem.rs
@@ -0,0 +1,175 @@
+//! Errors as RFC 9457 problem documents, with a field that says whether the
+//! request ran.
+
+use serde::{Deserialize, Serialize};
+
+/// Media type of a problem document.
+pub const MEDIA_TYPE: &str = "application/problem+json";
+
+/// Whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ran {
+    /// It truly did not run; it is safe to send it again.
+    #[serde(rename = "not run")]
+    NotRun,
+    /// It ran.
+    #[serde(rename = "ran")]
+    Ran,
+    /// It may have run.
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+
+/// Kinds of problem; each has a fixed `type` and title.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// The request is malformed.
+    BadRequest,
+    /// No such service, kind, task or path.
+    NotFound,
+    /// The method is not for this path.
+    MethodNotAllowed,
+    /// The body is over the limit.
+    TooLarge,
+    /// The key is in use for a request that is under way.
+    InProgress,
+    /// The key was used for a different request.
+    KeyReused,
+    /// The document clashes with the one in force.
+    Conflict,
+    /// The document or task is not acceptable.
+    Unacceptable,
+    /// Too much is asked at once.
+    Overloaded,
+    /// No runner can take it.
+    NoRunner,
+    /// This entry must not serve now.
+    NotServing,
+    /// The runner failed before it answered whole.
+    RunnerFailed,
+    /// The deadline passed.
+    DeadlinePassed,
+    /// It ran before and its answer is not kept.
+    AnswerNotKept,
+    /// Nobody knows what became of it.
+    OutcomeUnknown,
+}
+
+impl Kind {
+    /// HTTP status.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::BadRequest => 400,
+            Self::NotFound => 404,
+            Self::MethodNotAllowed => 405,
+            Self::InProgress | Self::Conflict => 409,
+            Self::TooLarge => 413,
+            Self::KeyReused | Self::Unacceptable => 422,
+            Self::Overloaded | Self::NoRunner | Self::NotServing => 503,
+            Self::RunnerFailed => 502,
+            Self::DeadlinePassed | Self::OutcomeUnknown => 504,
+            Self::AnswerNotKept => 409,
+        }
+    }
+
+    /// Last part of the problem's `type`.
+    pub fn slug(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad-request",
+            Self::NotFound => "not-found",
+            Self::MethodNotAllowed => "method-not-allowed",
+            Self::TooLarge => "too-large",
+            Self::InProgress => "in-progress",
+            Self::KeyReused => "key-reused",
+            Self::Conflict => "conflict",
+            Self::Unacceptable => "unacceptable",
+            Self::Overloaded => "overloaded",
+            Self::NoRunner => "no-runner",
+            Self::NotServing => "not-serving",
+            Self::RunnerFailed => "runner-failed",
+            Self::DeadlinePassed => "deadline-passed",
+            Self::AnswerNotKept => "answer-not-kept",
+            Self::OutcomeUnknown => "outcome-unknown",
+        }
+    }
+
+    fn title(self) -> &'static str {
+        match self {
+            Self::BadRequest => "The request is malformed",
+            Self::NotFound => "There is no such thing here",
+            Self::MethodNotAllowed => "The method is not allowed here",
+            Self::TooLarge => "The request is too large",
+            Self::InProgress => "The same request is under way",
+            Self::KeyReused => "The key was used for another request",
+            Self::Conflict => "Another document is in force",
+            Self::Unacceptable => "The content cannot be accepted",
+            Self::Overloaded => "Too much is asked at once",
+            Self::NoRunner => "No runner can take the request",
+            Self::NotServing => "This entry is not serving",
+            Self::RunnerFailed => "The runner failed",
+            Self::DeadlinePassed => "The deadline has passed",
+            Self::AnswerNotKept => "It ran before; its answer is not kept",
+            Self::OutcomeUnknown => "Nobody knows whether it ran",
+        }
+    }
+}
+
+/// A problem document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Problem {
+    /// A URN that names the kind.
+    #[serde(rename = "type")]
+    pub kind: Box<str>,
+    /// The kind in words.
+    pub title: Box<str>,
+    /// HTTP status.
+    pub status: u16,
+    /// What happened here, and the remedy.
+    pub detail: Box<str>,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// When to come back, in milliseconds; also sent as `Retry-After`.
+    #[serde(default)]
+    pub retry_after_ms: Option<u64>,
+    /// Each fault, where there are several.
+    #[serde(default)]
+    pub faults: Vec<Box<str>>,
+}
+
+impl Problem {
+    /// A problem of `kind`.
+    ///
+    /// ```
+    /// # use yuccalink_protocol::problem::*;
+    /// let problem = Problem::new(Kind::NoRunner, Ran::NotRun, "no runner of `quotes` is known");
+    /// assert_eq!(problem.status, 503);
+    /// assert!(serde_json::to_string(&problem)?.contains("\"ran\":\"not run\""));
+    /// # Ok::<(), serde_json::Error>(())
+    /// ```
+    pub fn new(kind: Kind, ran: Ran, detail: impl Into<Box<str>>) -> Self {
+        Self {
+            kind: format!("urn:yuccalink:problem:{}", kind.slug()).into(),
+            title: kind.title().into(),
+            status: kind.status(),
+            detail: detail.into(),
+            ran,
+            retry_after_ms: None,
+            faults: Vec::new(),
+        }
+    }
+
+    /// The same, with when to come back.
+    #[must_use]
+    pub fn retry_after(mut self, ms: u64) -> Self {
+        self.retry_after_ms = Some(ms);
+        self
+    }
+
+    /// The same, with each single fault.
+    #[must_use]
+    pub fn with_faults(mut self, faults: Vec<Box<str>>) -> Self {
+        self.faults = faults;
+        self
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/request.rs
@@ -0,0 +1,136 @@
+//! Maps callers' HTTP requests to the kinds that documents describe.
+
+use sha2::{Digest as _, Sha256};
+use std::fmt;
+use yuccalink_state::document::{Digest, Document, RequestKind};
+
+/// Longest accepted `Idempotency-Key`, in bytes.
+pub const KEY_MAX: usize = 255;
+/// Marks a request that one entry handed to another, which must not hand it on.
+pub const HANDED_ON: &str = "yuccalink-handed-on";
+/// Milliseconds that are left of a request's deadline.
+pub const DEADLINE: &str = "yuccalink-deadline-ms";
+/// The caller's key of a request that must run at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// The service that a path asks for, and the path within it.
+///
+/// ```
+/// # use yuccalink_protocol::request::split;
+/// assert_eq!(split("/quotes/drafts/7"), Some(("quotes", "/drafts/7")));
+/// assert_eq!(split("/quotes"), Some(("quotes", "/")));
+/// assert_eq!(split("/"), None);
+/// ```
+pub fn split(path: &str) -> Option<(&str, &str)> {
+    let rest = path.strip_prefix('/')?;
+    let end = rest.find('/').unwrap_or(rest.len());
+    let (service, inner) = rest.split_at(end);
+    if service.is_empty() {
+        return None;
+    }
+    Some((service, if inner.is_empty() { "/" } else { inner }))
+}
+
+/// The first kind of `document` that `method` and `path` match.
+///
+/// ```
+/// # use yuccalink_protocol::{document::read, request::kind};
+/// let doc = read("service='q'\nteam='t'\nversion=1\n[[request]]\nname='draft'\nmethod='POST'\n\
+///     path='/drafts/*'\nidempotent=true\ndeadline='2s'\n")?;
+/// assert!(kind(&doc, "POST", "/drafts/7").is_some());
+/// assert!(kind(&doc, "POST", "/drafts/7/8").is_none());
+/// # Ok::<(), yuccalink_protocol::fields::Faults>(())
+/// ```
+pub fn kind<'a>(document: &'a Document, method: &str, path: &str) -> Option<&'a RequestKind> {
+    document.requests.iter().find(|kind| {
+        let method_fits = kind.method.as_deref().is_none_or(|want| want == method);
+        method_fits && path_fits(&kind.path, path)
+    })
+}
+
+fn path_fits(pattern: &str, path: &str) -> bool {
+    let mut segments = path.split('/');
+    for want in pattern.split('/') {
+        if want == "**" {
+            return true;
+        }
+        match segments.next() {
+            Some(found) if want == found || (want == "*" && !found.is_empty()) => {}
+            _ => return false,
+        }
+    }
+    segments.next().is_none()
+}
+
+/// Digest of a request, to tell a resend from another request under its key.
+///
+/// ```
+/// # use yuccalink_protocol::request::digest;
+/// assert_ne!(digest("POST", "/a", b""), digest("POST", "/b", b""));
+/// ```
+pub fn digest(method: &str, path: &str, body: &[u8]) -> Digest {
+    let mut hash = Sha256::new();
+    for part in [method.as_bytes(), path.as_bytes(), body] {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.finalize().into()
+}
+
+/// What is wrong with an `Idempotency-Key`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum BadKey {
+    /// the Idempotency-Key is empty; send 1 to 255 visible ASCII characters
+    Empty,
+    /// the Idempotency-Key is too long; send 1 to 255 visible ASCII characters
+    TooLong,
+    /// the Idempotency-Key has a character that is not visible ASCII; send 1 to 255 of these
+    NotVisible,
+}
+
+impl std::error::Error for BadKey {}
+
+/// Checks the value of an `Idempotency-Key` header.
+///
+/// # Errors
+/// [`BadKey`].
+///
+/// ```
+/// # use yuccalink_protocol::request::check_key;
+/// assert_eq!(check_key(b"order-7"), Ok("order-7"));
+/// assert!(check_key(b"").is_err());
+/// ```
+pub fn check_key(value: &[u8]) -> Result<&str, BadKey> {
+    if value.is_empty() {
+        return Err(BadKey::Empty);
+    }
+    if value.len() > KEY_MAX {
+        return Err(BadKey::TooLong);
+    }
+    if !value.iter().all(u8::is_ascii_graphic) {
+        return Err(BadKey::NotVisible);
+    }
+    std::str::from_utf8(value).map_err(|_| BadKey::NotVisible)
+}
+
+/// Headers that belong to one connection and are never passed on.
+pub const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Shows a request in a log line without its query, which may be private.
+pub struct Shown<'a>(pub &'a str, pub &'a str);
+
+impl fmt::Display for Shown<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.0, self.1)
+    }
+}
