--- /dev/null
+++ b/crates/state/src/error.rs
@@ -0,0 +1,78 @@
+//! Errors of the state layer; each message names the remedy.
+
+use std::io;
+use std::path::Path;
+
+/// Result of the state layer.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// What can go wrong with files and encodings.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// cannot {doing} {path}: {source}; check that the data folder exists, is writable and has room
+    Io {
+        /// What was attempted.
+        doing: &'static str,
+        /// The file or folder.
+        path: Box<str>,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// the data folder {0} is in use by another daemon; stop that one or give this one its own --data folder
+    Locked(Box<str>),
+    /// {path} is damaged at byte {offset}, before records that are intact; nothing was changed. Restore this data folder from a snapshot, or replace this replica by an empty one
+    DamagedMiddle {
+        /// The log file.
+        path: Box<str>,
+        /// Where the first bad byte may be.
+        offset: u64,
+    },
+    /// the log lacks records {from} to {to}; nothing was changed. Restore this data folder from a snapshot, or replace this replica by an empty one
+    Gap {
+        /// First missing index.
+        from: u64,
+        /// Last missing index.
+        to: u64,
+    },
+    /// {path} is format version {found}, this program reads version {known}; run the release that wrote it
+    Version {
+        /// The file.
+        path: Box<str>,
+        /// Version in the file.
+        found: u32,
+        /// Version of this program.
+        known: u32,
+    },
+    /// no snapshot in {0} is intact, and the log does not reach back to the start; restore this data folder from a saved snapshot
+    NoSnapshot(Box<str>),
+    /// cannot decode {what}: {source}; the file was written by a different release, run that one
+    Decode {
+        /// What was being decoded.
+        what: &'static str,
+        /// The codec's error.
+        source: postcard::Error,
+    },
+    /// a record of {size} bytes is over the limit of {limit}; send less at a time
+    TooLarge {
+        /// Size offered, in bytes.
+        size: usize,
+        /// Largest accepted, in bytes.
+        limit: usize,
+    },
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Io { source, .. } => Some(source),
+            Self::Decode { source, .. } => Some(source),
+            _ => None,
+        }
+    }
+}
+
+impl Error {
+    pub(crate) fn io(doing: &'static str, path: &Path, source: io::Error) -> Self {
+        Self::Io { doing, path: path.display().to_string().into(), source }
+    }
+}
--- /dev/null
+++ b/crates/state/src/snapshot.rs
@@ -0,0 +1,138 @@
+//! Snapshots: the whole machine in one file, written beside the log and put
+//! in place by a rename, so that a crash leaves either the old or the new.
+
+use crate::error::{Error, Result};
+use crate::log::sync_folder;
+use crate::machine::Machine;
+use std::fs::{self, File};
+use std::io::{Read, Write};
+use std::path::{Path, PathBuf};
+
+/// Version in the header of each snapshot.
+pub const FORMAT: u32 = 1;
+
+const MAGIC: &[u8; 8] = b"YUCCASNP";
+const HEAD: usize = 8 + 4 + 8 + 4;
+const SUFFIX: &str = ".snapshot";
+
+/// A machine and the last record that it contains.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Snapshot {
+    /// Index of the last record applied.
+    pub index: u64,
+    /// The state after it.
+    pub machine: Machine,
+}
+
+/// Encodes a snapshot: header, CRC-32 and state.
+///
+/// # Errors
+/// [`Error::Decode`] when the codec refuses, which it has no cause to.
+///
+/// ```
+/// # use yuccalink_state::{snapshot, Machine};
+/// let bytes = snapshot::encode(7, &Machine::new())?;
+/// assert_eq!(snapshot::decode(&bytes, "memory")?.index, 7);
+/// # Ok::<(), yuccalink_state::Error>(())
+/// ```
+pub fn encode(index: u64, machine: &Machine) -> Result<Vec<u8>> {
+    let body = postcard::to_stdvec(machine)
+        .map_err(|source| Error::Decode { what: "a snapshot", source })?;
+    let mut buf = Vec::with_capacity(body.len() + HEAD);
+    buf.extend_from_slice(MAGIC);
+    buf.extend_from_slice(&FORMAT.to_le_bytes());
+    buf.extend_from_slice(&index.to_le_bytes());
+    buf.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    buf.extend_from_slice(&body);
+    Ok(buf)
+}
+
+/// Reads a snapshot back; `shown` names it in errors.
+///
+/// # Errors
+/// [`Error::DamagedMiddle`] when it is not whole, [`Error::Version`] when
+/// another release wrote it.
+pub fn decode(buf: &[u8], shown: &str) -> Result<Snapshot> {
+    let damaged = || Error::DamagedMiddle { path: shown.into(), offset: 0 };
+    if buf.len() < HEAD || &buf[..8] != MAGIC {
+        return Err(damaged());
+    }
+    let number = |at: usize| buf[at..at + 4].try_into().map_or(0, u32::from_le_bytes);
+    let found = number(8);
+    if found != FORMAT {
+        return Err(Error::Version { path: shown.into(), found, known: FORMAT });
+    }
+    let index = buf[12..20].try_into().map_or(0, u64::from_le_bytes);
+    let body = &buf[HEAD..];
+    if crc32fast::hash(body) != number(20) {
+        return Err(damaged());
+    }
+    let mut machine: Machine = postcard::from_bytes(body)
+        .map_err(|source| Error::Decode { what: "a snapshot", source })?;
+    machine.reindex();
+    Ok(Snapshot { index, machine })
+}
+
+/// Writes `bytes` as the snapshot of record `index`; it is durable on return.
+///
+/// # Errors
+/// [`Error::Io`]; the snapshots there before are untouched.
+pub fn write(folder: &Path, index: u64, bytes: &[u8]) -> Result<()> {
+    let path = folder.join(format!("{index:020}{SUFFIX}"));
+    let draft = folder.join(format!("{index:020}.draft"));
+    let mut f = File::create(&draft).map_err(|e| Error::io("create", &draft, e))?;
+    f.write_all(bytes).map_err(|e| Error::io("write", &draft, e))?;
+    f.sync_all().map_err(|e| Error::io("sync", &draft, e))?;
+    fs::rename(&draft, &path).map_err(|e| Error::io("rename", &draft, e))?;
+    sync_folder(folder)
+}
+
+/// The newest intact snapshot, if there is any file at all.
+///
+/// # Errors
+/// [`Error::NoSnapshot`] when files are there but none is intact.
+pub fn newest(folder: &Path) -> Result<Option<Snapshot>> {
+    let found = list(folder)?;
+    for (_, path) in found.iter().rev() {
+        let mut buf = Vec::new();
+        File::open(path)
+            .and_then(|mut f| f.read_to_end(&mut buf))
+            .map_err(|e| Error::io("read", path, e))?;
+        match decode(&buf, &path.display().to_string()) {
+            Ok(snapshot) => return Ok(Some(snapshot)),
+            Err(error @ Error::Version { .. }) => return Err(error),
+            Err(_) => {}
+        }
+    }
+    match found.is_empty() {
+        true => Ok(None),
+        false => Err(Error::NoSnapshot(folder.display().to_string().into())),
+    }
+}
+
+/// Keeps the `keep` newest snapshots and returns the index of the oldest kept.
+///
+/// # Errors
+/// [`Error::Io`] when a file cannot be removed.
+pub(crate) fn prune(folder: &Path, keep: usize) -> Result<Option<u64>> {
+    let found = list(folder)?;
+    let drop = found.len().saturating_sub(keep);
+    for (_, path) in &found[..drop] {
+        fs::remove_file(path).map_err(|e| Error::io("remove", path, e))?;
+    }
+    Ok(found.get(drop).map(|(index, _)| *index))
+}
+
+fn list(folder: &Path) -> Result<Vec<(u64, PathBuf)>> {
+    let mut found = Vec::new();
+    let entries = fs::read_dir(folder).map_err(|e| Error::io("list", folder, e))?;
+    for entry in entries {
+        let path = entry.map_err(|e| Error::io("list", folder, e))?.path();
+        let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
+        if let Some(index) = name.strip_suffix(SUFFIX).and_then(|text| text.parse().ok()) {
+            found.push((index, path));
+        }
+    }
+    found.sort();
+    Ok(found)
+}
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,10 @@
+//! The transport layer: HTTP servers for callers, targets and operators, HTTP
+//! connections to runners and workers, and RPC connections between daemons.
+
+pub mod body;
+pub mod pool;
+pub mod reply;
+pub mod rpc;
+pub mod server;
+
+pub use hyper::http;
--- /dev/null
+++ b/crates/transport/src/pool.rs
@@ -0,0 +1,255 @@
+//! HTTP/1.1 connections to runners, workers and other entries, kept per thread.
+//!
+//! A connection carries one request at a time and is used again only after a
+//! whole answer was read from it, so a late answer can never reach the next caller.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::http::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Largest head of an answer, in bytes.
+const HEAD_MAX: usize = 64 * 1024;
+/// Idle connections are closed after this time, before most servers do.
+const IDLE_MAX: Duration = Duration::from_secs(20);
+
+/// Why no answer came.
+#[derive(Debug, displaydoc::Display)]
+pub enum NoAnswer {
+    /// no connection: {0}
+    NotConnected(std::io::Error),
+    /// no connection in time
+    ConnectTimeout,
+    /// the connection was closed before anything was sent: {0}
+    NotSent(hyper::Error),
+    /// the connection failed after the request was sent: {0}
+    Lost(hyper::Error),
+    /// no answer in time
+    Timeout,
+}
+
+impl std::error::Error for NoAnswer {}
+
+impl NoAnswer {
+    /// Whether it is certain that no byte of the request left.
+    pub fn surely_not_sent(&self) -> bool {
+        match self {
+            Self::NotConnected(_) | Self::ConnectTimeout | Self::NotSent(_) => true,
+            Self::Lost(_) | Self::Timeout => false,
+        }
+    }
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+struct Idle {
+    sender: Sender,
+    since: Instant,
+}
+
+/// Settings of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoolSettings {
+    /// Idle connections kept to one address.
+    pub idle_per_address: usize,
+    /// Longest wait for a connection.
+    pub connect_timeout: Duration,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self { idle_per_address: 4, connect_timeout: Duration::from_secs(1) }
+    }
+}
+
+/// Connections of one thread.
+#[derive(Clone)]
+pub struct Pool {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>,
+    settings: PoolSettings,
+}
+
+/// An answer whose head has come. Dropping it before its end closes the connection.
+pub struct Answer {
+    /// Status and headers.
+    pub head: hyper::http::response::Parts,
+    body: Incoming,
+    sender: Option<Sender>,
+    address: SocketAddr,
+    pool: Pool,
+}
+
+impl Pool {
+    /// A pool without connections; stays on the thread that made it.
+    pub fn new(settings: PoolSettings) -> Self {
+        Self { idle: Rc::default(), settings }
+    }
+
+    /// Sends a request and waits for the head of its answer, at most until `deadline`.
+    ///
+    /// # Errors
+    /// [`NoAnswer`], which tells whether the request may have been sent.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Answer, NoAnswer> {
+        let mut req = req;
+        while let Some(sender) = self.take(address) {
+            match self.exchange(address, sender, req, deadline).await {
+                // The other side closed an idle connection: nothing was sent, so a
+                // new connection may carry the same request.
+                Err((NoAnswer::NotSent(_), Some(unsent))) => req = unsent,
+                done => return done.map_err(|(error, _)| error),
+            }
+        }
+        let sender = self.connect(address, deadline).await?;
+        self.exchange(address, sender, req, deadline).await.map_err(|(error, _)| error)
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Sender> {
+        let mut all = self.idle.borrow_mut();
+        let idle = all.get_mut(&address)?;
+        while let Some(found) = idle.pop() {
+            if !found.sender.is_closed() && found.since.elapsed() < IDLE_MAX {
+                return Some(found.sender);
+            }
+        }
+        None
+    }
+
+    fn put_back(&self, address: SocketAddr, sender: Sender) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut all = self.idle.borrow_mut();
+        let idle = all.entry(address).or_default();
+        if idle.len() < self.settings.idle_per_address {
+            idle.push(Idle { sender, since: Instant::now() });
+        }
+    }
+
+    /// Closes idle connections to `address`.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn tidy(&self) {
+        self.idle.borrow_mut().retain(|_, idle| {
+            idle.retain(|i| !i.sender.is_closed() && i.since.elapsed() < IDLE_MAX);
+            !idle.is_empty()
+        });
+    }
+
+    async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<Sender, NoAnswer> {
+        let wait = self.settings.connect_timeout.min(deadline.duration_since(Instant::now()));
+        let stream = timeout(wait, TcpStream::connect(address))
+            .await
+            .map_err(|_| NoAnswer::ConnectTimeout)?
+            .map_err(NoAnswer::NotConnected)?;
+        stream.set_nodelay(true).map_err(NoAnswer::NotConnected)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(HEAD_MAX)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(NoAnswer::NotSent)?;
+        tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to {address} ended: {error}");
+            }
+        });
+        Ok(sender)
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        mut sender: Sender,
+        req: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Answer, (NoAnswer, Option<Request<Full<Bytes>>>)> {
+        if let Err(error) = sender.ready().await {
+            return Err((NoAnswer::NotSent(error), Some(req)));
+        }
+        let sent = timeout_at(deadline, sender.try_send_request(req)).await;
+        let response = match sent {
+            Err(_) => return Err((NoAnswer::Timeout, None)),
+            Ok(Ok(response)) => response,
+            Ok(Err(mut failed)) => {
+                let unsent = failed.take_message();
+                let error = failed.into_error();
+                let error = match unsent {
+                    Some(_) => NoAnswer::NotSent(error),
+                    None => NoAnswer::Lost(error),
+                };
+                return Err((error, unsent));
+            }
+        };
+        let (head, body) = Response::into_parts(response);
+        Ok(Answer { head, body, sender: Some(sender), address, pool: self.clone() })
+    }
+}
+
+impl Answer {
+    /// The length that the answer's head announced, if it did.
+    pub fn announced(&self) -> Option<u64> {
+        use hyper::body::Body;
+        self.body.size_hint().exact()
+    }
+
+    /// The next piece of the body, `None` after the whole of it.
+    ///
+    /// # Errors
+    /// When the connection broke off before the end.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+        loop {
+            match self.body.frame().await {
+                None => {
+                    if let Some(sender) = self.sender.take() {
+                        self.pool.put_back(self.address, sender);
+                    }
+                    return Ok(None);
+                }
+                Some(Err(error)) => return Err(error),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The whole body, or `None` when it is over `limit` bytes.
+    ///
+    /// # Errors
+    /// When the connection broke off before the end.
+    pub async fn whole(&mut self, limit: usize) -> Result<Option<Bytes>, hyper::Error> {
+        let mut whole: Vec<Bytes> = Vec::new();
+        let mut size = 0;
+        while let Some(chunk) = self.next().await? {
+            size += chunk.len();
+            if size > limit {
+                return Ok(None);
+            }
+            whole.push(chunk);
+        }
+        if whole.len() == 1
+            && let Some(only) = whole.pop()
+        {
+            return Ok(Some(only));
+        }
+        Ok(Some(whole.concat().into()))
+    }
+}
--- /dev/null
+++ b/crates/transport/src/reply.rs
@@ -0,0 +1,49 @@
+//! Small answers: JSON bodies and problem documents.
+
+use crate::http::{HeaderValue, StatusCode, header};
+use serde::Serialize;
+use xitca_web::body::ResponseBody;
+use xitca_web::http::WebResponse;
+use yuccalink_protocol::problem::{MEDIA_TYPE, Problem};
+
+/// Media type of JSON.
+pub const JSON: &str = "application/json";
+
+/// An answer with a JSON body.
+pub fn json<T>(status: StatusCode, value: &T) -> WebResponse
+where
+    T: Serialize,
+{
+    match serde_json::to_vec(value) {
+        Ok(body) => with_body(status, JSON, body),
+        Err(error) => {
+            log::error!("cannot encode an answer: {error}");
+            with_body(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", Vec::new())
+        }
+    }
+}
+
+/// An answer with a text body.
+pub fn text(status: StatusCode, body: &str) -> WebResponse {
+    with_body(status, "text/plain; charset=utf-8", body.as_bytes().to_vec())
+}
+
+/// An answer with `body` of the media type `kind`.
+pub fn with_body(status: StatusCode, kind: &'static str, body: Vec<u8>) -> WebResponse {
+    let mut response = WebResponse::new(ResponseBody::bytes(body));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
+/// A problem document, with `Retry-After` in whole seconds where it says when.
+pub fn problem(problem: &Problem) -> WebResponse {
+    let status = StatusCode::from_u16(problem.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = json(status, problem);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
+    if let Some(ms) = problem.retry_after_ms {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(ms.div_ceil(1000)));
+    }
+    response
+}
--- /dev/null
+++ b/crates/transport/src/rpc.rs
@@ -0,0 +1,99 @@
+//! Connections between daemons, carrying Cap'n Proto RPC.
+
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use futures::io::{BufReader, BufWriter};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use yuccalink_protocol::peer_capnp::peer;
+
+/// Connections from other daemons at once; more wait to be accepted.
+pub const CONNECTIONS_MAX: usize = 256;
+/// Largest message, in words of 8 bytes: 32 MiB.
+const WORDS_MAX: usize = 4 * 1024 * 1024;
+/// Longest wait for a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+type Network = VatNetwork<BufReader<tokio_util::compat::Compat<tokio::net::tcp::OwnedReadHalf>>>;
+
+/// A connection to another daemon; dropping it closes it.
+pub struct Link {
+    /// Calls go through this.
+    pub peer: peer::Client,
+    task: tokio::task::AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn network(stream: TcpStream, side: Side) -> io::Result<Network> {
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.into_split();
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(WORDS_MAX));
+    let reader = BufReader::new(reader.compat());
+    let writer = BufWriter::new(writer.compat_write());
+    Ok(VatNetwork::new(reader, writer, side, options))
+}
+
+/// Connects to the daemon at `address`. Must be called on a `LocalSet`.
+///
+/// # Errors
+/// When no connection is made within [`CONNECT_TIMEOUT`].
+pub async fn connect(address: SocketAddr) -> io::Result<Link> {
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)?), None);
+    let peer: peer::Client = system.bootstrap(Side::Server);
+    let task = tokio::task::spawn_local(async move {
+        if let Err(error) = system.await {
+            log::debug!("connection to daemon {address} ended: {error}");
+        }
+    });
+    Ok(Link { peer, task: task.abort_handle() })
+}
+
+/// Accepts connections from other daemons for ever, each served by a clone of
+/// `service`. Must run on a `LocalSet`.
+///
+/// # Errors
+/// When the listener fails.
+pub async fn accept(listener: TcpListener, service: peer::Client) -> io::Result<()> {
+    let open = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        let Ok(permit) = open.clone().acquire_owned().await else { return Ok(()) };
+        let (stream, from) = match listener.accept().await {
+            Ok(found) => found,
+            Err(error) => {
+                log::warn!("cannot accept a daemon's connection: {error}; trying again");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        let network = match network(stream, Side::Server) {
+            Ok(network) => network,
+            Err(error) => {
+                log::debug!("connection from daemon {from} failed: {error}");
+                continue;
+            }
+        };
+        let system = RpcSystem::new(Box::new(network), Some(service.clone().client));
+        tokio::task::spawn_local(async move {
+            if let Err(error) = system.await {
+                log::debug!("connection from daemon {from} ended: {error}");
+            }
+            drop(permit);
+        });
+    }
+}
--- /dev/null
+++ b/crates/transport/src/server.rs
@@ -0,0 +1,216 @@
+//! An HTTP/1.1 server on threads of its own, with limits on connections and time.
+
+use bytes::Bytes;
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::{future::Future, io};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use xitca_web::HttpServer;
+use xitca_web::body::RequestBody;
+use xitca_web::http::{WebRequest, WebResponse};
+use xitca_web::service::Service;
+use xitca_web::service::fn_build;
+use xitca_web::service::ready::ReadyService;
+
+/// Largest head of a request, in bytes; a larger one is answered 431.
+pub const HEAD_MAX: usize = 32 * 1024;
+/// Most headers in one request; more are answered 431.
+pub const HEADERS_MAX: usize = 64;
+/// Bytes of an answer buffered per connection.
+const WRITE_BUFFER: usize = 256 * 1024;
+/// Longest wait for requests in flight when a server stops.
+const STOP_WAIT: Duration = Duration::from_secs(60);
+
+/// What answers requests on one thread. Made anew for each thread, so it may
+/// hold connections and caches that threads do not share.
+pub trait Handler: 'static {
+    /// Answers one request; a panic or a dropped future closes the connection.
+    fn handle(&self, req: WebRequest) -> impl Future<Output = WebResponse>;
+}
+
+/// Limits of one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Threads that answer.
+    pub threads: usize,
+    /// Connections at once; more wait to be accepted.
+    pub connections: usize,
+    /// Time in which the head of a request must come.
+    pub head_timeout: Duration,
+    /// Time that a connection may stay without a request.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            threads: 2,
+            connections: 4096,
+            head_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
+/// A running server.
+pub struct Server {
+    address: SocketAddr,
+    handle: xitca_server_handle::Handle,
+    thread: Option<thread::JoinHandle<io::Result<()>>>,
+}
+
+/// Hides the type of the handle, which the server library does not re-export.
+mod xitca_server_handle {
+    use std::fmt;
+
+    pub struct Handle(pub Box<dyn Fn(bool) + Send>);
+
+    impl fmt::Debug for Handle {
+        fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+            f.write_str("Handle")
+        }
+    }
+}
+
+impl std::fmt::Debug for Server {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Server").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+struct PerThread<H> {
+    handler: Rc<H>,
+    open: Arc<Semaphore>,
+}
+
+impl<H> ReadyService for PerThread<H> {
+    type Ready = Option<OwnedSemaphorePermit>;
+
+    /// The permit is kept by the connection that is accepted next, until it closes.
+    async fn ready(&self) -> Self::Ready {
+        self.open.clone().acquire_owned().await.ok()
+    }
+}
+
+impl<H> Service<WebRequest> for PerThread<H>
+where
+    H: Handler,
+{
+    type Response = WebResponse;
+    type Error = Infallible;
+
+    async fn call(&self, req: WebRequest) -> Result<WebResponse, Infallible> {
+        Ok(self.handler.handle(req).await)
+    }
+}
+
+impl Server {
+    /// Starts threads that accept from `listener` and answer with what `make`
+    /// makes once on each thread.
+    ///
+    /// # Errors
+    /// When the listener or a thread cannot be set up.
+    pub fn start<F, H>(listener: TcpListener, limits: Limits, make: F) -> io::Result<Self>
+    where
+        F: Fn() -> H + Send + Sync + Clone + 'static,
+        H: Handler,
+    {
+        let address = listener.local_addr()?;
+        let open = Arc::new(Semaphore::new(limits.connections.max(1)));
+        let build = fn_build(async move |()| {
+            Ok::<_, Infallible>(PerThread { handler: Rc::new(make()), open: open.clone() })
+        });
+        let mut server = HttpServer::serve(build)
+            .server_threads(1)
+            .worker_threads(limits.threads.max(1))
+            .disable_signal()
+            .keep_alive_timeout(limits.idle_timeout)
+            .request_head_timeout(limits.head_timeout)
+            .max_read_buf_size::<HEAD_MAX>()
+            .max_write_buf_size::<WRITE_BUFFER>()
+            .max_request_headers::<HEADERS_MAX>()
+            .listen(listener)?
+            .run();
+        let stop = server.handle()?;
+        let thread = thread::Builder::new()
+            .name(format!("http-{}", address.port()))
+            .spawn(move || server.wait())?;
+        let handle = xitca_server_handle::Handle(Box::new(move |graceful| stop.stop(graceful)));
+        Ok(Self { address, handle, thread: Some(thread) })
+    }
+
+    /// Where it listens; tells the port when 0 was asked for.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, and waits until what is in flight is done.
+    pub fn stop(mut self) {
+        (self.handle.0)(true);
+        let Some(thread) = self.thread.take() else { return };
+        let started = std::time::Instant::now();
+        while !thread.is_finished() && started.elapsed() < STOP_WAIT {
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+/// What is wrong with the body of a request.
+#[derive(Debug, displaydoc::Display)]
+pub enum BadBody {
+    /// the body is over {0} bytes; send less
+    TooLarge(usize),
+    /// the body did not come in time; send it without pauses
+    TooSlow,
+    /// the body broke off; send it whole
+    Broken,
+}
+
+impl std::error::Error for BadBody {}
+
+/// Reads a whole body of at most `limit` bytes within `time`.
+///
+/// # Errors
+/// [`BadBody`]; the rest of the body is not read.
+pub async fn read_body(body: RequestBody, limit: usize, time: Duration) -> Result<Bytes, BadBody> {
+    use xitca_web::body::Body;
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let whole = collect(body, limit);
+    tokio::time::timeout(time, whole).await.unwrap_or(Err(BadBody::TooSlow))
+}
+
+async fn collect(body: RequestBody, limit: usize) -> Result<Bytes, BadBody> {
+    use xitca_web::body::{Body, Frame};
+    let body = RefCell::new(Box::pin(body));
+    let mut first: Option<Bytes> = None;
+    let mut rest = Vec::new();
+    loop {
+        let frame = std::future::poll_fn(|cx| body.borrow_mut().as_mut().poll_frame(cx)).await;
+        let chunk = match frame {
+            None => break,
+            Some(Ok(Frame::Data(chunk))) => chunk,
+            Some(Ok(Frame::Trailers(_))) => continue,
+            Some(Err(_)) => return Err(BadBody::Broken),
+        };
+        let size = first.as_ref().map_or(0, Bytes::len) + rest.len() + chunk.len();
+        if size > limit {
+            return Err(BadBody::TooLarge(limit));
+        }
+        match &first {
+            None => first = Some(chunk),
+            Some(_) => rest.extend_from_slice(&chunk),
+        }
+    }
+    let first = first.unwrap_or_default();
+    if rest.is_empty() {
+        return Ok(first);
+    }
+    Ok([first.as_ref(), &rest].concat().into())
+}
--- /dev/null
+++ b/crates/yuccalink/src/args.rs
@@ -0,0 +1,271 @@
+//! The command line.
+
+use lexopt::{Arg, Parser, ValueExt};
+use std::net::SocketAddr;
+use std::time::Duration;
+use yuccalink_operator::command::Command;
+use yuccalink_operator::completions::{COMMANDS, Shell};
+use yuccalink_operator::{Error, Result};
+use yuccalink_protocol::api::SubmitTasks;
+use yuccalink_protocol::units;
+use yuccalink_state::id::{Name, TaskId};
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub(crate) enum Asked {
+    Help { long: bool },
+    Version,
+    Completions(Shell),
+    Run(Settings, Command),
+}
+
+/// Settings of any command.
+#[derive(Debug)]
+pub(crate) struct Settings {
+    pub(crate) servers: Vec<SocketAddr>,
+    pub(crate) author: Box<str>,
+    pub(crate) timeout: Duration,
+    pub(crate) json: bool,
+}
+
+#[derive(Default)]
+struct Given {
+    words: Vec<Box<str>>,
+    server: Option<Box<str>>,
+    author: Option<Box<str>>,
+    timeout: Option<Box<str>>,
+    json: bool,
+    no_wait: bool,
+    wait: bool,
+    urgent: bool,
+    count: Option<u32>,
+    payload: Option<Box<str>>,
+    key: Option<Box<str>>,
+    service: Option<Box<str>>,
+    phase: Option<Box<str>>,
+    after: Option<u64>,
+    limit: Option<u32>,
+}
+
+fn usage(what: impl Into<Box<str>>) -> Error {
+    Error::Usage(what.into())
+}
+
+/// Reads the command line; `environment` gives defaults.
+pub(crate) fn read<E>(parser: Parser, environment: E) -> Result<Asked>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let mut given = Given::default();
+    if let Some(asked) = flags(parser, &mut given)? {
+        return Ok(asked);
+    }
+    let words: Vec<&str> = given.words.iter().map(|word| &**word).collect();
+    let command = match words.as_slice() {
+        [] | ["help"] => return Ok(Asked::Help { long: !words.is_empty() }),
+        ["completions", shell] => {
+            let shell = Shell::parse(shell).ok_or_else(|| usage("write bash, zsh or fish"))?;
+            return Ok(Asked::Completions(shell));
+        }
+        ["check", files @ ..] if !files.is_empty() => {
+            Command::Check { files: files.iter().map(|file| (*file).into()).collect() }
+        }
+        ["apply", file] => Command::Apply { file: (*file).into(), no_wait: given.no_wait },
+        ["get", service] => Command::Get { service: name(service)?.as_str().into() },
+        ["list"] => Command::List,
+        ["diff", file] => Command::Diff { file: (*file).into() },
+        ["task", rest @ ..] => task(rest, &given)?,
+        ["status"] => Command::Status,
+        ["targets"] => Command::Targets,
+        ["decisions"] => Command::Decisions,
+        [first, ..] if COMMANDS.iter().any(|(name, _)| name == first) => {
+            return Err(usage(format!("`{first}` has too many or too few words after it")));
+        }
+        [first, ..] => return Err(usage(format!("there is no command `{first}`"))),
+    };
+    Ok(Asked::Run(settings(&given, environment)?, command))
+}
+
+fn task(words: &[&str], given: &Given) -> Result<Command> {
+    match words {
+        ["submit", service, kind] => Ok(Command::Submit {
+            tasks: SubmitTasks {
+                service: name(service)?,
+                kind: name(kind)?,
+                count: given.count.unwrap_or(1),
+                urgent: given.urgent,
+                payload: given.payload.clone().unwrap_or_default(),
+            },
+            key: given.key.clone(),
+            wait: given.wait,
+        }),
+        ["cancel", tasks @ ..] if !tasks.is_empty() => Ok(Command::Cancel { tasks: ids(tasks)? }),
+        ["list"] => Ok(Command::Tasks { query: query(given)? }),
+        ["show", task] => Ok(Command::Task { task: id(task)?, wait: given.wait }),
+        _ => Err(usage(
+            "write task submit SERVICE KIND, task cancel TASK..., task list or task show TASK",
+        )),
+    }
+}
+
+fn query(given: &Given) -> Result<Box<str>> {
+    let mut parts = Vec::new();
+    if let Some(service) = &given.service {
+        parts.push(format!("service={}", name(service)?));
+    }
+    if let Some(phase) = &given.phase {
+        parts.push(format!("phase={}", name(phase)?));
+    }
+    if let Some(after) = given.after {
+        parts.push(format!("after={after}"));
+    }
+    if let Some(limit) = given.limit {
+        parts.push(format!("limit={limit}"));
+    }
+    Ok(parts.join("&").into())
+}
+
+fn name(text: &str) -> Result<Name> {
+    Name::new(text).map_err(|bad| usage(bad.to_string()))
+}
+
+fn id(text: &str) -> Result<TaskId> {
+    let digits = text.strip_prefix('t').unwrap_or(text);
+    let number =
+        digits.parse().map_err(|_| usage(format!("`{text}` is no task; write one such as t7")))?;
+    Ok(TaskId(number))
+}
+
+/// Single tasks and ranges such as `t3-t9`.
+fn ids(words: &[&str]) -> Result<Vec<TaskId>> {
+    let mut all = Vec::new();
+    for word in words {
+        match word.split_once('-') {
+            Some((first, last)) => all.extend((id(first)?.0..=id(last)?.0).map(TaskId)),
+            None => all.push(id(word)?),
+        }
+    }
+    Ok(all)
+}
+
+fn flags(mut parser: Parser, given: &mut Given) -> Result<Option<Asked>> {
+    let bad = |error: lexopt::Error| usage(error.to_string());
+    while let Some(arg) = parser.next().map_err(bad)? {
+        match arg {
+            Arg::Short('h') => return Ok(Some(Asked::Help { long: false })),
+            Arg::Long("help") => return Ok(Some(Asked::Help { long: true })),
+            Arg::Short('V') | Arg::Long("version") => return Ok(Some(Asked::Version)),
+            Arg::Value(word) => given.words.push(word.string().map_err(bad)?.into()),
+            Arg::Long("json") => given.json = true,
+            Arg::Long("no-wait") => given.no_wait = true,
+            Arg::Long("wait") => given.wait = true,
+            Arg::Long("urgent") => given.urgent = true,
+            Arg::Short('s') | Arg::Long("server") => given.server = Some(text(&mut parser)?),
+            Arg::Long("author") => given.author = Some(text(&mut parser)?),
+            Arg::Long("timeout") => given.timeout = Some(text(&mut parser)?),
+            Arg::Short('n') | Arg::Long("count") => given.count = Some(number(&mut parser)?),
+            Arg::Long("payload") => given.payload = Some(text(&mut parser)?),
+            Arg::Long("key") => given.key = Some(text(&mut parser)?),
+            Arg::Long("service") => given.service = Some(text(&mut parser)?),
+            Arg::Long("phase") => given.phase = Some(text(&mut parser)?),
+            Arg::Long("after") => given.after = Some(number(&mut parser)?),
+            Arg::Long("limit") => given.limit = Some(number(&mut parser)?),
+            other => return Err(bad(other.unexpected())),
+        }
+    }
+    Ok(None)
+}
+
+fn text(parser: &mut Parser) -> Result<Box<str>> {
+    let value = parser.value().and_then(|value| value.string());
+    value.map(Into::into).map_err(|error| usage(error.to_string()))
+}
+
+fn number<T>(parser: &mut Parser) -> Result<T>
+where
+    T: std::str::FromStr,
+    T::Err: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let value = parser.value().and_then(|value| value.parse());
+    value.map_err(|error| usage(error.to_string()))
+}
+
+fn settings<E>(given: &Given, environment: E) -> Result<Settings>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let or_variable = |value: &Option<Box<str>>, name: &str| {
+        value.clone().or_else(|| environment(name).map(Into::into))
+    };
+    let server = or_variable(&given.server, "YUCCALINK_SERVER");
+    let servers = server.as_deref().unwrap_or("127.0.0.1:8081").split(',').map(|part| {
+        let wrong = || usage(format!("--server: `{part}` is no IP:PORT, such as 127.0.0.1:8081"));
+        part.trim().parse().map_err(|_| wrong())
+    });
+    let author = or_variable(&given.author, "YUCCALINK_AUTHOR");
+    let author = author.or_else(|| environment("USER").map(Into::into));
+    let timeout = or_variable(&given.timeout, "YUCCALINK_TIMEOUT");
+    let timeout = units::millis(timeout.as_deref().unwrap_or("15s"));
+    Ok(Settings {
+        servers: servers.collect::<Result<_>>()?,
+        author: author.unwrap_or_else(|| "unnamed".into()),
+        timeout: timeout
+            .map(Duration::from_millis)
+            .map_err(|bad| usage(format!("--timeout: {bad}")))?,
+        json: given.json,
+    })
+}
+
+/// The help, short or long.
+pub(crate) fn help(long: bool) -> String {
+    let mut out = String::from(
+        "yuccalink - check and apply service documents, run tasks, see what the system does\n\n\
+         Usage: yuccalink [FLAG]... COMMAND\n\nCommands:\n",
+    );
+    for (name, about) in COMMANDS {
+        out.push_str(&format!("  {name:<12} {about}\n"));
+    }
+    out.push_str(
+        "\nFlags:\n  \
+         -s, --server IP:PORT,...  daemons to ask [127.0.0.1:8081; YUCCALINK_SERVER]\n  \
+         --json                    output for programs\n  \
+         --author NAME             who applies [YUCCALINK_AUTHOR, USER]\n  \
+         --timeout TIME            longest wait for an answer [15s; YUCCALINK_TIMEOUT]\n  \
+         -h, --help                short help, long help\n  \
+         -V, --version             the version\n",
+    );
+    if long {
+        out.push_str(LONG);
+    } else {
+        out.push_str("\n`yuccalink --help` tells more.\n");
+    }
+    out
+}
+
+const LONG: &str = "
+Documents (FILE may be - for standard input):
+  check FILE...             read them and report every fault with its place
+  apply FILE [--no-wait]    put it in force; returns when it is in force on every entry
+  get SERVICE               print the text in force
+  list                      all services
+  diff FILE                 what applying it would change
+
+Tasks (TASK is a number such as t7; cancel also takes ranges such as t7-t12):
+  task submit SERVICE KIND [-n N] [--urgent] [--payload TEXT] [--key KEY] [--wait]
+  task cancel TASK...
+  task list [--service NAME] [--phase PHASE] [--after N] [--limit N]
+  task show TASK [--wait]
+  A submission sent again with the same --key gets the same answer and adds nothing.
+
+The system:
+  status                    who leads, which revision each entry has in force
+  targets                   runners and workers, their health and their owners
+  decisions                 the last routing and placement decisions, newest first
+  completions SHELL         for bash, zsh or fish
+
+Exit codes:
+  0 done            1 failed or refused        2 wrong usage
+  3 the document has faults                    4 conflict: another document is in force
+  5 no daemon answers                          6 accepted, but not in force everywhere in time
+  7 diff: the file differs from what is in force
+";
--- /dev/null
+++ b/crates/yuccalink/src/main.rs
@@ -0,0 +1,16 @@
+//! The program `yuccalink`: reads the command line and runs one command.
+
+mod app;
+mod args;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match app::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("yuccalink: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/yuccalinkd/src/app.rs
@@ -0,0 +1,90 @@
+//! Turns settings into a running daemon and signals into its stop.
+
+use crate::args::{self, Asked, Bad};
+use std::io::{self, Write};
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use yuccalink_daemon::{Config, Daemon};
+
+/// How often the disk's state is looked at.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Why the program ends with an error.
+#[derive(Debug, displaydoc::Display)]
+pub(crate) enum Failure {
+    /// {0}
+    Settings(Bad),
+    /// {0}
+    Daemon(yuccalink_daemon::Error),
+    /// the disk failed: {0}
+    Disk(yuccalink_state::Error),
+    /// cannot start: {0}
+    Start(io::Error),
+}
+
+impl Failure {
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        use yuccalink_daemon::Error;
+        ExitCode::from(match self {
+            Self::Settings(_) | Self::Daemon(Error::Setting { .. }) => 2,
+            Self::Disk(_) | Self::Daemon(Error::State(_)) => 3,
+            Self::Daemon(_) | Self::Start(_) => 1,
+        })
+    }
+}
+
+pub(crate) fn run() -> Result<(), Failure> {
+    let parser = lexopt::Parser::from_env();
+    match args::read(parser, |name| std::env::var_os(name)).map_err(Failure::Settings)? {
+        Asked::ShortHelp => print(&args::help(false)),
+        Asked::LongHelp => print(&args::help(true)),
+        Asked::Version => print(concat!("yuccalinkd ", env!("CARGO_PKG_VERSION"), "\n")),
+        Asked::Run(config) => serve(config.build().map_err(Failure::Daemon)?),
+    }
+}
+
+/// A reader that has seen enough is no error.
+fn print(text: &str) -> Result<(), Failure> {
+    match io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => Err(Failure::Start(error)),
+        _ => Ok(()),
+    }
+}
+
+fn serve(config: Config) -> Result<(), Failure> {
+    let lines = yuccalink_daemon::start_logging().map_err(Failure::Start)?;
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .target(env_logger::Target::Pipe(lines))
+        .format_timestamp_micros()
+        .init();
+    let mut daemon = Daemon::start(config).map_err(Failure::Daemon)?;
+    match wait_for_end(&mut daemon)? {
+        Some(error) => Err(Failure::Disk(error)),
+        None => daemon.drain().map_err(Failure::Daemon),
+    }
+}
+
+/// Waits for a signal, or for the disk to fail.
+fn wait_for_end(daemon: &mut Daemon) -> Result<Option<yuccalink_state::Error>, Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Failure::Start)?;
+    runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate()).map_err(Failure::Start)?;
+        let mut int = signal(SignalKind::interrupt()).map_err(Failure::Start)?;
+        let mut look = tokio::time::interval(LOOK);
+        loop {
+            tokio::select! {
+                _ = term.recv() => return Ok(None),
+                _ = int.recv() => return Ok(None),
+                _ = look.tick() => {
+                    if let Some(error) = daemon.failure() {
+                        return Ok(Some(error));
+                    }
+                }
+            }
+        }
+    })
+}
--- /dev/null
+++ b/crates/yuccalinkd/src/args.rs
@@ -0,0 +1,298 @@
+//! Flags and environment variables: one table describes them all.
+
+use lexopt::{Arg, Parser, ValueExt};
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::time::Duration;
+use yuccalink_daemon::{Config, ConfigBuilder, Peer};
+use yuccalink_protocol::units;
+use yuccalink_state::id::Name;
+
+/// What is wrong with a flag or variable.
+#[derive(Debug, displaydoc::Display)]
+pub(crate) enum Bad {
+    /// {0}; see `yuccalinkd --help`
+    Usage(lexopt::Error),
+    /// {from}: `{value}` is not accepted: {why}
+    Value {
+        /// The flag or variable.
+        from: Box<str>,
+        /// What it was set to.
+        value: Box<str>,
+        /// What is wrong and the remedy.
+        why: Box<str>,
+    },
+    /// {0} is not UTF-8; write it in UTF-8
+    NotText(Box<str>),
+}
+
+impl std::error::Error for Bad {}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub(crate) enum Asked {
+    /// Run with these settings.
+    Run(Box<ConfigBuilder>),
+    /// Print the short help.
+    ShortHelp,
+    /// Print the long help.
+    LongHelp,
+    /// Print the version.
+    Version,
+}
+
+type Set = fn(ConfigBuilder, &str) -> Result<ConfigBuilder, String>;
+
+/// One setting: `--flag` and `YUCCALINK_FLAG`.
+pub(crate) struct Setting {
+    flag: &'static str,
+    value: &'static str,
+    short: &'static str,
+    long: &'static str,
+    set: Set,
+}
+
+/// All settings, in the order of the help.
+pub(crate) const SETTINGS: [Setting; 18] = [
+    Setting {
+        flag: "name",
+        value: "NAME",
+        short: "name of this entry VM [entry]",
+        long: "Unique among the daemons. A replaced VM may take over the name.",
+        set: |config, text| Ok(config.name(text)),
+    },
+    Setting {
+        flag: "zone",
+        value: "NAME",
+        short: "availability zone of this entry VM [zone]",
+        long: "Runners in the same zone are preferred while they have room.",
+        set: |config, text| Ok(config.zone(text)),
+    },
+    Setting {
+        flag: "data",
+        value: "FOLDER",
+        short: "folder for the state, on a VM with a disk",
+        long: "Needed by a daemon that keeps the state: one that runs alone, or is among --voters. \
+               Made when it is not there.",
+        set: |config, text| Ok(config.data(text)),
+    },
+    Setting {
+        flag: "voters",
+        value: "NAME=IP:PORT,...",
+        short: "the daemons that keep the state [none: this one runs alone]",
+        long: "Names and daemon addresses of the entry VMs with a disk, the same list everywhere.",
+        set: |config, text| Ok(config.voters(voters(text)?)),
+    },
+    Setting {
+        flag: "callers",
+        value: "IP:PORT",
+        short: "where callers connect [127.0.0.1:8080]",
+        long: "Behind the platform's balancer. Port 0 takes any free one.",
+        set: |config, text| Ok(config.callers(address(text)?)),
+    },
+    Setting {
+        flag: "callers-advertised",
+        value: "IP:PORT",
+        short: "where other entries hand requests to [as --callers]",
+        long: "Needed where --callers is a wildcard such as 0.0.0.0:8080.",
+        set: |config, text| Ok(config.callers_advertised(Some(address(text)?))),
+    },
+    Setting {
+        flag: "control",
+        value: "IP:PORT",
+        short: "where targets and operators connect [127.0.0.1:8081]",
+        long: "Also serves /livez and /readyz to the platform.",
+        set: |config, text| Ok(config.control(address(text)?)),
+    },
+    Setting {
+        flag: "peer",
+        value: "IP:PORT",
+        short: "where other daemons connect [127.0.0.1:8082]",
+        long: "Keep it reachable from entry VMs only.",
+        set: |config, text| Ok(config.peer(address(text)?)),
+    },
+    Setting {
+        flag: "traffic-threads",
+        value: "N",
+        short: "threads for callers' traffic [2]",
+        long: "One less than the VM has processors is a good start.",
+        set: |config, text| Ok(config.traffic_threads(number(text)?)),
+    },
+    Setting {
+        flag: "connections",
+        value: "N",
+        short: "callers' connections at once [4096]",
+        long: "Further ones wait to be accepted.",
+        set: |config, text| Ok(config.connections(number(text)?)),
+    },
+    Setting {
+        flag: "body-max",
+        value: "SIZE",
+        short: "largest request body [1MiB]",
+        long: "Requests are read whole before they are sent on; answers are not. In MiB, GiB or TiB.",
+        set: |config, text| Ok(config.body_max(size(text)?)),
+    },
+    Setting {
+        flag: "head-timeout",
+        value: "TIME",
+        short: "time for the head of a request [5s]",
+        long: "A connection that takes longer is answered 408 and closed.",
+        set: |config, text| Ok(config.head_timeout(time(text)?)),
+    },
+    Setting {
+        flag: "body-timeout",
+        value: "TIME",
+        short: "time for the body of a request [10s]",
+        long: "A request that takes longer is answered 400 as not run.",
+        set: |config, text| Ok(config.body_timeout(time(text)?)),
+    },
+    Setting {
+        flag: "idle-timeout",
+        value: "TIME",
+        short: "time that a connection may stay unused [60s]",
+        long: "Longer than the balancer keeps its own, so that it closes first.",
+        set: |config, text| Ok(config.idle_timeout(time(text)?)),
+    },
+    Setting {
+        flag: "stall-timeout",
+        value: "TIME",
+        short: "time that a caller may leave an answer untaken [10s]",
+        long: "Then its connection is cut and the runner's slot given back.",
+        set: |config, text| Ok(config.stall_timeout(time(text)?)),
+    },
+    Setting {
+        flag: "connect-timeout",
+        value: "TIME",
+        short: "time for a connection to a runner [500ms]",
+        long: "A request whose runner cannot be reached goes to another one.",
+        set: |config, text| Ok(config.connect_timeout(time(text)?)),
+    },
+    Setting {
+        flag: "drain-delay",
+        value: "TIME",
+        short: "time between turning red and refusing callers at a stop [5s]",
+        long: "As long as the balancer takes to notice a red health check.",
+        set: |config, text| Ok(config.drain_delay(time(text)?)),
+    },
+    Setting {
+        flag: "statsd",
+        value: "IP:PORT",
+        short: "where metrics go, as StatsD over UDP [nowhere]",
+        long: "The metrics are listed in docs/OPERATIONS.md.",
+        set: |config, text| Ok(config.statsd(Some(address(text)?))),
+    },
+];
+
+/// Reads the environment, then the command line, which goes first.
+pub(crate) fn read<E>(parser: Parser, environment: E) -> Result<Asked, Bad>
+where
+    E: Fn(&str) -> Option<OsString>,
+{
+    let mut given: BTreeMap<&'static str, (Box<str>, OsString)> = BTreeMap::new();
+    for setting in &SETTINGS {
+        let variable = variable(setting.flag);
+        if let Some(value) = environment(&variable) {
+            given.insert(setting.flag, (variable.into(), value));
+        }
+    }
+    if let Some(other) = flags(parser, &mut given)? {
+        return Ok(other);
+    }
+    let mut config = Config::builder();
+    for setting in &SETTINGS {
+        let Some((from, value)) = given.remove(setting.flag) else { continue };
+        let text = value.to_str().ok_or_else(|| Bad::NotText(from.clone()))?;
+        config = (setting.set)(config, text).map_err(|why| Bad::Value {
+            from,
+            value: text.into(),
+            why: why.into(),
+        })?;
+    }
+    Ok(Asked::Run(Box::new(config)))
+}
+
+fn flags(
+    mut parser: Parser,
+    given: &mut BTreeMap<&'static str, (Box<str>, OsString)>,
+) -> Result<Option<Asked>, Bad> {
+    while let Some(arg) = parser.next().map_err(Bad::Usage)? {
+        match arg {
+            Arg::Short('h') => return Ok(Some(Asked::ShortHelp)),
+            Arg::Long("help") => return Ok(Some(Asked::LongHelp)),
+            Arg::Short('V') | Arg::Long("version") => return Ok(Some(Asked::Version)),
+            Arg::Long(name) => {
+                let setting = SETTINGS.iter().find(|setting| setting.flag == name);
+                let Some(setting) = setting else {
+                    return Err(Bad::Usage(Arg::Long(name).unexpected()));
+                };
+                let value = parser.value().map_err(Bad::Usage)?;
+                given.insert(setting.flag, (format!("--{}", setting.flag).into(), value));
+            }
+            other => return Err(Bad::Usage(other.unexpected())),
+        }
+    }
+    Ok(None)
+}
+
+fn variable(flag: &str) -> String {
+    format!("YUCCALINK_{}", flag.to_uppercase().replace('-', "_"))
+}
+
+fn address(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| "write IP:PORT, such as 127.0.0.1:8080".into())
+}
+
+fn number(text: &str) -> Result<usize, String> {
+    OsString::from(text).parse().map_err(|_| "write a whole number".into())
+}
+
+fn time(text: &str) -> Result<Duration, String> {
+    units::millis(text).map(Duration::from_millis).map_err(|bad| bad.to_string())
+}
+
+fn size(text: &str) -> Result<usize, String> {
+    const MIB: u64 = 1024 * 1024;
+    let mib = units::mebibytes(text).map_err(|bad| bad.to_string())?;
+    usize::try_from(mib.saturating_mul(MIB)).map_err(|_| "is too large".into())
+}
+
+fn voters(text: &str) -> Result<Vec<Peer>, String> {
+    text.split(',').map(str::trim).filter(|part| !part.is_empty()).map(voter).collect()
+}
+
+fn voter(part: &str) -> Result<Peer, String> {
+    let (name, at) = part.split_once('=').ok_or_else(|| format!("`{part}`: write NAME=IP:PORT"))?;
+    let name = Name::new(name).map_err(|bad| bad.to_string())?;
+    Ok(Peer { name, address: address(at)? })
+}
+
+/// The help: a line a setting, or with `long` a paragraph each.
+pub(crate) fn help(long: bool) -> String {
+    let mut out = String::from(
+        "yuccalinkd - takes callers' requests, hears targets' announcements and keeps the state\n\n\
+         Usage: yuccalinkd [--FLAG VALUE]...\n\n\
+         Every flag can also be set as a variable: --drain-delay as YUCCALINK_DRAIN_DELAY.\n\
+         A flag goes before its variable. With no --voters the daemon runs alone.\n\nFlags:\n",
+    );
+    for setting in &SETTINGS {
+        let head = format!("--{} {}", setting.flag, setting.value);
+        out.push_str(&format!("  {head:<32} {}\n", setting.short));
+        if long {
+            out.push_str(&format!("      {}\n\n", setting.long));
+        }
+    }
+    out.push_str("  -h, --help                       short help, long help\n");
+    out.push_str("  -V, --version                    the version\n");
+    if long {
+        out.push_str(
+            "\nLog lines go to standard error; RUST_LOG filters them, such as\n\
+             RUST_LOG=info,yuccalink::decision=off.\n\n\
+             SIGTERM and SIGINT stop it gracefully: the health check turns red, requests are\n\
+             served for --drain-delay more, those in flight are finished, and it exits with 0.\n\n\
+             Exit codes: 0 stopped as asked, 1 failed while running, 2 wrong settings,\n\
+             3 the state on the disk cannot be used.\n",
+        );
+    }
+    out
+}
--- /dev/null
+++ b/crates/yuccalinkd/src/main.rs
@@ -0,0 +1,16 @@
+//! The program `yuccalinkd`: reads settings, runs the daemon, obeys signals.
+
+mod app;
+mod args;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match app::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("yuccalinkd: {error}");
+            error.exit_code()
+        }
+    }
+}
