The test language, and a worker that restarts no longer keeps its old tasks

Cause: found by scenarios/restarted-worker: a worker's new run was noted in the directory the moment its old lease ended, which renewed the time it was last heard; the state machine refused the new run because of the old tasks, and the old run was never given up, for it seemed alive. Its tasks hung for ever. Ruled out: a longer lease, and dropping tasks at the announcement (the old program may still run them). Change: when a new run is taken in, the former one is given up first, in one batch; the rule lives in coordination::workers and the daemon and scenarios share it.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod retry;
 pub mod router;
 pub mod scenario;
+pub mod workers;
 
 pub use moment::Moment;
--- /dev/null
+++ b/crates/coordination/src/scenario/parse.rs
@@ -0,0 +1,260 @@
+//! Reads the text of a scenario; every error names its line.
+
+use super::{EntryLine, Event, Expect, KindLine, RunnerLine, Scenario, Step, WorkerLine};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use yuccalink_state::Resources;
+use yuccalink_state::document::{Spread, TaskClass};
+use yuccalink_state::id::Name;
+
+/// What is wrong with a line.
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+/// line {line}: {what}
+pub struct BadLine {
+    /// Counted from 1.
+    pub line: usize,
+    /// What is wrong and what was expected.
+    pub what: Box<str>,
+}
+
+impl std::error::Error for BadLine {}
+
+/// Most lines of one scenario.
+const LINES_MAX: usize = 10_000;
+/// Longest scenario.
+const TIME_MAX: Duration = Duration::from_secs(24 * 60 * 60);
+
+type Parsed<T> = Result<T, Box<str>>;
+
+/// Reads a scenario.
+///
+/// # Errors
+/// [`BadLine`], the first one.
+///
+/// ```
+/// use yuccalink_coordination::scenario::parse;
+/// let scenario = parse("worker w1 cores=2 memory=10\nkind k cores=1 memory=1\nat 0ms submit a kind=k\n")?;
+/// assert_eq!(scenario.workers.len(), 1);
+/// assert_eq!(parse("at soon submit a kind=k").unwrap_err().line, 1);
+/// # Ok::<(), yuccalink_coordination::scenario::BadLine>(())
+/// ```
+pub fn parse(text: &str) -> Result<Scenario, BadLine> {
+    let mut scenario = Scenario::default();
+    for (at, raw) in text.lines().enumerate() {
+        let line = at + 1;
+        let bad = |what: Box<str>| BadLine { line, what };
+        if line > LINES_MAX {
+            return Err(bad(format!("a scenario has at most {LINES_MAX} lines; split it").into()));
+        }
+        let content = raw.split('#').next().unwrap_or_default();
+        let words: Vec<&str> = content.split_whitespace().collect();
+        if !words.is_empty() {
+            read_line(&words, line, &mut scenario).map_err(bad)?;
+        }
+    }
+    Ok(scenario)
+}
+
+fn read_line(words: &[&str], line: usize, scenario: &mut Scenario) -> Parsed<()> {
+    match words {
+        ["entry", name, rest @ ..] => {
+            let mut fields = Fields::new(rest)?;
+            let zone = fields.name_or("zone", "zone")?;
+            scenario.entries.push(EntryLine { name: named(name)?, zone });
+            fields.close()
+        }
+        ["runner", name, rest @ ..] => {
+            let mut fields = Fields::new(rest)?;
+            let runner = RunnerLine {
+                name: named(name)?,
+                service: named(fields.need("service")?)?,
+                slots: number(fields.or("slots", "8"))?,
+                zone: fields.name_or("zone", "zone")?,
+            };
+            scenario.runners.push(runner);
+            fields.close()
+        }
+        ["worker", name, rest @ ..] => {
+            let mut fields = Fields::new(rest)?;
+            let worker = WorkerLine {
+                name: named(name)?,
+                capacity: resources(&mut fields)?,
+                rack: fields.name_or("rack", "rack")?,
+                zone: fields.name_or("zone", "zone")?,
+            };
+            scenario.workers.push(worker);
+            fields.close()
+        }
+        ["kind", name, rest @ ..] => {
+            let mut fields = Fields::new(rest)?;
+            scenario.kinds.push(kind(name, &mut fields)?);
+            fields.close()
+        }
+        ["at", instant, rest @ ..] => {
+            let at = span(instant)?;
+            if at > TIME_MAX {
+                return Err("a scenario lasts at most 24h".into());
+            }
+            if scenario.steps.last().is_some_and(|last| last.at > at) {
+                return Err("the instants must not go back; sort the lines".into());
+            }
+            let event = event(rest)?;
+            scenario.steps.push(Step { line, at, event });
+            Ok(())
+        }
+        [first, ..] => {
+            Err(format!("`{first}` is not known here; use entry, runner, worker, kind or at")
+                .into())
+        }
+        [] => Ok(()),
+    }
+}
+
+fn kind(name: &str, fields: &mut Fields<'_>) -> Parsed<KindLine> {
+    let class = match fields.or("class", "batch") {
+        "batch" => TaskClass::Batch,
+        "latency-critical" => TaskClass::LatencyCritical,
+        other => return Err(format!("class={other}: use batch or latency-critical").into()),
+    };
+    let spread = match fields.or("spread", "none") {
+        "none" => Spread::None,
+        "racks" => Spread::Racks,
+        "zones" => Spread::Zones,
+        other => return Err(format!("spread={other}: use none, racks or zones").into()),
+    };
+    let checkpoint = yes(fields.or("checkpoint", "no"))?;
+    Ok(KindLine { name: named(name)?, need: resources(fields)?, class, spread, checkpoint })
+}
+
+fn event(words: &[&str]) -> Parsed<Event> {
+    match words {
+        ["submit", name, rest @ ..] => {
+            let mut fields = Fields::new(rest)?;
+            let event = Event::Submit {
+                name: (*name).into(),
+                kind: named(fields.need("kind")?)?,
+                count: number(fields.or("count", "1"))?,
+                urgent: yes(fields.or("urgent", "no"))?,
+            };
+            fields.close()?;
+            Ok(event)
+        }
+        ["request", name, rest @ ..] => {
+            let mut fields = Fields::new(rest)?;
+            let event = Event::Request {
+                name: (*name).into(),
+                service: named(fields.need("service")?)?,
+                entry: named(fields.need("entry")?)?,
+                deadline: span(fields.or("deadline", "1s"))?,
+                worth: number(fields.or("worth", "1"))?,
+            };
+            fields.close()?;
+            Ok(event)
+        }
+        ["cancel", name] => Ok(Event::Cancel((*name).into())),
+        ["evict", name] => Ok(Event::Evict((*name).into())),
+        ["finish", name] => Ok(Event::Finish((*name).into())),
+        ["fail", name] => Ok(Event::Fail((*name).into())),
+        ["answer", name] => Ok(Event::Answer((*name).into())),
+        ["break", name] => Ok(Event::Break((*name).into())),
+        ["silence", name] => Ok(Event::Silence(named(name)?)),
+        ["hear", name] => Ok(Event::Hear(named(name)?)),
+        ["leave", name] => Ok(Event::Leave(named(name)?)),
+        ["restart", name] => Ok(Event::Restart(named(name)?)),
+        ["expect", rest @ ..] => expect(rest).map(Event::Expect),
+        [verb, ..] => {
+            Err(format!("`{verb}` with these words is not known; see docs/SCENARIOS.md").into())
+        }
+        [] => Err("an event is missing after the instant".into()),
+    }
+}
+
+fn expect(words: &[&str]) -> Parsed<Expect> {
+    match words {
+        [name, "on", place] => Ok(Expect::On((*name).into(), named(place)?)),
+        [name, "holds", count] => Ok(Expect::Holds(named(name)?, number(count)?)),
+        [name, "owner", entry] => Ok(Expect::Owner(named(name)?, named(entry)?)),
+        [name, state] => Ok(Expect::State((*name).into(), (*state).into())),
+        _ => Err("write expect NAME STATE, expect NAME on PLACE, expect PLACE holds N or expect \
+                  RUNNER owner ENTRY"
+            .into()),
+    }
+}
+
+/// `name=value` words of one line, each to be taken once.
+struct Fields<'a>(BTreeMap<&'a str, &'a str>);
+
+impl<'a> Fields<'a> {
+    fn new(words: &[&'a str]) -> Parsed<Self> {
+        let mut all = BTreeMap::new();
+        for word in words {
+            let (name, value) =
+                word.split_once('=').ok_or_else(|| format!("`{word}`: write NAME=VALUE"))?;
+            if all.insert(name, value).is_some() {
+                return Err(format!("`{name}` is there twice").into());
+            }
+        }
+        Ok(Self(all))
+    }
+
+    fn need(&mut self, name: &str) -> Parsed<&'a str> {
+        self.0.remove(name).ok_or_else(|| format!("`{name}=...` is missing").into())
+    }
+
+    fn or(&mut self, name: &str, default: &'static str) -> &'a str {
+        self.0.remove(name).unwrap_or(default)
+    }
+
+    fn name_or(&mut self, name: &str, default: &'static str) -> Parsed<Name> {
+        named(self.or(name, default))
+    }
+
+    fn close(self) -> Parsed<()> {
+        match self.0.keys().next() {
+            Some(name) => Err(format!("`{name}` is not known on this line").into()),
+            None => Ok(()),
+        }
+    }
+}
+
+fn resources(fields: &mut Fields<'_>) -> Parsed<Resources> {
+    let cores: u64 = number(fields.need("cores")?)?;
+    Ok(Resources {
+        millicores: cores.checked_mul(1000).ok_or("cores is too large")?,
+        memory_mib: number(fields.need("memory")?)?,
+        accelerators: number(fields.or("accelerators", "0"))?,
+    })
+}
+
+fn named(text: &str) -> Parsed<Name> {
+    Name::new(text).map_err(|bad| bad.to_string().into())
+}
+
+fn number<T>(text: &str) -> Parsed<T>
+where
+    T: std::str::FromStr,
+{
+    text.parse().map_err(|_| format!("`{text}` is no whole number that fits").into())
+}
+
+fn yes(text: &str) -> Parsed<bool> {
+    match text {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        other => Err(format!("`{other}`: write yes or no").into()),
+    }
+}
+
+fn span(text: &str) -> Parsed<Duration> {
+    let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+    let (number, unit) = text.split_at(digits);
+    let scale = match unit {
+        "ms" => 1,
+        "s" => 1_000,
+        "m" => 60_000,
+        "h" => 3_600_000,
+        _ => return Err(format!("`{text}` is no time; write 250ms, 3s, 2m or 1h").into()),
+    };
+    let number: u64 = number.parse().map_err(|_| format!("`{text}` is no time"))?;
+    number.checked_mul(scale).map(Duration::from_millis).ok_or_else(|| "too long a time".into())
+}
--- /dev/null
+++ b/crates/coordination/src/workers.rs
@@ -0,0 +1,67 @@
+//! When a worker, or a former run of it, is surely no longer running anything.
+
+use crate::directory::{Directory, WORKER_LEASE};
+use crate::moment::{Moment, surely_ended_after};
+use std::time::Duration;
+use yuccalink_state::Machine;
+use yuccalink_state::id::{Incarnation, Name};
+use yuccalink_state::worker::{WorkerPhase, WorkerSpec};
+
+/// Workers whose lease has surely ended. A leader counts from `since`, when it
+/// began to lead, for those it has not heard: the last leader may have renewed
+/// their leases until then.
+///
+/// ```
+/// # use yuccalink_coordination::{Moment, directory::Directory, workers::lost};
+/// # use yuccalink_state::Machine;
+/// assert!(lost(&Machine::new(), &Directory::new(), Moment::ZERO, Moment::ZERO).is_empty());
+/// ```
+pub fn lost(
+    machine: &Machine,
+    directory: &Directory,
+    since: Moment,
+    now: Moment,
+) -> Vec<(Name, Incarnation)> {
+    let lease = surely_ended_after(WORKER_LEASE);
+    let known = machine.workers().filter(|(_, worker)| worker.phase != WorkerPhase::Gone);
+    known
+        .filter(|(_, worker)| {
+            let target = directory.get(&worker.spec.name);
+            let heard = target.map_or(since, |target| target.heard.max(since));
+            now.since(heard) > lease
+        })
+        .map(|(_, worker)| (worker.spec.name.clone(), worker.spec.incarnation))
+        .collect()
+}
+
+/// The former run of a worker that announces itself anew, which must be given
+/// up before the new run is taken in: its tasks would otherwise stay committed
+/// to a program that does not exist, for as long as the new one is heard.
+///
+/// ```
+/// # use yuccalink_coordination::workers::former_run;
+/// # use yuccalink_state::{Machine, Resources, id::*, worker::WorkerSpec};
+/// # let name = Name::new("w1")?;
+/// # let spec = WorkerSpec { name: name.clone(), incarnation: Incarnation(1),
+/// #   address: "127.0.0.1:1".into(), capacity: Resources::ZERO, rack: name.clone(), zone: name };
+/// assert_eq!(former_run(&Machine::new(), &spec), None);
+/// # Ok::<(), BadName>(())
+/// ```
+pub fn former_run(machine: &Machine, spec: &WorkerSpec) -> Option<Incarnation> {
+    let (_, known) = machine.worker(&spec.name)?;
+    let former = known.spec.incarnation;
+    (former != spec.incarnation && known.phase != WorkerPhase::Gone).then_some(former)
+}
+
+/// How long a new run must wait at a leader that leads since `since` and has
+/// heard neither run: the former one may hold a lease of the last leader.
+///
+/// ```
+/// # use yuccalink_coordination::{Moment, workers::wait_after_election};
+/// # use std::time::Duration;
+/// let led_long_ago = wait_after_election(Moment::ZERO, Moment::from_millis(60_000));
+/// assert_eq!(led_long_ago, Duration::ZERO);
+/// ```
+pub fn wait_after_election(since: Moment, now: Moment) -> Duration {
+    surely_ended_after(WORKER_LEASE).saturating_sub(now.since(since))
+}
--- /dev/null
+++ b/crates/daemon/benches/entry_path.rs
@@ -0,0 +1,218 @@
+//! What an entry VM adds to a request, against calling the runner directly, in
+//! one run on one machine: throughput and latency at 1, 64 and 512 connections,
+//! then latency at half of the entry's own throughput.
+//!
+//! `cargo bench -p yuccalink-daemon --bench entry_path 2>/dev/null`
+
+use hdrhistogram::Histogram;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+use yuccalink_daemon::{Config, Daemon};
+use yuccalink_fakes::runner::RunnerSettings;
+use yuccalink_fakes::{Caller, FakeRunner};
+use yuccalink_state::id::Name;
+use yuccalink_transport::pool::{Pool, PoolSettings};
+
+const RUNNERS: usize = 2;
+/// As many threads as the runners have: the same processors for both ways.
+const TRAFFIC_THREADS: usize = 2;
+const SLOTS: u32 = 512;
+const LOAD_THREADS: usize = 2;
+const WARM_UP: Duration = Duration::from_millis(500);
+const RUN: Duration = Duration::from_secs(3);
+const ROUNDS: usize = 3;
+const DOCUMENT: &str = "service='q'\nteam='t'\nversion=1\n[[request]]\nname='echo'\n\
+    path='/**'\nidempotent=true\ndeadline='5s'\n";
+
+/// What one run measured.
+struct Measured {
+    per_second: f64,
+    times: Histogram<u64>,
+    failed: u64,
+}
+
+impl Measured {
+    fn micros(&self, quantile: f64) -> u64 {
+        self.times.value_at_quantile(quantile)
+    }
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    // Log lines are written as in production; standard error decides where to.
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .target(env_logger::Target::Pipe(yuccalink_daemon::start_logging()?))
+        .init();
+    let folder = tempfile::tempdir()?;
+    let any: SocketAddr = "127.0.0.1:0".parse()?;
+    let config = Config::builder().data(folder.path()).callers(any).control(any).peer(any);
+    let daemon = Daemon::start(config.traffic_threads(TRAFFIC_THREADS).build()?)?;
+    let mut runners = Vec::new();
+    for at in 0..RUNNERS {
+        runners.push(FakeRunner::start(RunnerSettings {
+            name: Name::new(&format!("r{at}"))?,
+            service: Name::new("q")?,
+            zone: Name::new("zone")?,
+            slots: SLOTS,
+            connections: SLOTS * 4,
+            listen: any,
+            entries: vec![daemon.control()],
+            threads: 1,
+        })?);
+    }
+    Caller::new(daemon.control()).put("/v1/services/q", DOCUMENT.as_bytes())?;
+    while Caller::new(daemon.callers()).get("/q/ready")?.status != 200 {
+        thread::sleep(Duration::from_millis(100));
+    }
+    let direct: Vec<SocketAddr> = runners.iter().map(FakeRunner::address).collect();
+    let entry = vec![daemon.callers()];
+    println!(
+        "| connections | direct/s | entry/s | ratio | direct p50/p99/p99.9 us | entry p50/p99/p99.9 us |"
+    );
+    println!("|---|---|---|---|---|---|");
+    let mut most = 0.0;
+    for connections in [1, 64, 512] {
+        let (a, b) = paired(&direct, &entry, connections, None);
+        println!(
+            "| {connections} | {:.0} | {:.0} | {:.2} | {} | {} |",
+            a.per_second,
+            b.per_second,
+            b.per_second / a.per_second,
+            quantiles(&a),
+            quantiles(&b)
+        );
+        if b.per_second > most {
+            most = b.per_second;
+        }
+    }
+    println!("\n| rate/s | direct p50/p99/p99.9 us | entry p50/p99/p99.9 us | added p99 us |");
+    println!("|---|---|---|---|");
+    let rate = most / 2.0;
+    let (a, b) = paired(&direct, &entry, 64, Some(rate));
+    let added = b.micros(0.99).saturating_sub(a.micros(0.99));
+    println!("| {rate:.0} | {} | {} | {added} |", quantiles(&a), quantiles(&b));
+    println!("\nfailed requests: direct {}, entry {}", a.failed, b.failed);
+    for runner in &mut runners {
+        runner.stop();
+    }
+    daemon.kill();
+    Ok(())
+}
+
+fn quantiles(measured: &Measured) -> String {
+    [0.5, 0.99, 0.999].map(|q| measured.micros(q).to_string()).join("/")
+}
+
+/// Runs both in turn and keeps the median run of each by throughput or by p99.
+fn paired(
+    direct: &[SocketAddr],
+    entry: &[SocketAddr],
+    connections: usize,
+    rate: Option<f64>,
+) -> (Measured, Measured) {
+    let mut a = Vec::new();
+    let mut b = Vec::new();
+    for _ in 0..ROUNDS {
+        a.push(load(direct, connections, rate));
+        b.push(load(entry, connections, rate));
+    }
+    (median(a, rate.is_some()), median(b, rate.is_some()))
+}
+
+fn median(mut all: Vec<Measured>, by_p99: bool) -> Measured {
+    all.sort_by(|x, y| match by_p99 {
+        true => x.micros(0.99).cmp(&y.micros(0.99)),
+        false => x.per_second.total_cmp(&y.per_second),
+    });
+    all.swap_remove(ROUNDS / 2)
+}
+
+/// A closed loop on each connection, or an open one at `rate` over all of them.
+fn load(to: &[SocketAddr], connections: usize, rate: Option<f64>) -> Measured {
+    let threads = LOAD_THREADS.min(connections);
+    let failed = Arc::new(AtomicU64::new(0));
+    let handles: Vec<_> = (0..threads)
+        .map(|thread| {
+            let share = connections / threads;
+            let to: Vec<SocketAddr> =
+                (0..share).map(|at| to[(thread * share + at) % to.len()]).collect();
+            let gap = rate.map(|rate| Duration::from_secs_f64(connections as f64 / rate));
+            let failed = failed.clone();
+            thread::spawn(move || load_thread(&to, gap, &failed))
+        })
+        .collect();
+    let mut times = new_histogram();
+    for handle in handles {
+        if let Ok(part) = handle.join() {
+            let _ = times.add(part);
+        }
+    }
+    let per_second = times.len() as f64 / RUN.as_secs_f64();
+    Measured { per_second, times, failed: failed.load(Ordering::Relaxed) }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("constant bounds")
+}
+
+fn load_thread(to: &[SocketAddr], gap: Option<Duration>, failed: &AtomicU64) -> Histogram<u64> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let Ok(runtime) = runtime else { return new_histogram() };
+    let local = LocalSet::new();
+    let count = to.len();
+    local.block_on(&runtime, async {
+        let start = Instant::now();
+        let tasks: Vec<_> = to
+            .iter()
+            .enumerate()
+            .map(|(at, to)| {
+                let offset =
+                    gap.map_or(Duration::ZERO, |gap| gap.mul_f64(at as f64 / count as f64));
+                tokio::task::spawn_local(connection(*to, start + offset, gap))
+            })
+            .collect();
+        let mut all = new_histogram();
+        for task in tasks {
+            if let Ok((times, bad)) = task.await {
+                let _ = all.add(times);
+                failed.fetch_add(bad, Ordering::Relaxed);
+            }
+        }
+        all
+    })
+}
+
+/// Times count from when a request was due, so that a stall is not hidden.
+async fn connection(
+    to: SocketAddr,
+    start: Instant,
+    gap: Option<Duration>,
+) -> (Histogram<u64>, u64) {
+    let pool = Pool::new(PoolSettings::default());
+    let caller = Caller::new(to);
+    let mut times = new_histogram();
+    let mut failed = 0;
+    let mut due = start;
+    while start.elapsed() < WARM_UP + RUN {
+        if let Some(gap) = gap {
+            // The runtime's timer is too coarse here: it wakes up to 1 ms late.
+            while Instant::now() < due {
+                tokio::task::yield_now().await;
+            }
+            due += gap;
+        }
+        let began = if gap.is_some() { due - gap.unwrap_or_default() } else { Instant::now() };
+        let reply = caller.send_on(&pool, "GET", "/q/echo", b"").await;
+        if !reply.is_ok_and(|reply| reply.status == 200) {
+            failed += 1;
+        } else if began.duration_since(start) >= WARM_UP {
+            let micros = u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
+            let _ = times.record(micros.max(1));
+        }
+    }
+    (times, failed)
+}
--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -8,13 +8,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot, watch};
-use yuccalink_coordination::directory::{
-    DEAD, Directory, HEARTBEAT, Health, Heard, Usage, WORKER_LEASE,
-};
+use yuccalink_coordination::directory::{Directory, HEARTBEAT, Health, Heard, Usage, WORKER_LEASE};
 use yuccalink_coordination::dispatch::{Dispatch, Due, Order, Reconcile};
 use yuccalink_coordination::entries::{Entries, Hello, InForce};
-use yuccalink_coordination::moment::{Moment, surely_ended_after};
+use yuccalink_coordination::moment::Moment;
 use yuccalink_coordination::placement::{self, Decision, PLAN_MAX};
+use yuccalink_coordination::workers;
 use yuccalink_protocol::api::{
     Applied, Cancelled, EntryView, Heartbeat, Held, LIST_MAX, LogView, OrderTask, PAYLOAD_MAX,
     SUBMIT_MAX, Start, Status, SubmitTasks, Submitted, TargetView, Welcome,
@@ -58,6 +57,7 @@
     Request(Reply),
     Done(Reply),
     WorkerGone(Name),
+    FormerRunGone(Name),
 }
 
 struct ForceWaiter {
@@ -305,6 +305,11 @@
                     let _ = reply.send(Answer::Welcome(worker_welcome()));
                     return;
                 }
+                if let Some(former) = workers::former_run(&self.machine, &spec) {
+                    let name = spec.name.clone();
+                    let gone = Command::WorkerGone(name.clone(), former);
+                    self.propose(gone, Then::FormerRunGone(name));
+                }
                 let command = Command::WorkerUp(Box::new(spec));
                 self.propose_for(command, Then::Announced, reply);
             }
@@ -315,13 +320,12 @@
     /// worker: its former run may hold a lease of the last leader.
     fn former_run(&self, target: &TargetSpec, now: Moment) -> Option<Duration> {
         let TargetSpec::Worker(spec) = target else { return None };
-        let (_, known) = self.machine.worker(&spec.name)?;
-        let same = known.spec.incarnation == spec.incarnation;
-        if same || known.tasks == 0 || self.directory.get(&spec.name).is_some() {
+        workers::former_run(&self.machine, spec)?;
+        if self.directory.get(&spec.name).is_some() {
             return None;
         }
-        let ends = self.started + surely_ended_after(WORKER_LEASE);
-        (now < ends).then(|| ends.since(now))
+        let wait = workers::wait_after_election(self.started, now);
+        (wait > Duration::ZERO).then_some(wait)
     }
 
     fn heartbeat(&mut self, name: &Name, beat: Heartbeat, reply: Reply) {
@@ -644,7 +648,11 @@
             Then::Done(reply) => {
                 let _ = reply.send(Answer::Done);
             }
-            Then::WorkerGone(name) => self.finish_gone(&name, &outcome),
+            Then::WorkerGone(name) => {
+                self.directory.drop_worker(&name);
+                self.finish_gone(&name, &outcome);
+            }
+            Then::FormerRunGone(name) => self.finish_gone(&name, &outcome),
         }
     }
 
@@ -739,7 +747,6 @@
 
     fn finish_gone(&mut self, name: &Name, outcome: &Outcome) {
         self.going.remove(name);
-        self.directory.drop_worker(name);
         self.plan_due = true;
         if let Outcome::Freed(tasks) = outcome {
             let count = tasks.len();
@@ -803,20 +810,10 @@
     }
 
     fn give_up_workers(&mut self, now: Moment) {
-        let lease = surely_ended_after(WORKER_LEASE);
-        let mut lost = Vec::new();
-        for (_, worker) in self.machine.workers() {
-            let name = &worker.spec.name;
-            if worker.phase == WorkerPhase::Gone || self.going.contains(name) {
+        for (name, run) in workers::lost(&self.machine, &self.directory, self.started, now) {
+            if !self.going.insert(name.clone()) {
                 continue;
             }
-            let heard = self.directory.get(name).map_or(self.started, |target| target.heard);
-            if now.since(heard.max(self.started)) > lease.max(DEAD.min(lease)) {
-                lost.push((name.clone(), worker.spec.incarnation));
-            }
-        }
-        for (name, run) in lost {
-            self.going.insert(name.clone());
             self.propose(Command::WorkerGone(name.clone(), run), Then::WorkerGone(name));
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,4 +27,4 @@
 pub use config::{Config, ConfigBuilder, Peer};
 pub use daemon::Daemon;
 pub use error::{Error, Result};
-pub use logging::start as start_logging;
+pub use logging::{finish as finish_logging, start as start_logging};
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,36 +1,54 @@
 //! Log lines leave through a thread of their own, so that a slow reader of
-//! standard error never holds up traffic.
+//! standard error never holds up traffic, and without a wake-up per line.
 
 use std::io::{self, Write};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
+use std::time::Duration;
 
-/// Lines waiting to be written; more are dropped and counted.
-const QUEUE: usize = 16 * 1024;
+/// Bytes waiting to be written; further lines are dropped and counted.
+const WAITING_MAX: usize = 4 * 1024 * 1024;
+/// How often waiting lines are written.
+const PERIOD: Duration = Duration::from_millis(20);
 
-/// A writer for a logger: hands each line to a thread that writes to standard error.
+#[derive(Default)]
+struct Waiting {
+    lines: Vec<u8>,
+    dropped: u64,
+}
+
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Waiting>>);
+
+/// A writer for a logger: collects lines for a thread that writes to standard error.
 ///
 /// # Errors
 /// When the thread cannot be started.
 pub fn start() -> io::Result<Box<dyn Write + Send>> {
-    let (tx, rx) = sync_channel(QUEUE);
-    let dropped = Arc::new(AtomicU64::new(0));
-    let lost = dropped.clone();
-    thread::Builder::new().name("log".into()).spawn(move || write_lines(&rx, &lost))?;
-    Ok(Box::new(Lines { tx, dropped }))
+    let lines = Lines::default();
+    let source = lines.clone();
+    thread::Builder::new().name("log".into()).spawn(move || write_lines(&source))?;
+    Ok(Box::new(lines))
 }
 
-struct Lines {
-    tx: SyncSender<Box<[u8]>>,
-    dropped: Arc<AtomicU64>,
+/// Writes what is still waiting; for the end of a program.
+pub fn finish() {
+    thread::sleep(PERIOD * 2);
+}
+
+impl Lines {
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Write for Lines {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_)) = self.tx.try_send(buf.into()) {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+        let mut waiting = self.lock();
+        if waiting.lines.len() + buf.len() > WAITING_MAX {
+            waiting.dropped += 1;
+        } else {
+            waiting.lines.extend_from_slice(buf);
         }
         Ok(buf.len())
     }
@@ -40,20 +58,20 @@
     }
 }
 
-fn write_lines(rx: &Receiver<Box<[u8]>>, dropped: &AtomicU64) {
+fn write_lines(source: &Lines) {
     let mut batch = Vec::new();
-    while let Ok(line) = rx.recv() {
+    loop {
+        thread::sleep(PERIOD);
         batch.clear();
-        batch.extend_from_slice(&line);
-        while let Ok(line) = rx.try_recv() {
-            batch.extend_from_slice(&line);
-        }
-        let lost = dropped.swap(0, Ordering::Relaxed);
-        if lost > 0 {
-            batch.extend_from_slice(
-                format!("[{lost} log lines dropped: standard error is read too slowly]\n")
-                    .as_bytes(),
-            );
+        let dropped = {
+            let mut waiting = source.lock();
+            std::mem::swap(&mut batch, &mut waiting.lines);
+            std::mem::take(&mut waiting.dropped)
+        };
+        if dropped > 0 {
+            let note =
+                format!("[{dropped} log lines dropped: standard error is read too slowly]\n");
+            batch.extend_from_slice(note.as_bytes());
         }
         // A closed standard error is no reason to stop serving.
         let _ = io::stderr().write_all(&batch);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -20,6 +20,8 @@
 use yuccalink_protocol::problem::{Kind, Problem, Ran};
 use yuccalink_state::document::Document;
 use yuccalink_state::id::Name;
+use yuccalink_state::target::RunnerSpec;
+use yuccalink_transport::pool::Destination;
 
 /// Requests to the control thread that may wait; more are refused at once.
 pub(crate) const CONTROL_QUEUE: usize = 4096;
@@ -178,8 +180,13 @@
         self.routing().release(now, grant, ended);
     }
 
-    pub(crate) fn runner_of(&self, grant: Grant) -> Option<(SocketAddr, Name)> {
-        self.routing().place(grant)
+    /// The runner of a grant: its name and how to reach it.
+    pub(crate) fn runner_of(&self, grant: Grant) -> Option<(Destination, Name)> {
+        let routing = self.routing();
+        let spec = &routing.router.runner(grant.runner)?.spec;
+        let address = spec.address.parse().ok()?;
+        let idle = Some(idle_per_thread(spec, self.config.traffic_threads));
+        Some((Destination { address, idle }, spec.name.clone()))
     }
 }
 
@@ -190,12 +197,14 @@
     Problem::new(Kind::NotServing, Ran::Unknown, what).retry_after(1000)
 }
 
-impl Routing {
-    fn place(&self, grant: Grant) -> Option<(SocketAddr, Name)> {
-        let spec = &self.router.runner(grant.runner)?.spec;
-        Some((spec.address.parse().ok()?, spec.name.clone()))
-    }
+/// Idle connections that one thread may keep to a runner. Those in use are at
+/// most its slots, so all threads together stay within its connections.
+fn idle_per_thread(spec: &RunnerSpec, threads: usize) -> usize {
+    let spare = spec.connections.saturating_sub(spec.slots) as usize;
+    spare / threads.max(1)
+}
 
+impl Routing {
     fn release(&mut self, now: Moment, grant: Grant, ended: Ended) {
         let mut turns = std::mem::take(&mut self.turns);
         self.router.release(now, grant, ended, &mut turns);
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -115,8 +115,8 @@
 impl Traffic {
     pub(crate) fn new(shared: Arc<Shared>, seed: u64) -> Self {
         let settings = PoolSettings {
-            idle_per_address: idle_per_thread(shared.config.traffic_threads),
             connect_timeout: shared.config.connect_timeout,
+            ..PoolSettings::default()
         };
         Self { shared, pool: Pool::new(settings), rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)) }
     }
@@ -378,13 +378,13 @@
         mut slot: Slot,
         noted: Option<&mut Noted>,
     ) -> Result<WebResponse, Miss> {
-        let Some((address, name)) = self.shared.runner_of(slot.grant) else {
+        let Some((to, name)) = self.shared.runner_of(slot.grant) else {
             return Err(Miss::NotRun("the runner has just left".into()));
         };
-        self.decide(serving, &format!("to runner {name} at {address}"));
+        self.decide(serving, &format!("to runner {name} at {}", to.address));
         let left = serving.deadline.saturating_duration_since(Instant::now());
-        let req = serving.call.request(address, left);
-        let answer = match self.pool.send(address, req, serving.deadline).await {
+        let req = serving.call.request(to.address, left);
+        let answer = match self.pool.send(to, req, serving.deadline).await {
             Ok(answer) => answer,
             Err(error) => {
                 slot.ended = Ended::Failed;
@@ -695,13 +695,6 @@
     }
 }
 
-/// Idle connections per thread, so that all threads together stay well within
-/// the 64 connections of a runner.
-fn idle_per_thread(threads: usize) -> usize {
-    const IDLE_PER_RUNNER: usize = 32;
-    (IDLE_PER_RUNNER / threads.max(1)).max(1)
-}
-
 fn deadline_of(kind: &RequestKind, header: Option<&HeaderValue>) -> Result<Duration, Problem> {
     let most = kind.deadline_ms;
     let Some(header) = header else { return Ok(Duration::from_millis(most)) };
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -71,6 +71,21 @@
     }
 }
 
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Destination {
+    /// The address.
+    pub address: SocketAddr,
+    /// Idle connections to keep there, when not those of the settings.
+    pub idle: Option<usize>,
+}
+
+impl From<SocketAddr> for Destination {
+    fn from(address: SocketAddr) -> Self {
+        Self { address, idle: None }
+    }
+}
+
 /// Connections of one thread.
 #[derive(Clone)]
 pub struct Pool {
@@ -84,7 +99,7 @@
     pub head: hyper::http::response::Parts,
     body: Incoming,
     sender: Option<Sender>,
-    address: SocketAddr,
+    to: Destination,
     pool: Pool,
 }
 
@@ -98,23 +113,27 @@
     ///
     /// # Errors
     /// [`NoAnswer`], which tells whether the request may have been sent.
-    pub async fn send(
+    pub async fn send<D>(
         &self,
-        address: SocketAddr,
+        to: D,
         req: Request<Full<Bytes>>,
         deadline: Instant,
-    ) -> Result<Answer, NoAnswer> {
+    ) -> Result<Answer, NoAnswer>
+    where
+        D: Into<Destination>,
+    {
+        let to = to.into();
         let mut req = req;
-        while let Some(sender) = self.take(address) {
-            match self.exchange(address, sender, req, deadline).await {
+        while let Some(sender) = self.take(to.address) {
+            match self.exchange(to, sender, req, deadline).await {
                 // The other side closed an idle connection: nothing was sent, so a
                 // new connection may carry the same request.
                 Err((NoAnswer::NotSent(_), Some(unsent))) => req = unsent,
                 done => return done.map_err(|(error, _)| error),
             }
         }
-        let sender = self.connect(address, deadline).await?;
-        self.exchange(address, sender, req, deadline).await.map_err(|(error, _)| error)
+        let sender = self.connect(to.address, deadline).await?;
+        self.exchange(to, sender, req, deadline).await.map_err(|(error, _)| error)
     }
 
     fn take(&self, address: SocketAddr) -> Option<Sender> {
@@ -128,13 +147,13 @@
         None
     }
 
-    fn put_back(&self, address: SocketAddr, sender: Sender) {
+    fn put_back(&self, to: Destination, sender: Sender) {
         if sender.is_closed() {
             return;
         }
         let mut all = self.idle.borrow_mut();
-        let idle = all.entry(address).or_default();
-        if idle.len() < self.settings.idle_per_address {
+        let idle = all.entry(to.address).or_default();
+        if idle.len() < to.idle.unwrap_or(self.settings.idle_per_address) {
             idle.push(Idle { sender, since: Instant::now() });
         }
     }
@@ -174,7 +193,7 @@
 
     async fn exchange(
         &self,
-        address: SocketAddr,
+        to: Destination,
         mut sender: Sender,
         req: Request<Full<Bytes>>,
         deadline: Instant,
@@ -197,7 +216,7 @@
             }
         };
         let (head, body) = Response::into_parts(response);
-        Ok(Answer { head, body, sender: Some(sender), address, pool: self.clone() })
+        Ok(Answer { head, body, sender: Some(sender), to, pool: self.clone() })
     }
 }
 
@@ -217,7 +236,7 @@
             match self.body.frame().await {
                 None => {
                     if let Some(sender) = self.sender.take() {
-                        self.pool.put_back(self.address, sender);
+                        self.pool.put_back(self.to, sender);
                     }
                     return Ok(None);
                 }
--- a/crates/yuccalinkd/src/app.rs
+++ b/crates/yuccalinkd/src/app.rs
@@ -59,10 +59,12 @@
         .format_timestamp_micros()
         .init();
     let mut daemon = Daemon::start(config).map_err(Failure::Daemon)?;
-    match wait_for_end(&mut daemon)? {
+    let result = match wait_for_end(&mut daemon)? {
         Some(error) => Err(Failure::Disk(error)),
         None => daemon.drain().map_err(Failure::Daemon),
-    }
+    };
+    yuccalink_daemon::finish_logging();
+    result
 }
 
 /// Waits for a signal, or for the disk to fail.
