--- a/crates/coordination/src/router.rs
+++ b/crates/coordination/src/router.rs
@@ -20,8 +20,9 @@
 pub const EJECT_FIRST: Duration = Duration::from_secs(1);
 /// Longest ejection time.
 pub const EJECT_LONGEST: Duration = Duration::from_secs(30);
-/// At most one in this many of a service's runners is ejected at once, so that
-/// bad luck or a fault of the service itself cannot eject them all.
+/// At most one in this many of a service's runners is ejected at once, but always
+/// one where there are several, so that bad luck or a fault of the service itself
+/// cannot eject them all.
 pub const EJECT_SHARE: usize = 3;
 /// Waiting requests allowed per slot of the service.
 pub const QUEUE_PER_SLOT: usize = 4;
@@ -476,7 +477,8 @@
             .iter()
             .filter(|key| matches!(self.runners[**key].standing, Standing::Ejected(_)))
             .count();
-        if !probe_failed && (ejected + 1) * EJECT_SHARE > all {
+        let most = (all / EJECT_SHARE).max(1).min(all.saturating_sub(1));
+        if !probe_failed && ejected >= most {
             return;
         }
         let runner = &mut self.runners[key];
--- /dev/null
+++ b/crates/coordination/tests/router.rs
@@ -0,0 +1,222 @@
+//! Routing: slots, queues, ejection and handing over under random histories.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::time::Duration;
+use yuccalink_coordination::Moment;
+use yuccalink_coordination::router::{
+    Admission, Arrival, Ended, Grant, Refusal, Router, Standing, Ticket,
+};
+use yuccalink_state::id::{Incarnation, Name};
+use yuccalink_state::target::RunnerSpec;
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+fn runner(at: u32, slots: u32) -> RunnerSpec {
+    RunnerSpec {
+        name: name(&format!("r{at}")),
+        incarnation: Incarnation(1),
+        service: name("q"),
+        address: "127.0.0.1:1".into(),
+        slots,
+        connections: slots * 8,
+        zone: name("z"),
+    }
+}
+
+fn router(runners: u32, slots: u32) -> Router {
+    let mut router = Router::new(name("z"));
+    for at in 0..runners {
+        router.own(Moment::ZERO, runner(at, slots), 0, &mut Vec::new());
+    }
+    router
+}
+
+fn admit(router: &mut Router, now: Moment, worth: u32, wait: Duration) -> Admission {
+    let service = name("q");
+    router.admit(now, Arrival { service: &service, deadline: now + wait, worth, avoid: None })
+}
+
+fn granted(router: &mut Router, now: Moment) -> Grant {
+    match admit(router, now, 1, Duration::from_secs(9)) {
+        Admission::Go(grant) => grant,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Every runner of a service fails everything, because the service itself has a
+/// fault. Most of them must stay in use: were all ejected, the fault would become
+/// an outage that outlasts it.
+#[test]
+fn a_fault_of_the_service_cannot_eject_all_runners() {
+    let mut router = router(9, 2);
+    for at in 0..2000 {
+        let now = Moment::from_millis(at);
+        let grant = granted(&mut router, now);
+        router.release(now, grant, Ended::Failed, &mut Vec::new());
+    }
+    let ejected = router.runners().filter(|r| matches!(r.standing, Standing::Ejected(_))).count();
+    assert_eq!(ejected, 3);
+}
+
+/// An ejected runner is probed by one request at a time, and is back with the
+/// first success.
+#[test]
+fn an_ejected_runner_comes_back_by_one_probe() {
+    let mut router = router(2, 4);
+    let now = Moment::from_millis(10);
+    let mut held = Vec::new();
+    while held.len() < 8 {
+        held.push(granted(&mut router, now));
+    }
+    let bad = held[0].runner;
+    for grant in held.drain(..) {
+        let ended = if grant.runner == bad { Ended::Failed } else { Ended::Answered };
+        router.release(now, grant, ended, &mut Vec::new());
+    }
+    for _ in 0..8 {
+        let grant = granted(&mut router, now);
+        let ended = if grant.runner == bad { Ended::Failed } else { Ended::Answered };
+        router.release(now, grant, ended, &mut Vec::new());
+    }
+    let Standing::Ejected(until) = router.runner(bad).expect("a runner").standing else {
+        panic!("it is not ejected");
+    };
+    let grants: Vec<Grant> = (0..5).map(|_| granted(&mut router, until)).collect();
+    let probes: Vec<&Grant> = grants.iter().filter(|grant| grant.runner == bad).collect();
+    assert_eq!(probes.len(), 1);
+    router.release(until, *probes[0], Ended::Answered, &mut Vec::new());
+    assert_eq!(router.runner(bad).expect("a runner").standing, Standing::Open);
+}
+
+/// What cannot be answered in time is refused when it arrives, not after it has
+/// waited in vain.
+#[test]
+fn what_cannot_be_in_time_is_refused_at_once() {
+    let mut router = router(1, 1);
+    let mut now = Moment::ZERO;
+    for _ in 0..40 {
+        let grant = granted(&mut router, now);
+        now = now + Duration::from_millis(100);
+        router.release(now, grant, Ended::Answered, &mut Vec::new());
+    }
+    granted(&mut router, now);
+    let late = admit(&mut router, now, 1, Duration::from_millis(50));
+    assert!(matches!(late, Admission::Refuse(Refusal::TooLate, _)), "{late:?}");
+    assert!(matches!(admit(&mut router, now, 1, Duration::from_secs(1)), Admission::Wait(_)));
+}
+
+#[test]
+fn the_queue_is_bounded() {
+    let mut router = router(1, 2);
+    let outcomes: Vec<Admission> =
+        (0..50).map(|_| admit(&mut router, Moment::ZERO, 1, Duration::from_secs(60))).collect();
+    let waiting = outcomes.iter().filter(|a| matches!(a, Admission::Wait(_))).count();
+    assert_eq!(waiting, 2 * yuccalink_coordination::router::QUEUE_PER_SLOT);
+    assert!(matches!(outcomes[49], Admission::Refuse(Refusal::QueueFull, _)));
+}
+
+/// A runner comes from another entry that has still four requests there. Only the
+/// other slots are given out until the runner itself says that they have ended.
+#[test]
+fn slots_of_a_former_owner_stay_reserved() {
+    let mut router = Router::new(name("z"));
+    router.own(Moment::ZERO, runner(0, 8), 4, &mut Vec::new());
+    let now = Moment::from_millis(1);
+    for _ in 0..4 {
+        granted(&mut router, now);
+    }
+    assert!(matches!(admit(&mut router, now, 1, Duration::from_secs(9)), Admission::Wait(_)));
+    let mut turns = Vec::new();
+    router.reported(now, &name("r0"), 7, &mut turns);
+    assert_eq!(turns.len(), 1);
+}
+
+#[derive(Clone, Debug)]
+enum Act {
+    Arrive(u32, u64),
+    End(prop::sample::Index, u8),
+    Abandon(prop::sample::Index),
+    Own(u32, u32),
+    Close(u32),
+    Pass(u64),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        6 => (0u32..4, 0u64..2000).prop_map(|(worth, wait)| Act::Arrive(worth, wait)),
+        5 => (any::<prop::sample::Index>(), 0u8..3).prop_map(|(at, how)| Act::End(at, how)),
+        1 => any::<prop::sample::Index>().prop_map(Act::Abandon),
+        1 => (0u32..4, 1u32..4).prop_map(|(at, slots)| Act::Own(at, slots)),
+        1 => (0u32..4).prop_map(Act::Close),
+        2 => (0u64..500).prop_map(Act::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever happens: no runner holds more than its slots, each waiting request
+    /// gets at most one turn, and nobody is given a slot of a closed runner.
+    #[test]
+    fn no_history_overfills_a_runner(acts in proptest::collection::vec(act(), 0..200)) {
+        let mut router = Router::new(name("z"));
+        let mut now = Moment::from_millis(1);
+        let mut held: Vec<Grant> = Vec::new();
+        let mut waiting: Vec<Ticket> = Vec::new();
+        for act in acts {
+            let mut turns = Vec::new();
+            let before = if matches!(act, Act::End(..)) { held.len().saturating_sub(1) } else { held.len() };
+            match act {
+                Act::Arrive(worth, wait) => {
+                    match admit(&mut router, now, worth, Duration::from_millis(wait)) {
+                        Admission::Go(grant) => held.push(grant),
+                        Admission::Wait(ticket) => waiting.push(ticket),
+                        Admission::Refuse(..) => {}
+                    }
+                }
+                Act::End(at, how) if !held.is_empty() => {
+                    let grant = held.swap_remove(at.index(held.len()));
+                    let ended = [Ended::Answered, Ended::Failed, Ended::Abandoned][usize::from(how)];
+                    router.release(now, grant, ended, &mut turns);
+                }
+                Act::Abandon(at) if !waiting.is_empty() => {
+                    let ticket = waiting.swap_remove(at.index(waiting.len()));
+                    router.abandon(ticket);
+                }
+                Act::Own(at, count) => {
+                    let spec = runner(at, count);
+                    router.own(now, spec, 0, &mut turns);
+                }
+                Act::Close(at) => router.close(&name(&format!("r{at}"))),
+                Act::Pass(ms) => now = now + Duration::from_millis(ms),
+                Act::End(..) | Act::Abandon(_) => {}
+            }
+            for turn in turns {
+                let known = waiting.iter().position(|ticket| *ticket == turn.ticket);
+                prop_assert!(known.is_some(), "a turn of nobody");
+                waiting.swap_remove(known.unwrap_or(0));
+                let standing = router.runner(turn.grant.runner).map(|r| r.standing);
+                prop_assert_ne!(standing, Some(Standing::Closed));
+                held.push(turn.grant);
+            }
+            for grant in &held[before.min(held.len())..] {
+                let runner = router.runner(grant.runner).expect("a runner");
+                prop_assert!(runner.busy <= runner.spec.slots, "granted beyond its slots");
+            }
+            for runner in router.runners() {
+                let here = held
+                    .iter()
+                    .filter(|grant| router.runner(grant.runner).is_some_and(|r| r.spec.name == runner.spec.name))
+                    .count();
+                prop_assert_eq!(here, runner.busy as usize);
+            }
+        }
+    }
+}
--- a/crates/coordination/tests/scenarios.rs
+++ b/crates/coordination/tests/scenarios.rs
@@ -1,6 +1,7 @@
 //! Runs every file in `scenarios/`, and checks that bad scenarios name their line.
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::fs;
 use std::path::PathBuf;
 use yuccalink_coordination::scenario::{parse, run};
@@ -59,6 +60,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn no_text_breaks_the_parser(text in "\\PC{0,200}") {
         let _ = parse(&text);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -23,6 +23,8 @@
 const CONTROL_THREADS: usize = 1;
 /// Connections of targets and operators at once.
 const CONTROL_CONNECTIONS: usize = 4096;
+/// Time for the last answers to leave once no request is in flight.
+const ANSWERS_LEAVE: Duration = Duration::from_millis(500);
 /// How often a stopping daemon looks whether it may go on.
 const POLL: Duration = Duration::from_millis(10);
 
@@ -141,9 +143,9 @@
         if left > 0 {
             log::warn!("{left} requests were still in flight after {:?}", config.drain_timeout);
         }
-        self.callers.stop();
+        self.callers.stop(ANSWERS_LEAVE);
         let result = stop_control(&self.stop, self.control);
-        self.admin.stop();
+        self.admin.stop(Duration::ZERO);
         log::info!("stopped");
         result
     }
@@ -152,6 +154,8 @@
     /// acknowledged is on the disk.
     pub fn kill(self) {
         self.shared.start_refusing();
+        self.callers.stop(Duration::ZERO);
+        self.admin.stop(Duration::ZERO);
         let _ = stop_control(&self.stop, self.control);
     }
 }
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -26,7 +26,7 @@
     ANSWER_MAX, Answer as KeptAnswer, Ended as Outcome, RequestKey, Verdict,
 };
 use yuccalink_transport::body::{Piece, passed};
-use yuccalink_transport::http::{HeaderName, HeaderValue, Method, StatusCode};
+use yuccalink_transport::http::{HeaderName, HeaderValue, Method, StatusCode, header};
 use yuccalink_transport::pool::{self, NoAnswer, Pool, PoolSettings};
 use yuccalink_transport::reply;
 use yuccalink_transport::server::{BadBody, Handler, read_body};
@@ -651,7 +651,13 @@
             },
         };
         self.shared.metrics.request(&service, outcome, started.elapsed());
-        result.unwrap_or_else(|problem| reply::problem(&problem))
+        let mut response = result.unwrap_or_else(|problem| reply::problem(&problem));
+        if self.shared.is_draining() {
+            // The caller's next request goes to another entry, over the balancer.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
     }
 }
 
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,208 @@
+//! Daemons, runners and workers of one test, all in this process on loopback.
+#![allow(dead_code, missing_docs)]
+
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+use yuccalink_coordination::invariants::{RequestWatch, TaskWatch};
+use yuccalink_daemon::{Config, ConfigBuilder, Daemon, Peer};
+use yuccalink_fakes::runner::RunnerSettings;
+use yuccalink_fakes::worker::WorkerSettings;
+use yuccalink_fakes::{Caller, FakeRunner, FakeWorker, Reply};
+use yuccalink_protocol::api::{Status, TargetView};
+use yuccalink_state::Resources;
+use yuccalink_state::id::Name;
+
+pub const DOCUMENT: &str = "service = 'q'\nteam = 't'\nversion = 1\n\
+    [[request]]\nname = 'once'\nmethod = 'POST'\npath = '/once'\nidempotent = false\n\
+    deadline = '8s'\nworth = 9\n\
+    [[request]]\nname = 'any'\npath = '/**'\nidempotent = true\ndeadline = '8s'\n\
+    [[task]]\nname = 'k'\nprocessors = 1\nmemory = '10MiB'\nduration = '1s'\n\
+    [gives-up]\ncheckpoint = true\nevictions = 3\n";
+
+pub fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+/// Waits until `found` gives something. The limit only ends a test that has
+/// failed; no verdict depends on how long the wait was.
+pub fn until<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
+    let started = Instant::now();
+    loop {
+        if let Some(value) = found() {
+            return value;
+        }
+        assert!(started.elapsed() < Duration::from_secs(60), "never came: {what}");
+        std::thread::park_timeout(Duration::from_millis(5));
+    }
+}
+
+pub struct System {
+    pub folder: TempDir,
+    pub daemons: Vec<Option<Daemon>>,
+    pub callers: Vec<SocketAddr>,
+    pub controls: Vec<SocketAddr>,
+    pub runners: Vec<FakeRunner>,
+    pub workers: Vec<FakeWorker>,
+    pub requests: Arc<Mutex<RequestWatch>>,
+    pub tasks: Arc<Mutex<TaskWatch>>,
+}
+
+pub fn base(entry: &str) -> ConfigBuilder {
+    let quick = Duration::from_millis(50);
+    Config::builder().name(entry).callers(any()).control(any()).peer(any()).drain_delay(quick)
+}
+
+impl System {
+    /// One daemon that keeps the state, and `followers` that do not.
+    pub fn start(followers: usize) -> Self {
+        Self::start_with(followers, |config| config)
+    }
+
+    pub fn start_with(followers: usize, set: fn(ConfigBuilder) -> ConfigBuilder) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        // The first daemon runs alone as far as it knows: it keeps the state.
+        let config = set(base("e1").data(folder.path().join("e1"))).build().expect("settings");
+        let first = Daemon::start(config).expect("a daemon");
+        let voter = Peer { name: name("e1"), address: first.peer() };
+        let mut daemons = vec![first];
+        for at in 0..followers {
+            let config = set(base(&format!("e{}", at + 2))).voters(vec![voter.clone()]);
+            daemons.push(Daemon::start(config.build().expect("settings")).expect("a daemon"));
+        }
+        let system = Self {
+            folder,
+            callers: daemons.iter().map(Daemon::callers).collect(),
+            controls: daemons.iter().map(Daemon::control).collect(),
+            daemons: daemons.into_iter().map(Some).collect(),
+            runners: Vec::new(),
+            workers: Vec::new(),
+            requests: Arc::default(),
+            tasks: Arc::default(),
+        };
+        for at in 0..=followers {
+            until("a ready entry", || system.is_ready(at).then_some(()));
+        }
+        system
+    }
+
+    pub fn is_ready(&self, at: usize) -> bool {
+        Caller::new(self.controls[at]).get("/readyz").is_ok_and(|reply| reply.status == 200)
+    }
+
+    pub fn control(&self, at: usize) -> Caller {
+        Caller::new(self.controls[at])
+    }
+
+    pub fn caller(&self, at: usize) -> Caller {
+        Caller::new(self.callers[at])
+    }
+
+    pub fn apply(&self, at: usize, text: &str) -> Reply {
+        self.control(at).put("/v1/services/q", text.as_bytes()).expect("an answer")
+    }
+
+    /// Applies [`DOCUMENT`] and waits until it is in force everywhere.
+    pub fn with_document(self) -> Self {
+        let reply = self.apply(0, DOCUMENT);
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        assert!(reply.text().contains("\"in-force-everywhere\":true"), "{}", reply.text());
+        self
+    }
+
+    pub fn runner_settings(&self, at: usize, slots: u32) -> RunnerSettings {
+        RunnerSettings {
+            name: name(&format!("r{at}")),
+            service: name("q"),
+            zone: name("zone"),
+            slots,
+            connections: 64,
+            listen: any(),
+            entries: self.controls.clone(),
+            threads: 1,
+        }
+    }
+
+    /// Adds runners and waits until each is routed to.
+    pub fn with_runners(mut self, count: usize, slots: u32) -> Self {
+        for at in 0..count {
+            let runner = FakeRunner::start(self.runner_settings(at, slots)).expect("a runner");
+            runner.watch(self.requests.clone());
+            self.runners.push(runner);
+        }
+        until("an owner of each runner", || {
+            let owned = self.targets().iter().filter(|target| target.owner.is_some()).count();
+            (owned >= count).then_some(())
+        });
+        for at in 0..self.callers.len() {
+            until("a routed request", || {
+                let reply = self.caller(at).get("/q/ready").ok()?;
+                (reply.status == 200).then_some(())
+            });
+        }
+        self
+    }
+
+    pub fn add_worker(&mut self, at: usize, cores: u64) {
+        let worker = FakeWorker::start(WorkerSettings {
+            name: name(&format!("w{at}")),
+            capacity: Resources { millicores: cores * 1000, memory_mib: 100_000, accelerators: 0 },
+            rack: name(&format!("rack{}", at % 2)),
+            zone: name("zone"),
+            listen: any(),
+            entries: self.controls.clone(),
+        })
+        .expect("a worker");
+        worker.watch(self.tasks.clone());
+        self.workers.push(worker);
+    }
+
+    pub fn get<T>(&self, at: usize, path: &str) -> T
+    where
+        T: DeserializeOwned,
+    {
+        let reply = self.control(at).get(path).expect("an answer");
+        serde_json::from_slice(&reply.body).unwrap_or_else(|e| panic!("{e}: {}", reply.text()))
+    }
+
+    pub fn status(&self, at: usize) -> Status {
+        self.get(at, "/v1/status")
+    }
+
+    pub fn targets(&self) -> Vec<TargetView> {
+        self.get(0, "/v1/targets")
+    }
+
+    pub fn kill(&mut self, at: usize) {
+        if let Some(daemon) = self.daemons[at].take() {
+            daemon.kill();
+        }
+    }
+
+    pub fn no_breach(&self) {
+        let requests = self.requests.lock().expect("a lock").breaches();
+        assert!(requests.is_empty(), "{requests:?}");
+        let tasks = self.tasks.lock().expect("a lock");
+        assert!(tasks.breaches().is_empty(), "{:?}", tasks.breaches());
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        for runner in &mut self.runners {
+            runner.stop();
+        }
+        for worker in &mut self.workers {
+            worker.stop();
+        }
+        for at in 0..self.daemons.len() {
+            self.kill(at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/control.rs
@@ -0,0 +1,185 @@
+//! Documents, tasks and state through several daemons, restarts and losses.
+
+mod common;
+
+use common::{DOCUMENT, System, base, until};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::thread;
+use yuccalink_daemon::Daemon;
+use yuccalink_protocol::api::{Applied, ServiceView, Submitted, TaskView};
+
+fn submit(system: &System, at: usize, key: &str, body: &str) -> Submitted {
+    let caller = system.control(at).header("idempotency-key", key);
+    let reply = caller.post("/v1/tasks", body.as_bytes()).expect("an answer");
+    serde_json::from_slice(&reply.body).unwrap_or_else(|_| panic!("{}", reply.text()))
+}
+
+fn count(system: &System, phase: &str) -> usize {
+    system.get::<Vec<TaskView>>(0, &format!("/v1/tasks?limit=1000&phase={phase}")).len()
+}
+
+/// Operators race through different entries with one version number. Exactly one
+/// text wins everywhere, and every other operator is told so.
+#[test]
+fn operators_who_race_have_one_winner() {
+    let system = Arc::new(System::start(2).with_document());
+    let threads: Vec<_> = (0..9usize)
+        .map(|at| {
+            let system = system.clone();
+            thread::spawn(move || {
+                let text = DOCUMENT
+                    .replace("version = 1", "version = 2")
+                    .replace("'8s'", &format!("'{}s'", at + 1));
+                (system.apply(at % 3, &text).status, text)
+            })
+        })
+        .collect();
+    let results: Vec<_> = threads.into_iter().map(|t| t.join().expect("an operator")).collect();
+    let won: Vec<_> = results.iter().filter(|(status, _)| *status == 200).collect();
+    assert_eq!(won.len(), 1, "{:?}", results.iter().map(|(s, _)| s).collect::<Vec<_>>());
+    assert!(results.iter().all(|(status, _)| matches!(status, 200 | 409)));
+    for at in 0..3 {
+        let found: ServiceView = system.get(at, "/v1/services/q");
+        assert_eq!(found.text.as_deref(), Some(won[0].1.as_str()));
+    }
+    let again = system.apply(2, &won[0].1);
+    assert!(again.text().contains("\"resent\":true"), "{}", again.text());
+}
+
+/// The daemon that keeps the state dies after hundreds of changes. After a restart
+/// every acknowledged one is there, and the followers come back to it.
+#[test]
+fn a_restart_loses_nothing_acknowledged() {
+    let mut system = System::start(1);
+    let mut last = 0;
+    for version in 1..=120u64 {
+        let text = DOCUMENT.replace("version = 1", &format!("version = {version}"));
+        let reply = system.control(1).put("/v1/services/q?wait=false", text.as_bytes());
+        let reply = reply.expect("an answer");
+        let applied: Applied = serde_json::from_slice(&reply.body).expect("accepted");
+        last = applied.revision;
+    }
+    let tasks = submit(&system, 1, "k", r#"{"service":"q","kind":"k","count":50}"#);
+    system.kill(0);
+    let config = base("e1").data(system.folder.path().join("e1")).build().expect("settings");
+    let daemon = Daemon::start(config).expect("a daemon");
+    system.controls[0] = daemon.control();
+    system.daemons[0] = Some(daemon);
+    let found: ServiceView = system.get(0, "/v1/services/q");
+    assert_eq!((found.version, found.revision), (120, last));
+    let again = submit(&system, 0, "k", r#"{"service":"q","kind":"k","count":50}"#);
+    assert_eq!((again.first, again.count, again.resent), (tasks.first, 50, true));
+    assert_eq!(count(&system, "waiting"), 50);
+}
+
+/// Ten thousand tasks are submitted and placed. Group commit keeps the syncs to
+/// one a batch, whatever the disk's speed.
+#[test]
+fn ten_thousand_tasks_cost_a_sync_per_batch() {
+    let mut system = System::start(0).with_document();
+    system.add_worker(0, 100_000);
+    until("the worker", || (!system.targets().is_empty()).then_some(()));
+    let before = system.status(0).log;
+    submit(&system, 0, "k", r#"{"service":"q","kind":"k","count":10000,"payload":"run=1h"}"#);
+    let after = until("all placed", || {
+        let status = system.status(0);
+        (status.waiting == 0 && status.on_workers == 10_000).then_some(status.log)
+    });
+    // One for the submission, three plans of at most 4096, and reports of starts,
+    // which come in at most one message per 512 orders.
+    let syncs = after.syncs - before.syncs;
+    assert!(syncs <= 1 + 3 + 10_000 / 512 + 4, "{syncs} syncs");
+    assert!(after.records - before.records <= 1 + 3 + 10_000 / 512 + 4);
+}
+
+/// Tasks of all sorts run on several workers: each runs to its end once.
+#[test]
+fn every_task_runs_to_its_end_once() {
+    let mut system = System::start(1).with_document();
+    for at in 0..3 {
+        system.add_worker(at, 8);
+    }
+    until("the workers", || (system.targets().len() == 3).then_some(()));
+    submit(&system, 1, "a", r#"{"service":"q","kind":"k","count":60,"payload":"run=50ms"}"#);
+    submit(&system, 0, "b", r#"{"service":"q","kind":"k","count":2,"payload":"run=10ms fail"}"#);
+    until("all ended", || {
+        (count(&system, "finished") == 60 && count(&system, "failed") == 2).then_some(())
+    });
+    assert_eq!(system.workers.iter().map(|worker| worker.over()).sum::<u64>(), 0);
+    system.no_breach();
+    let reason: Vec<TaskView> = system.get(0, "/v1/tasks?phase=failed");
+    assert_eq!(reason[0].reason.as_deref(), Some("the payload asked for it"));
+}
+
+/// A wave of cancellations meets waiting and running tasks.
+#[test]
+fn a_wave_of_cancellations_is_answered_and_takes_effect() {
+    let mut system = System::start(1).with_document();
+    system.add_worker(0, 4);
+    until("the worker", || (!system.targets().is_empty()).then_some(()));
+    let tasks =
+        submit(&system, 0, "a", r#"{"service":"q","kind":"k","count":40,"payload":"run=1h"}"#);
+    until("four run", || (count(&system, "running") == 4).then_some(()));
+    let ids: Vec<u64> = (0..40).map(|at| tasks.first.0 + at).collect();
+    let body = serde_json::json!({ "tasks": ids }).to_string();
+    let reply = system.control(1).post("/v1/tasks/cancel", body.as_bytes()).expect("an answer");
+    assert_eq!(reply.text().matches("\"not-run\"").count(), 36, "{}", reply.text());
+    assert_eq!(reply.text().matches("\"stopping\"").count(), 4);
+    until("all cancelled", || (count(&system, "cancelled") == 40).then_some(()));
+    assert_eq!(system.workers[0].running(), 0);
+    system.no_breach();
+}
+
+/// A worker is cut off while it runs tasks. They run elsewhere only after it has
+/// dropped them, and never in two places.
+#[test]
+fn a_cut_off_worker_never_runs_what_runs_elsewhere() {
+    let mut system = System::start(1).with_document();
+    for at in 0..2 {
+        system.add_worker(at, 8);
+    }
+    until("the workers", || (system.targets().len() == 2).then_some(()));
+    submit(&system, 0, "a", r#"{"service":"q","kind":"k","count":8,"payload":"run=1h"}"#);
+    until("all run", || (count(&system, "running") == 8).then_some(()));
+    let lost = system.workers.iter().position(|worker| worker.running() > 0).expect("a holder");
+    let held = system.workers[lost].running() as u64;
+    system.workers[lost].silence(true);
+    until("the other runs all", || (system.workers[1 - lost].running() == 8).then_some(()));
+    assert_eq!(system.workers[lost].dropped(), held);
+    system.no_breach();
+}
+
+#[test]
+fn what_can_never_run_is_refused_with_its_remedy() {
+    let mut system = System::start(0).with_document();
+    system.add_worker(0, 4);
+    until("the worker", || (!system.targets().is_empty()).then_some(()));
+    let large =
+        DOCUMENT.replace("version = 1", "version = 2").replace("processors = 1", "processors = 9");
+    assert_eq!(system.apply(0, &large).status, 200);
+    for (body, status, what) in [
+        (r#"{"service":"q","kind":"k"}"#, 422, "can never run"),
+        (r#"{"service":"q","kind":"none"}"#, 404, "add a [[task]]"),
+        (r#"{"service":"none","kind":"k"}"#, 404, "apply its document first"),
+        (r#"{"service":"q","kind":"k","count":0}"#, 422, "count must be from 1"),
+        (r#"{"service":"q","kind":"k","colour":1}"#, 400, "unknown field `colour`"),
+        ("nonsense", 400, "see docs/PROTOCOLS.md"),
+    ] {
+        let reply = system.control(0).post("/v1/tasks", body.as_bytes()).expect("an answer");
+        assert_eq!(reply.status, status, "{body}: {}", reply.text());
+        assert!(reply.text().contains(what), "{body}: {}", reply.text());
+    }
+}
+
+#[test]
+fn a_document_with_faults_changes_nothing() {
+    let system = System::start(0).with_document();
+    let reply = system.apply(0, "service = 'q'\nversion = 'x'\n");
+    assert_eq!(reply.status, 422);
+    let problem = reply.problem().expect("a problem");
+    let fields: BTreeSet<&str> =
+        problem.faults.iter().filter_map(|fault| fault.split(": ").nth(1)).collect();
+    assert_eq!(fields, BTreeSet::from(["team", "version"]));
+    assert_eq!(system.status(0).revision, 1);
+}
--- /dev/null
+++ b/crates/daemon/tests/requests.rs
@@ -0,0 +1,258 @@
+//! Callers' requests through several entries: whole answers, limits, at most once.
+
+mod common;
+
+use common::{System, until};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use yuccalink_coordination::invariants::Told;
+use yuccalink_fakes::Reply;
+use yuccalink_protocol::problem::Ran;
+
+fn ran(reply: &Reply) -> Ran {
+    reply.problem().unwrap_or_else(|| panic!("no problem: {}", reply.text())).ran
+}
+
+/// Many callers ask through every entry at once. Each gets the whole answer to its
+/// own request, and no runner ever holds more than its slots.
+#[test]
+fn every_caller_gets_its_own_answer_and_no_runner_is_overfull() {
+    let system = Arc::new(System::start(2).with_document().with_runners(3, 2));
+    let threads: Vec<_> = (0..24u64)
+        .map(|caller| {
+            let system = system.clone();
+            thread::spawn(move || {
+                for at in 0..12u64 {
+                    let tag = caller * 1000 + at;
+                    let name = format!("c{tag}");
+                    system.requests.lock().expect("a lock").sent(&name, tag, false);
+                    let entry = system.caller((tag % 3) as usize);
+                    let entry = entry.header("fake-tag", &tag.to_string());
+                    let entry = entry.header("fake-name", &name).header("fake-delay-ms", "2");
+                    let reply = entry.post("/q/work", b"x").expect("an answer");
+                    let told = match reply.status {
+                        200 => Told::Answer(reply.text().parse().expect("a tag")),
+                        _ => match ran(&reply) {
+                            Ran::NotRun => Told::NotRun,
+                            _ => Told::Unknown,
+                        },
+                    };
+                    system.requests.lock().expect("a lock").told(&name, told);
+                }
+            })
+        })
+        .collect();
+    threads.into_iter().for_each(|thread| thread.join().expect("a caller"));
+    system.no_breach();
+    assert!(system.runners.iter().all(|runner| runner.most() <= 2));
+    assert!(system.runners.iter().map(|runner| runner.served()).sum::<u64>() > 100);
+}
+
+/// A buyer's program sends one invoice again and again through all entries, at
+/// the same moment. It runs once, and every sending gets the same whole answer.
+#[test]
+fn a_request_with_a_key_runs_once_through_any_entry() {
+    let system = Arc::new(System::start(2).with_document().with_runners(3, 8));
+    let before: u64 = system.runners.iter().map(|runner| runner.served()).sum();
+    let threads: Vec<_> = (0..12)
+        .map(|at| {
+            let system = system.clone();
+            thread::spawn(move || {
+                let caller = system.caller(at % 3).header("idempotency-key", "invoice-7");
+                let caller = caller.header("fake-delay-ms", "30").header("fake-name", "invoice");
+                caller.post("/q/once", b"one net").expect("an answer")
+            })
+        })
+        .collect();
+    for thread in threads {
+        let reply = thread.join().expect("a caller");
+        assert_eq!((reply.status, reply.text().as_str()), (200, "one net"));
+    }
+    let after: u64 = system.runners.iter().map(|runner| runner.served()).sum();
+    assert_eq!(after - before, 1, "it ran more than once");
+    let other = system.caller(1).header("idempotency-key", "invoice-7");
+    let reply = other.post("/q/once", b"two nets").expect("an answer");
+    assert_eq!((reply.status, ran(&reply)), (422, Ran::NotRun));
+}
+
+/// The runner's answer to an invoice is cut. Nobody knows whether it took effect:
+/// the caller is told so, and the same key never runs it again.
+#[test]
+fn a_lost_answer_of_a_request_with_a_key_stays_unknown() {
+    let system = System::start(1).with_document().with_runners(1, 8);
+    let cut = system.caller(0).header("idempotency-key", "k").header("fake-size", "1000");
+    let reply = cut.header("fake-cut", "1").post("/q/once", b"").expect("an answer");
+    assert_eq!((reply.status, ran(&reply)), (502, Ran::Unknown));
+    let served = system.runners[0].served();
+    for entry in 0..2 {
+        let again = system.caller(entry).header("idempotency-key", "k");
+        let reply = again.post("/q/once", b"").expect("an answer");
+        assert_eq!((reply.status, ran(&reply)), (504, Ran::Unknown));
+    }
+    assert_eq!(system.runners[0].served(), served);
+}
+
+/// A runner refuses before it starts, or cannot be reached. The caller may be told
+/// "not run" or another runner takes it, but the key stays free.
+#[test]
+fn a_refusal_before_the_start_leaves_the_key_free() {
+    let system = System::start(0).with_document().with_runners(1, 8);
+    let refused = system.caller(0).header("idempotency-key", "k").header("fake-refuse", "1");
+    let reply = refused.post("/q/once", b"").expect("an answer");
+    assert_eq!((reply.status, ran(&reply)), (502, Ran::NotRun));
+    assert!(reply.headers.contains_key("retry-after"));
+    let again = system.caller(0).header("idempotency-key", "k");
+    assert_eq!(again.post("/q/once", b"").expect("an answer").status, 200);
+}
+
+/// A runner breaks off in the middle of an answer. The caller must see a broken
+/// answer, never a short one that looks whole; also when another entry is between.
+#[test]
+fn a_cut_answer_is_never_taken_for_a_whole_one() {
+    let system = System::start(1).with_document().with_runners(1, 8);
+    for entry in 0..2 {
+        for (size, chunked) in
+            [(1_000u64, false), (1_000, true), (5_000_000, false), (5_000_000, true)]
+        {
+            let caller = system.caller(entry).header("fake-size", &size.to_string());
+            let caller = if chunked { caller.header("fake-chunked", "1") } else { caller };
+            let whole = caller.get("/q/large").expect("a whole answer");
+            assert_eq!((whole.status, whole.body.len() as u64), (200, size));
+            match caller.header("fake-cut", "1").get("/q/large") {
+                Err(_) => {}
+                Ok(reply) => {
+                    assert_eq!(ran(&reply), Ran::Unknown, "entry {entry}, {size} bytes, {chunked}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn errors_are_problems_that_say_not_run() {
+    let system = System::start(0).with_document();
+    let caller = || system.caller(0);
+    let large = vec![b'x'; 2 * 1024 * 1024];
+    let cases = [
+        (caller().get("/"), 404, "names no service"),
+        (caller().get("/nets/x"), 404, "no service is called `nets`"),
+        (caller().get("/q/x"), 503, "no runner of this service is known here"),
+        (caller().post("/q/x", &large), 413, "over 1048576 bytes"),
+        (caller().header("idempotency-key", " ").post("/q/once", b""), 400, "Idempotency-Key"),
+        (caller().header("yuccalink-deadline-ms", "x").get("/q/x"), 400, "whole number"),
+    ];
+    for (reply, status, what) in cases {
+        let reply = reply.expect("an answer");
+        let problem = reply.problem().unwrap_or_else(|| panic!("no problem: {}", reply.text()));
+        assert_eq!((reply.status, problem.ran), (status, Ran::NotRun), "{what}");
+        assert!(problem.detail.contains(what), "{what}: {}", problem.detail);
+        assert_eq!(reply.headers["content-type"], "application/problem+json");
+    }
+}
+
+/// Callers send nonsense, too much, or nothing at all. Each harms only itself.
+#[test]
+fn malformed_and_slow_callers_harm_only_themselves() {
+    let system = System::start_with(0, |c| c.head_timeout(Duration::from_millis(100)))
+        .with_document()
+        .with_runners(1, 8);
+    let mut heads = vec![b"\x00\x01\x02\r\n\r\n".to_vec(), b"GET\r\n\r\n".to_vec()];
+    heads.push(b"GET / HTTP/1.1\r\nhost: x\r\nbad header\r\n\r\n".to_vec());
+    heads.push(b"POST /q/x HTTP/1.1\r\nhost: x\r\ncontent-length: -5\r\n\r\n".to_vec());
+    heads.push(
+        format!("GET /q/x HTTP/1.1\r\nhost: x\r\nlong: {}\r\n\r\n", "y".repeat(60_000)).into(),
+    );
+    let many: String = (0..200).map(|n| format!("h{n}: v\r\n")).collect();
+    heads.push(format!("GET /q/x HTTP/1.1\r\nhost: x\r\n{many}\r\n").into());
+    heads.push(b"GET /q/x HT".to_vec());
+    for head in heads {
+        let mut stream = TcpStream::connect(system.callers[0]).expect("a connection");
+        let _ = stream.write_all(&head);
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 4"), "{answer}");
+        assert_eq!(system.caller(0).get("/q/fine").expect("an answer").status, 200);
+    }
+}
+
+/// A caller takes its large answer too slowly. Its connection is cut, and the
+/// runner's only slot is free again for others.
+#[test]
+fn a_caller_that_stalls_gives_the_slot_back() {
+    let system = System::start_with(0, |c| c.stall_timeout(Duration::from_millis(100)))
+        .with_document()
+        .with_runners(1, 1);
+    let mut stalled = TcpStream::connect(system.callers[0]).expect("a connection");
+    let head = "GET /q/large HTTP/1.1\r\nhost: x\r\nfake-size: 200000000\r\n\r\n";
+    stalled.write_all(head.as_bytes()).expect("sent");
+    until("the slot", || {
+        let reply = system.caller(0).get("/q/next").ok()?;
+        (reply.status == 200).then_some(())
+    });
+}
+
+/// An entry stops while requests are in flight. They are finished, and the health
+/// check is red before anything is refused.
+#[test]
+fn a_stop_finishes_what_is_in_flight() {
+    let mut system = System::start_with(0, |c| c.drain_delay(Duration::from_millis(300)))
+        .with_document()
+        .with_runners(1, 8);
+    let slow = system.caller(0).header("fake-delay-ms", "1500");
+    let served = system.runners[0].served();
+    let in_flight = thread::spawn(move || slow.get("/q/slow"));
+    until("the request at the runner", || (system.runners[0].served() > served).then_some(()));
+    let daemon = system.daemons[0].take().expect("a daemon");
+    let stopping = thread::spawn(move || daemon.drain());
+    until("a red health check", || (!system.is_ready(0)).then_some(()));
+    assert_eq!(system.caller(0).get("/q/still").expect("an answer").status, 200);
+    let reply = in_flight.join().expect("a caller").expect("a whole answer");
+    assert_eq!(reply.status, 200);
+    stopping.join().expect("a stop").expect("stopped well");
+}
+
+/// A runner says that it leaves. No entry sends it anything new.
+#[test]
+fn a_leaving_runner_gets_nothing_new_at_any_entry() {
+    let system = System::start(2).with_document().with_runners(2, 4);
+    system.runners[0].leave();
+    until("it is known to leave", || {
+        let targets = system.targets();
+        targets.iter().any(|target| &*target.health == "leaving").then_some(())
+    });
+    until("no entry sends to it", || {
+        let before = system.runners[0].served();
+        for entry in (0..3).cycle().take(12) {
+            assert_eq!(system.caller(entry).get("/q/x").expect("an answer").status, 200);
+        }
+        (system.runners[0].served() == before).then_some(())
+    });
+}
+
+/// A runner's process is gone without a word. Idempotent requests go to another,
+/// within the budget of retries.
+#[test]
+fn a_dead_runner_costs_no_idempotent_request() {
+    let mut system = System::start(0).with_document().with_runners(2, 8);
+    system.runners[0].silence();
+    let mut dead = system.runners.remove(0);
+    dead.stop();
+    for _ in 0..30 {
+        let reply = system.caller(0).get("/q/x").expect("an answer");
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+}
+
+#[test]
+fn every_decision_is_kept_for_operators() {
+    let system = System::start(1).with_document().with_runners(1, 8);
+    system.caller(0).get("/q/seen").expect("an answer");
+    system.caller(1).get("/q/seen").expect("an answer");
+    let text = system.control(1).get("/v1/decisions").expect("an answer").text();
+    assert!(text.contains("GET /q/seen (q/any) to runner r0 at"), "{text}");
+    assert!(text.contains("handed on to entry"), "{text}");
+}
--- a/crates/fakes/src/runner.rs
+++ b/crates/fakes/src/runner.rs
@@ -131,7 +131,7 @@
             let _ = thread.join();
         }
         if let Some(server) = self.server.take() {
-            server.stop();
+            server.stop(Duration::ZERO);
         }
     }
 }
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -170,7 +170,7 @@
             let _ = thread.join();
         }
         if let Some(server) = self.server.take() {
-            server.stop();
+            server.stop(Duration::ZERO);
         }
     }
 }
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -41,7 +41,7 @@
     /// let (mut store, found) = Store::open(folder.path())?;
     /// assert_eq!(found.replayed, 0);
     /// store.append(&[Command::Cancel([].into())])?;
-    /// # Ok::<(), yuccalink_state::Error>(())
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
     pub fn open(folder: &Path) -> Result<(Self, Recovered)> {
         fs::create_dir_all(folder).map_err(|e| Error::io("create", folder, e))?;
--- /dev/null
+++ b/crates/state/tests/log.rs
@@ -0,0 +1,193 @@
+//! The log against torn writes, damage, gaps and restarts.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::fs;
+use std::path::{Path, PathBuf};
+use yuccalink_state::error::Error;
+use yuccalink_state::log::Log;
+
+fn segment(folder: &Path) -> PathBuf {
+    let mut files: Vec<PathBuf> = fs::read_dir(folder)
+        .expect("a folder")
+        .map(|entry| entry.expect("an entry").path())
+        .filter(|path| path.extension().is_some_and(|ext| ext == "log"))
+        .collect();
+    files.sort();
+    files.pop().expect("a segment")
+}
+
+fn filled(folder: &Path, batches: &[&[&[u8]]]) {
+    let (mut log, _) = Log::open(folder, 0).expect("a new log");
+    for batch in batches {
+        log.append(batch).expect("an append");
+    }
+}
+
+fn contents(folder: &Path) -> Vec<Vec<u8>> {
+    let (_, records) = Log::open(folder, 0).expect("a log");
+    records.into_iter().map(|record| record.bytes.into()).collect()
+}
+
+const BATCHES: [&[&[u8]]; 3] = [&[b"one", b"two"], &[b"three"], &[b"four", b"five", b"six"]];
+
+/// The machine loses power while a batch is written. The caller was told nothing
+/// of it; whatever part of it reached the disk, every earlier batch is there and
+/// the log takes new records. Cause: a write is not atomic.
+#[test]
+fn a_torn_tail_is_cut_off_at_any_byte() {
+    let whole = tempfile::tempdir().expect("a folder");
+    filled(whole.path(), &BATCHES[..2]);
+    let before = fs::metadata(segment(whole.path())).expect("a file").len();
+    filled_more(whole.path(), BATCHES[2]);
+    let bytes = fs::read(segment(whole.path())).expect("a file");
+    for cut in usize::try_from(before).expect("small")..bytes.len() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let name = segment(whole.path());
+        let copy = folder.path().join(name.file_name().expect("a name"));
+        fs::write(&copy, &bytes[..cut]).expect("a copy");
+        assert_eq!(contents(folder.path()), [b"one".as_slice(), b"two", b"three"], "cut at {cut}");
+        filled_more(folder.path(), &[b"again"]);
+        assert_eq!(contents(folder.path()).len(), 4, "cut at {cut}");
+    }
+}
+
+fn filled_more(folder: &Path, batch: &[&[u8]]) {
+    let (mut log, _) = Log::open(folder, 0).expect("a log");
+    log.append(batch).expect("an append");
+}
+
+/// A disk returns wrong bytes in the middle of the log. Were the rest cut off as
+/// a torn tail, acknowledged changes would be lost without a word; the log says
+/// where the damage is, and changes nothing. Cause: bit rot, or an operator's edit.
+#[test]
+fn a_damaged_middle_is_refused_and_left_alone() {
+    let folder = tempfile::tempdir().expect("a folder");
+    filled(folder.path(), &BATCHES);
+    let path = segment(folder.path());
+    let good = fs::read(&path).expect("a file");
+    for at in 12..60 {
+        let mut bad = good.clone();
+        bad[at] ^= 0x40;
+        fs::write(&path, &bad).expect("a write");
+        let error = Log::open(folder.path(), 0).expect_err("it is damaged");
+        assert!(matches!(error, Error::DamagedMiddle { .. }), "byte {at}: {error}");
+        assert!(error.to_string().contains("Restore this data folder"), "{error}");
+        assert_eq!(fs::read(&path).expect("a file"), bad, "byte {at}: the file was changed");
+    }
+}
+
+/// A whole segment file is missing. The log must not go on as if its records had
+/// never been. Cause: an operator removed the wrong file.
+#[test]
+fn a_missing_segment_is_refused() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut log, _) = Log::open(folder.path(), 0).expect("a log");
+    for text in [b"a", b"b", b"c"] {
+        log.append(&[text]).expect("an append");
+        log.roll().expect("a new segment");
+    }
+    drop(log);
+    fs::remove_file(folder.path().join("00000000000000000002.log")).expect("removed");
+    let error = Log::open(folder.path(), 0).expect_err("there is a gap");
+    assert!(matches!(error, Error::Gap { from: 2, to: 2 }), "{error}");
+}
+
+#[test]
+fn one_batch_is_one_sync() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut log, _) = Log::open(folder.path(), 0).expect("a log");
+    let records = vec![b"record".as_slice(); 10_000];
+    log.append(&records).expect("an append");
+    assert_eq!((log.counts().syncs, log.counts().records), (1, 10_000));
+}
+
+#[test]
+fn a_log_of_another_format_is_refused() {
+    let folder = tempfile::tempdir().expect("a folder");
+    filled(folder.path(), &BATCHES);
+    let path = segment(folder.path());
+    let mut bytes = fs::read(&path).expect("a file");
+    bytes[8] = 99;
+    fs::write(&path, &bytes).expect("a write");
+    let error = Log::open(folder.path(), 0).expect_err("another format");
+    assert!(matches!(error, Error::Version { found: 99, .. }), "{error}");
+}
+
+#[test]
+fn forgetting_keeps_what_is_above() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut log, _) = Log::open(folder.path(), 0).expect("a log");
+    for text in [b"a", b"b", b"c", b"d"] {
+        log.append(&[text]).expect("an append");
+        log.roll().expect("a new segment");
+    }
+    log.forget(2).expect("forgotten");
+    drop(log);
+    let (log, records) = Log::open(folder.path(), 2).expect("a log");
+    assert_eq!(records.iter().map(|r| r.index).collect::<Vec<_>>(), [3, 4]);
+    assert_eq!(log.last(), 4);
+    assert!(matches!(Log::open(folder.path(), 1), Err(Error::Gap { .. })));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever bytes are damaged, what is recovered is a prefix of what was
+    /// written, or nothing at all with an error: never anything else.
+    #[test]
+    fn damage_never_makes_up_records(
+        sizes in proptest::collection::vec(0usize..40, 1..12),
+        at in any::<prop::sample::Index>(),
+        flip in 1u8..,
+        cut in any::<prop::sample::Index>(),
+        cuts in any::<bool>(),
+    ) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let written: Vec<Vec<u8>> =
+            sizes.iter().enumerate().map(|(n, size)| vec![n as u8; *size]).collect();
+        let (mut log, _) = Log::open(folder.path(), 0).expect("a log");
+        for chunk in written.chunks(3) {
+            let views: Vec<&[u8]> = chunk.iter().map(Vec::as_slice).collect();
+            log.append(&views).expect("an append");
+        }
+        drop(log);
+        let path = segment(folder.path());
+        let mut bytes = fs::read(&path).expect("a file");
+        let index = at.index(bytes.len());
+        bytes[index] ^= flip;
+        if cuts {
+            bytes.truncate(cut.index(bytes.len()));
+        }
+        fs::write(&path, &bytes).expect("a write");
+        if let Ok((_, records)) = Log::open(folder.path(), 0) {
+            prop_assert!(records.len() <= written.len());
+            for (record, want) in records.iter().zip(&written) {
+                prop_assert_eq!(&*record.bytes, want.as_slice());
+            }
+        }
+    }
+
+    #[test]
+    fn any_file_is_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let folder = tempfile::tempdir().expect("a folder");
+        fs::write(folder.path().join("00000000000000000001.log"), &bytes).expect("a write");
+        let _ = Log::open(folder.path(), 0);
+    }
+}
+
+#[test]
+fn appending_to_a_full_record_is_refused_whole() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut log, _) = Log::open(folder.path(), 0).expect("a log");
+    let large = vec![0; yuccalink_state::log::RECORD_MAX + 1];
+    let error = log.append(&[b"fits", &large]).expect_err("too large");
+    assert!(matches!(error, Error::TooLarge { .. }), "{error}");
+    log.append(&[b"after"]).expect("an append");
+    drop(log);
+    assert_eq!(contents(folder.path()), [b"after"]);
+}
--- /dev/null
+++ b/crates/state/tests/machine.rs
@@ -0,0 +1,343 @@
+//! The state machine: races of operators, placements, evictions, the ledger.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use yuccalink_state::command::{
+    Apply, CancelOutcome, Placement, RequestBegin, RequestEnd, Submit, TaskEvent, TaskReport,
+};
+use yuccalink_state::document::{Document, GivesUp, TaskClass, TaskKind};
+use yuccalink_state::id::{Epoch, Incarnation, Name, Revision, TaskId, WorkerKey};
+use yuccalink_state::ledger::{
+    ANSWER_MAX, Answer, Ended, KEEP_BYTES, KEEP_MS, RequestKey, Verdict,
+};
+use yuccalink_state::task::{Ending, TaskPhase};
+use yuccalink_state::worker::WorkerSpec;
+use yuccalink_state::{Command, Machine, Outcome, Resources, snapshot};
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+fn apply(version: u64, text: &str, author: &str) -> Command {
+    let kind = |name: Name, millicores| TaskKind {
+        name,
+        need: Resources { millicores, memory_mib: 10, accelerators: 0 },
+        duration_ms: 1,
+        class: TaskClass::Batch,
+        spread: Default::default(),
+    };
+    let document = Document {
+        service: name("s"),
+        team: name("t"),
+        version,
+        peak: None,
+        requests: [].into(),
+        tasks: [kind(name("small"), 300), kind(name("large"), 700)].into(),
+        gives_up: GivesUp { checkpoint: true, evictions: 9, ..GivesUp::default() },
+    };
+    let mut digest = [0; 32];
+    digest[..text.len()].copy_from_slice(text.as_bytes());
+    Command::Apply(Box::new(Apply { document, text: text.into(), digest, author: author.into() }))
+}
+
+fn submit(kind: &str, count: u32) -> Command {
+    Command::Submit(Submit {
+        key: format!("{kind}{count}").into(),
+        service: name("s"),
+        kind: name(kind),
+        count,
+        urgent: false,
+        payload: "".into(),
+        at_ms: 0,
+    })
+}
+
+fn worker(label: &str, run: u64) -> Command {
+    Command::WorkerUp(Box::new(WorkerSpec {
+        name: name(label),
+        incarnation: Incarnation(run),
+        address: "127.0.0.1:1".into(),
+        capacity: Resources { millicores: 1000, memory_mib: 100, accelerators: 0 },
+        rack: name("r"),
+        zone: name("z"),
+    }))
+}
+
+fn place(task: u64, worker: u32) -> Command {
+    Command::Place([Placement { task: TaskId(task), worker: WorkerKey(worker) }].into())
+}
+
+fn report(task: u64, epoch: u64, event: TaskEvent) -> Command {
+    Command::Report([TaskReport { task: TaskId(task), epoch: Epoch(epoch), event }].into())
+}
+
+fn machine(commands: impl IntoIterator<Item = Command>) -> Machine {
+    let mut machine = Machine::new();
+    for command in commands {
+        machine.apply(command);
+    }
+    machine
+}
+
+fn phase(machine: &Machine, task: u64) -> TaskPhase {
+    machine.task(TaskId(task)).expect("a task").phase.clone()
+}
+
+/// Two operators apply different texts with the same version number at the same
+/// moment. Exactly one is in force, and the other is told who won.
+#[test]
+fn of_two_texts_with_one_version_the_first_wins() {
+    let mut machine = Machine::new();
+    let won = machine.apply(apply(1, "a", "anna"));
+    assert_eq!(won, Outcome::Accepted { revision: Revision(1), resent: false });
+    let lost = machine.apply(apply(1, "b", "ben"));
+    let winner = Outcome::Conflict { version: 1, author: "anna".into(), revision: Revision(1) };
+    assert_eq!(lost, winner);
+    assert_eq!(&*machine.service(&name("s")).expect("a service").accepted.text, "a");
+}
+
+/// An operator loses the answer and sends the change again, after others have
+/// applied hundreds more. It gets its first answer, and nothing reverts.
+#[test]
+fn a_resend_gets_its_first_answer_and_reverts_nothing() {
+    let mut machine = machine((1..=300).map(|v| apply(v, &v.to_string(), "anna")));
+    let again = machine.apply(apply(7, "7", "anna"));
+    assert_eq!(again, Outcome::Accepted { revision: Revision(7), resent: true });
+    assert_eq!(machine.service(&name("s")).expect("a service").accepted.document.version, 300);
+    assert!(matches!(machine.apply(apply(7, "x", "ben")), Outcome::Conflict { version: 7, .. }));
+    assert!(matches!(
+        machine.apply(apply(299, "x", "ben")),
+        Outcome::Conflict { version: 299, .. }
+    ));
+    assert_eq!(machine.revision(), Revision(300));
+}
+
+#[test]
+fn a_submission_sent_again_adds_nothing() {
+    let mut machine = machine([apply(1, "a", "a"), submit("small", 3)]);
+    let again = machine.apply(submit("small", 3));
+    assert_eq!(again, Outcome::Submitted { first: TaskId(1), count: 3, resent: true });
+    assert_eq!(machine.tasks().count(), 3);
+}
+
+/// Two placements planned from the same old state name one worker. The second
+/// would commit it beyond what it has, and is dropped.
+#[test]
+fn a_placement_beyond_capacity_is_dropped() {
+    let mut machine = machine([apply(1, "a", "a"), submit("large", 2), worker("w", 1)]);
+    assert!(matches!(machine.apply(place(1, 0)), Outcome::Placed(p) if p.len() == 1));
+    assert_eq!(machine.apply(place(2, 0)), Outcome::Placed([].into()));
+    assert_eq!(phase(&machine, 2), TaskPhase::Waiting);
+}
+
+/// A worker that was cut off reports the end of a task that was placed again
+/// elsewhere since. The late word must not end or free the new placement.
+#[test]
+fn a_late_report_of_an_old_epoch_changes_nothing() {
+    let mut machine = machine([
+        apply(1, "a", "a"),
+        submit("small", 1),
+        worker("w", 1),
+        worker("v", 1),
+        place(1, 0),
+        Command::WorkerGone(name("w"), Incarnation(1)),
+        place(1, 1),
+    ]);
+    let before = machine.clone();
+    machine.apply(report(1, 1, TaskEvent::Finished));
+    machine.apply(report(1, 1, TaskEvent::Checkpointed { done_ms: 5 }));
+    machine.apply(report(1, 1, TaskEvent::Stopped));
+    assert_eq!(machine, before);
+    machine.apply(report(1, 2, TaskEvent::Finished));
+    assert_eq!(phase(&machine, 1), TaskPhase::Ended(Ending::Finished));
+}
+
+#[test]
+fn an_evicted_task_resumes_from_its_checkpoint() {
+    let mut machine = machine([
+        apply(1, "a", "a"),
+        submit("small", 1),
+        worker("w", 1),
+        place(1, 0),
+        report(1, 1, TaskEvent::Started),
+        Command::Evict([TaskId(1)].into()),
+        report(1, 1, TaskEvent::Checkpointed { done_ms: 70 }),
+        report(1, 1, TaskEvent::Stopped),
+    ]);
+    let task = machine.task(TaskId(1)).expect("a task");
+    assert_eq!((task.evictions, task.checkpoint.expect("saved").done_ms), (1, 70));
+    assert_eq!(task.phase, TaskPhase::Waiting);
+    machine.apply(place(1, 0));
+    assert_eq!(machine.task(TaskId(1)).expect("a task").epoch, Epoch(2));
+}
+
+/// "Not run" is only said of a task that never was on a worker.
+#[test]
+fn a_cancelled_task_is_called_not_run_only_if_it_never_ran() {
+    let mut machine =
+        machine([apply(1, "a", "a"), submit("small", 2), worker("w", 1), place(1, 0)]);
+    let both = Command::Cancel([TaskId(1), TaskId(2), TaskId(9)].into());
+    let outcomes = [CancelOutcome::Stopping, CancelOutcome::NotRun, CancelOutcome::Unknown];
+    assert_eq!(machine.apply(both), Outcome::Cancelled(outcomes.into()));
+    machine.apply(report(1, 1, TaskEvent::Stopped));
+    assert_eq!(phase(&machine, 1), TaskPhase::Ended(Ending::Cancelled));
+    let again = machine.apply(Command::Cancel([TaskId(1)].into()));
+    let ended = CancelOutcome::Ended(Ending::Cancelled);
+    assert_eq!(again, Outcome::Cancelled([ended].into()));
+}
+
+#[test]
+fn a_task_that_fails_thrice_is_given_up_with_its_reason() {
+    let mut machine = machine([apply(1, "a", "a"), submit("small", 1), worker("w", 1)]);
+    for epoch in 1..=3 {
+        machine.apply(place(1, 0));
+        machine.apply(report(1, epoch, TaskEvent::Failed { reason: "bad input".into() }));
+    }
+    assert_eq!(phase(&machine, 1), TaskPhase::Ended(Ending::Failed("bad input".into())));
+}
+
+fn key(text: &str) -> RequestKey {
+    RequestKey { service: name("s"), key: text.into() }
+}
+
+fn begin(text: &str, attempt: u64, at_ms: u64) -> Command {
+    Command::RequestBegin(RequestBegin {
+        key: key(text),
+        digest: [1; 32],
+        attempt,
+        at_ms,
+        until_ms: at_ms + 1000,
+    })
+}
+
+fn end(text: &str, ended: Ended) -> Command {
+    Command::RequestEnd(RequestEnd { key: key(text), ended })
+}
+
+fn answer(size: usize) -> Answer {
+    Answer { status: 200, headers: [].into(), body: vec![7; size].into() }
+}
+
+/// A caller resends an invoice through another entry while the first is under
+/// way, after it was answered, and after its answer was lost. It runs once.
+#[test]
+fn a_request_with_a_key_is_let_go_once() {
+    let mut machine = Machine::new();
+    assert_eq!(machine.apply(begin("a", 1, 0)), Outcome::Request(Verdict::Go));
+    assert_eq!(machine.apply(begin("a", 1, 0)), Outcome::Request(Verdict::Go), "the same attempt");
+    assert_eq!(machine.apply(begin("a", 2, 10)), Outcome::Request(Verdict::Running));
+    assert_eq!(machine.apply(begin("a", 2, 5000)), Outcome::Request(Verdict::Unknown));
+    machine.apply(end("a", Ended::Answered(answer(3))));
+    let given = Outcome::Request(Verdict::Answered(answer(3)));
+    assert_eq!(machine.apply(begin("a", 3, 20)), given);
+    machine.apply(end("a", Ended::NotRun));
+    assert_eq!(machine.apply(begin("a", 4, 30)), given, "the first ending stands");
+}
+
+#[test]
+fn a_request_that_did_not_run_may_be_sent_again() {
+    let mut machine = machine([begin("a", 1, 0), end("a", Ended::NotRun)]);
+    assert_eq!(machine.apply(begin("a", 2, 10)), Outcome::Request(Verdict::Go));
+}
+
+#[test]
+fn a_key_used_for_another_request_is_refused() {
+    let mut machine = machine([begin("a", 1, 0)]);
+    let Command::RequestBegin(mut other) = begin("a", 2, 0) else { unreachable!() };
+    other.digest = [2; 32];
+    let outcome = machine.apply(Command::RequestBegin(other));
+    assert_eq!(outcome, Outcome::Request(Verdict::KeyReused));
+}
+
+/// Callers send keys faster than they age. The ledger refuses new ones as "not
+/// run" before one that ran could find no room for its answer.
+#[test]
+fn a_full_ledger_refuses_before_it_loses_an_answer() {
+    let mut machine = Machine::new();
+    let mut taken = 0;
+    loop {
+        let text = format!("k{taken}");
+        match machine.apply(begin(&text, taken, 0)) {
+            Outcome::Request(Verdict::Go) => {}
+            Outcome::Request(Verdict::Full) => break,
+            other => panic!("{other:?}"),
+        }
+        machine.apply(end(&text, Ended::Answered(answer(ANSWER_MAX))));
+        taken += 1;
+    }
+    assert!(machine.ledger().bytes() <= KEEP_BYTES);
+    assert!(taken > 200, "only {taken} were taken");
+    assert!(matches!(machine.apply(begin("k0", 999, 1)), Outcome::Request(Verdict::Answered(_))));
+    let later = machine.apply(begin("new", 1, KEEP_MS + 1));
+    assert_eq!(later, Outcome::Request(Verdict::Go));
+    assert_eq!(machine.ledger().len(), 1);
+}
+
+fn any_command() -> impl Strategy<Value = Command> {
+    let task = 1u64..8;
+    let event = prop_oneof![
+        Just(TaskEvent::Started),
+        (0u64..50).prop_map(|done_ms| TaskEvent::Checkpointed { done_ms }),
+        Just(TaskEvent::Finished),
+        Just(TaskEvent::Failed { reason: "r".into() }),
+        Just(TaskEvent::Stopped),
+        Just(TaskEvent::Refused { reason: "r".into() }),
+    ];
+    let label = prop::sample::select(vec!["w", "v", "u"]);
+    prop_oneof![
+        (1u64..4).prop_map(|v| apply(v, &v.to_string(), "a")),
+        (1u32..3, prop::sample::select(vec!["small", "large"])).prop_map(|(n, k)| submit(k, n)),
+        (label.clone(), 1u64..3).prop_map(|(w, run)| worker(w, run)),
+        (label.clone(), 1u64..3)
+            .prop_map(|(w, run)| Command::WorkerGone(name(w), Incarnation(run))),
+        (label, 1u64..3).prop_map(|(w, run)| Command::WorkerLeaving(name(w), Incarnation(run))),
+        (task.clone(), 0u32..3).prop_map(|(t, w)| place(t, w)),
+        (task.clone(), 1u64..4, event).prop_map(|(t, e, event)| report(t, e, event)),
+        task.clone().prop_map(|t| Command::Evict([TaskId(t)].into())),
+        task.prop_map(|t| Command::Cancel([TaskId(t)].into())),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever commands come in whatever order: no worker is committed beyond
+    /// what it has, sums match the tasks, epochs and revisions never go back, and
+    /// a snapshot brings back the same state.
+    #[test]
+    fn any_history_keeps_the_sums(commands in proptest::collection::vec(any_command(), 0..120)) {
+        let mut machine = Machine::new();
+        for command in commands {
+            let before: Vec<(TaskId, Epoch)> = machine.tasks().map(|t| (t.id, t.epoch)).collect();
+            let revision = machine.revision();
+            machine.apply(command);
+            prop_assert!(machine.revision() >= revision);
+            for (id, epoch) in before {
+                prop_assert!(machine.task(id).is_none_or(|task| task.epoch >= epoch));
+            }
+            for (key, worker) in machine.workers() {
+                let sum = machine
+                    .tasks()
+                    .filter(|task| task.worker() == Some(key))
+                    .try_fold(Resources::ZERO, |sum, task| sum.plus(task.need));
+                prop_assert_eq!(sum, Some(worker.committed));
+                prop_assert!(worker.spec.capacity.holds(worker.committed));
+                prop_assert_eq!(machine.held_by(key).count(), worker.tasks as usize);
+            }
+            let waiting = machine.tasks().filter(|t| t.phase == TaskPhase::Waiting).count();
+            prop_assert_eq!(machine.waiting_len(), waiting);
+        }
+        let bytes = snapshot::encode(9, &machine).expect("a snapshot");
+        prop_assert_eq!(snapshot::decode(&bytes, "memory").expect("decoded").machine, machine);
+    }
+
+    #[test]
+    fn any_bytes_are_a_snapshot_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = snapshot::decode(&bytes, "memory");
+        let _ = yuccalink_state::store::decode(&bytes);
+    }
+}
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -23,8 +23,8 @@
 pub const HEADERS_MAX: usize = 64;
 /// Bytes of an answer buffered per connection.
 const WRITE_BUFFER: usize = 256 * 1024;
-/// Longest wait for requests in flight when a server stops.
-const STOP_WAIT: Duration = Duration::from_secs(60);
+/// Longest wait for the threads of a server that was told to stop at once.
+const FORCED_WAIT: Duration = Duration::from_secs(1);
 
 /// What answers requests on one thread. Made anew for each thread, so it may
 /// hold connections and caches that threads do not share.
@@ -68,7 +68,7 @@
 mod xitca_server_handle {
     use std::fmt;
 
-    pub struct Handle(pub Box<dyn Fn(bool) + Send>);
+    pub struct Handle(pub Box<dyn Fn(bool) + Send + Sync>);
 
     impl fmt::Debug for Handle {
         fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -149,14 +149,27 @@
         self.address
     }
 
-    /// Stops accepting, and waits until what is in flight is done.
-    pub fn stop(mut self) {
-        (self.handle.0)(true);
-        let Some(thread) = self.thread.take() else { return };
+    /// Stops accepting, lets connections end for at most `grace`, and closes the
+    /// rest. Idle connections never end by themselves in that time: what is in
+    /// flight is to be waited for before.
+    pub fn stop(self, grace: Duration) {
+        if !grace.is_zero() {
+            (self.handle.0)(true);
+            if self.ended_within(grace) {
+                return;
+            }
+        }
+        (self.handle.0)(false);
+        self.ended_within(FORCED_WAIT);
+    }
+
+    fn ended_within(&self, time: Duration) -> bool {
         let started = std::time::Instant::now();
-        while !thread.is_finished() && started.elapsed() < STOP_WAIT {
-            thread::sleep(Duration::from_millis(10));
+        let ended = || self.thread.as_ref().is_none_or(thread::JoinHandle::is_finished);
+        while !ended() && started.elapsed() < time {
+            thread::sleep(Duration::from_millis(5));
         }
+        ended()
     }
 }
 
--- /dev/null
+++ b/crates/yuccalink/tests/program.rs
@@ -0,0 +1,132 @@
+//! The real command: usage, exit codes and output, without and against a daemon.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::{Command, Output, Stdio};
+use yuccalink_daemon::{Config, Daemon};
+
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/quotes.toml");
+
+fn run(server: Option<SocketAddr>, args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_yuccalink"));
+    command.env_clear().stdin(Stdio::null()).env("YUCCALINK_AUTHOR", "anna");
+    if let Some(server) = server {
+        command.env("YUCCALINK_SERVER", server.to_string());
+    }
+    command.args(args).output().expect("the program")
+}
+
+fn out(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn err(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn wrong_usage_ends_with_code_2() {
+    for (args, what) in [
+        (vec!["fly"], "there is no command `fly`"),
+        (vec!["apply"], "too many or too few words"),
+        (vec!["task", "eat"], "write task submit"),
+        (vec!["task", "cancel", "x"], "`x` is no task"),
+        (vec!["status", "--colour"], "invalid option"),
+        (vec!["status", "--server", "here"], "no IP:PORT"),
+        (vec!["status", "--timeout", "5"], "--timeout"),
+        (vec!["completions", "ed"], "write bash, zsh or fish"),
+    ] {
+        let output = run(None, &args);
+        assert_eq!(output.status.code(), Some(2), "{args:?}: {}", err(&output));
+        assert!(err(&output).contains(what), "{args:?}: {}", err(&output));
+    }
+}
+
+#[test]
+fn check_needs_no_daemon_and_reports_all_faults() {
+    let good = run(None, &["check", EXAMPLE]);
+    assert!(good.status.success() && out(&good).contains("quotes version 1 is good"));
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    file.write_all(b"service = 'q'\nversion = 0\n").expect("written");
+    let path = file.path().to_str().expect("a path");
+    let bad = run(None, &["check", path]);
+    assert_eq!(bad.status.code(), Some(3));
+    assert!(err(&bad).contains("team") && err(&bad).contains("line 2, column 11: version"));
+    assert_eq!(run(None, &["check", "/nowhere"]).status.code(), Some(1));
+}
+
+#[test]
+fn help_and_completions_are_printed() {
+    assert!(out(&run(None, &["--help"])).contains("Exit codes"));
+    assert!(!out(&run(None, &["-h"])).contains("Exit codes"));
+    for shell in ["bash", "zsh", "fish"] {
+        assert!(out(&run(None, &["completions", shell])).contains("yuccalink"), "{shell}");
+    }
+}
+
+#[test]
+fn a_silent_server_ends_with_code_5() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address");
+    drop(taken);
+    let output = run(Some(address), &["status", "--timeout", "300ms"]);
+    assert_eq!(output.status.code(), Some(5), "{}", err(&output));
+    assert!(err(&output).contains("no daemon answers at 127.0.0.1"));
+}
+
+/// A reader takes the first lines and closes the pipe: no error, no noise.
+#[test]
+fn a_broken_pipe_is_no_error() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_yuccalink"))
+        .arg("--help")
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program");
+    drop(child.stdout.take());
+    let output = child.wait_with_output().expect("its end");
+    assert!(output.status.success() && output.stderr.is_empty(), "{}", err(&output));
+}
+
+#[test]
+fn an_operators_day() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let config = Config::builder().name("e1").data(folder.path()).callers(any).control(any);
+    let daemon = Daemon::start(config.peer(any).build().expect("settings")).expect("a daemon");
+    let server = Some(daemon.control());
+    let applied = run(server, &["apply", EXAMPLE]);
+    assert!(applied.status.success(), "{}", err(&applied));
+    assert_eq!(out(&applied), "quotes version 1 accepted as revision 1, in force everywhere\n");
+    let again = run(server, &["--json", "apply", EXAMPLE]);
+    assert!(out(&again).contains("\"resent\": true"), "{}", out(&again));
+    assert!(run(server, &["diff", EXAMPLE]).status.success());
+    let changed = folder.path().join("changed.toml");
+    let text =
+        std::fs::read_to_string(EXAMPLE).expect("the example").replace("worth = 40", "worth = 50");
+    std::fs::write(&changed, text).expect("written");
+    let changed = changed.to_str().expect("a path");
+    let diff = run(server, &["diff", changed]);
+    assert_eq!(diff.status.code(), Some(7));
+    assert!(out(&diff).contains("-worth = 40\n+worth = 50"), "{}", out(&diff));
+    let conflict = run(server, &["apply", changed]);
+    assert_eq!(conflict.status.code(), Some(4));
+    assert!(err(&conflict).contains("version 1 by anna is in force"), "{}", err(&conflict));
+    assert!(out(&run(server, &["list"])).contains("quotes   vlecna-sit  1"));
+    assert!(out(&run(server, &["get", "quotes"])).contains("service = \"quotes\""));
+    assert_eq!(run(server, &["get", "nets"]).status.code(), Some(1));
+    let tasks = run(server, &["task", "submit", "quotes", "cut-plan", "-n", "3", "--key", "k"]);
+    assert_eq!(out(&tasks), "t1 to t3\n");
+    let tasks = run(server, &["task", "submit", "quotes", "cut-plan", "-n", "3", "--key", "k"]);
+    assert_eq!(out(&tasks), "t1 to t3 (submitted before)\n");
+    assert!(
+        out(&run(server, &["task", "cancel", "t1-t2"])).contains("t2 cancelled; it had not run")
+    );
+    let list = out(&run(server, &["task", "list", "--phase", "waiting"]));
+    assert!(list.contains("t3") && !list.contains("t2"), "{list}");
+    assert!(out(&run(server, &["task", "show", "t1"])).contains("cancelled"));
+    assert!(out(&run(server, &["status"])).contains("e1 leads; revision 1"));
+    assert!(run(server, &["targets"]).status.success());
+    assert!(run(server, &["decisions"]).status.success());
+    daemon.kill();
+}
