--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -995,9 +995,10 @@
         self.log.members_at(index)
     }
 
-    /// Forgets entries that a durable snapshot of `index` contains, but a few.
-    pub fn compact(&mut self, index: u64) {
-        let base = index.min(self.handed_out).saturating_sub(KEPT_BEHIND);
+    /// Forgets entries that a durable snapshot of `index` contains, but the last
+    /// `keep`, for followers that are a little behind; see [`KEPT_BEHIND`].
+    pub fn compact(&mut self, index: u64, keep: u64) {
+        let base = index.min(self.handed_out).saturating_sub(keep);
         self.log.compact(base);
     }
 
--- a/crates/coordination/src/raft/log.rs
+++ b/crates/coordination/src/raft/log.rs
@@ -27,7 +27,8 @@
 }
 
 impl Entry {
-    fn size(&self) -> usize {
+    /// About how many bytes it takes.
+    pub(super) fn size(&self) -> usize {
         const OVERHEAD: usize = 32;
         match &self.payload {
             Payload::Empty => OVERHEAD,
--- a/crates/coordination/src/raft/message.rs
+++ b/crates/coordination/src/raft/message.rs
@@ -105,6 +105,16 @@
 }
 
 impl Message {
+    /// About how many bytes it takes.
+    pub fn size(&self) -> usize {
+        const SMALL: usize = 64;
+        match self {
+            Self::Append { entries, .. } => SMALL + entries.iter().map(Entry::size).sum::<usize>(),
+            Self::Chunk { data, .. } => SMALL + data.len(),
+            _ => SMALL,
+        }
+    }
+
     /// The term that the message carries.
     pub fn term(&self) -> u64 {
         match self {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -2,13 +2,14 @@
 //! thread, so no lock is ever held across a decision.
 
 use crate::entry::Entry;
-use crate::error::Result;
-use crate::journal::{BATCH_MAX, Done, Journal};
-use crate::leader::Leader;
-use crate::link::{Backoff, Link, Remote};
+use crate::error::{Error, Result};
+use crate::journal::Journal;
+use crate::link::{Backoff, Link};
 use crate::orders::Sender;
 use crate::peers::PeerService;
+use crate::replica::{self, Replica};
 use crate::shared::{Shared, ToLeader};
+use crate::voters::Voters;
 use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -17,12 +18,12 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 use yuccalink_protocol::peer_capnp::peer;
-use yuccalink_state::Machine;
 use yuccalink_state::id::Incarnation;
+use yuccalink_state::store::Recovered;
 use yuccalink_transport::rpc;
 
 /// How often time is looked at.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(20);
 /// Longest wait for the leader when this entry says goodbye.
 const GOODBYE: Duration = Duration::from_secs(1);
 
@@ -41,8 +42,7 @@
 /// The recovered state of a voter.
 pub(crate) struct Storage {
     pub(crate) journal: Journal,
-    pub(crate) machine: Machine,
-    pub(crate) last: u64,
+    pub(crate) recovered: Recovered,
 }
 
 /// Runs until told to stop.
@@ -50,7 +50,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .map_err(crate::error::Error::Thread)?;
+        .map_err(Error::Thread)?;
     let local = LocalSet::new();
     local.block_on(&runtime, control(parts));
     Ok(())
@@ -58,42 +58,53 @@
 
 async fn control(parts: Parts) {
     let Parts { shared, peer_listener, asks, storage, incarnation, mut stop, failed } = parts;
-    let mut journal = None;
-    let leader = storage.map(|storage| {
-        let term = incarnation.0;
-        let leader = Leader::new(shared.clone(), term, storage.machine, storage.last);
-        journal = Some(storage.journal);
-        Rc::new(RefCell::new(leader))
-    });
-    let link = Rc::new(match &leader {
-        Some(leader) => Link::Local(leader.clone()),
-        None => Link::Remote(Rc::new(Remote::new(shared.clone(), incarnation))),
-    });
-    serve_peers(&shared, peer_listener, leader.clone());
+    let mut writer = None;
+    let mut replica = None;
+    if let Some(Storage { journal, recovered }) = storage {
+        let made = match Replica::new(shared.clone(), recovered, incarnation.0) {
+            Ok(made) => Rc::new(RefCell::new(made)),
+            Err(error) => return log::error!("the state on the disk cannot be used: {error}"),
+        };
+        let feed = replica::feed(made.clone(), journal, stop.clone(), failed);
+        writer = Some(tokio::task::spawn_local(feed));
+        replica = Some(made);
+    }
+    let link = Rc::new(Link::new(shared.clone(), incarnation, replica.clone()));
+    serve_peers(&shared, peer_listener, replica.clone());
+    if let Some(replica) = replica {
+        start_voting(&shared, incarnation, &replica, &link);
+    }
     let entry = Rc::new(RefCell::new(Entry::new(shared.clone(), incarnation)));
-    let carrier = link.clone();
-    tokio::task::spawn_local(async move { carrier.carry(asks).await });
+    tokio::task::spawn_local(link.clone().carry(asks));
     let follower =
         tokio::task::spawn_local(follow(shared, entry.clone(), link.clone(), incarnation));
-    let mut writer = None;
-    if let (Some(leader), Some(journal)) = (&leader, journal) {
-        tokio::task::spawn_local(Rc::new(Sender::new(leader.clone())).run());
-        tokio::task::spawn_local(ticks(leader.clone()));
-        writer =
-            Some(tokio::task::spawn_local(write(leader.clone(), journal, stop.clone(), failed)));
-    }
     let _ = stop.wait_for(|stop| *stop).await;
     follower.abort();
-    let state = entry.borrow_mut().state(true);
+    let state = entry.borrow_mut().state(true, link.generation());
     let _ = tokio::time::timeout(GOODBYE, link.sync(&state)).await;
     if let Some(writer) = writer {
         let _ = writer.await;
     }
 }
 
-fn serve_peers(shared: &Shared, listener: TcpListener, leader: Option<Rc<RefCell<Leader>>>) {
+fn start_voting(
+    shared: &Arc<Shared>,
+    incarnation: Incarnation,
+    replica: &Rc<RefCell<Replica>>,
+    link: &Rc<Link>,
+) {
+    tokio::task::spawn_local(Rc::new(Sender::new(replica.clone())).run());
+    tokio::task::spawn_local(ticks(replica.clone()));
+    let voters = Rc::new(Voters::new(shared.clone(), incarnation, replica.clone()));
+    tokio::task::spawn_local(voters.clone().send());
+    tokio::task::spawn_local(voters.settle(link.clone()));
+}
+
+fn serve_peers(shared: &Shared, listener: TcpListener, replica: Option<Rc<RefCell<Replica>>>) {
+    let config = &shared.config;
+    let voters = config.voters.iter().map(|voter| voter.name.clone()).collect();
     let service: peer::Client =
-        capnp_rpc::new_client(PeerService::new(shared.config.name.clone(), leader));
+        capnp_rpc::new_client(PeerService::new(config.name.clone(), voters, replica));
     tokio::task::spawn_local(async move {
         let listener = listener
             .set_nonblocking(true)
@@ -115,9 +126,14 @@
     let mut backoff = Backoff::new(incarnation.0);
     let mut connected = false;
     loop {
-        let state = entry.borrow_mut().state(false);
+        let prepared = link.prepare().await;
+        let state = entry.borrow_mut().state(false, link.generation());
         let sent = shared.clock.now();
-        match link.sync(&state).await {
+        let result = match prepared {
+            Ok(()) => link.sync(&state).await,
+            Err(error) => Err(error),
+        };
+        match result {
             Ok(news) => {
                 if !connected {
                     log::info!("in touch with the leader");
@@ -137,53 +153,11 @@
     }
 }
 
-async fn ticks(leader: Rc<RefCell<Leader>>) {
+async fn ticks(replica: Rc<RefCell<Replica>>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        leader.borrow_mut().tick();
-    }
-}
-
-/// Feeds the disk thread: all commands that gather during one sync go together.
-async fn write(
-    leader: Rc<RefCell<Leader>>,
-    mut journal: Journal,
-    mut stop: watch::Receiver<bool>,
-    failed: oneshot::Sender<yuccalink_state::Error>,
-) {
-    let work = leader.borrow().work.clone();
-    loop {
-        let batch = leader.borrow_mut().next_batch(BATCH_MAX);
-        if batch.is_empty() {
-            tokio::select! {
-                () = work.notified() => continue,
-                _ = stop.wait_for(|stop| *stop) => break,
-            }
-        }
-        journal.append(batch);
-        match journal.done().await {
-            Some(Done::Appended { commands, last, counts }) => {
-                leader.borrow_mut().committed(commands, last, counts);
-            }
-            Some(Done::Compacted) => {}
-            Some(Done::Failed(error)) => {
-                // What reached the disk is not known, so nothing more may be
-                // answered: the daemon stops and recovers from the disk.
-                let _ = failed.send(error);
-                return;
-            }
-            None => return,
-        }
-        let due = leader.borrow_mut().snapshot_due();
-        if let Some((index, bytes)) = due {
-            journal.compact(index, bytes);
-            if let Some(Done::Failed(error)) = journal.done().await {
-                let _ = failed.send(error);
-                return;
-            }
-        }
+        replica.borrow_mut().tick();
     }
-    journal.close();
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -180,14 +180,16 @@
 
 fn recover(folder: &std::path::Path) -> Result<Storage> {
     let started = Instant::now();
-    let (journal, recovered, last) = Journal::open(folder)?;
+    let (journal, recovered) = Journal::open(folder, draw())?;
     log::info!(
-        "recovered {} up to record {last}, {} of them from the log, in {:?}",
+        "replica {:016x}: read {} with a snapshot of record {} and {} records after it in {:?}",
+        recovered.replica,
         folder.display(),
-        recovered.replayed,
+        recovered.meta.index,
+        recovered.records.len(),
         started.elapsed()
     );
-    Ok(Storage { journal, machine: recovered.machine, last })
+    Ok(Storage { journal, recovered })
 }
 
 fn serve_callers(shared: &Arc<Shared>, listener: TcpListener) -> Result<Server> {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -17,7 +17,9 @@
     revision: u64,
     term: u64,
     table_version: u64,
+    /// The way over which the leader was last told what is owned here.
     told_owned: u64,
+    telling: u64,
     documents: BTreeMap<Name, Arc<Document>>,
     runners: BTreeMap<Name, RunnerChange>,
     neighbours: Vec<Neighbour>,
@@ -34,6 +36,7 @@
             term: 0,
             table_version: 0,
             told_owned: 0,
+            telling: 0,
             documents: BTreeMap::new(),
             runners: BTreeMap::new(),
             neighbours: Vec::new(),
@@ -41,14 +44,15 @@
         }
     }
 
-    /// What to tell the leader now.
-    pub(crate) fn state(&mut self, leaving: bool) -> EntryState {
+    /// What to tell the leader now; `way` changes with every new way to one.
+    pub(crate) fn state(&mut self, leaving: bool, way: u64) -> EntryState {
+        if !self.lease.holds(self.shared.clock.now()) {
+            self.lapse();
+        }
         let let_go = self.let_go();
         let config = &self.shared.config;
-        let owned = match self.told_owned == self.term {
-            true => Vec::new(),
-            false => self.owned_specs(),
-        };
+        let owned = if self.told_owned == way { Vec::new() } else { self.owned_specs() };
+        self.telling = way;
         EntryState {
             entry: config.name.clone(),
             incarnation: self.incarnation,
@@ -64,6 +68,25 @@
         }
     }
 
+    /// The lease ran out: the leader may have given this entry's runners to
+    /// others, and knows nothing of what is still in flight here. Nothing new is
+    /// sent to them until the leader says anew what is this entry's.
+    fn lapse(&mut self) {
+        if self.table_version == 0 {
+            return;
+        }
+        self.table_version = 0;
+        self.runners.clear();
+        let mut routing = self.shared.routing();
+        let names: Vec<Name> = routing.router.runners().map(|r| r.spec.name.clone()).collect();
+        for name in names {
+            routing.router.close(&name);
+            if !self.releasing.contains(&name) {
+                self.releasing.push(name);
+            }
+        }
+    }
+
     fn owned_specs(&self) -> Vec<yuccalink_state::target::RunnerSpec> {
         let routing = self.shared.routing();
         let owned = routing.router.runners().filter(|r| !self.releasing.contains(&r.spec.name));
@@ -94,12 +117,10 @@
         }
         if news.term > self.term {
             log::info!("following the leader of term {}", news.term);
-            self.told_owned = self.term;
             self.term = news.term;
             self.runners.clear();
-        } else {
-            self.told_owned = self.term;
         }
+        self.told_owned = self.telling;
         let mut changed = self.take_documents(news.documents);
         self.revision = self.revision.max(news.revision);
         self.table_version = news.table_version;
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -1,35 +1,36 @@
-//! The disk thread: appends and syncs batches of commands while the control
-//! thread goes on, so that all commands that arrive during one sync share the next.
+//! The disk thread: writes and syncs while the control thread goes on, so that
+//! all that gathers during one sync shares the next.
 
 use crate::error::{Error, Result};
 use std::path::Path;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::{self, JoinHandle};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use yuccalink_state::log::Counts;
+use yuccalink_coordination::raft::{Entry, HardState, Payload, Persist, ReplicaId};
+use yuccalink_state::Store;
+use yuccalink_state::log::{Counts, Frame, Hard, Record};
 use yuccalink_state::store::Recovered;
-use yuccalink_state::{Command, Store};
-
-/// Most commands in one batch.
-pub(crate) const BATCH_MAX: usize = 1024;
 
 enum Job {
-    Append(Vec<Command>),
+    Write(Vec<Persist>),
     Compact { index: u64, bytes: Vec<u8> },
+    Install { index: u64, bytes: Vec<u8> },
 }
 
 /// What the disk thread did.
 #[derive(Debug)]
 pub(crate) enum Done {
-    /// The commands are durable.
-    Appended { commands: Vec<Command>, last: u64, counts: Counts },
-    /// The snapshot is in place.
-    Compacted,
+    /// All writes up to this number are durable.
+    Written { seq: u64, counts: Counts },
+    /// The snapshot of this record is in place.
+    Compacted { index: u64 },
+    /// The snapshot that came from the leader is in place.
+    Installed,
     /// The disk failed; what is on it is not known.
     Failed(yuccalink_state::Error),
 }
 
-/// Handle of the disk thread. There is at most one batch under way.
+/// Handle of the disk thread.
 pub(crate) struct Journal {
     jobs: Sender<Job>,
     done: UnboundedReceiver<Done>,
@@ -38,26 +39,29 @@
 
 impl Journal {
     /// Opens the data folder and starts the disk thread.
-    pub(crate) fn open(folder: &Path) -> Result<(Self, Recovered, u64)> {
-        let (store, recovered) = Store::open(folder)?;
-        let last = store.last();
+    pub(crate) fn open(folder: &Path, draw: u64) -> Result<(Self, Recovered)> {
+        let (store, recovered) = Store::open(folder, draw)?;
         let (jobs, rx) = channel();
         let (tx, done) = unbounded_channel();
         let thread = thread::Builder::new()
             .name("journal".into())
             .spawn(move || run(store, &rx, &tx))
             .map_err(Error::Thread)?;
-        Ok((Self { jobs, done, thread }, recovered, last))
+        Ok((Self { jobs, done, thread }, recovered))
     }
 
-    pub(crate) fn append(&self, commands: Vec<Command>) {
-        let _ = self.jobs.send(Job::Append(commands));
+    pub(crate) fn write(&self, writes: Vec<Persist>) {
+        let _ = self.jobs.send(Job::Write(writes));
     }
 
     pub(crate) fn compact(&self, index: u64, bytes: Vec<u8>) {
         let _ = self.jobs.send(Job::Compact { index, bytes });
     }
 
+    pub(crate) fn install(&self, index: u64, bytes: Vec<u8>) {
+        let _ = self.jobs.send(Job::Install { index, bytes });
+    }
+
     /// The next finished job; `None` when the thread is gone.
     pub(crate) async fn done(&mut self) -> Option<Done> {
         self.done.recv().await
@@ -73,12 +77,11 @@
 fn run(mut store: Store, jobs: &Receiver<Job>, done: &UnboundedSender<Done>) {
     while let Ok(job) = jobs.recv() {
         let result = match job {
-            Job::Append(commands) => store.append(&commands).map(|()| Done::Appended {
-                commands,
-                last: store.last(),
-                counts: store.counts(),
-            }),
-            Job::Compact { index, bytes } => store.compact(index, &bytes).map(|()| Done::Compacted),
+            Job::Write(writes) => write(&mut store, writes),
+            Job::Compact { index, bytes } => {
+                store.compact(index, &bytes).map(|()| Done::Compacted { index })
+            }
+            Job::Install { index, bytes } => store.install(index, &bytes).map(|()| Done::Installed),
         };
         let failed = result.is_err();
         if done.send(result.unwrap_or_else(Done::Failed)).is_err() || failed {
@@ -86,3 +89,63 @@
         }
     }
 }
+
+fn write(store: &mut Store, writes: Vec<Persist>) -> yuccalink_state::Result<Done> {
+    let seq = writes.last().map_or(0, |write| write.seq);
+    for frame in merge(writes)? {
+        store.append(&frame)?;
+    }
+    Ok(Done::Written { seq, counts: store.counts() })
+}
+
+/// Makes one frame, and so one sync, of all writes that follow on each other.
+fn merge(writes: Vec<Persist>) -> yuccalink_state::Result<Vec<Frame>> {
+    let mut frames: Vec<Frame> = Vec::new();
+    for write in writes {
+        let hard = to_hard(write.hard);
+        let mut records = Vec::with_capacity(write.entries.len());
+        for entry in &write.entries {
+            records.push((entry.term, encode(&entry.payload)?));
+        }
+        match frames.last_mut() {
+            Some(frame) if follows(frame, write.first) => {
+                let keep = usize::try_from(write.first - frame.first).unwrap_or(usize::MAX);
+                frame.records.truncate(keep);
+                frame.records.append(&mut records);
+                frame.hard = hard;
+            }
+            _ => frames.push(Frame { hard, first: write.first, records }),
+        }
+    }
+    Ok(frames)
+}
+
+fn follows(frame: &Frame, first: u64) -> bool {
+    (frame.first..=frame.first + frame.records.len() as u64).contains(&first)
+}
+
+fn to_hard(hard: HardState) -> Hard {
+    Hard { term: hard.term, vote: hard.vote.map_or(0, |id| id.0) }
+}
+
+/// The hard state as the consensus knows it.
+pub(crate) fn from_hard(hard: Hard) -> HardState {
+    let vote = (hard.vote != 0).then_some(ReplicaId(hard.vote));
+    HardState { term: hard.term, vote }
+}
+
+fn encode(payload: &Payload) -> yuccalink_state::Result<Box<[u8]>> {
+    let bytes = yuccalink_protocol::peer::encode(payload);
+    bytes.map(Into::into).map_err(|_| yuccalink_state::Error::TooLarge {
+        size: yuccalink_protocol::peer::PART_MAX,
+        limit: yuccalink_protocol::peer::PART_MAX,
+    })
+}
+
+/// An entry as the log kept it.
+pub(crate) fn to_entry(
+    record: &Record,
+) -> std::result::Result<Entry, yuccalink_protocol::peer::BadMessage> {
+    let payload = yuccalink_protocol::peer::decode(&record.bytes)?;
+    Ok(Entry { term: record.term, payload })
+}
--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -15,8 +15,8 @@
 use yuccalink_coordination::placement::{self, Decision, PLAN_MAX};
 use yuccalink_coordination::workers;
 use yuccalink_protocol::api::{
-    Applied, Cancelled, EntryView, Heartbeat, Held, LIST_MAX, LogView, OrderTask, PAYLOAD_MAX,
-    SUBMIT_MAX, Start, Status, SubmitTasks, Submitted, TargetView, Welcome,
+    Applied, Cancelled, EntryView, Heartbeat, Held, LIST_MAX, LogView, MemberView, OrderTask,
+    PAYLOAD_MAX, SUBMIT_MAX, Start, Status, SubmitTasks, Submitted, TargetView, Welcome,
 };
 use yuccalink_protocol::document;
 use yuccalink_protocol::peer::{
@@ -25,7 +25,6 @@
 use yuccalink_protocol::problem::{Kind, Problem, Ran};
 use yuccalink_state::command::{Apply, Command, Missing, Outcome, Submit, TaskEvent, TaskReport};
 use yuccalink_state::id::{Incarnation, Name, Revision, TaskId, WorkerKey};
-use yuccalink_state::log::Counts;
 use yuccalink_state::target::TargetSpec;
 use yuccalink_state::task::Task;
 use yuccalink_state::worker::WorkerPhase;
@@ -35,10 +34,6 @@
 const QUEUE_MAX: usize = 16 * 1024;
 /// Longest wait of a caller that asks whether a revision is in force.
 const FORCE_WAIT: Duration = Duration::from_millis(2_500);
-/// Records after which a snapshot is taken.
-const SNAPSHOT_RECORDS: u64 = 20_000;
-/// Bytes of log after which a snapshot is taken.
-const SNAPSHOT_BYTES: u64 = 64 * 1024 * 1024;
 /// Tasks listed at once.
 const PAGE_MAX: u32 = 1000;
 /// How often all unconfirmed orders are looked through.
@@ -87,25 +82,27 @@
     dispatch: Dispatch,
     reconcile: Reconcile,
     proposed: VecDeque<(Command, Then)>,
-    committing: VecDeque<Then>,
+    /// Waits for its index in the log.
+    batch: VecDeque<Then>,
+    committing: VecDeque<(u64, Then)>,
     placing: bool,
     plan_due: bool,
     going: BTreeSet<Name>,
     dirty: BTreeSet<WorkerKey>,
     swept: Moment,
     force: Vec<ForceWaiter>,
-    last: u64,
-    counts: Counts,
-    snapshot_at: Counts,
-    /// Wakes the task that feeds the log.
-    pub(crate) work: Arc<Notify>,
     /// Wakes the task that sends orders.
-    pub(crate) orders: Arc<Notify>,
+    orders: Arc<Notify>,
     news: watch::Sender<u64>,
 }
 
 impl Leader {
-    pub(crate) fn new(shared: Arc<Shared>, term: u64, machine: Machine, last: u64) -> Self {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        term: u64,
+        machine: Machine,
+        orders: Arc<Notify>,
+    ) -> Self {
         let clock = shared.clock;
         let started = clock.now();
         Self {
@@ -119,6 +116,7 @@
             dispatch: Dispatch::new(),
             reconcile: Reconcile::default(),
             proposed: VecDeque::new(),
+            batch: VecDeque::new(),
             committing: VecDeque::new(),
             placing: false,
             plan_due: true,
@@ -126,15 +124,21 @@
             dirty: BTreeSet::new(),
             swept: started,
             force: Vec::new(),
-            last,
-            counts: Counts::default(),
-            snapshot_at: Counts::default(),
-            work: Arc::default(),
-            orders: Arc::default(),
+            orders,
             news: watch::Sender::new(0),
         }
     }
 
+    pub(crate) fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
+    /// The state, for a replica that no longer leads. Whoever waits for an answer
+    /// is told that there is no leader: what it asked may yet be decided.
+    pub(crate) fn into_machine(self) -> Machine {
+        self.machine
+    }
+
     /// Tells when there may be news for entries.
     pub(crate) fn watch(&self) -> watch::Receiver<u64> {
         self.news.subscribe()
@@ -176,7 +180,7 @@
                 None => not_found(format!("no task {id} is known; it may have ended long ago")),
             },
             Ask::Tasks(filter) => Answer::Tasks(self.tasks(&filter)),
-            Ask::Status => Answer::Status(Box::new(self.status())),
+            Ask::Status => Answer::Status(Box::new(self.status(LogView::default(), Vec::new()))),
             Ask::Targets => Answer::Targets(self.targets()),
             Ask::Decisions => Answer::Decisions(self.shared.decisions.list()),
         };
@@ -417,7 +421,7 @@
         found.filter(in_phase).take(limit).map(|task| views::task(&self.machine, task)).collect()
     }
 
-    fn status(&self) -> Status {
+    pub(crate) fn status(&self, log: LogView, members: Vec<MemberView>) -> Status {
         let now = self.clock.now();
         let entries = self.entries.iter().map(|(name, entry)| EntryView {
             entry: name.clone(),
@@ -439,12 +443,8 @@
             on_workers,
             ledger_requests: self.machine.ledger().len() as u64,
             ledger_bytes: self.machine.ledger().bytes() as u64,
-            log: LogView {
-                last: self.last,
-                syncs: self.counts.syncs,
-                records: self.counts.records,
-                bytes: self.counts.bytes,
-            },
+            log,
+            members,
         }
     }
 
@@ -568,10 +568,9 @@
 
     fn propose(&mut self, command: Command, then: Then) {
         self.proposed.push_back((command, then));
-        self.work.notify_one();
     }
 
-    /// The next batch for the log, if nothing is being written.
+    /// The next batch for the log, if none is under way.
     pub(crate) fn next_batch(&mut self, most: usize) -> Vec<Command> {
         self.plan();
         if !self.committing.is_empty() {
@@ -582,41 +581,29 @@
         let mut commands = Vec::with_capacity(batch.len());
         for (command, then) in batch {
             commands.push(command);
-            self.committing.push_back(then);
+            self.batch.push_back(then);
         }
         commands
     }
 
-    /// The commands of a batch are durable: applies them and answers.
-    pub(crate) fn committed(&mut self, commands: Vec<Command>, last: u64, counts: Counts) {
-        self.last = last;
-        self.counts = counts;
-        for command in commands {
-            let outcome = self.machine.apply(command);
-            if let Some(then) = self.committing.pop_front() {
-                self.finish(then, outcome);
-            }
-        }
-        self.plan();
-        if !self.proposed.is_empty() {
-            self.work.notify_one();
-        }
+    /// The batch stands in the log from index `first` on.
+    pub(crate) fn proposed(&mut self, first: u64) {
+        self.committing.extend((first..).zip(self.batch.drain(..)));
     }
 
-    /// A snapshot to write, when the log has grown enough.
-    pub(crate) fn snapshot_due(&mut self) -> Option<(u64, Vec<u8>)> {
-        let records = self.counts.records - self.snapshot_at.records;
-        let bytes = self.counts.bytes - self.snapshot_at.bytes;
-        if records < SNAPSHOT_RECORDS && bytes < SNAPSHOT_BYTES {
-            return None;
-        }
-        self.snapshot_at = self.counts;
-        match yuccalink_state::snapshot::encode(self.last, &self.machine) {
-            Ok(encoded) => Some((self.last, encoded)),
-            Err(error) => {
-                log::error!("no snapshot: {error}");
-                None
-            }
+    /// The batch did not get into the log; whoever waits is told that there is no leader.
+    pub(crate) fn not_proposed(&mut self) {
+        self.batch.clear();
+        self.placing = false;
+    }
+
+    /// A command is agreed on: applies it and answers.
+    pub(crate) fn committed(&mut self, index: u64, command: Command) {
+        let outcome = self.machine.apply(command);
+        if self.committing.front().is_some_and(|(at, _)| *at == index)
+            && let Some((_, then)) = self.committing.pop_front()
+        {
+            self.finish(then, outcome);
         }
     }
 
@@ -796,7 +783,6 @@
             self.dirty.extend(self.machine.workers().filter(|(_, w)| w.tasks > 0).map(|(k, _)| k));
             self.plan_due |= self.machine.waiting_len() > 0;
             self.orders.notify_one();
-            self.work.notify_one();
             self.gauges();
         }
     }
@@ -805,8 +791,6 @@
         let metrics = &self.shared.metrics;
         metrics.gauge("tasks_waiting", self.machine.waiting_len() as u64);
         metrics.gauge("ledger_bytes", self.machine.ledger().bytes() as u64);
-        metrics.gauge("log_records", self.counts.records);
-        metrics.gauge("log_syncs", self.counts.syncs);
     }
 
     fn give_up_workers(&mut self, now: Moment) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,10 +19,12 @@
 mod metrics;
 mod orders;
 mod peers;
+mod replica;
 mod shared;
 mod traffic;
 mod upstream;
 mod views;
+mod voters;
 
 pub use config::{Config, ConfigBuilder, Peer};
 pub use daemon::Daemon;
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -1,8 +1,8 @@
-//! How this daemon reaches the leader: directly when it leads itself, over RPC
+//! How this daemon reaches the leader: directly while it leads itself, over RPC
 //! otherwise. Calls that fail are sent again until their caller gives up; every
 //! ask is made so that asking twice does no harm.
 
-use crate::leader::Leader;
+use crate::replica::Replica;
 use crate::shared::{ASK_TIMEOUT, Shared, ToLeader, no_leader};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -13,22 +13,25 @@
 use std::time::Duration;
 use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio::time::{Instant, sleep, timeout};
-use yuccalink_protocol::peer::{self, Answer, EntryState, News};
+use yuccalink_coordination::raft::ReplicaId;
+use yuccalink_protocol::peer::{self, Answer, Ask, EntryState, News};
 use yuccalink_protocol::problem::{Kind, Problem, Ran};
-use yuccalink_state::id::Incarnation;
+use yuccalink_state::id::{Incarnation, Name};
 use yuccalink_transport::rpc;
 
 /// How long the leader holds back an answer that has no news.
 pub(crate) const HOLD: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to one call.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Asks in one call.
 const BATCH_MAX: usize = 256;
+/// Bytes of bodies in one call; a larger ask goes alone.
+const BATCH_BYTES: usize = 4 * 1024 * 1024;
 /// Calls under way at once.
 const CALLS_MAX: usize = 4;
 /// First pause after a failed call; doubles up to [`BACKOFF_MAX`].
-const BACKOFF_MIN: Duration = Duration::from_millis(50);
-const BACKOFF_MAX: Duration = Duration::from_millis(800);
+const BACKOFF_MIN: Duration = Duration::from_millis(20);
+const BACKOFF_MAX: Duration = Duration::from_millis(400);
 
 /// Why a call brought no answer.
 #[derive(Debug, displaydoc::Display)]
@@ -43,6 +46,8 @@
     Message(peer::BadMessage),
     /// it speaks version {0} of the protocol between daemons; run the same release everywhere
     Version(u32),
+    /// nobody leads as far as the voters know
+    NoLeader,
 }
 
 impl From<capnp::Error> for CallError {
@@ -80,122 +85,113 @@
     }
 }
 
-/// The way to the leader.
-pub(crate) enum Link {
-    /// This daemon leads.
-    Local(Rc<RefCell<Leader>>),
-    /// Another daemon leads.
-    Remote(Rc<Remote>),
+/// What another daemon says of itself when it is connected to.
+#[derive(Clone, Debug)]
+pub(crate) struct Greeting {
+    pub(crate) replica: u64,
+    pub(crate) empty: bool,
+    pub(crate) leads: bool,
+    pub(crate) leader: Option<Name>,
 }
 
-impl Link {
-    /// Tells the leader this entry's state and waits for news.
-    pub(crate) async fn sync(&self, state: &EntryState) -> Result<News, CallError> {
-        match self {
-            Self::Local(leader) => Ok(news(leader, state).await),
-            Self::Remote(remote) => remote.sync(state).await,
-        }
-    }
-
-    /// Carries asks to the leader for ever.
-    pub(crate) async fn carry(&self, rx: mpsc::Receiver<ToLeader>) {
-        match self {
-            Self::Local(leader) => carry_local(leader, rx).await,
-            Self::Remote(remote) => remote.clone().carry(rx).await,
-        }
-    }
-}
-
-/// The leader's side of a sync: waits for news, but not longer than [`HOLD`].
-pub(crate) async fn news(leader: &Rc<RefCell<Leader>>, state: &EntryState) -> News {
-    let mut changes = leader.borrow().watch();
-    changes.mark_unchanged();
-    leader.borrow_mut().hear(state);
-    let until = Instant::now() + HOLD;
-    loop {
-        changes.mark_unchanged();
-        let (news, any) = leader.borrow().news_for(state);
-        let left = until.saturating_duration_since(Instant::now());
-        if any || left.is_zero() {
-            return news;
+/// Says hello over a new connection.
+pub(crate) async fn greet(
+    shared: &Shared,
+    incarnation: Incarnation,
+    link: &rpc::Link,
+) -> Result<Greeting, CallError> {
+    let call = async {
+        let mut call = link.peer.hello_request();
+        let mut hello = call.get().init_hello();
+        hello.set_version(peer::VERSION);
+        hello.set_entry(shared.config.name.as_str());
+        hello.set_incarnation(incarnation.0);
+        let response = call.send().promise.await?;
+        let welcome = response.get()?.get_welcome()?;
+        if welcome.get_version() != peer::VERSION {
+            return Err(CallError::Version(welcome.get_version()));
         }
-        let _ = timeout(left, changes.changed()).await;
-    }
-}
-
-async fn carry_local(leader: &Rc<RefCell<Leader>>, mut rx: mpsc::Receiver<ToLeader>) {
-    while let Some(ToLeader { ask, reply }) = rx.recv().await {
-        leader.borrow_mut().ask(ask, reply);
-    }
+        let leader = welcome.get_leader()?.to_str().unwrap_or_default();
+        Ok(Greeting {
+            replica: welcome.get_replica(),
+            empty: welcome.get_empty(),
+            leads: welcome.get_leads(),
+            leader: Name::new(leader).ok(),
+        })
+    };
+    timeout(CALL_TIMEOUT, call).await.unwrap_or(Err(CallError::Timeout))
 }
 
 struct Waiting {
-    to: ToLeader,
+    ask: Ask,
+    reply: tokio::sync::oneshot::Sender<Answer>,
     until: Instant,
 }
 
-/// Connection to a leader on another entry VM.
-pub(crate) struct Remote {
+/// The way to the leader, wherever it is.
+pub(crate) struct Link {
     shared: Arc<Shared>,
     incarnation: Incarnation,
-    link: RefCell<Option<Rc<rpc::Link>>>,
+    replica: Option<Rc<RefCell<Replica>>>,
+    remote: RefCell<Option<Rc<rpc::Link>>>,
     connecting: tokio::sync::Mutex<()>,
+    next_voter: Cell<usize>,
+    /// Counts up with every new way to a leader.
+    generation: Cell<u64>,
+    local: Cell<bool>,
     outbox: RefCell<VecDeque<Waiting>>,
     wake: Notify,
     seed: Cell<u64>,
 }
 
-impl Remote {
-    pub(crate) fn new(shared: Arc<Shared>, incarnation: Incarnation) -> Self {
+impl Link {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        incarnation: Incarnation,
+        replica: Option<Rc<RefCell<Replica>>>,
+    ) -> Self {
         Self {
             shared,
             incarnation,
-            link: RefCell::default(),
+            replica,
+            remote: RefCell::default(),
             connecting: tokio::sync::Mutex::default(),
+            next_voter: Cell::new(0),
+            generation: Cell::new(1),
+            local: Cell::new(false),
             outbox: RefCell::default(),
             wake: Notify::new(),
             seed: Cell::new(incarnation.0),
         }
     }
 
-    async fn link(&self) -> Result<Rc<rpc::Link>, CallError> {
-        let _one_at_a_time = self.connecting.lock().await;
-        if let Some(link) = &*self.link.borrow() {
-            return Ok(link.clone());
-        }
-        let Some(voter) = self.shared.config.voters.first() else {
-            return Err(CallError::Timeout);
-        };
-        let link = rpc::connect(voter.address).await.map_err(CallError::Connect)?;
-        timeout(CALL_TIMEOUT, self.greet(&link)).await.map_err(|_| CallError::Timeout)??;
-        let link = Rc::new(link);
-        *self.link.borrow_mut() = Some(link.clone());
-        Ok(link)
+    /// Changes whenever the way to the leader does: the next leader knows nothing
+    /// of what the last one was told.
+    pub(crate) fn generation(&self) -> u64 {
+        self.generation.get()
     }
 
-    async fn greet(&self, link: &rpc::Link) -> Result<(), CallError> {
-        let mut call = link.peer.hello_request();
-        let mut hello = call.get().init_hello();
-        hello.set_version(peer::VERSION);
-        hello.set_entry(self.shared.config.name.as_str());
-        hello.set_incarnation(self.incarnation.0);
-        let response = call.send().promise.await?;
-        match response.get()?.get_welcome()?.get_version() {
-            peer::VERSION => Ok(()),
-            other => Err(CallError::Version(other)),
+    fn leads(&self) -> bool {
+        let leads = self.replica.as_ref().is_some_and(|r| r.borrow_mut().leader().is_some());
+        if leads != self.local.replace(leads) {
+            self.generation.set(self.generation.get() + 1);
         }
+        leads
     }
 
-    /// Drops a connection that failed, unless another was made since.
-    fn drop_link(&self, failed: &Rc<rpc::Link>) {
-        let mut link = self.link.borrow_mut();
-        if link.as_ref().is_some_and(|current| Rc::ptr_eq(current, failed)) {
-            *link = None;
-        }
+    /// Makes sure that there is a way to the leader.
+    pub(crate) async fn prepare(&self) -> Result<(), CallError> {
+        if self.leads() { Ok(()) } else { self.remote().await.map(drop) }
     }
 
-    async fn sync(&self, state: &EntryState) -> Result<News, CallError> {
-        let link = self.link().await?;
+    /// Tells the leader this entry's state and waits for news.
+    pub(crate) async fn sync(&self, state: &EntryState) -> Result<News, CallError> {
+        if self.leads()
+            && let Some(replica) = &self.replica
+        {
+            return news(replica, state).await.ok_or(CallError::NoLeader);
+        }
+        let link = self.remote().await?;
         let call = async {
             let mut call = link.peer.sync_request();
             state.fill(call.get().init_state())?;
@@ -205,18 +201,105 @@
         // A leader that is cut off silently leaves calls hanging: only time tells.
         let result = timeout(CALL_TIMEOUT, call).await.unwrap_or(Err(CallError::Timeout));
         if result.is_err() {
-            self.drop_link(&link);
+            self.drop_remote(&link);
+        }
+        result
+    }
+
+    /// Asks the leader to take a replica in.
+    pub(crate) async fn join(
+        &self,
+        name: &Name,
+        address: &str,
+        id: ReplicaId,
+    ) -> Result<(), CallError> {
+        let link = self.remote().await?;
+        let call = crate::voters::ask_to_join(&link, name, address, id);
+        let result = timeout(CALL_TIMEOUT, call).await.unwrap_or(Err(CallError::Timeout));
+        if result.is_err() {
+            self.drop_remote(&link);
         }
         result
     }
 
-    async fn carry(self: Rc<Self>, mut rx: mpsc::Receiver<ToLeader>) {
+    async fn remote(&self) -> Result<Rc<rpc::Link>, CallError> {
+        let _one_at_a_time = self.connecting.lock().await;
+        if let Some(link) = &*self.remote.borrow() {
+            return Ok(link.clone());
+        }
+        let link = Rc::new(self.find_leader().await?);
+        self.generation.set(self.generation.get() + 1);
+        *self.remote.borrow_mut() = Some(link.clone());
+        Ok(link)
+    }
+
+    /// Asks the voters in turn; one that does not lead may know who does.
+    async fn find_leader(&self) -> Result<rpc::Link, CallError> {
+        let voters = &self.shared.config.voters;
+        let own = &self.shared.config.name;
+        let hint = self.replica.as_ref().and_then(|replica| replica.borrow().leader_name());
+        let mut hint = hint.filter(|name| name != own);
+        let mut last = CallError::NoLeader;
+        for _ in 0..voters.len() {
+            let turn = self.next_voter.get();
+            let hinted = hint.take().and_then(|name| voters.iter().find(|v| v.name == name));
+            let voter = hinted.or_else(|| voters.get(turn % voters.len()));
+            let Some(voter) = voter else { break };
+            if hinted.is_none() {
+                self.next_voter.set(turn.wrapping_add(1));
+            }
+            if voter.name == *own {
+                continue;
+            }
+            match self.try_voter(voter.address).await {
+                Ok((link, Greeting { leads: true, .. })) => return Ok(link),
+                Ok((_, greeting)) => hint = greeting.leader.filter(|name| name != own),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    async fn try_voter(
+        &self,
+        at: std::net::SocketAddr,
+    ) -> Result<(rpc::Link, Greeting), CallError> {
+        let link = rpc::connect(at).await.map_err(CallError::Connect)?;
+        let greeting = greet(&self.shared, self.incarnation, &link).await?;
+        Ok((link, greeting))
+    }
+
+    /// Drops a connection that failed, unless another was made since.
+    fn drop_remote(&self, failed: &Rc<rpc::Link>) {
+        let mut link = self.remote.borrow_mut();
+        if link.as_ref().is_some_and(|current| Rc::ptr_eq(current, failed)) {
+            *link = None;
+        }
+    }
+
+    /// Carries asks to the leader for ever.
+    pub(crate) async fn carry(self: Rc<Self>, mut rx: mpsc::Receiver<ToLeader>) {
         let feeder = self.clone();
         tokio::task::spawn_local(async move { feeder.feed().await });
-        while let Some(to) = rx.recv().await {
+        while let Some(ToLeader { ask, reply }) = rx.recv().await {
             let until = Instant::now() + ASK_TIMEOUT;
-            self.outbox.borrow_mut().push_back(Waiting { to, until });
-            self.wake.notify_one();
+            if let Some(waiting) = self.ask_local(Waiting { ask, reply, until }) {
+                self.outbox.borrow_mut().push_back(waiting);
+                self.wake.notify_one();
+            }
+        }
+    }
+
+    /// Asks the leader's part of this daemon; gives the ask back when another leads.
+    fn ask_local(&self, waiting: Waiting) -> Option<Waiting> {
+        let Some(replica) = &self.replica else { return Some(waiting) };
+        if !self.leads() {
+            return Some(waiting);
+        }
+        let Waiting { ask, reply, until } = waiting;
+        match replica.borrow_mut().ask(ask, reply) {
+            Ok(()) => None,
+            Err((ask, reply)) => Some(Waiting { ask, reply, until }),
         }
     }
 
@@ -225,9 +308,9 @@
         loop {
             let Ok(slot) = slots.clone().acquire_owned().await else { return };
             let batch = self.next_batch().await;
-            let remote = self.clone();
+            let link = self.clone();
             tokio::task::spawn_local(async move {
-                remote.ask_batch(batch).await;
+                link.ask_batch(batch).await;
                 drop(slot);
             });
         }
@@ -235,11 +318,18 @@
 
     async fn next_batch(&self) -> Vec<Waiting> {
         loop {
-            let batch: Vec<Waiting> = {
+            let mut batch = Vec::new();
+            {
                 let mut outbox = self.outbox.borrow_mut();
-                let count = outbox.len().min(BATCH_MAX);
-                outbox.drain(..count).collect()
-            };
+                let mut bytes = 0;
+                while let Some(next) = outbox.front() {
+                    bytes += body_size(&next.ask);
+                    if batch.len() == BATCH_MAX || (bytes > BATCH_BYTES && !batch.is_empty()) {
+                        break;
+                    }
+                    batch.extend(outbox.pop_front());
+                }
+            }
             if !batch.is_empty() {
                 return batch;
             }
@@ -254,29 +344,31 @@
         let mut batch = batch;
         loop {
             let now = Instant::now();
-            batch.retain(|waiting| waiting.until > now && !waiting.to.reply.is_closed());
+            batch.retain(|waiting| waiting.until > now && !waiting.reply.is_closed());
+            // This daemon may have been elected since.
+            batch = batch.into_iter().filter_map(|waiting| self.ask_local(waiting)).collect();
             if batch.is_empty() {
                 return;
             }
             match self.call(&batch).await {
                 Ok(answers) if answers.len() == batch.len() => {
                     for (waiting, answer) in batch.into_iter().zip(answers) {
-                        let _ = waiting.to.reply.send(answer);
+                        let _ = waiting.reply.send(answer);
                     }
                     return;
                 }
                 Ok(answers) => {
                     log::error!("{} asks got {} answers", batch.len(), answers.len());
-                    batch
-                        .into_iter()
-                        .for_each(|w| drop(w.to.reply.send(Answer::Problem(no_leader()))));
+                    for waiting in batch {
+                        let _ = waiting.reply.send(Answer::Problem(no_leader()));
+                    }
                     return;
                 }
                 Err(CallError::Message(peer::BadMessage::TooLarge(size))) => {
                     let what = format!("{size} bytes are too much at once; send it in parts");
                     for waiting in batch {
                         let problem = Problem::new(Kind::TooLarge, Ran::NotRun, &*what);
-                        let _ = waiting.to.reply.send(Answer::Problem(problem));
+                        let _ = waiting.reply.send(Answer::Problem(problem));
                     }
                     return;
                 }
@@ -289,10 +381,10 @@
     }
 
     async fn call(&self, batch: &[Waiting]) -> Result<Vec<Answer>, CallError> {
-        let link = self.link().await?;
+        let link = self.remote().await?;
         let call = async {
             let mut call = link.peer.ask_request();
-            let asks: Vec<_> = batch.iter().map(|waiting| &waiting.to.ask).collect();
+            let asks: Vec<_> = batch.iter().map(|waiting| &waiting.ask).collect();
             peer::fill_parts(call.get().init_asks(peer::count(&asks)), &asks)?;
             let response = call.send().promise.await?;
             Ok(peer::read_parts(response.get()?.get_answers()?)?)
@@ -301,8 +393,44 @@
         if let Err(error) = &result
             && !matches!(error, CallError::Message(_))
         {
-            self.drop_link(&link);
+            self.drop_remote(&link);
         }
         result
     }
 }
+
+fn body_size(ask: &Ask) -> usize {
+    use yuccalink_state::ledger::Ended;
+    const SMALL: usize = 256;
+    match ask {
+        Ask::Apply { text, .. } => text.len(),
+        Ask::RequestEnd(end) => match &end.ended {
+            Ended::Answered(answer) => answer.body.len() + SMALL,
+            Ended::AnsweredTooLarge | Ended::NotRun | Ended::Unknown => SMALL,
+        },
+        Ask::Heartbeat { beat, .. } => (beat.held.len() + beat.reports.len()) * SMALL + SMALL,
+        _ => SMALL,
+    }
+}
+
+/// The leader's side of a sync: waits for news, but not longer than [`HOLD`].
+/// `None` when this replica does not lead, or no longer does.
+pub(crate) async fn news(replica: &Rc<RefCell<Replica>>, state: &EntryState) -> Option<News> {
+    if !replica.borrow_mut().hear(state) {
+        return None;
+    }
+    let mut changes = replica.borrow_mut().leader()?.watch();
+    let until = Instant::now() + HOLD;
+    loop {
+        changes.mark_unchanged();
+        let (news, any) = replica.borrow_mut().news_for(state)?;
+        let left = until.saturating_duration_since(Instant::now());
+        if any || left.is_zero() {
+            return Some(news);
+        }
+        // Fails when the leader's part is gone; then there is none to ask.
+        if let Ok(Err(_)) = timeout(left, changes.changed()).await {
+            return None;
+        }
+    }
+}
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -1,6 +1,7 @@
 //! Sends orders to workers, one message at a time to each.
 
-use crate::leader::{Leader, OrderBatch};
+use crate::leader::OrderBatch;
+use crate::replica::Replica;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -19,23 +20,26 @@
 const ANSWER_MAX: usize = 4 * 1024 * 1024;
 
 pub(crate) struct Sender {
-    leader: Rc<RefCell<Leader>>,
+    replica: Rc<RefCell<Replica>>,
     pool: Pool,
     busy: RefCell<BTreeSet<WorkerKey>>,
 }
 
 impl Sender {
-    pub(crate) fn new(leader: Rc<RefCell<Leader>>) -> Self {
+    pub(crate) fn new(replica: Rc<RefCell<Replica>>) -> Self {
         let settings = PoolSettings { idle_per_address: 1, ..PoolSettings::default() };
-        Self { leader, pool: Pool::new(settings), busy: RefCell::default() }
+        Self { replica, pool: Pool::new(settings), busy: RefCell::default() }
     }
 
     /// Sends what is due, for ever.
     pub(crate) async fn run(self: Rc<Self>) {
-        let wake = self.leader.borrow().orders.clone();
+        let wake = self.replica.borrow().orders.clone();
         loop {
             wake.notified().await;
-            let batches = self.leader.borrow_mut().orders_due(&self.busy.borrow());
+            let batches = match self.replica.borrow_mut().leader() {
+                Some(leader) => leader.orders_due(&self.busy.borrow()),
+                None => continue,
+            };
             for batch in batches {
                 self.busy.borrow_mut().insert(batch.worker);
                 let sender = self.clone();
@@ -49,18 +53,21 @@
         let OrderBatch { worker, name, incarnation, address, due, orders } = batch;
         let sent = self.send(&address, &Orders { incarnation, orders }).await;
         self.busy.borrow_mut().remove(&worker);
-        let mut leader = self.leader.borrow_mut();
-        match sent {
-            Ok(reports) => leader.reported(reports),
-            Err(why) => {
-                log::warn!(
-                    "{} orders to worker {name} failed: {why}; sending them again",
-                    due.len()
-                );
-                leader.orders_failed(&due);
+        let mut replica = self.replica.borrow_mut();
+        if let Some(leader) = replica.leader() {
+            match sent {
+                Ok(reports) => leader.reported(reports),
+                Err(why) => {
+                    log::warn!(
+                        "{} orders to worker {name} failed: {why}; sending them again",
+                        due.len()
+                    );
+                    leader.orders_failed(&due);
+                }
             }
         }
-        leader.orders.notify_one();
+        replica.propose();
+        replica.orders.notify_one();
     }
 
     async fn send(&self, address: &str, orders: &Orders) -> Result<Vec<TaskReport>, String> {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,11 +1,12 @@
 //! What other daemons may ask of this one.
 
-use crate::leader::Leader;
 use crate::link;
+use crate::replica::Replica;
 use crate::shared::no_leader;
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::sync::oneshot;
+use yuccalink_coordination::raft::{Envelope, Member, ReplicaId};
 use yuccalink_protocol::peer::{self, Answer, Ask, EntryState};
 use yuccalink_protocol::peer_capnp::peer as schema;
 use yuccalink_state::id::Name;
@@ -13,21 +14,28 @@
 /// Serves the calls of other daemons.
 pub(crate) struct PeerService {
     name: Name,
-    leader: Option<Rc<RefCell<Leader>>>,
+    voters: Vec<Name>,
+    replica: Option<Rc<RefCell<Replica>>>,
 }
 
 impl PeerService {
-    pub(crate) fn new(name: Name, leader: Option<Rc<RefCell<Leader>>>) -> Self {
-        Self { name, leader }
+    pub(crate) fn new(
+        name: Name,
+        voters: Vec<Name>,
+        replica: Option<Rc<RefCell<Replica>>>,
+    ) -> Self {
+        Self { name, voters, replica }
     }
 
-    fn leader(&self) -> Result<&Rc<RefCell<Leader>>, capnp::Error> {
-        self.leader.as_ref().ok_or_else(|| {
-            capnp::Error::failed("this daemon does not lead; ask a voter".to_string())
-        })
+    fn replica(&self) -> Result<&Rc<RefCell<Replica>>, capnp::Error> {
+        self.replica.as_ref().ok_or_else(does_not_lead)
     }
 }
 
+fn does_not_lead() -> capnp::Error {
+    capnp::Error::failed("this daemon does not lead; ask another voter".to_string())
+}
+
 fn failed(error: &impl ToString) -> capnp::Error {
     capnp::Error::failed(error.to_string())
 }
@@ -47,6 +55,14 @@
         let mut welcome = results.get().init_welcome();
         welcome.set_version(peer::VERSION);
         welcome.set_entry(self.name.as_str());
+        if let Some(replica) = &self.replica {
+            let mut replica = replica.borrow_mut();
+            welcome.set_replica(replica.id().0);
+            welcome.set_empty(replica.is_empty());
+            welcome.set_leads(replica.leader().is_some());
+            let leader = replica.leader_name();
+            welcome.set_leader(leader.as_ref().map_or("", |name| name.as_str()));
+        }
         Ok(())
     }
 
@@ -55,12 +71,12 @@
         params: schema::AskParams,
         mut results: schema::AskResults,
     ) -> Result<(), capnp::Error> {
-        let leader = self.leader()?;
+        let replica = self.replica()?;
         let asks: Vec<Ask> = peer::read_parts(params.get()?.get_asks()?).map_err(|e| failed(&e))?;
         let mut pending = Vec::with_capacity(asks.len());
         for ask in asks {
             let (reply, answer) = oneshot::channel();
-            leader.borrow_mut().ask(ask, reply);
+            replica.borrow_mut().ask(ask, reply).map_err(|_| does_not_lead())?;
             pending.push(answer);
         }
         let mut answers = Vec::with_capacity(pending.len());
@@ -76,9 +92,45 @@
         params: schema::SyncParams,
         mut results: schema::SyncResults,
     ) -> Result<(), capnp::Error> {
-        let leader = self.leader()?;
+        let replica = self.replica()?;
         let state = EntryState::read(params.get()?.get_state()?).map_err(|e| failed(&e))?;
-        let news = link::news(leader, &state).await;
+        let news = link::news(replica, &state).await.ok_or_else(does_not_lead)?;
         news.fill(results.get().init_news()).map_err(|e| failed(&e))
     }
+
+    async fn raft(
+        self: Rc<Self>,
+        params: schema::RaftParams,
+        _: schema::RaftResults,
+    ) -> Result<(), capnp::Error> {
+        let replica = self.replica()?;
+        let params = params.get()?;
+        let from = Name::new(params.get_from()?.to_str()?).map_err(|e| failed(&e))?;
+        let messages: Vec<Envelope> =
+            peer::read_parts(params.get_messages()?).map_err(|e| failed(&e))?;
+        for envelope in messages {
+            replica.borrow_mut().step(&from, envelope);
+        }
+        Ok(())
+    }
+
+    async fn join(
+        self: Rc<Self>,
+        params: schema::JoinParams,
+        _: schema::JoinResults,
+    ) -> Result<(), capnp::Error> {
+        let replica = self.replica()?;
+        let params = params.get()?;
+        let name = Name::new(params.get_name()?.to_str()?).map_err(|e| failed(&e))?;
+        if !self.voters.contains(&name) {
+            let what = format!("{name} is not among this daemon's --voters; add it there first");
+            return Err(capnp::Error::failed(what));
+        }
+        let address = params.get_address()?.to_str()?.into();
+        let member = Member { id: ReplicaId(params.get_replica()), name, address };
+        match replica.borrow_mut().join(member) {
+            true => Ok(()),
+            false => Err(does_not_lead()),
+        }
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/replica.rs
@@ -0,0 +1,525 @@
+//! One voter: its part in the consensus, the state machine, and the leader's
+//! part while it leads. Carries out what the consensus asks for.
+
+use crate::journal::{Done, Journal, from_hard, to_entry};
+use crate::leader::Leader;
+use crate::shared::Shared;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+use yuccalink_coordination::Moment;
+use yuccalink_coordination::raft::{
+    Entry, Envelope, KEPT_BEHIND, Member, Members, Payload, Persist, Raft, ReplicaId, Restored, Role,
+    SnapshotMeta,
+};
+use yuccalink_protocol::api::{LogView, MemberView, Status};
+use yuccalink_protocol::peer::{self, Answer, Ask, EntryState, News};
+use yuccalink_state::id::Name;
+use yuccalink_state::log::Counts;
+use yuccalink_state::snapshot::{self, Meta};
+use yuccalink_state::store::Recovered;
+use yuccalink_state::{Machine, store};
+
+/// Messages that may wait for one other voter; the oldest are dropped.
+const OUTBOX_MAX: usize = 1024;
+/// Records after which a snapshot is taken.
+const SNAPSHOT_RECORDS: u64 = 20_000;
+/// Bytes of log after which a snapshot is taken.
+const SNAPSHOT_BYTES: u64 = 64 * 1024 * 1024;
+/// Silence of a voter's former disk before a new one may take its seat.
+const REPLACE_AFTER: Duration = Duration::from_secs(3);
+/// Time after which a replica that asked to join is no longer waited for.
+const JOIN_FORGET: Duration = Duration::from_secs(30);
+/// Most commands in one proposal.
+const BATCH_MAX: usize = 1024;
+
+/// What the disk is to do next.
+pub(crate) enum Work {
+    Write(Vec<Persist>),
+    Install { index: u64, bytes: Vec<u8> },
+    Compact { index: u64, bytes: Vec<u8> },
+}
+
+type Reply = oneshot::Sender<Answer>;
+
+struct Joining {
+    member: Member,
+    asked: Moment,
+}
+
+pub(crate) struct Replica {
+    shared: Arc<Shared>,
+    raft: Raft,
+    /// The state, but while this replica leads: then the leader has it.
+    machine: Option<Machine>,
+    leader: Option<Leader>,
+    applied: u64,
+    writes: Vec<Persist>,
+    install: Option<(SnapshotMeta, Vec<u8>)>,
+    held: VecDeque<(u64, Envelope)>,
+    written: u64,
+    outboxes: BTreeMap<ReplicaId, VecDeque<Envelope>>,
+    joining: BTreeMap<ReplicaId, Joining>,
+    names: BTreeMap<ReplicaId, Name>,
+    counts: Counts,
+    snapshot_at: Counts,
+    /// Wakes the task that feeds the disk.
+    pub(crate) work: Arc<Notify>,
+    /// Wakes the task that sends messages to other voters.
+    pub(crate) sends: Arc<Notify>,
+    /// Wakes the task that sends orders to workers.
+    pub(crate) orders: Arc<Notify>,
+}
+
+impl Replica {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        recovered: Recovered,
+        seed: u64,
+    ) -> Result<Self, peer::BadMessage> {
+        let Recovered { replica, meta, machine, records, hard } = recovered;
+        let members =
+            if meta.members.is_empty() { Members::default() } else { peer::decode(&meta.members)? };
+        let entries = records.iter().map(to_entry).collect::<Result<Vec<Entry>, _>>()?;
+        let restored = Restored {
+            hard: from_hard(hard),
+            snapshot: SnapshotMeta { index: meta.index, term: meta.term, members },
+            entries,
+        };
+        let raft = Raft::new(ReplicaId(replica), restored, seed, shared.clock.now());
+        Ok(Self {
+            shared,
+            raft,
+            machine: Some(machine),
+            leader: None,
+            applied: meta.index,
+            writes: Vec::new(),
+            install: None,
+            held: VecDeque::new(),
+            written: 0,
+            outboxes: BTreeMap::new(),
+            joining: BTreeMap::new(),
+            names: BTreeMap::new(),
+            counts: Counts::default(),
+            snapshot_at: Counts::default(),
+            work: Arc::default(),
+            sends: Arc::default(),
+            orders: Arc::default(),
+        })
+    }
+
+    pub(crate) fn id(&self) -> ReplicaId {
+        self.raft.id()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.raft.is_empty()
+    }
+
+    /// Whether this replica's disk is among the voters.
+    pub(crate) fn is_voter(&self) -> bool {
+        self.raft.members().is_voter(self.raft.id())
+    }
+
+    /// Founds a new system; see [`Raft::found`].
+    pub(crate) fn found(&mut self, voters: Vec<Member>) {
+        let names: Vec<String> = voters.iter().map(|voter| voter.name.to_string()).collect();
+        log::info!("founding a new system of {}", names.join(", "));
+        let members = Members { voters, learners: Vec::new() };
+        self.raft.found(members, self.shared.clock.now());
+        self.pump();
+    }
+
+    /// The leader's part, if this replica leads and no other can: only then may
+    /// anything be granted or read.
+    pub(crate) fn leader(&mut self) -> Option<&mut Leader> {
+        let now = self.shared.clock.now();
+        if !self.raft.has_lease(now) {
+            return None;
+        }
+        self.leader.as_mut()
+    }
+
+    /// The name of the daemon that leads, as far as is known.
+    pub(crate) fn leader_name(&self) -> Option<Name> {
+        let id = self.raft.leader()?;
+        self.raft.members().get(id).map(|member| member.name.clone())
+    }
+
+    /// Asks the leader's part; gives the ask back when this replica does not lead.
+    pub(crate) fn ask(&mut self, ask: Ask, reply: Reply) -> Result<(), (Ask, Reply)> {
+        let is_status = matches!(ask, Ask::Status);
+        let members = is_status.then(|| self.member_views());
+        let log = self.log_view();
+        let Some(leader) = self.leader() else { return Err((ask, reply)) };
+        if let Some(members) = members {
+            let status: Status = leader.status(log, members);
+            let _ = reply.send(Answer::Status(Box::new(status)));
+        } else {
+            leader.ask(ask, reply);
+        }
+        self.propose();
+        Ok(())
+    }
+
+    /// Takes in an entry's word; false when this replica does not lead.
+    pub(crate) fn hear(&mut self, state: &EntryState) -> bool {
+        let Some(leader) = self.leader() else { return false };
+        leader.hear(state);
+        self.propose();
+        true
+    }
+
+    pub(crate) fn news_for(&mut self, state: &EntryState) -> Option<(News, bool)> {
+        self.leader().map(|leader| leader.news_for(state))
+    }
+
+    fn log_view(&self) -> LogView {
+        LogView {
+            last: self.raft.last(),
+            syncs: self.counts.syncs,
+            records: self.counts.records,
+            bytes: self.counts.bytes,
+        }
+    }
+
+    fn member_views(&self) -> Vec<MemberView> {
+        let now = self.shared.clock.now();
+        let own = self.raft.id();
+        let view = |member: &Member, voter| MemberView {
+            name: member.name.clone(),
+            replica: member.id.to_string().into(),
+            voter,
+            leads: member.id == own,
+            silent_ms: match member.id == own {
+                true => 0,
+                false => self.raft.heard(member.id).map_or(u64::MAX, |heard| {
+                    u64::try_from(now.since(heard).as_millis()).unwrap_or(u64::MAX)
+                }),
+            },
+        };
+        let members = self.raft.members();
+        let voters = members.voters.iter().map(|member| view(member, true));
+        voters.chain(members.learners.iter().map(|member| view(member, false))).collect()
+    }
+
+    // ---- the consensus ----
+
+    pub(crate) fn step(&mut self, from: &Name, envelope: Envelope) {
+        if self.names.get(&envelope.from) != Some(from) {
+            self.names.insert(envelope.from, from.clone());
+        }
+        self.raft.step(self.shared.clock.now(), envelope);
+        self.pump();
+    }
+
+    pub(crate) fn tick(&mut self) {
+        let now = self.shared.clock.now();
+        self.raft.tick(now);
+        if let Some(leader) = self.leader() {
+            leader.tick();
+        }
+        self.repair(now);
+        self.propose();
+    }
+
+    /// Gives what the leader has decided to the log. One batch at a time: what
+    /// comes meanwhile shares the next sync.
+    pub(crate) fn propose(&mut self) {
+        if let Some(leader) = &mut self.leader {
+            let commands = leader.next_batch(BATCH_MAX);
+            if !commands.is_empty() {
+                let encoded: Result<Vec<Arc<[u8]>>, _> =
+                    commands.iter().map(|c| store::encode(c).map(Into::into)).collect();
+                let now = self.shared.clock.now();
+                match encoded.map(|bytes| self.raft.propose(now, bytes)) {
+                    Ok(Ok(first)) => leader.proposed(first),
+                    Ok(Err(why)) => {
+                        log::debug!("nothing was proposed: {why}");
+                        leader.not_proposed();
+                    }
+                    Err(error) => {
+                        log::error!("a command cannot be encoded: {error}");
+                        leader.not_proposed();
+                    }
+                }
+            }
+        }
+        self.pump();
+    }
+
+    /// Carries out what the consensus asks for.
+    fn pump(&mut self) {
+        loop {
+            let output = self.raft.take();
+            let committed = !output.committed.is_empty();
+            self.writes.extend(output.persist);
+            self.held.extend(output.messages);
+            if output.install.is_some() {
+                self.install = output.install;
+            }
+            for (index, entry) in output.committed {
+                self.apply(index, &entry);
+            }
+            self.change_role();
+            for to in output.need_snapshot {
+                self.offer_snapshot(to);
+            }
+            if !committed {
+                break;
+            }
+        }
+        self.release();
+        if !self.writes.is_empty() || self.install.is_some() {
+            self.work.notify_one();
+        }
+    }
+
+    fn apply(&mut self, index: u64, entry: &Entry) {
+        self.applied = index;
+        let Payload::Command(bytes) = &entry.payload else { return };
+        let command = match store::decode(bytes) {
+            Ok(command) => command,
+            Err(error) => {
+                // Going on without it would let this replica's state part from
+                // the others' for ever.
+                log::error!("record {index} cannot be applied: {error}");
+                std::process::abort();
+            }
+        };
+        if let Some(leader) = &mut self.leader {
+            leader.committed(index, command);
+        } else if let Some(machine) = &mut self.machine {
+            machine.apply(command);
+        }
+    }
+
+    fn change_role(&mut self) {
+        let leads = self.raft.role() == Role::Leader;
+        if !leads && let Some(leader) = self.leader.take() {
+            log::warn!("no longer leading in term {}", self.raft.term());
+            self.machine = Some(leader.into_machine());
+        }
+        if self.raft.is_settled()
+            && self.leader.is_none()
+            && let Some(machine) = self.machine.take()
+        {
+            log::info!("leading in term {} from record {}", self.raft.term(), self.applied);
+            let shared = self.shared.clone();
+            let leader = Leader::new(shared, self.raft.term(), machine, self.orders.clone());
+            self.leader = Some(leader);
+        }
+    }
+
+    /// Passes on the messages whose writes the disk has confirmed.
+    fn release(&mut self) {
+        let mut any = false;
+        let mut later = VecDeque::new();
+        for (seq, envelope) in std::mem::take(&mut self.held) {
+            if seq > self.written {
+                later.push_back((seq, envelope));
+                continue;
+            }
+            any = true;
+            let outbox = self.outboxes.entry(envelope.to).or_default();
+            if outbox.len() == OUTBOX_MAX {
+                outbox.pop_front();
+            }
+            outbox.push_back(envelope);
+        }
+        self.held = later;
+        if any {
+            self.sends.notify_one();
+        }
+    }
+
+    /// Messages to send now, by replica.
+    pub(crate) fn outgoing(&mut self) -> Vec<(ReplicaId, Vec<Envelope>)> {
+        let all = std::mem::take(&mut self.outboxes);
+        all.into_iter().map(|(to, messages)| (to, messages.into())).collect()
+    }
+
+    /// The daemon of a replica: by the members, or by its own word.
+    pub(crate) fn name_of(&self, id: ReplicaId) -> Option<Name> {
+        let known = self.raft.members().get(id).map(|member| member.name.clone());
+        known.or_else(|| self.names.get(&id).cloned())
+    }
+
+    // ---- the disk ----
+
+    /// What the disk is to do next, writes first.
+    pub(crate) fn next_work(&mut self) -> Option<Work> {
+        if !self.writes.is_empty() {
+            return Some(Work::Write(std::mem::take(&mut self.writes)));
+        }
+        if let Some((meta, bytes)) = &self.install {
+            return Some(Work::Install { index: meta.index, bytes: bytes.clone() });
+        }
+        self.snapshot_due()
+    }
+
+    /// The disk has done something.
+    pub(crate) fn did(&mut self, done: &Done) {
+        match done {
+            Done::Written { seq, counts } => {
+                self.written = *seq;
+                self.counts = *counts;
+                self.raft.persisted(*seq, self.shared.clock.now());
+            }
+            Done::Compacted { index } => self.raft.compact(*index, KEPT_BEHIND),
+            Done::Installed => self.installed(),
+            Done::Failed(_) => {}
+        }
+        self.propose();
+    }
+
+    fn installed(&mut self) {
+        let Some((meta, bytes)) = self.install.take() else { return };
+        match snapshot::decode(&bytes, "a snapshot of the leader") {
+            Ok(found) => {
+                log::info!("took over the leader's state up to record {}", meta.index);
+                self.machine = Some(found.machine);
+                self.applied = meta.index;
+                self.raft.installed(Some(meta));
+            }
+            Err(error) => {
+                log::error!("the leader's snapshot cannot be read: {error}");
+                self.raft.installed(None);
+            }
+        }
+    }
+
+    fn encode_snapshot(&self) -> Option<(SnapshotMeta, Vec<u8>)> {
+        let machine = match &self.leader {
+            Some(leader) => leader.machine(),
+            None => self.machine.as_ref()?,
+        };
+        let index = self.applied;
+        let term = self.raft.term_at(index)?;
+        let members = self.raft.members_at(index);
+        let encoded = peer::encode(&members).ok()?;
+        let meta = Meta { index, term, members: encoded.into() };
+        match snapshot::encode(&meta, machine) {
+            Ok(bytes) => Some((SnapshotMeta { index, term, members }, bytes)),
+            Err(error) => {
+                log::error!("no snapshot: {error}");
+                None
+            }
+        }
+    }
+
+    fn snapshot_due(&mut self) -> Option<Work> {
+        let records = self.counts.records - self.snapshot_at.records;
+        let bytes = self.counts.bytes - self.snapshot_at.bytes;
+        if records < SNAPSHOT_RECORDS && bytes < SNAPSHOT_BYTES {
+            return None;
+        }
+        self.snapshot_at = self.counts;
+        let (meta, bytes) = self.encode_snapshot()?;
+        Some(Work::Compact { index: meta.index, bytes })
+    }
+
+    fn offer_snapshot(&mut self, to: ReplicaId) {
+        if let Some((meta, bytes)) = self.encode_snapshot() {
+            log::info!("sending replica {to} the state up to record {}", meta.index);
+            self.raft.offer_snapshot(self.shared.clock.now(), to, meta, bytes.into());
+            self.pump();
+        }
+    }
+
+    // ---- replaced voters ----
+
+    /// A voter with an empty disk asks to be taken in.
+    pub(crate) fn join(&mut self, member: Member) -> bool {
+        if self.leader().is_none() {
+            return false;
+        }
+        let asked = self.shared.clock.now();
+        self.joining.insert(member.id, Joining { member, asked });
+        true
+    }
+
+    /// Takes a replaced disk in: first it only follows, then the seat's former
+    /// disk goes, then it votes. One step at a time, each committed.
+    fn repair(&mut self, now: Moment) {
+        self.joining.retain(|_, joining| now.since(joining.asked) < JOIN_FORGET);
+        if self.joining.is_empty() || self.leader.is_none() {
+            return;
+        }
+        let joining: Vec<Member> = self.joining.values().map(|j| j.member.clone()).collect();
+        for member in joining {
+            if self.raft.members().is_voter(member.id) {
+                self.joining.remove(&member.id);
+                continue;
+            }
+            if let Some((members, step)) = self.next_members(now, &member) {
+                if self.raft.change_members(now, members).is_ok() {
+                    self.shared.decisions.note(format!("voter {}: {step}", member.name));
+                }
+                return;
+            }
+        }
+    }
+
+    fn next_members(&self, now: Moment, member: &Member) -> Option<(Members, &'static str)> {
+        let mut members = self.raft.members().clone();
+        let follows = members.learners.iter().any(|learner| learner.id == member.id);
+        let former = members.voters.iter().find(|voter| voter.name == member.name);
+        if !follows {
+            members.learners.retain(|learner| learner.name != member.name);
+            members.learners.push(member.clone());
+            return Some((members, "its new disk follows"));
+        }
+        if !self.raft.is_caught_up(member.id) {
+            return None;
+        }
+        if let Some(former) = former {
+            let silent = self.raft.heard(former.id).is_none_or(|h| now.since(h) > REPLACE_AFTER);
+            if !silent {
+                return None;
+            }
+            let former = former.id;
+            members.voters.retain(|voter| voter.id != former);
+            return Some((members, "its former disk votes no more"));
+        }
+        members.learners.retain(|learner| learner.id != member.id);
+        members.voters.push(member.clone());
+        Some((members, "its new disk votes"))
+    }
+}
+
+/// Feeds the disk thread until told to stop.
+pub(crate) async fn feed(
+    replica: std::rc::Rc<std::cell::RefCell<Replica>>,
+    mut journal: Journal,
+    mut stop: tokio::sync::watch::Receiver<bool>,
+    failed: oneshot::Sender<yuccalink_state::Error>,
+) {
+    let wake = replica.borrow().work.clone();
+    loop {
+        let work = replica.borrow_mut().next_work();
+        match work {
+            Some(Work::Write(writes)) => journal.write(writes),
+            Some(Work::Install { index, bytes }) => journal.install(index, bytes),
+            Some(Work::Compact { index, bytes }) => journal.compact(index, bytes),
+            None => {
+                tokio::select! {
+                    () = wake.notified() => continue,
+                    _ = stop.wait_for(|stop| *stop) => break,
+                }
+            }
+        }
+        match journal.done().await {
+            Some(Done::Failed(error)) => {
+                // What reached the disk is not known, so nothing more may be
+                // promised: the daemon stops and recovers from the disk.
+                let _ = failed.send(error);
+                return;
+            }
+            Some(done) => replica.borrow_mut().did(&done),
+            None => return,
+        }
+    }
+    journal.close();
+}
--- /dev/null
+++ b/crates/daemon/src/voters.rs
@@ -0,0 +1,230 @@
+//! Talking to the other voters: messages of the consensus, founding a new
+//! system, and joining one with an empty disk.
+
+use crate::link::{CALL_TIMEOUT, CallError, Greeting, Link, greet};
+use crate::replica::Replica;
+use crate::shared::Shared;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+use yuccalink_coordination::raft::{Envelope, Member, ReplicaId};
+use yuccalink_protocol::peer;
+use yuccalink_state::id::{Incarnation, Name};
+use yuccalink_transport::rpc;
+
+/// Pause between tries to found or to join.
+const AGAIN: Duration = Duration::from_millis(200);
+/// Pause between words of a replica that is still joining.
+const JOIN_AGAIN: Duration = Duration::from_secs(2);
+/// Calls with messages under way to one voter.
+const CALLS_MAX: usize = 4;
+/// Bytes of messages in one call, but always at least one message.
+const CALL_BYTES: usize = 2 * 1024 * 1024;
+
+/// Connections to the other voters.
+pub(crate) struct Voters {
+    shared: Arc<Shared>,
+    incarnation: Incarnation,
+    replica: Rc<RefCell<Replica>>,
+    links: RefCell<BTreeMap<SocketAddr, Rc<rpc::Link>>>,
+    busy: RefCell<BTreeMap<ReplicaId, usize>>,
+    connecting: RefCell<BTreeSet<SocketAddr>>,
+}
+
+impl Voters {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        incarnation: Incarnation,
+        replica: Rc<RefCell<Replica>>,
+    ) -> Self {
+        Self {
+            shared,
+            incarnation,
+            replica,
+            links: RefCell::default(),
+            busy: RefCell::default(),
+            connecting: RefCell::default(),
+        }
+    }
+
+    /// Sends the consensus's messages for ever. What cannot be sent is dropped:
+    /// the consensus sends again what it still needs.
+    pub(crate) async fn send(self: Rc<Self>) {
+        let wake = self.replica.borrow().sends.clone();
+        loop {
+            wake.notified().await;
+            let outgoing = self.replica.borrow_mut().outgoing();
+            for (to, messages) in outgoing {
+                let Some(address) = self.address(to) else { continue };
+                for part in parts(messages) {
+                    self.clone().send_part(to, address, part);
+                }
+            }
+        }
+    }
+
+    fn send_part(self: Rc<Self>, to: ReplicaId, address: SocketAddr, messages: Vec<Envelope>) {
+        let Some(link) = self.links.borrow().get(&address).cloned() else {
+            self.connect(address);
+            return;
+        };
+        let mut busy = self.busy.borrow_mut();
+        let calls = busy.entry(to).or_default();
+        if *calls >= CALLS_MAX {
+            return;
+        }
+        *calls += 1;
+        let this = self.clone();
+        tokio::task::spawn_local(async move {
+            let sent = timeout(CALL_TIMEOUT, call(&link, &this.shared.config.name, &messages)).await;
+            if let Some(calls) = this.busy.borrow_mut().get_mut(&to) {
+                *calls -= 1;
+            }
+            if !matches!(sent, Ok(Ok(()))) {
+                let mut links = this.links.borrow_mut();
+                if links.get(&address).is_some_and(|current| Rc::ptr_eq(current, &link)) {
+                    links.remove(&address);
+                }
+            }
+        });
+    }
+
+    fn connect(self: Rc<Self>, address: SocketAddr) {
+        if !self.connecting.borrow_mut().insert(address) {
+            return;
+        }
+        tokio::task::spawn_local(async move {
+            if let Ok(link) = rpc::connect(address).await
+                && greet(&self.shared, self.incarnation, &link).await.is_ok()
+            {
+                self.links.borrow_mut().insert(address, Rc::new(link));
+            }
+            self.connecting.borrow_mut().remove(&address);
+        });
+    }
+
+    /// Where a replica is, by this daemon's own settings.
+    fn address(&self, id: ReplicaId) -> Option<SocketAddr> {
+        let name = self.replica.borrow().name_of(id)?;
+        let voters = &self.shared.config.voters;
+        voters.iter().find(|voter| voter.name == name).map(|voter| voter.address)
+    }
+
+    fn own(&self) -> Member {
+        let config = &self.shared.config;
+        let set = config.voters.iter().find(|voter| voter.name == config.name);
+        let address = set.map_or(config.peer, |voter| voter.address);
+        let id = self.replica.borrow().id();
+        Member { id, name: config.name.clone(), address: address.to_string().into() }
+    }
+
+    /// Brings an empty disk into the system: a new one, when every voter says
+    /// that it has nothing, or the one that is there.
+    pub(crate) async fn settle(self: Rc<Self>, link: Rc<Link>) {
+        let config = &self.shared.config;
+        if config.voters.len() <= 1 {
+            if self.replica.borrow().is_empty() {
+                let own = self.own();
+                self.replica.borrow_mut().found(vec![own]);
+            }
+            return;
+        }
+        while !self.replica.borrow().is_voter() {
+            let empty = self.replica.borrow().is_empty();
+            let others = if empty { self.ask_others().await } else { Others::Founded };
+            match others {
+                Others::AllEmpty(others) if config.voters[0].name == config.name => {
+                    let members = std::iter::once(self.own()).chain(others).collect();
+                    self.replica.borrow_mut().found(members);
+                }
+                // The first of the list founds; this one waits for its word.
+                Others::AllEmpty(_) | Others::Unknown => sleep(AGAIN).await,
+                Others::Founded => {
+                    if let Err(error) = self.join(&link).await {
+                        log::info!("not taken in yet: {error}");
+                    }
+                    sleep(JOIN_AGAIN).await;
+                }
+            }
+        }
+        log::info!("this replica votes");
+    }
+
+    async fn ask_others(&self) -> Others {
+        let config = &self.shared.config;
+        let mut members = Vec::new();
+        for voter in config.voters.iter().filter(|voter| voter.name != config.name) {
+            let Ok(greeting) = self.greeting(voter.address).await else { return Others::Unknown };
+            if !greeting.empty {
+                return Others::Founded;
+            }
+            let address = voter.address.to_string().into();
+            let id = ReplicaId(greeting.replica);
+            members.push(Member { id, name: voter.name.clone(), address });
+        }
+        Others::AllEmpty(members)
+    }
+
+    async fn greeting(&self, address: SocketAddr) -> Result<Greeting, CallError> {
+        let link = rpc::connect(address).await.map_err(CallError::Connect)?;
+        greet(&self.shared, self.incarnation, &link).await
+    }
+
+    async fn join(&self, link: &Link) -> Result<(), CallError> {
+        let Member { id, name, address } = self.own();
+        link.join(&name, &address, id).await
+    }
+}
+
+enum Others {
+    AllEmpty(Vec<Member>),
+    Founded,
+    Unknown,
+}
+
+/// Splits messages into calls of bounded size, in order.
+fn parts(messages: Vec<Envelope>) -> Vec<Vec<Envelope>> {
+    let mut parts: Vec<Vec<Envelope>> = Vec::new();
+    let mut bytes = usize::MAX;
+    for message in messages {
+        let size = message.message.size();
+        if bytes.saturating_add(size) > CALL_BYTES {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(part) = parts.last_mut() {
+            part.push(message);
+        }
+    }
+    parts
+}
+
+async fn call(link: &rpc::Link, own: &Name, messages: &[Envelope]) -> Result<(), CallError> {
+    let mut call = link.peer.raft_request();
+    let mut params = call.get();
+    params.set_from(own.as_str());
+    peer::fill_parts(params.init_messages(peer::count(messages)), messages)?;
+    call.send().promise.await?;
+    Ok(())
+}
+
+/// Asks a leader over `link` to take a replica in.
+pub(crate) async fn ask_to_join(
+    link: &rpc::Link,
+    name: &Name,
+    address: &str,
+    id: ReplicaId,
+) -> Result<(), CallError> {
+    let mut call = link.peer.join_request();
+    let mut params = call.get();
+    params.set_name(name.as_str());
+    params.set_address(address);
+    params.set_replica(id.0);
+    call.send().promise.await?;
+    Ok(())
+}
--- a/crates/protocol/schema/peer.capnp
+++ b/crates/protocol/schema/peer.capnp
@@ -14,8 +14,12 @@
   # An entry tells what it has put in force and asks for what is newer. The
   # answer renews its configuration lease. Held back while there is no news.
 
-  raft @3 (messages :List(Data)) -> ();
-  # Messages of the consensus between voters.
+  raft @3 (from :Text, messages :List(Data)) -> ();
+  # Messages of the consensus between voters, and the name of their sender: a
+  # replica that knows no members yet must still be able to answer.
+
+  join @4 (name :Text, address :Text, replica :UInt64) -> ();
+  # A voter with an empty disk asks the leader to be taken in.
 }
 
 struct Hello {
@@ -27,6 +31,13 @@
 struct Welcome {
   version @0 :UInt32;
   entry @1 :Text;
+  replica @2 :UInt64;
+  # Identity of its disk, 0 when it keeps no state.
+  empty @3 :Bool;
+  # Its disk has never held anything.
+  leads @4 :Bool;
+  leader @5 :Text;
+  # Who leads, as far as it knows; may be empty.
 }
 
 struct EntryState {
--- a/crates/protocol/src/api.rs
+++ b/crates/protocol/src/api.rs
@@ -307,6 +307,24 @@
     pub ledger_bytes: u64,
     /// The leader's log.
     pub log: LogView,
+    /// The daemons that keep the state.
+    pub members: Vec<MemberView>,
+}
+
+/// A replica of the state as the leader sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct MemberView {
+    /// Its daemon.
+    pub name: Name,
+    /// Its disk.
+    pub replica: Box<str>,
+    /// Whether it votes, or only follows yet.
+    pub voter: bool,
+    /// Whether it leads.
+    pub leads: bool,
+    /// Time since it was heard, in milliseconds.
+    pub silent_ms: u64,
 }
 
 /// Counts of a log since its daemon started.
--- a/crates/protocol/src/peer_capnp.rs
+++ b/crates/protocol/src/peer_capnp.rs
@@ -18,6 +18,9 @@
     pub type RaftParams = ::capnp::capability::Params<crate::peer_capnp::peer::raft_params::Owned>;
     pub type RaftResults =
         ::capnp::capability::Results<crate::peer_capnp::peer::raft_results::Owned>;
+    pub type JoinParams = ::capnp::capability::Params<crate::peer_capnp::peer::join_params::Owned>;
+    pub type JoinResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::join_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -125,6 +128,14 @@
         > {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
+        pub fn join_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::join_params::Owned,
+            crate::peer_capnp::peer::join_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn hello(
@@ -163,6 +174,15 @@
                 "method peer::Server::raft not implemented".to_string(),
             )))
         }
+        fn join(
+            self: ::capnp::capability::Rc<Self>,
+            _: JoinParams,
+            _: JoinResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::join not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -248,6 +268,14 @@
                     )),
                     false,
                 ),
+                4 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::join(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -2200,16 +2228,27 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_messages(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+            pub fn get_from(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_messages(&self) -> bool {
+            pub fn has_from(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_messages(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_messages(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -2217,7 +2256,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2294,19 +2333,46 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_messages(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+            pub fn get_from(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
+            pub fn set_from(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_from(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_from(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_messages(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
             pub fn set_messages(
                 &mut self,
                 value: ::capnp::data_list::Reader<'_>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
+                    self.builder.reborrow().get_pointer_field(1),
                     value,
                     false,
                 )
@@ -2314,13 +2380,13 @@
             #[inline]
             pub fn init_messages(self, size: u32) -> ::capnp::data_list::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
+                    self.builder.get_pointer_field(1),
                     size,
                 )
             }
             #[inline]
             pub fn has_messages(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+                !self.builder.is_pointer_field_null(1)
             }
         }
 
@@ -2334,31 +2400,46 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(35, 120, 2, 41, 120, 52, 154, 254),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(114, 97, 102, 116, 36, 80, 97, 114),
                 ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(40, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(109, 101, 115, 115, 97, 103, 101, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -2375,7 +2456,8 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => {
                         <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect()
                     }
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
@@ -2396,9 +2478,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
             pub(crate) const TYPE_ID: u64 = 0xfe9a_3478_2902_7823;
         }
     }
@@ -2644,111 +2726,734 @@
             pub(crate) const TYPE_ID: u64 = 0xe425_cc25_5922_1ee4;
         }
     }
-}
 
-pub mod hello {
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned {
-        fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
-                generic: &_private::RAW_SCHEMA,
-                field_types: _private::get_field_types,
-                annotation_types: _private::get_annotation_types,
-                type_id: ::core::any::TypeId::of::<Owned>(),
-            })
-            .into()
+    pub mod join_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
         }
-    }
-    impl ::capnp::traits::Owned for Owned {
-        type Reader<'a> = Reader<'a>;
-        type Builder<'a> = Builder<'a>;
-    }
-    impl ::capnp::traits::OwnedStruct for Owned {
-        type Reader<'a> = Reader<'a>;
-        type Builder<'a> = Builder<'a>;
-    }
-    impl ::capnp::traits::Pipelined for Owned {
-        type Pipeline = Pipeline;
-    }
-
-    pub struct Reader<'a> {
-        reader: ::capnp::private::layout::StructReader<'a>,
-    }
-    impl ::core::marker::Copy for Reader<'_> {}
-    impl ::core::clone::Clone for Reader<'_> {
-        fn clone(&self) -> Self {
-            *self
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
         }
-    }
 
-    impl ::capnp::traits::HasTypeId for Reader<'_> {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader }
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
-    }
 
-    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
-        fn from(reader: Reader<'a>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(
-                reader.reader,
-                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
-                    generic: &_private::RAW_SCHEMA,
-                    field_types: _private::get_field_types,
-                    annotation_types: _private::get_annotation_types,
-                    type_id: ::core::any::TypeId::of::<Owned>(),
-                }),
-            ))
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
         }
-    }
 
-    impl ::core::fmt::Debug for Reader<'_> {
-        fn fmt(
-            &self,
-            f: &mut ::core::fmt::Formatter<'_>,
-        ) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(
-                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
-                f,
-            )
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
         }
-    }
 
-    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
-        fn get_from_pointer(
-            reader: &::capnp::private::layout::PointerReader<'a>,
-            default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
         }
-    }
 
-    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
-        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-            self.reader
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
         }
-    }
 
-    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
-        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
         }
-    }
 
-    impl<'a> Reader<'a> {
-        pub fn reborrow(&self) -> Reader<'_> {
-            Self { ..*self }
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
         }
 
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.reader.total_size()
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_name(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_name(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_address(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_replica(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
-        #[inline]
-        pub fn get_version(self) -> u32 {
-            self.reader.get_data_field::<u32>(0)
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_name(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_name(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_name(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_name(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_address(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_address(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_replica(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_replica(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(14, 226, 67, 67, 37, 165, 128, 231),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(106, 111, 105, 110, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 112, 108, 105, 99, 97, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
+            pub(crate) const TYPE_ID: u64 = 0xe780_a525_4343_e20e;
+        }
+    }
+
+    pub mod join_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(254, 255, 144, 169, 1, 86, 123, 243),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(106, 111, 105, 110, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xf37b_5601_a990_fffe;
+        }
+    }
+}
+
+pub mod hello {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_version(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
         }
         #[inline]
         pub fn get_entry(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
@@ -3108,6 +3813,29 @@
         pub fn has_entry(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_replica(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_empty(self) -> bool {
+            self.reader.get_bool_field(32)
+        }
+        #[inline]
+        pub fn get_leads(self) -> bool {
+            self.reader.get_bool_field(33)
+        }
+        #[inline]
+        pub fn get_leader(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_leader(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -3115,7 +3843,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3221,6 +3949,57 @@
         pub fn has_entry(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_replica(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_replica(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_empty(self) -> bool {
+            self.builder.get_bool_field(32)
+        }
+        #[inline]
+        pub fn set_empty(&mut self, value: bool) {
+            self.builder.set_bool_field(32, value);
+        }
+        #[inline]
+        pub fn get_leads(self) -> bool {
+            self.builder.get_bool_field(33)
+        }
+        #[inline]
+        pub fn set_leads(&mut self, value: bool) {
+            self.builder.set_bool_field(33, value);
+        }
+        #[inline]
+        pub fn get_leader(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_leader(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_leader(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_leader(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
     }
 
     pub struct Pipeline {
@@ -3233,38 +4012,66 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 107] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(126, 22, 106, 62, 125, 44, 27, 184),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(65, 94, 210, 168, 240, 241, 195, 183),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 87, 101, 108, 99, 111),
             ::capnp::word(109, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 32, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 33, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3281,11 +4088,47 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 108, 105, 99, 97, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 109, 112, 116, 121, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 100, 115, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 100, 101, 114, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3304,9 +4147,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 1, 5, 4, 2, 0];
         pub(crate) const TYPE_ID: u64 = 0xb81b_2c7d_3e6a_167e;
     }
 }
--- a/crates/state/src/log.rs
+++ b/crates/state/src/log.rs
@@ -1,20 +1,25 @@
-//! The append-only log: one file a segment, one frame a group commit.
+//! The append-only log: one frame a group commit, in a few files.
 //!
 //! A frame is written whole and synced before the next one is begun, so a bad
 //! frame at the very end is a write that a crash tore, and is cut off; a bad
 //! frame that an intact one follows is damage, and is refused.
 //!
+//! A frame says from which index on it replaces what was there: a replica may
+//! have to give up records that were never agreed on.
+//!
 //! Frame: magic (4 bytes), payload length (4), CRC-32 of all that follows (4),
-//! index of the first record (8), number of records (4), then each record as
-//! length (4) and bytes. All numbers are little-endian.
+//! term (8), vote (8), index of the first record (8), number of records (4),
+//! then each record as length (4), term (8) and bytes. All numbers are
+//! little-endian.
 
 use crate::error::{Error, Result};
+use std::collections::VecDeque;
 use std::fs::{self, File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
 /// Version in the header of each segment.
-pub const FORMAT: u32 = 1;
+pub const FORMAT: u32 = 2;
 /// Largest record, in bytes.
 pub const RECORD_MAX: usize = 8 * 1024 * 1024;
 
@@ -22,18 +27,41 @@
 const SEGMENT_HEAD: usize = 12;
 const FRAME_MAGIC: &[u8; 4] = b"YFRM";
 const FRAME_HEAD: usize = 12;
-const FRAME_FIXED: usize = 12;
+const FRAME_FIXED: usize = 28;
+const RECORD_HEAD: usize = 12;
 const SUFFIX: &str = ".log";
 
-/// A record and its index; the first ever written has index 1.
+/// A record; the first ever written has index 1.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
     /// Position in the log.
     pub index: u64,
+    /// The leader's term when it was made.
+    pub term: u64,
     /// What was appended.
     pub bytes: Box<[u8]>,
 }
 
+/// What a replica must remember of elections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Hard {
+    /// The newest term seen.
+    pub term: u64,
+    /// Whom it voted for in that term, 0 for nobody.
+    pub vote: u64,
+}
+
+/// One write, made durable by one sync.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Frame {
+    /// Replaces the one before.
+    pub hard: Hard,
+    /// Index of the first record; from it on the log is replaced.
+    pub first: u64,
+    /// Terms and contents, possibly none.
+    pub records: Vec<(u64, Box<[u8]>)>,
+}
+
 /// Counts since the log was opened.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -51,62 +79,65 @@
     folder: PathBuf,
     file: File,
     path: PathBuf,
+    next_segment: u64,
     last: u64,
     counts: Counts,
 }
 
+/// What was found in the files of a log.
+#[derive(Debug)]
+pub struct Opened {
+    /// The log, ready to be appended to.
+    pub log: Log,
+    /// All records that follow the one asked for, in order.
+    pub records: Vec<Record>,
+    /// The newest hard state.
+    pub hard: Hard,
+}
+
+/// A file and the index that was next when it was made.
 struct Segment {
+    number: u64,
     first: u64,
     path: PathBuf,
 }
 
 impl Log {
-    /// Opens the log in `folder` and reads what follows record `after`.
+    /// Opens the log in `folder` and reads what follows record `after`, which a
+    /// snapshot contains and which had term `after_term`.
     ///
     /// # Errors
     /// [`Error::DamagedMiddle`] and [`Error::Gap`] when records are missing or
     /// damaged before intact ones; nothing is changed then.
     ///
     /// ```
-    /// # use yuccalink_state::log::Log;
+    /// # use yuccalink_state::log::{Frame, Hard, Log};
     /// let folder = tempfile::tempdir()?;
-    /// let (mut log, records) = Log::open(folder.path(), 0)?;
-    /// assert!(records.is_empty());
-    /// log.append(&[b"first".as_slice()])?;
+    /// let mut log = Log::open(folder.path(), 0, 0)?.log;
+    /// let hard = Hard { term: 1, vote: 7 };
+    /// log.append(&Frame { hard, first: 1, records: vec![(1, (*b"first").into())] })?;
     /// drop(log);
-    /// let (_, records) = Log::open(folder.path(), 0)?;
-    /// assert_eq!(&*records[0].bytes, b"first");
+    /// let opened = Log::open(folder.path(), 0, 0)?;
+    /// assert_eq!((&*opened.records[0].bytes, opened.hard), (b"first".as_slice(), hard));
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
-    pub fn open(folder: &Path, after: u64) -> Result<(Self, Vec<Record>)> {
+    pub fn open(folder: &Path, after: u64, after_term: u64) -> Result<Opened> {
         let segments = segments(folder)?;
-        let mut records = Vec::new();
-        let mut next = None;
-        let count = segments.len();
+        let mut replay = Replay::new(after);
         let mut cut = None;
         for (at, segment) in segments.iter().enumerate() {
-            let read = read_segment(segment, at + 1 == count)?;
-            if let Some(want) = next
-                && segment.first != want
-            {
-                return Err(Error::Gap { from: want, to: segment.first.saturating_sub(1) });
-            }
-            next = Some(segment.first + read.records.len() as u64);
-            cut = read.torn.then_some(read.good);
-            records.extend(read.records.into_iter().filter(|record| record.index > after));
+            let is_last = at + 1 == segments.len();
+            cut = read_segment(segment, is_last, &mut replay)?;
         }
-        if let Some(first) = records.first()
-            && first.index != after + 1
-        {
-            return Err(Error::Gap { from: after + 1, to: first.index - 1 });
-        }
-        let last = next.map_or(after, |next| (next - 1).max(after));
+        let (records, last) = replay.finish(after, after_term)?;
+        let next_segment = segments.last().map_or(1, |segment| segment.number + 1);
         let (file, path) = match segments.last() {
-            Some(segment) if next == Some(last + 1) => open_tail(segment, cut)?,
-            _ => create_segment(folder, last + 1)?,
+            Some(segment) => open_tail(segment, cut)?,
+            None => create_segment(folder, next_segment, last + 1)?,
         };
-        let log = Self { folder: folder.into(), file, path, last, counts: Counts::default() };
-        Ok((log, records))
+        let counts = Counts::default();
+        let log = Self { folder: folder.into(), file, path, next_segment, last, counts };
+        Ok(Opened { log, records, hard: replay.hard })
     }
 
     /// Index of the last record, 0 when there is none.
@@ -119,23 +150,19 @@
         self.counts
     }
 
-    /// Appends all of `records` in one frame and syncs once. When this returns
-    /// they survive any crash.
+    /// Writes a frame and syncs once. When this returns it survives any crash.
     ///
     /// # Errors
     /// [`Error::TooLarge`] changes nothing. After [`Error::Io`] the log must be
     /// opened anew: what reached the disk is not known.
-    pub fn append(&mut self, records: &[&[u8]]) -> Result<()> {
-        if records.is_empty() {
-            return Ok(());
-        }
-        let frame = frame(self.last + 1, records)?;
-        self.file.write_all(&frame).map_err(|e| Error::io("append to", &self.path, e))?;
+    pub fn append(&mut self, frame: &Frame) -> Result<()> {
+        let bytes = encode(frame)?;
+        self.file.write_all(&bytes).map_err(|e| Error::io("append to", &self.path, e))?;
         self.file.sync_data().map_err(|e| Error::io("sync", &self.path, e))?;
-        self.last += records.len() as u64;
+        self.last = (frame.first + frame.records.len() as u64).saturating_sub(1);
         self.counts.syncs += 1;
-        self.counts.records += records.len() as u64;
-        self.counts.bytes += frame.len() as u64;
+        self.counts.records += frame.records.len() as u64;
+        self.counts.bytes += bytes.len() as u64;
         Ok(())
     }
 
@@ -144,7 +171,8 @@
     /// # Errors
     /// [`Error::Io`] when the file cannot be made.
     pub fn roll(&mut self) -> Result<()> {
-        (self.file, self.path) = create_segment(&self.folder, self.last + 1)?;
+        self.next_segment += 1;
+        (self.file, self.path) = create_segment(&self.folder, self.next_segment, self.last + 1)?;
         Ok(())
     }
 
@@ -155,10 +183,11 @@
     pub fn forget(&mut self, index: u64) -> Result<()> {
         let segments = segments(&self.folder)?;
         for pair in segments.windows(2) {
-            if pair[1].first <= index + 1 && pair[0].path != self.path {
-                let path = &pair[0].path;
-                fs::remove_file(path).map_err(|e| Error::io("remove", path, e))?;
+            if pair[1].first > index + 1 || pair[0].path == self.path {
+                break;
             }
+            let path = &pair[0].path;
+            fs::remove_file(path).map_err(|e| Error::io("remove", path, e))?;
         }
         sync_folder(&self.folder)
     }
@@ -171,149 +200,220 @@
         .map_err(|e| Error::io("sync the folder", folder, e))
 }
 
-fn frame(first: u64, records: &[&[u8]]) -> Result<Vec<u8>> {
-    let mut body = Vec::with_capacity(records.iter().map(|r| r.len() + 4).sum::<usize>() + 64);
-    body.extend_from_slice(&first.to_le_bytes());
-    body.extend_from_slice(&length(records.len())?.to_le_bytes());
-    for record in records {
-        if record.len() > RECORD_MAX {
-            return Err(Error::TooLarge { size: record.len(), limit: RECORD_MAX });
+/// Records as the frames make and replace them.
+struct Replay {
+    records: VecDeque<Record>,
+    next: Option<u64>,
+    after: u64,
+    hard: Hard,
+}
+
+impl Replay {
+    fn new(after: u64) -> Self {
+        Self { records: VecDeque::new(), next: None, after, hard: Hard::default() }
+    }
+
+    /// A segment begins where the one before it ended, unless one is missing.
+    fn begin(&mut self, first: u64) -> Result<()> {
+        match self.next {
+            Some(next) if first > next && first > self.after + 1 => {
+                Err(Error::Gap { from: next, to: first - 1 })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn take(&mut self, frame: Frame) -> Result<()> {
+        let next = self.next.unwrap_or(frame.first);
+        if frame.first > next {
+            // Only a snapshot that was taken over from the leader may lie between.
+            if frame.first > self.after + 1 {
+                return Err(Error::Gap { from: next, to: frame.first - 1 });
+            }
+            self.records.clear();
+        }
+        while self.records.back().is_some_and(|record| record.index >= frame.first) {
+            self.records.pop_back();
+        }
+        self.hard = frame.hard;
+        let mut index = frame.first;
+        for (term, bytes) in frame.records {
+            self.records.push_back(Record { index, term, bytes });
+            index += 1;
+        }
+        self.next = Some(index);
+        Ok(())
+    }
+
+    fn finish(&mut self, after: u64, after_term: u64) -> Result<(Vec<Record>, u64)> {
+        let conflicts = |record: &Record| record.index == after && record.term != after_term;
+        // The snapshot was taken over while the log held a branch that was given
+        // up; the crash came before that was written. What follows is of the branch.
+        if self.records.iter().any(conflicts) {
+            self.records.clear();
+            self.next = None;
+        }
+        self.records.retain(|record| record.index > after);
+        if let Some(first) = self.records.front()
+            && first.index != after + 1
+        {
+            return Err(Error::Gap { from: after + 1, to: first.index - 1 });
+        }
+        let last = self.next.map_or(after, |next| (next - 1).max(after));
+        Ok((std::mem::take(&mut self.records).into(), last))
+    }
+}
+
+fn encode(frame: &Frame) -> Result<Vec<u8>> {
+    let size = frame.records.iter().map(|(_, bytes)| bytes.len() + RECORD_HEAD).sum::<usize>();
+    let mut body = Vec::with_capacity(size + FRAME_FIXED);
+    body.extend_from_slice(&frame.hard.term.to_le_bytes());
+    body.extend_from_slice(&frame.hard.vote.to_le_bytes());
+    body.extend_from_slice(&frame.first.to_le_bytes());
+    body.extend_from_slice(&length(frame.records.len())?.to_le_bytes());
+    for (term, bytes) in &frame.records {
+        if bytes.len() > RECORD_MAX {
+            return Err(Error::TooLarge { size: bytes.len(), limit: RECORD_MAX });
         }
-        body.extend_from_slice(&length(record.len())?.to_le_bytes());
-        body.extend_from_slice(record);
+        body.extend_from_slice(&length(bytes.len())?.to_le_bytes());
+        body.extend_from_slice(&term.to_le_bytes());
+        body.extend_from_slice(bytes);
     }
-    let mut frame = Vec::with_capacity(body.len() + FRAME_HEAD);
-    frame.extend_from_slice(FRAME_MAGIC);
-    frame.extend_from_slice(&length(body.len())?.to_le_bytes());
-    frame.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
-    frame.extend_from_slice(&body);
-    Ok(frame)
+    let mut buf = Vec::with_capacity(body.len() + FRAME_HEAD);
+    buf.extend_from_slice(FRAME_MAGIC);
+    buf.extend_from_slice(&length(body.len())?.to_le_bytes());
+    buf.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    buf.extend_from_slice(&body);
+    Ok(buf)
 }
 
 fn length(size: usize) -> Result<u32> {
     u32::try_from(size).map_err(|_| Error::TooLarge { size, limit: u32::MAX as usize })
 }
 
+/// Segments in the order in which they were made.
 fn segments(folder: &Path) -> Result<Vec<Segment>> {
     let mut found = Vec::new();
     let entries = fs::read_dir(folder).map_err(|e| Error::io("list", folder, e))?;
     for entry in entries {
         let path = entry.map_err(|e| Error::io("list", folder, e))?.path();
         let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
-        if let Some(first) = name.strip_suffix(SUFFIX).and_then(|text| text.parse().ok()) {
-            found.push(Segment { first, path });
+        let parts = name.strip_suffix(SUFFIX).and_then(|stem| stem.split_once('-'));
+        let Some((number, first)) = parts else { continue };
+        if let (Ok(number), Ok(first)) = (number.parse(), first.parse()) {
+            found.push(Segment { number, first, path });
         }
     }
-    found.sort_by_key(|segment| segment.first);
+    found.sort_by_key(|segment| segment.number);
     Ok(found)
 }
 
-fn create_segment(folder: &Path, first: u64) -> Result<(File, PathBuf)> {
-    let path = folder.join(format!("{first:020}{SUFFIX}"));
-    let fail = |e| Error::io("create", &path, e);
-    let mut file =
-        OpenOptions::new().create(true).write(true).truncate(true).open(&path).map_err(fail)?;
-    file.write_all(SEGMENT_MAGIC).map_err(fail)?;
-    file.write_all(&FORMAT.to_le_bytes()).map_err(fail)?;
+fn create_segment(folder: &Path, number: u64, first: u64) -> Result<(File, PathBuf)> {
+    let path = folder.join(format!("{number:010}-{first:020}{SUFFIX}"));
+    write_head(&path)?;
     // First the file, then the name in the folder: the other order could leave
     // a name without a header after a crash.
-    file.sync_all().map_err(fail)?;
     sync_folder(folder)?;
-    Ok((file, path))
+    open_at_end(&path)
 }
 
-fn open_tail(segment: &Segment, cut: Option<u64>) -> Result<(File, PathBuf)> {
-    let path = &segment.path;
+fn write_head(path: &Path) -> Result<()> {
+    let fail = |e| Error::io("create", path, e);
+    let mut file = File::create(path).map_err(fail)?;
+    file.write_all(SEGMENT_MAGIC).map_err(fail)?;
+    file.write_all(&FORMAT.to_le_bytes()).map_err(fail)?;
+    file.sync_all().map_err(fail)
+}
+
+fn open_at_end(path: &Path) -> Result<(File, PathBuf)> {
     let fail = |e| Error::io("open", path, e);
     let mut file = OpenOptions::new().read(true).write(true).open(path).map_err(fail)?;
-    if let Some(good) = cut {
-        if good < SEGMENT_HEAD as u64 {
-            drop(file);
-            let folder = path.parent().unwrap_or(Path::new("."));
-            return create_segment(folder, segment.first);
-        }
-        file.set_len(good).map_err(fail)?;
-        file.sync_all().map_err(fail)?;
-    }
     file.seek(SeekFrom::End(0)).map_err(fail)?;
-    Ok((file, path.clone()))
+    Ok((file, path.into()))
 }
 
-struct ReadSegment {
-    records: Vec<Record>,
-    good: u64,
-    torn: bool,
+/// Opens the last segment, without the torn frame at its end.
+fn open_tail(segment: &Segment, cut: Option<u64>) -> Result<(File, PathBuf)> {
+    let path = &segment.path;
+    let fail = |e| Error::io("open", path, e);
+    match cut {
+        Some(good) if good < SEGMENT_HEAD as u64 => write_head(path)?,
+        Some(good) => {
+            let file = OpenOptions::new().write(true).open(path).map_err(fail)?;
+            file.set_len(good).map_err(fail)?;
+            file.sync_all().map_err(fail)?;
+        }
+        None => {}
+    }
+    open_at_end(path)
 }
 
-fn read_segment(segment: &Segment, is_last: bool) -> Result<ReadSegment> {
+/// Reads a segment; returns where its torn end begins, if it has one.
+fn read_segment(segment: &Segment, is_last: bool, replay: &mut Replay) -> Result<Option<u64>> {
     let path = &segment.path;
+    replay.begin(segment.first)?;
     let mut buf = Vec::new();
     File::open(path)
         .and_then(|mut f| f.read_to_end(&mut buf))
         .map_err(|e| Error::io("read", path, e))?;
-    let mut read = ReadSegment { records: Vec::new(), good: 0, torn: false };
-    let shown: Box<str> = path.display().to_string().into();
+    let damaged = |offset: usize| Error::DamagedMiddle {
+        path: path.display().to_string().into(),
+        offset: offset as u64,
+    };
     if buf.len() < SEGMENT_HEAD || &buf[..8] != SEGMENT_MAGIC {
-        if is_last && find_frame(&buf, 0, segment.first).is_none() {
-            read.torn = true;
-            return Ok(read);
-        }
-        return Err(Error::DamagedMiddle { path: shown, offset: 0 });
+        return match is_last && find_frame(&buf, 0).is_none() {
+            true => Ok(Some(0)),
+            false => Err(damaged(0)),
+        };
     }
     let found = le_u32(&buf, 8);
     if found != FORMAT {
-        return Err(Error::Version { path: shown, found, known: FORMAT });
+        let path = path.display().to_string().into();
+        return Err(Error::Version { path, found, known: FORMAT });
     }
     let mut at = SEGMENT_HEAD;
-    let mut next = segment.first;
     while at < buf.len() {
-        match parse_frame(&buf[at..], next) {
-            Some((size, mut records)) => {
-                next += records.len() as u64;
-                read.records.append(&mut records);
+        match parse_frame(&buf[at..]) {
+            Some((size, frame)) => {
+                replay.take(frame)?;
                 at += size;
             }
-            None if is_last && find_frame(&buf, at + 1, next).is_none() => {
-                read.torn = true;
-                break;
-            }
-            None => return Err(Error::DamagedMiddle { path: shown, offset: at as u64 }),
+            None if is_last && find_frame(&buf, at + 1).is_none() => return Ok(Some(at as u64)),
+            None => return Err(damaged(at)),
         }
     }
-    read.good = at as u64;
-    Ok(read)
+    Ok(None)
 }
 
-/// Whether an intact frame of record `from` or later begins at or after `start`.
-fn find_frame(buf: &[u8], start: usize, from: u64) -> Option<usize> {
-    (start..buf.len().saturating_sub(FRAME_HEAD + FRAME_FIXED)).find(|at| {
-        let rest = &buf[*at..];
-        rest.starts_with(FRAME_MAGIC)
-            && rest.len() >= FRAME_HEAD + 8
-            && le_u64(rest, FRAME_HEAD) >= from
-            && parse_frame(rest, le_u64(rest, FRAME_HEAD)).is_some()
-    })
+/// Where an intact frame begins at or after `start`.
+fn find_frame(buf: &[u8], start: usize) -> Option<usize> {
+    let end = buf.len().saturating_sub(FRAME_HEAD + FRAME_FIXED - 1);
+    (start..end).find(|at| parse_frame(&buf[*at..]).is_some())
 }
 
-fn parse_frame(buf: &[u8], first: u64) -> Option<(usize, Vec<Record>)> {
+fn parse_frame(buf: &[u8]) -> Option<(usize, Frame)> {
     if buf.len() < FRAME_HEAD + FRAME_FIXED || !buf.starts_with(FRAME_MAGIC) {
         return None;
     }
     let size = le_u32(buf, 4) as usize;
     let body = buf.get(FRAME_HEAD..FRAME_HEAD.checked_add(size)?)?;
-    if size < FRAME_FIXED || crc32fast::hash(body) != le_u32(buf, 8) || le_u64(body, 0) != first {
+    if size < FRAME_FIXED || crc32fast::hash(body) != le_u32(buf, 8) {
         return None;
     }
-    let count = le_u32(body, 8) as usize;
+    let hard = Hard { term: le_u64(body, 0), vote: le_u64(body, 8) };
+    let first = le_u64(body, 16);
+    let count = le_u32(body, 24) as usize;
     let mut records = Vec::new();
     let mut at = FRAME_FIXED;
-    for n in 0..count {
-        let size = u32::from_le_bytes(body.get(at..at + 4)?.try_into().ok()?) as usize;
-        let bytes = body.get(at + 4..(at + 4).checked_add(size)?)?;
-        records.push(Record { index: first + n as u64, bytes: bytes.into() });
-        at += 4 + size;
+    for _ in 0..count {
+        let head = body.get(at..at + RECORD_HEAD)?;
+        let start = at + RECORD_HEAD;
+        let bytes = body.get(start..start.checked_add(le_u32(head, 0) as usize)?)?;
+        records.push((le_u64(head, 4), bytes.into()));
+        at = start + bytes.len();
     }
-    (at == body.len()).then_some((FRAME_HEAD + size, records))
+    let whole = at == body.len() && first > 0;
+    whole.then_some((FRAME_HEAD + size, Frame { hard, first, records }))
 }
 
 fn le_u32(buf: &[u8], at: usize) -> u32 {
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -4,22 +4,34 @@
 use crate::error::{Error, Result};
 use crate::log::sync_folder;
 use crate::machine::Machine;
+use serde::{Deserialize, Serialize};
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 
 /// Version in the header of each snapshot.
-pub const FORMAT: u32 = 1;
+pub const FORMAT: u32 = 2;
 
 const MAGIC: &[u8; 8] = b"YUCCASNP";
-const HEAD: usize = 8 + 4 + 8 + 4;
+const HEAD: usize = 8 + 4 + 4;
 const SUFFIX: &str = ".snapshot";
 
-/// A machine and the last record that it contains.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Snapshot {
+/// What a snapshot stands for.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Meta {
     /// Index of the last record applied.
     pub index: u64,
+    /// That record's term.
+    pub term: u64,
+    /// The members after it, encoded by the layer above.
+    pub members: Box<[u8]>,
+}
+
+/// A machine and what it stands for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Snapshot {
+    /// The last record applied, and the members.
+    pub meta: Meta,
     /// The state after it.
     pub machine: Machine,
 }
@@ -30,18 +42,18 @@
 /// [`Error::Decode`] when the codec refuses, which it has no cause to.
 ///
 /// ```
-/// # use yuccalink_state::{snapshot, Machine};
-/// let bytes = snapshot::encode(7, &Machine::new())?;
-/// assert_eq!(snapshot::decode(&bytes, "memory")?.index, 7);
+/// # use yuccalink_state::{snapshot::{self, Meta}, Machine};
+/// let meta = Meta { index: 7, term: 2, members: [].into() };
+/// let bytes = snapshot::encode(&meta, &Machine::new())?;
+/// assert_eq!(snapshot::decode(&bytes, "memory")?.meta, meta);
 /// # Ok::<(), yuccalink_state::Error>(())
 /// ```
-pub fn encode(index: u64, machine: &Machine) -> Result<Vec<u8>> {
-    let body = postcard::to_stdvec(machine)
+pub fn encode(meta: &Meta, machine: &Machine) -> Result<Vec<u8>> {
+    let body = postcard::to_stdvec(&(meta, machine))
         .map_err(|source| Error::Decode { what: "a snapshot", source })?;
     let mut buf = Vec::with_capacity(body.len() + HEAD);
     buf.extend_from_slice(MAGIC);
     buf.extend_from_slice(&FORMAT.to_le_bytes());
-    buf.extend_from_slice(&index.to_le_bytes());
     buf.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
     buf.extend_from_slice(&body);
     Ok(buf)
@@ -62,15 +74,14 @@
     if found != FORMAT {
         return Err(Error::Version { path: shown.into(), found, known: FORMAT });
     }
-    let index = buf[12..20].try_into().map_or(0, u64::from_le_bytes);
     let body = &buf[HEAD..];
-    if crc32fast::hash(body) != number(20) {
+    if crc32fast::hash(body) != number(12) {
         return Err(damaged());
     }
-    let mut machine: Machine = postcard::from_bytes(body)
+    let (meta, mut machine): (Meta, Machine) = postcard::from_bytes(body)
         .map_err(|source| Error::Decode { what: "a snapshot", source })?;
     machine.reindex();
-    Ok(Snapshot { index, machine })
+    Ok(Snapshot { meta, machine })
 }
 
 /// Writes `bytes` as the snapshot of record `index`; it is durable on return.
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -1,16 +1,20 @@
-//! One data folder: its lock, its log and its snapshots.
+//! One data folder: its lock, its identity, its log and its snapshots.
 
 use crate::command::Command;
 use crate::error::{Error, Result};
-use crate::log::{Counts, Log};
+use crate::log::{Counts, Frame, Hard, Log, Opened, Record, sync_folder};
 use crate::machine::Machine;
-use crate::snapshot;
+use crate::snapshot::{self, Meta};
 use std::fs::{self, File, TryLockError};
+use std::io::Write;
 use std::path::{Path, PathBuf};
 
 /// Snapshots kept: the newest, and one before it in case the newest is damaged.
 pub const SNAPSHOTS_KEPT: usize = 2;
 
+const LOCK: &str = "lock";
+const IDENTITY: &str = "replica";
+
 /// An open data folder. Dropping it releases the lock.
 #[derive(Debug)]
 pub struct Store {
@@ -22,51 +26,63 @@
 /// What was found in a data folder.
 #[derive(Debug)]
 pub struct Recovered {
-    /// The state after the last durable record.
+    /// This disk's identity, drawn at its first use.
+    pub replica: u64,
+    /// What the snapshot stands for.
+    pub meta: Meta,
+    /// The state in the snapshot.
     pub machine: Machine,
-    /// Records that were read and applied after the snapshot.
-    pub replayed: u64,
+    /// The records after it, which may or may not be agreed on.
+    pub records: Vec<Record>,
+    /// The newest hard state.
+    pub hard: Hard,
 }
 
 impl Store {
-    /// Opens or makes the data folder and recovers the state in it.
+    /// Opens or makes the data folder and recovers what is in it; `draw` is the
+    /// identity of the disk if this is its first use.
     ///
     /// # Errors
-    /// [`Error::Locked`] when another daemon has it open; the errors of
-    /// [`Log::open`] and [`snapshot::newest`] when files are damaged.
+    /// [`Error::Locked`] when another daemon has it open; [`Error::Identity`]
+    /// when files are missing; the errors of [`Log::open`] and
+    /// [`snapshot::newest`] when files are damaged.
     ///
     /// ```
-    /// # use yuccalink_state::{Store, Command};
+    /// # use yuccalink_state::{Store, log::Frame};
     /// let folder = tempfile::tempdir()?;
-    /// let (mut store, found) = Store::open(folder.path())?;
-    /// assert_eq!(found.replayed, 0);
-    /// store.append(&[Command::Cancel([].into())])?;
+    /// let (mut store, found) = Store::open(folder.path(), 7)?;
+    /// assert_eq!((found.replica, found.records.len()), (7, 0));
+    /// store.append(&Frame { first: 1, records: vec![(1, [1, 2].into())], ..Frame::default() })?;
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
-    pub fn open(folder: &Path) -> Result<(Self, Recovered)> {
+    pub fn open(folder: &Path, draw: u64) -> Result<(Self, Recovered)> {
         fs::create_dir_all(folder).map_err(|e| Error::io("create", folder, e))?;
         let lock = lock(folder)?;
-        let (mut machine, index) = match snapshot::newest(folder)? {
-            Some(found) => (found.machine, found.index),
-            None => (Machine::new(), 0),
-        };
-        let (log, records) = Log::open(folder, index)?;
-        let replayed = records.len() as u64;
-        for record in records {
-            machine.apply(decode(&record.bytes)?);
+        let found = snapshot::newest(folder)?;
+        let meta = found.as_ref().map(|found| found.meta.clone()).unwrap_or_default();
+        let machine = found.map(|found| found.machine).unwrap_or_default();
+        let known = read_identity(folder)?;
+        if known.is_some() && !has_log(folder)? {
+            return Err(Error::Identity(folder.display().to_string().into()));
         }
+        let Opened { log, records, hard } = Log::open(folder, meta.index, meta.term)?;
+        let used = meta.index > 0 || !records.is_empty() || hard != Hard::default();
+        let replica = match known {
+            Some(replica) => replica,
+            // Without its name a used disk could be taken for one that never voted.
+            None if used => return Err(Error::Identity(folder.display().to_string().into())),
+            None => write_identity(folder, draw)?,
+        };
         let store = Self { folder: folder.into(), log, _lock: lock };
-        Ok((store, Recovered { machine, replayed }))
+        Ok((store, Recovered { replica, meta, machine, records, hard }))
     }
 
-    /// Makes `commands` durable with one sync.
+    /// Makes a frame durable with one sync.
     ///
     /// # Errors
     /// As [`Log::append`].
-    pub fn append(&mut self, commands: &[Command]) -> Result<()> {
-        let records: Vec<Vec<u8>> = commands.iter().map(encode).collect::<Result<_>>()?;
-        let views: Vec<&[u8]> = records.iter().map(Vec::as_slice).collect();
-        self.log.append(&views)
+    pub fn append(&mut self, frame: &Frame) -> Result<()> {
+        self.log.append(frame)
     }
 
     /// Index of the last durable record.
@@ -92,6 +108,15 @@
         }
         Ok(())
     }
+
+    /// Puts a snapshot that came from the leader in place; the log follows with
+    /// the next frame.
+    ///
+    /// # Errors
+    /// [`Error::Io`]; the state on disk stays whole.
+    pub fn install(&mut self, index: u64, bytes: &[u8]) -> Result<()> {
+        snapshot::write(&self.folder, index, bytes)
+    }
 }
 
 /// Encodes a command for the log and the wire.
@@ -118,7 +143,7 @@
 }
 
 fn lock(folder: &Path) -> Result<File> {
-    let path = folder.join("lock");
+    let path = folder.join(LOCK);
     let file = File::create(&path).map_err(|e| Error::io("create", &path, e))?;
     match file.try_lock() {
         Ok(()) => Ok(file),
@@ -126,3 +151,33 @@
         Err(TryLockError::Error(e)) => Err(Error::io("lock", &path, e)),
     }
 }
+
+fn has_log(folder: &Path) -> Result<bool> {
+    let entries = fs::read_dir(folder).map_err(|e| Error::io("list", folder, e))?;
+    let names = entries.filter_map(|entry| entry.ok().map(|entry| entry.file_name()));
+    Ok(names.into_iter().any(|name| name.to_string_lossy().ends_with(".log")))
+}
+
+fn read_identity(folder: &Path) -> Result<Option<u64>> {
+    let path = folder.join(IDENTITY);
+    match fs::read_to_string(&path) {
+        Ok(text) => match u64::from_str_radix(text.trim(), 16) {
+            Ok(replica) => Ok(Some(replica)),
+            Err(_) => Err(Error::Identity(folder.display().to_string().into())),
+        },
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(Error::io("read", &path, error)),
+    }
+}
+
+fn write_identity(folder: &Path, replica: u64) -> Result<u64> {
+    let path = folder.join(IDENTITY);
+    let draft = folder.join("replica.draft");
+    let fail = |e| Error::io("write", &draft, e);
+    let mut f = File::create(&draft).map_err(fail)?;
+    writeln!(f, "{replica:016x}").map_err(fail)?;
+    f.sync_all().map_err(fail)?;
+    fs::rename(&draft, &path).map_err(|e| Error::io("rename", &draft, e))?;
+    sync_folder(folder)?;
+    Ok(replica)
+}
