--- /dev/null
+++ b/crates/yuccalinkd/tests/system.rs
@@ -0,0 +1,123 @@
+//! Ten real daemons on loopback, three of which keep the state, while they are
+//! killed, frozen, restarted and replaced under load.
+
+mod support;
+
+use std::fs;
+use support::{Daemons, VOTERS, until};
+use yuccalink_fakes::Caller;
+use yuccalink_protocol::api::Status;
+
+fn voters(status: &Status) -> Vec<String> {
+    let voters = status.members.iter().filter(|member| member.voter);
+    voters.map(|member| member.replica.to_string()).collect()
+}
+
+/// The VM of the leader dies, then its successor's. Acknowledged documents and
+/// tasks stay, requests are answered on, and no request with a key runs twice.
+#[test]
+fn the_leaders_death_loses_nothing() {
+    let mut daemons = Daemons::start(10).with_document().with_runners(6).with_workers(2, 8);
+    let body = br#"{"service":"q","kind":"k","count":40,"payload":"run=200ms"}"#;
+    let submit = daemons.control(5).header("idempotency-key", "wave").post("/v1/tasks", body);
+    assert_eq!(submit.expect("an answer").status, 202);
+    let load = daemons.load(6);
+    load.wait_for(100);
+    let mut version = 1;
+    for _ in 0..2 {
+        let leader = daemons.leader();
+        daemons.kill(leader);
+        version += 1;
+        let through = (0..10).find(|at| daemons.children[*at].is_some()).expect("an entry");
+        until("a new leader", || {
+            let reply = daemons.apply(through, version).ok()?;
+            (reply.status == 200).then_some(())
+        });
+        load.wait_for(100);
+        daemons.launch(leader);
+        until("it is back", || daemons.is_ready(leader).then_some(()));
+    }
+    until("every task ended", || (daemons.tasks(7, "finished").len() == 40).then_some(()));
+    let (answered, _) = load.finish();
+    assert!(answered > 300);
+    for at in 0..10 {
+        let reply = daemons.control(at).get("/v1/services/q").expect("an answer").text();
+        assert!(reply.contains(&format!("\"version\":{version}")), "{reply}");
+    }
+    daemons.no_breach();
+}
+
+/// An entry is frozen without a word. A change is in force everywhere all the
+/// same, for the frozen one stops serving when its lease ends; and when it wakes
+/// up it does not answer by the old document.
+#[test]
+fn a_frozen_entry_holds_up_no_change_and_serves_nothing_old() {
+    let daemons = Daemons::start(10).with_document().with_runners(3);
+    let frozen = 9;
+    daemons.signal(frozen, "-STOP");
+    let text = support::DOCUMENT.replace("version = 1", "version = 2").replace("'/any'", "'/new'");
+    let reply = daemons.control(1).put("/v1/services/q", text.as_bytes()).expect("an answer");
+    assert!(reply.text().contains("\"in-force-everywhere\":true"), "{}", reply.text());
+    daemons.signal(frozen, "-CONT");
+    let old = Caller::new(daemons.callers(frozen)).get("/q/any").expect("an answer");
+    assert!(matches!(old.status, 404 | 503), "{}: {}", old.status, old.text());
+    until("it serves again", || {
+        let new = Caller::new(daemons.callers(frozen)).get("/q/new").ok()?;
+        (new.status == 200).then_some(())
+    });
+}
+
+/// A voter's VM is replaced by one with an empty disk, and right after it has
+/// caught up another voter's VM is lost. The system goes on: the new disk votes.
+#[test]
+fn a_replaced_voter_counts_before_the_next_is_lost() {
+    let mut daemons = Daemons::start(10).with_document();
+    let leader = daemons.leader();
+    let others: Vec<usize> = (0..VOTERS).filter(|at| *at != leader).collect();
+    let before = voters(&daemons.status(leader).expect("a status"));
+    daemons.kill(others[0]);
+    for version in 2..40 {
+        assert_eq!(daemons.apply(leader, version).expect("an answer").status, 200);
+    }
+    fs::remove_dir_all(daemons.data(others[0])).expect("the disk is gone");
+    daemons.launch(others[0]);
+    until("the new disk votes", || {
+        let now = voters(&daemons.status(leader)?);
+        let known = now.iter().filter(|replica| before.contains(replica)).count();
+        (now.len() == VOTERS && known == VOTERS - 1).then_some(())
+    });
+    daemons.kill(others[1]);
+    let reply = until("a decision", || {
+        daemons.apply(9, 40).ok().filter(|reply| reply.status == 200)
+    });
+    assert!(reply.text().contains("\"version\":40"), "{}", reply.text());
+    // The leader goes as well: what is left has no quorum, and promises nothing.
+    daemons.kill(leader);
+    let refused = until("an answer", || {
+        daemons.apply(9, 41).ok().filter(|reply| reply.status != 200)
+    });
+    assert_eq!(refused.status, 503, "{}", refused.text());
+    daemons.launch(others[1]);
+    until("a quorum again", || {
+        daemons.apply(9, 41).ok().filter(|reply| reply.status == 200)
+    });
+}
+
+/// Every daemon is stopped and started again, one after the other, under load.
+/// No idempotent request fails, and each daemon ends well.
+#[test]
+fn a_rolling_restart_fails_no_request() {
+    let mut daemons = Daemons::start(10).with_document().with_runners(6);
+    let load = daemons.load(6);
+    load.wait_for(200);
+    for at in 0..10 {
+        assert_eq!(daemons.stop(at), Some(0), "e{}", at + 1);
+        daemons.launch(at);
+        until("it is back", || daemons.is_ready(at).then_some(()));
+        load.wait_for(50);
+    }
+    let (answered, failed) = load.finish();
+    assert!(answered > 700);
+    assert!(failed.is_empty(), "{} failed: {}", failed.len(), failed.join("\n"));
+    daemons.no_breach();
+}
