--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -817,6 +817,8 @@
 
     /// Asks the voter that is furthest to take over, before a planned stop: the
     /// others need not wait until they miss this leader. False when none can.
+    /// From then on it grants nothing until it is elected again: the election it
+    /// asked for, which may come late, does not wait for leases.
     pub fn hand_over(&mut self) -> bool {
         if !self.is_settled() {
             return false;
@@ -976,9 +978,15 @@
         if ok {
             let index = index.min(last);
             progress.reached(index);
-            if matches!(progress.sending, Sending::Snapshot { .. }) && index >= self.log.base() {
-                progress.sending = Sending::Entries;
-                progress.next = index + 1;
+            if let Sending::Snapshot { bytes, .. } = &progress.sending {
+                let offered = bytes.as_ref().map(|(meta, _)| meta.index);
+                if index >= self.log.base() {
+                    progress.sending = Sending::Entries;
+                    progress.next = index + 1;
+                } else if offered.is_some_and(|offered| index >= offered) {
+                    // The entries after it were forgotten while it was on its way.
+                    progress.sending = Sending::Snapshot { asked: false, bytes: None };
+                }
             }
             self.advance();
         } else {
--- a/crates/coordination/tests/raft_guards.rs
+++ b/crates/coordination/tests/raft_guards.rs
@@ -207,3 +207,53 @@
     assert!(replaced.take().messages.is_empty());
     assert!(replaced.is_empty());
 }
+
+/// While a snapshot was on its way to a follower, the leader forgot the entries
+/// after it. The follower has the snapshot now and needs a newer one; offered the
+/// same for ever, it would never catch up, and with another voter gone nothing
+/// would be decided any more.
+#[test]
+fn a_snapshot_that_was_overtaken_is_followed_by_a_newer_one() {
+    let mut leader = replica(A, 3, &[1, 1, 1, 1]);
+    let term = elect(&mut leader, at(900));
+    let echo = at(900);
+    step(&mut leader, at(901), B, Message::AppendReply { term, ok: true, index: 6, echo });
+    assert_eq!(leader.commit(), 6);
+    leader.compact(6, 0);
+    let refused = Message::AppendReply { term, ok: false, index: 0, echo };
+    leader.step(at(902), Envelope { from: C, to: A, message: refused });
+    assert_eq!(leader.take().need_snapshot, [C]);
+    let old = SnapshotMeta { index: 3, term: 1, members: members(&[A, B, C]) };
+    leader.offer_snapshot(at(903), C, old, Arc::from([1, 2]));
+    let has_old = Message::AppendReply { term, ok: true, index: 3, echo };
+    leader.step(at(904), Envelope { from: C, to: A, message: has_old });
+    assert_eq!(leader.take().need_snapshot, [C]);
+}
+
+/// A voter gives its vote, and a follower acknowledges entries. Neither word may
+/// leave before the disk has it: after a crash the replica would not know of it.
+#[test]
+fn a_promise_waits_for_the_disk() {
+    let mut voter = replica(B, 3, &[]);
+    voter.step(at(900), Envelope { from: C, to: B, message: vote(4, false) });
+    let output = voter.take();
+    let (seq, reply) = output.messages.last().expect("a reply");
+    assert!(matches!(reply.message, Message::VoteReply { granted: true, .. }));
+    assert_eq!(output.persist.last().expect("a write").seq, *seq);
+    assert_eq!(output.persist.last().expect("a write").hard.vote, Some(C));
+
+    let mut follower = replica(B, 3, &[]);
+    let append = Message::Append {
+        term: 3,
+        prev: 1,
+        prev_term: 1,
+        entries: vec![entry(3, 7)],
+        commit: 0,
+        sent: Moment::ZERO,
+    };
+    follower.step(at(1), Envelope { from: A, to: B, message: append });
+    let output = follower.take();
+    let (seq, reply) = output.messages.last().expect("a reply");
+    assert!(matches!(reply.message, Message::AppendReply { ok: true, index: 2, .. }));
+    assert_eq!(output.persist.last().expect("a write").seq, *seq);
+}
