Save, verify and restore the state; stray tasks are stopped

Cause: with two of three disks lost there was no way on; and a worker that held a task it should not was only logged. Ruled out: starting from the one disk that is left by editing its members: entries and workers have seen later revisions, terms and epochs and would ignore it.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -73,6 +73,10 @@
             ["v1", "tasks", ..] => self.tasks(asked).await,
             ["v1", "status"] => self.status(&asked).await,
             ["v1", "decisions"] => self.decisions(&asked).await,
+            ["v1", "snapshot"] => {
+                only_get(&asked)?;
+                self.pass(Ask::Snapshot).await
+            }
             _ => Err(no_path(head.uri.path())),
         }
     }
@@ -247,6 +251,7 @@
         Answer::Status(value) => reply::json(ok, &value),
         Answer::Targets(value) => reply::json(ok, &value),
         Answer::Decisions(value) => reply::json(ok, &value),
+        Answer::Snapshot(bytes) => reply::with_body(ok, "application/octet-stream", bytes.into()),
         Answer::Problem(problem) => return Err(problem),
     })
 }
--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -2,9 +2,9 @@
 //! carries out what follows from committed ones. Knows nothing of sockets.
 
 use crate::clock::{Clock, unix_ms};
-use crate::shared::Shared;
+use crate::shared::{Shared, no_leader};
 use crate::views;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot, watch};
@@ -24,7 +24,7 @@
 };
 use yuccalink_protocol::problem::{Kind, Problem, Ran};
 use yuccalink_state::command::{Apply, Command, Missing, Outcome, Submit, TaskEvent, TaskReport};
-use yuccalink_state::id::{Incarnation, Name, Revision, TaskId, WorkerKey};
+use yuccalink_state::id::{Epoch, Incarnation, Name, Revision, TaskId, WorkerKey};
 use yuccalink_state::target::TargetSpec;
 use yuccalink_state::task::Task;
 use yuccalink_state::worker::WorkerPhase;
@@ -89,6 +89,8 @@
     plan_due: bool,
     going: BTreeSet<Name>,
     dirty: BTreeSet<WorkerKey>,
+    /// Tasks that workers hold and should not, to be stopped.
+    strays: BTreeMap<WorkerKey, Vec<(TaskId, Epoch)>>,
     swept: Moment,
     force: Vec<ForceWaiter>,
     /// Whether the directory is complete; see [`News::settled`].
@@ -124,6 +126,7 @@
             plan_due: true,
             going: BTreeSet::new(),
             dirty: BTreeSet::new(),
+            strays: BTreeMap::new(),
             swept: started,
             force: Vec::new(),
             settled: false,
@@ -186,6 +189,8 @@
             Ask::Status => Answer::Status(Box::new(self.status(LogView::default(), Vec::new()))),
             Ask::Targets => Answer::Targets(self.targets()),
             Ask::Decisions => Answer::Decisions(self.shared.decisions.list()),
+            // Answered by the replica, which knows the log.
+            Ask::Snapshot => Answer::Problem(no_leader()),
         };
         let _ = reply.send(answer);
     }
@@ -375,6 +380,9 @@
         let differences = self.reconcile.compare(&self.machine, key, &held);
         if !differences.stray.is_empty() {
             log::warn!("worker {name} holds {} tasks it should not", differences.stray.len());
+            self.strays.insert(key, differences.stray);
+            self.dirty.insert(key);
+            self.orders.notify_one();
         }
         let lost = differences.lost.into_iter();
         let lost = lost.map(|(task, epoch)| TaskReport { task, epoch, event: TaskEvent::Stopped });
@@ -821,7 +829,10 @@
         let mut batches = Vec::new();
         for key in ready {
             self.dirty.remove(&key);
-            let due = self.dispatch.due(now, &self.machine, key);
+            let mut due = self.dispatch.due(now, &self.machine, key);
+            for (task, epoch) in self.strays.remove(&key).unwrap_or_default() {
+                due.push(Due { task, epoch, order: Order::Stop });
+            }
             if due.is_empty() {
                 continue;
             }
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -3,7 +3,7 @@
 
 use crate::journal::{Done, Journal, from_hard, to_entry};
 use crate::leader::Leader;
-use crate::shared::Shared;
+use crate::shared::{Shared, no_leader};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -152,6 +152,13 @@
         let is_status = matches!(ask, Ask::Status);
         let members = is_status.then(|| self.member_views());
         let log = self.log_view();
+        if self.leader().is_none() {
+            return Err((ask, reply));
+        }
+        if ask == Ask::Snapshot {
+            let _ = reply.send(self.saved());
+            return Ok(());
+        }
         let Some(leader) = self.leader() else { return Err((ask, reply)) };
         if let Some(members) = members {
             let status: Status = leader.status(log, members);
@@ -175,6 +182,13 @@
         self.leader().map(|leader| leader.news_for(state))
     }
 
+    fn saved(&self) -> Answer {
+        match self.encode_snapshot() {
+            Some((_, bytes)) => Answer::Snapshot(bytes.into()),
+            None => Answer::Problem(no_leader()),
+        }
+    }
+
     fn log_view(&self) -> LogView {
         LogView {
             last: self.raft.last(),
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -174,6 +174,16 @@
         self.get("/v1/decisions").await
     }
 
+    /// The whole state of the system, as a snapshot.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`].
+    pub async fn snapshot(&self) -> Result<Vec<u8>> {
+        let path = "/v1/snapshot";
+        let call = Call { method: Method::GET, path, kind: "", body: Vec::new(), key: None };
+        self.call_bytes(call).await
+    }
+
     async fn get<T>(&self, path: &str) -> Result<T>
     where
         T: DeserializeOwned,
@@ -192,21 +202,23 @@
         self.call(Call { method: Method::POST, path, kind, body, key }).await
     }
 
-    /// Tries each server in turn until one answers or the time is up. Every call
-    /// is safe to send again: by its key, its version, or because it only reads.
     async fn call<T>(&self, call: Call<'_>) -> Result<T>
     where
         T: DeserializeOwned,
     {
+        let body = self.call_bytes(call).await?;
+        serde_json::from_slice(&body).map_err(|e| Error::Answer(e.to_string().into()))
+    }
+
+    /// Tries each server in turn until one answers or the time is up. Every call
+    /// is safe to send again: by its key, its version, or because it only reads.
+    async fn call_bytes(&self, call: Call<'_>) -> Result<Vec<u8>> {
         let deadline = Instant::now() + self.timeout;
         let mut last: Box<str> = "none is set".into();
         loop {
             for server in &self.servers {
                 match self.try_server(*server, &call, deadline).await {
-                    Ok((true, body)) => {
-                        return serde_json::from_slice(&body)
-                            .map_err(|e| Error::Answer(e.to_string().into()));
-                    }
+                    Ok((true, body)) => return Ok(body),
                     Ok((false, body)) => {
                         let problem: Problem = serde_json::from_slice(&body)
                             .map_err(|e| Error::Answer(e.to_string().into()))?;
--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -4,16 +4,18 @@
 use crate::client::Client;
 use crate::error::{Error, Result};
 use crate::render;
+use crate::saved;
 use serde_json::{Value, json};
 use similar::TextDiff;
 use std::fs;
 use std::io::{self, Read as _, Write as _};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 use yuccalink_protocol::api::{SubmitTasks, TaskView};
 use yuccalink_protocol::document;
 use yuccalink_state::Document;
-use yuccalink_state::id::TaskId;
+use yuccalink_state::id::{Name, TaskId};
 
 /// How often a waiting command looks again.
 const POLL: Duration = Duration::from_millis(200);
@@ -77,6 +79,27 @@
     Targets,
     /// List the last decisions.
     Decisions,
+    /// Save the state of the system.
+    SnapshotSave {
+        /// Where to.
+        file: Box<str>,
+    },
+    /// Check a saved state.
+    SnapshotVerify {
+        /// The file.
+        file: Box<str>,
+    },
+    /// Make a data folder from a saved state, to found the system anew.
+    SnapshotRestore {
+        /// The file.
+        file: Box<str>,
+        /// The new data folder.
+        data: Box<str>,
+        /// The daemon that will use it.
+        name: Name,
+        /// Where other daemons reach it.
+        address: SocketAddr,
+    },
 }
 
 /// A command's output in both forms.
@@ -135,6 +158,11 @@
             let all = client.targets().await?;
             output(&all, render::targets(&all))
         }
+        Command::SnapshotSave { file } => saved::save(client, &file).await,
+        Command::SnapshotVerify { file } => saved::verify(&file),
+        Command::SnapshotRestore { file, data, name, address } => {
+            saved::restore(&file, &data, &name, address)
+        }
         Command::Decisions => {
             let all = client.decisions().await?;
             output(&all, render::decisions(&all))
--- a/crates/operator/src/completions.rs
+++ b/crates/operator/src/completions.rs
@@ -32,7 +32,7 @@
 }
 
 /// Commands, and what each does in a few words.
-pub const COMMANDS: [(&str, &str); 11] = [
+pub const COMMANDS: [(&str, &str); 12] = [
     ("check", "check documents without sending them"),
     ("apply", "put a document in force"),
     ("get", "print the document in force"),
@@ -42,13 +42,14 @@
     ("status", "show the state of the system"),
     ("targets", "list runners and workers"),
     ("decisions", "list the last decisions"),
+    ("snapshot", "save, verify and restore the state of the system"),
     ("completions", "print shell completions"),
     ("help", "print the long help"),
 ];
 /// Commands below `task`.
 pub const TASK_COMMANDS: [&str; 4] = ["submit", "cancel", "list", "show"];
 /// Flags of any command.
-pub const FLAGS: [&str; 14] = [
+pub const FLAGS: [&str; 17] = [
     "--server",
     "--json",
     "--author",
@@ -63,6 +64,9 @@
     "--phase",
     "--after",
     "--limit",
+    "--data",
+    "--name",
+    "--address",
 ];
 
 /// The completions for a shell.
--- a/crates/operator/src/error.rs
+++ b/crates/operator/src/error.rs
@@ -47,6 +47,15 @@
     Different,
     /// {0}; see `yuccalink --help`
     Usage(Box<str>),
+    /// {0}
+    State(yuccalink_state::Error),
+    /// cannot write {path}: {source}
+    Write {
+        /// The file.
+        path: Box<str>,
+        /// The system's error.
+        source: std::io::Error,
+    },
     /// cannot write the output: {0}
     Output(std::io::Error),
 }
@@ -82,7 +91,12 @@
             Self::Unreachable { .. } => 5,
             Self::NotInForce { .. } => 6,
             Self::Different => 7,
-            Self::Read { .. } | Self::Refused(_) | Self::Answer(_) | Self::Output(_) => 1,
+            Self::State(_) => 8,
+            Self::Read { .. }
+            | Self::Write { .. }
+            | Self::Refused(_)
+            | Self::Answer(_)
+            | Self::Output(_) => 1,
         }
     }
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod completions;
 mod error;
 pub mod render;
+mod saved;
 
 pub use client::{Client, ClientBuilder};
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/operator/src/saved.rs
@@ -0,0 +1,88 @@
+//! Saving the state of a system, checking it, and founding a system anew from it.
+
+use crate::client::Client;
+use crate::command::Output;
+use crate::error::{Error, Result};
+use serde_json::json;
+use std::fs::{self, File};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use yuccalink_coordination::raft::{Member, Members, ReplicaId};
+use yuccalink_protocol::peer;
+use yuccalink_state::id::Name;
+use yuccalink_state::machine::RESTORE_JUMP;
+use yuccalink_state::snapshot::{self, Meta, Snapshot};
+use yuccalink_state::store::Store;
+
+/// Saves the state that the leader has agreed on. The file is whole or not there.
+pub(crate) async fn save(client: &Client, file: &str) -> Result<Output> {
+    let bytes = client.snapshot().await?;
+    let found = snapshot::decode(&bytes, file).map_err(Error::State)?;
+    let fail = |source| Error::Write { path: file.into(), source };
+    let draft = format!("{file}.draft");
+    let mut out = File::create(&draft).map_err(fail)?;
+    out.write_all(&bytes).and_then(|()| out.sync_all()).map_err(fail)?;
+    fs::rename(&draft, file).map_err(fail)?;
+    Ok(described(file, &found))
+}
+
+/// Reads a saved state whole and says what is in it.
+pub(crate) fn verify(file: &str) -> Result<Output> {
+    Ok(described(file, &read(file)?))
+}
+
+/// Makes the data folder of one voter, which then founds the system anew; the
+/// other voters start with empty disks and join it.
+pub(crate) fn restore(file: &str, data: &str, name: &Name, address: SocketAddr) -> Result<Output> {
+    let Snapshot { meta, mut machine } = read(file)?;
+    let replica = drawn();
+    let address = address.to_string().into();
+    let voters = vec![Member { id: ReplicaId(replica), name: name.clone(), address }];
+    let members = Members { voters, learners: Vec::new() };
+    let members = peer::encode(&members).map_err(|e| Error::Answer(e.to_string().into()))?;
+    // Terms that the lost system may have reached must not outdo the new one's.
+    let term = meta.term + RESTORE_JUMP;
+    let meta = Meta { index: meta.index, term, members: members.into() };
+    machine.restore_jump();
+    Store::restore(Path::new(data), replica, &meta, &machine).map_err(Error::State)?;
+    let text = format!(
+        "{data} holds the state up to record {}; start {name} on it, and the other voters with \
+         empty disks\n",
+        meta.index
+    );
+    Ok(Output { text, json: json!({ "data": data, "record": meta.index, "name": name }) })
+}
+
+fn read(file: &str) -> Result<Snapshot> {
+    let bytes = fs::read(file).map_err(|source| Error::Read { path: file.into(), source })?;
+    snapshot::decode(&bytes, file).map_err(Error::State)
+}
+
+fn described(file: &str, found: &Snapshot) -> Output {
+    let Snapshot { meta, machine } = found;
+    let services = machine.services().count();
+    let tasks = machine.tasks().count();
+    let requests = machine.ledger().len();
+    let text = format!(
+        "{file} is whole: record {}, revision {}, {services} services, {tasks} tasks, {requests} \
+         remembered requests\n",
+        meta.index,
+        machine.revision()
+    );
+    let json = json!({
+        "file": file,
+        "record": meta.index,
+        "revision": machine.revision().0,
+        "services": services,
+        "tasks": tasks,
+        "requests": requests,
+    });
+    Output { text, json }
+}
+
+/// The identity of the new disk.
+fn drawn() -> u64 {
+    use rand::TryRng as _;
+    rand::rngs::SysRng.try_next_u64().unwrap_or(1) | 1
+}
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -82,6 +82,8 @@
     Targets,
     /// The leader's last decisions.
     Decisions,
+    /// The whole state, as a snapshot.
+    Snapshot,
 }
 
 /// Which tasks to list.
@@ -131,6 +133,8 @@
     Targets(Vec<TargetView>),
     /// To [`Ask::Decisions`].
     Decisions(Vec<DecisionView>),
+    /// To [`Ask::Snapshot`].
+    Snapshot(Box<[u8]>),
     /// Done, with nothing to say.
     Done,
     /// It cannot be done.
--- a/crates/state/src/error.rs
+++ b/crates/state/src/error.rs
@@ -54,6 +54,8 @@
     },
     /// the data folder {0} lacks its log or its `replica` file; nothing was changed. Put the missing file back, or remove the whole folder: this replica then joins again as a new one
     Identity(Box<str>),
+    /// the folder {0} is not empty; name a new one, or move its content away first
+    NotEmpty(Box<str>),
     /// a record of {size} bytes is over the limit of {limit}; send less at a time
     TooLarge {
         /// Size offered, in bytes.
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -20,6 +20,9 @@
 pub const PAST_SUBMISSIONS: usize = 10_000;
 /// Ended tasks remembered.
 pub const PAST_TASKS: usize = 20_000;
+/// How far numbers jump when a snapshot is restored; more than can have been used
+/// since it was taken.
+pub const RESTORE_JUMP: u64 = 1 << 32;
 /// Failures after which a task is given up.
 pub const FAILURES_MAX: u32 = 3;
 
@@ -253,6 +256,33 @@
         &self.ledger
     }
 
+    /// Makes this older state the newest one again, after everything since was
+    /// lost: numbers that others may have seen higher are moved beyond them.
+    ///
+    /// Entries hold later revisions, workers remember later epochs and tasks;
+    /// without the jump they would take what is restored for old news.
+    ///
+    /// ```
+    /// # use yuccalink_state::{Machine, id::Revision, machine::RESTORE_JUMP};
+    /// let mut machine = Machine::new();
+    /// machine.restore_jump();
+    /// assert_eq!(machine.revision(), Revision(RESTORE_JUMP));
+    /// ```
+    pub fn restore_jump(&mut self) {
+        self.revision.0 += RESTORE_JUMP;
+        for service in &mut self.services {
+            self.revision.0 += 1;
+            service.accepted.revision = self.revision;
+            if let Some(newest) = service.past.back_mut() {
+                newest.revision = self.revision;
+            }
+        }
+        self.last_task += RESTORE_JUMP;
+        for task in self.tasks.values_mut() {
+            task.epoch.0 += RESTORE_JUMP;
+        }
+    }
+
     /// Rebuilds what is derived and so not written to snapshots.
     pub(crate) fn reindex(&mut self) {
         self.held = vec![BTreeSet::new(); self.workers.len()];
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -77,6 +77,29 @@
         Ok((store, Recovered { replica, meta, machine, records, hard }))
     }
 
+    /// Makes a data folder that begins with this snapshot, for a replica that
+    /// founds the system anew from it.
+    ///
+    /// # Errors
+    /// [`Error::NotEmpty`] when the folder holds anything; then nothing is changed.
+    pub fn restore(folder: &Path, replica: u64, meta: &Meta, machine: &Machine) -> Result<()> {
+        fs::create_dir_all(folder).map_err(|e| Error::io("create", folder, e))?;
+        let mut entries = fs::read_dir(folder).map_err(|e| Error::io("list", folder, e))?;
+        if entries.next().is_some() {
+            return Err(Error::NotEmpty(folder.display().to_string().into()));
+        }
+        let lock = lock(folder)?;
+        snapshot::write(folder, meta.index, &snapshot::encode(meta, machine)?)?;
+        let mut log = Log::open(folder, meta.index, meta.term)?.log;
+        let hard = Hard { term: meta.term, vote: 0 };
+        log.append(&Frame { hard, first: meta.index + 1, records: Vec::new() })?;
+        // The identity comes last: a folder without it is refused, so a restore
+        // that broke off is never taken for a whole one.
+        write_identity(folder, replica)?;
+        drop(lock);
+        Ok(())
+    }
+
     /// Makes a frame durable with one sync.
     ///
     /// # Errors
--- a/crates/yuccalink/src/args.rs
+++ b/crates/yuccalink/src/args.rs
@@ -45,6 +45,9 @@
     phase: Option<Box<str>>,
     after: Option<u64>,
     limit: Option<u32>,
+    data: Option<Box<str>>,
+    name: Option<Box<str>>,
+    address: Option<Box<str>>,
 }
 
 fn usage(what: impl Into<Box<str>>) -> Error {
@@ -75,6 +78,7 @@
         ["list"] => Command::List,
         ["diff", file] => Command::Diff { file: (*file).into() },
         ["task", rest @ ..] => task(rest, &given)?,
+        ["snapshot", rest @ ..] => snapshot(rest, &given)?,
         ["status"] => Command::Status,
         ["targets"] => Command::Targets,
         ["decisions"] => Command::Decisions,
@@ -86,6 +90,27 @@
     Ok(Asked::Run(settings(&given, environment)?, command))
 }
 
+fn snapshot(words: &[&str], given: &Given) -> Result<Command> {
+    let need = |value: &Option<Box<str>>, flag: &str| {
+        value.clone().ok_or_else(|| usage(format!("snapshot restore needs {flag}")))
+    };
+    match words {
+        ["save", file] => Ok(Command::SnapshotSave { file: (*file).into() }),
+        ["verify", file] => Ok(Command::SnapshotVerify { file: (*file).into() }),
+        ["restore", file] => {
+            let address = need(&given.address, "--address IP:PORT")?;
+            let wrong = |_| usage(format!("--address: `{address}` is no IP:PORT"));
+            Ok(Command::SnapshotRestore {
+                file: (*file).into(),
+                data: need(&given.data, "--data FOLDER")?,
+                name: name(&need(&given.name, "--name NAME")?)?,
+                address: address.parse().map_err(wrong)?,
+            })
+        }
+        _ => Err(usage("write snapshot save FILE, snapshot verify FILE or snapshot restore FILE")),
+    }
+}
+
 fn task(words: &[&str], given: &Given) -> Result<Command> {
     match words {
         ["submit", service, kind] => Ok(Command::Submit {
@@ -169,6 +194,9 @@
             Arg::Long("service") => given.service = Some(text(&mut parser)?),
             Arg::Long("phase") => given.phase = Some(text(&mut parser)?),
             Arg::Long("after") => given.after = Some(number(&mut parser)?),
+            Arg::Long("data") => given.data = Some(text(&mut parser)?),
+            Arg::Long("name") => given.name = Some(text(&mut parser)?),
+            Arg::Long("address") => given.address = Some(text(&mut parser)?),
             Arg::Long("limit") => given.limit = Some(number(&mut parser)?),
             other => return Err(bad(other.unexpected())),
         }
@@ -261,6 +289,10 @@
   status                    who leads, which revision each entry has in force
   targets                   runners and workers, their health and their owners
   decisions                 the last routing and placement decisions, newest first
+  snapshot save FILE        save the state that is agreed on
+  snapshot verify FILE      read it whole and say what is in it
+  snapshot restore FILE --data FOLDER --name NAME --address IP:PORT
+                            make a voter's data folder to found the system anew from
   completions SHELL         for bash, zsh or fish
 
 Exit codes:
@@ -268,4 +300,5 @@
   3 the document has faults                    4 conflict: another document is in force
   5 no daemon answers                          6 accepted, but not in force everywhere in time
   7 diff: the file differs from what is in force
+  8 a snapshot or a data folder cannot be used
 ";
--- a/crates/yuccalinkd/tests/system.rs
+++ b/crates/yuccalinkd/tests/system.rs
@@ -4,8 +4,11 @@
 mod support;
 
 use std::fs;
-use support::{Daemons, VOTERS, until};
+use support::{Daemons, VOTERS, name, until};
+use tokio::task::LocalSet;
 use yuccalink_fakes::Caller;
+use yuccalink_operator::Client;
+use yuccalink_operator::command::{self, Command};
 use yuccalink_protocol::api::Status;
 
 fn voters(status: &Status) -> Vec<String> {
@@ -117,3 +120,37 @@
     assert!(failed.is_empty(), "{} failed: {}", failed.len(), failed.join("\n"));
     daemons.no_breach();
 }
+
+fn operate(daemons: &Daemons, at: usize, command: Command) -> command::Output {
+    let client = Client::builder().servers(vec![daemons.address(at, 8081)]).build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let work = command::run(&client, command);
+    LocalSet::new().block_on(&runtime.expect("a runtime"), work).expect("an output")
+}
+
+/// All three voters lose their disks. An operator restores a saved state on one of
+/// them; the others join with empty disks, and the seven entries that ran on take
+/// the restored documents although they had seen later ones.
+#[test]
+fn a_lost_quorum_is_restored_from_a_saved_state() {
+    let mut daemons = Daemons::start(10).with_document();
+    assert_eq!(daemons.apply(0, 2).expect("an answer").status, 200);
+    let file: Box<str> = daemons.folder.path().join("saved").to_string_lossy().into();
+    operate(&daemons, 7, Command::SnapshotSave { file: file.clone() });
+    let shown = operate(&daemons, 7, Command::SnapshotVerify { file: file.clone() });
+    assert!(shown.text.contains("revision 2, 1 services"), "{}", shown.text);
+    assert_eq!(daemons.apply(0, 3).expect("an answer").status, 200);
+    for at in 0..VOTERS {
+        daemons.kill(at);
+        fs::remove_dir_all(daemons.data(at)).expect("the disk is gone");
+    }
+    let data = daemons.data(0).to_string_lossy().into();
+    let address = daemons.address(0, 8082);
+    operate(&daemons, 7, Command::SnapshotRestore { file, data, name: name("e1"), address });
+    (0..VOTERS).for_each(|at| daemons.launch(at));
+    until("three voters", || (voters(&daemons.status(9)?).len() == VOTERS).then_some(()));
+    let found = daemons.control(9).get("/v1/services/q").expect("an answer").text();
+    assert!(found.contains("\"version\":2"), "{found}");
+    let reply = until("a change", || daemons.apply(9, 3).ok().filter(|reply| reply.status == 200));
+    assert!(reply.text().contains("\"in-force-everywhere\":true"), "{}", reply.text());
+}
