Daemons prove to each other that they know a shared key

Cause: any process that reached the peer port could vote and decide. Ruled out: TLS for now: certificates for ten plain processes by IP number are more to run than a key file; what is said between daemons is not secret to the VMs' network. Change: an HMAC exchange before the first call; a file of keys, the first shown, any accepted, read anew for each connection. System tests run with it. Before: none. After: four tests, among them the exchange of a key in three steps. Conclusion: kept; the traffic is authenticated at its start only and not encrypted.

--- a/crates/daemon/benches/entry_path.rs
+++ b/crates/daemon/benches/entry_path.rs
@@ -3,6 +3,8 @@
 //! then latency at half of the entry's own throughput.
 //!
 //! `cargo bench -p yuccalink-daemon --bench entry_path 2>/dev/null`
+//!
+//! `THREADS=4` gives the entry other than the 2 threads that the runners have.
 
 use hdrhistogram::Histogram;
 use std::net::SocketAddr;
@@ -19,8 +21,6 @@
 use yuccalink_transport::pool::{Pool, PoolSettings};
 
 const RUNNERS: usize = 2;
-/// As many threads as the runners have: the same processors for both ways.
-const TRAFFIC_THREADS: usize = 2;
 const SLOTS: u32 = 512;
 const LOAD_THREADS: usize = 2;
 const WARM_UP: Duration = Duration::from_millis(500);
@@ -47,10 +47,12 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .target(env_logger::Target::Pipe(yuccalink_daemon::start_logging()?))
         .init();
+    let threads = std::env::var("THREADS").map_or(Ok(2), |text| text.parse())?;
+    println!("entry with {threads} traffic threads, runners with {RUNNERS}\n");
     let folder = tempfile::tempdir()?;
     let any: SocketAddr = "127.0.0.1:0".parse()?;
     let config = Config::builder().data(folder.path()).callers(any).control(any).peer(any);
-    let daemon = Daemon::start(config.traffic_threads(TRAFFIC_THREADS).build()?)?;
+    let daemon = Daemon::start(config.traffic_threads(threads).build()?)?;
     let mut runners = Vec::new();
     for at in 0..RUNNERS {
         runners.push(FakeRunner::start(RunnerSettings {
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -34,6 +34,8 @@
     pub data: Option<PathBuf>,
     /// The daemons that keep the state; empty when this one runs alone.
     pub voters: Vec<Peer>,
+    /// The file of keys that daemons share; without one, any daemon is trusted.
+    pub peer_keys: Option<PathBuf>,
     /// Threads for callers' traffic.
     pub traffic_threads: usize,
     /// Callers' connections at once.
@@ -103,6 +105,7 @@
             peer: at(8082),
             data: None,
             voters: Vec::new(),
+            peer_keys: None,
             traffic_threads: 2,
             connections: 4096,
             body_max: 1024 * 1024,
@@ -141,6 +144,8 @@
         peer: SocketAddr;
         /// See [`Config::voters`].
         voters: Vec<Peer>;
+        /// See [`Config::peer_keys`].
+        peer_keys: Option<PathBuf>;
         /// See [`Config::traffic_threads`].
         traffic_threads: usize;
         /// See [`Config::connections`].
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -121,6 +121,7 @@
 
 fn serve_peers(shared: &Shared, listener: TcpListener, replica: Option<Rc<RefCell<Replica>>>) {
     let config = &shared.config;
+    let keys = shared.keys.clone();
     let voters = config.voters.iter().map(|voter| voter.name.clone()).collect();
     let service: peer::Client =
         capnp_rpc::new_client(PeerService::new(config.name.clone(), voters, replica));
@@ -129,7 +130,7 @@
             .set_nonblocking(true)
             .and_then(|()| tokio::net::TcpListener::from_std(listener));
         match listener {
-            Ok(listener) => drop(rpc::accept(listener, service).await),
+            Ok(listener) => drop(rpc::accept(listener, service, keys).await),
             Err(error) => log::error!("cannot listen for daemons: {error}"),
         }
     });
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -17,6 +17,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot, watch};
 use yuccalink_state::id::Incarnation;
+use yuccalink_transport::auth::Keys;
 use yuccalink_transport::server::{Limits, Server};
 
 /// Threads for targets and operators.
@@ -64,6 +65,8 @@
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
     pub fn start(mut config: Config) -> Result<Self> {
+        let keys = Keys::open(config.peer_keys.clone())
+            .map_err(|bad| Error::Setting { flag: "peer-keys", what: bad.to_string().into() })?;
         let callers = listen(config.callers, "callers", "callers")?;
         let admin = listen(config.control, "targets and operators", "control")?;
         let peers = listen(config.peer, "daemons", "peer")?;
@@ -76,7 +79,7 @@
             None => None,
         };
         let (asks_tx, asks) = mpsc::channel(CONTROL_QUEUE);
-        let shared = Arc::new(Shared::new(config, Clock::start(), asks_tx));
+        let shared = Arc::new(Shared::new(config, keys, Clock::start(), asks_tx));
         let (stop, stopped) = watch::channel(false);
         let (failed_tx, failed) = oneshot::channel();
         let parts = Parts {
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -17,6 +17,7 @@
 use yuccalink_protocol::peer::{self, Answer, Ask, EntryState, News};
 use yuccalink_protocol::problem::{Kind, Problem, Ran};
 use yuccalink_state::id::{Incarnation, Name};
+use yuccalink_transport::auth::NotTrusted;
 use yuccalink_transport::rpc;
 
 /// How long the leader holds back an answer that has no news.
@@ -37,7 +38,7 @@
 #[derive(Debug, displaydoc::Display)]
 pub(crate) enum CallError {
     /// cannot connect: {0}
-    Connect(std::io::Error),
+    Connect(NotTrusted),
     /// no answer in time
     Timeout,
     /// the call failed: {0}
@@ -264,7 +265,7 @@
         &self,
         at: std::net::SocketAddr,
     ) -> Result<(rpc::Link, Greeting), CallError> {
-        let link = rpc::connect(at).await.map_err(CallError::Connect)?;
+        let link = rpc::connect(at, &self.shared.keys).await.map_err(CallError::Connect)?;
         let greeting = greet(&self.shared, self.incarnation, &link).await?;
         Ok((link, greeting))
     }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -22,6 +22,7 @@
 use yuccalink_state::document::Document;
 use yuccalink_state::id::Name;
 use yuccalink_state::target::RunnerSpec;
+use yuccalink_transport::auth::Keys;
 use yuccalink_transport::pool::Destination;
 
 /// Requests to the control thread that may wait; more are refused at once.
@@ -76,6 +77,7 @@
     pub(crate) decisions: Decisions,
     pub(crate) metrics: Metrics,
     pub(crate) in_flight: AtomicUsize,
+    pub(crate) keys: Keys,
     routing: Mutex<Routing>,
     lease_until: AtomicU64,
     draining: AtomicBool,
@@ -87,7 +89,12 @@
 }
 
 impl Shared {
-    pub(crate) fn new(config: Config, clock: Clock, leader: mpsc::Sender<ToLeader>) -> Self {
+    pub(crate) fn new(
+        config: Config,
+        keys: Keys,
+        clock: Clock,
+        leader: mpsc::Sender<ToLeader>,
+    ) -> Self {
         let router = Router::new(config.zone.clone());
         Self {
             decisions: Decisions::new(config.name.clone()),
@@ -96,6 +103,7 @@
             clock,
             view: ArcSwap::default(),
             in_flight: AtomicUsize::new(0),
+            keys,
             routing: Mutex::new(Routing { router, waiting: HashMap::new(), turns: Vec::new() }),
             lease_until: AtomicU64::new(0),
             draining: AtomicBool::new(false),
--- a/crates/daemon/src/voters.rs
+++ b/crates/daemon/src/voters.rs
@@ -99,7 +99,7 @@
             return;
         }
         tokio::task::spawn_local(async move {
-            if let Ok(link) = rpc::connect(address).await
+            if let Ok(link) = rpc::connect(address, &self.shared.keys).await
                 && greet(&self.shared, self.incarnation, &link).await.is_ok()
             {
                 self.links.borrow_mut().insert(address, Rc::new(link));
@@ -171,7 +171,7 @@
     }
 
     async fn greeting(&self, address: SocketAddr) -> Result<Greeting, CallError> {
-        let link = rpc::connect(address).await.map_err(CallError::Connect)?;
+        let link = rpc::connect(address, &self.shared.keys).await.map_err(CallError::Connect)?;
         greet(&self.shared, self.incarnation, &link).await
     }
 
--- /dev/null
+++ b/crates/transport/src/auth.rs
@@ -0,0 +1,255 @@
+//! Proof between daemons that both know a shared key, before anything else is
+//! said on a connection.
+//!
+//! The connecting side names a key by a short digest and sends a nonce; each side
+//! then shows an HMAC-SHA-256 over both nonces. A recorded exchange is of no use
+//! again. What follows is not encrypted: keep it on a network of the entry VMs.
+
+use hmac::{Hmac, Mac};
+use rand::TryRng as _;
+use sha2::{Digest, Sha256};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use std::{fs, io};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Shortest accepted key, in characters.
+pub const KEY_MIN: usize = 32;
+/// Most keys in a file.
+pub const KEYS_MAX: usize = 16;
+/// Longest time for the exchange.
+const TIMEOUT: Duration = Duration::from_secs(2);
+const MAGIC: &[u8; 6] = b"YUCCA1";
+const NONCE: usize = 32;
+const ID: usize = 8;
+const MAC: usize = 32;
+const NO_KEY: [u8; ID] = [0; ID];
+const TAKEN: u8 = 1;
+
+/// Why a connection between daemons is not trusted.
+#[derive(Debug, displaydoc::Display)]
+pub enum NotTrusted {
+    /// the connection failed: {0}
+    Io(io::Error),
+    /// the other side did not finish the exchange in time
+    Timeout,
+    /// the other side does not speak this protocol; check that its address is a daemon's --peer
+    NotADaemon,
+    /// the other side has no key and this daemon has; give all daemons the same --peer-keys
+    NoKey,
+    /// the other side's key is not among this daemon's; put it into this daemon's --peer-keys
+    UnknownKey,
+    /// the other side does not know the key that it named
+    WrongProof,
+}
+
+impl std::error::Error for NotTrusted {}
+
+impl From<io::Error> for NotTrusted {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+/// What is wrong with a file of keys.
+#[derive(Debug, displaydoc::Display)]
+pub enum BadKeys {
+    /// cannot read {path}: {source}
+    Read {
+        /// The file.
+        path: Box<str>,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// {path} has no key; write one of at least 32 characters on a line of its own
+    Empty {
+        /// The file.
+        path: Box<str>,
+    },
+    /// line {line} of {path} is too short for a key; use at least 32 characters, such as from `openssl rand -hex 32`
+    Short {
+        /// The file.
+        path: Box<str>,
+        /// Counted from 1.
+        line: usize,
+    },
+    /// {path} has more than 16 keys; remove those that no daemon uses any more
+    Many {
+        /// The file.
+        path: Box<str>,
+    },
+}
+
+impl std::error::Error for BadKeys {}
+
+struct Key {
+    id: [u8; ID],
+    secret: Box<[u8]>,
+}
+
+/// The keys of one daemon: the first is shown, any is accepted. Read anew for
+/// each connection, so that keys are exchanged without a stop.
+#[derive(Clone, Debug, Default)]
+pub struct Keys {
+    file: Option<PathBuf>,
+}
+
+impl Keys {
+    /// Keys from `file`, or none at all.
+    ///
+    /// # Errors
+    /// [`BadKeys`] when the file is not usable now.
+    ///
+    /// ```
+    /// # use yuccalink_transport::auth::Keys;
+    /// assert!(Keys::open(None).is_ok());
+    /// assert!(Keys::open(Some("/nowhere".into())).is_err());
+    /// ```
+    pub fn open(file: Option<PathBuf>) -> Result<Self, BadKeys> {
+        if let Some(file) = &file {
+            read(file)?;
+        }
+        Ok(Self { file })
+    }
+
+    fn load(&self) -> Option<Vec<Key>> {
+        let file = self.file.as_ref()?;
+        match read(file) {
+            Ok(keys) => Some(keys),
+            Err(error) => {
+                // No key is no reason to let anybody in.
+                log::error!("{error}; no daemon is let in until it is mended");
+                Some(Vec::new())
+            }
+        }
+    }
+
+    /// Proves itself to the daemon that was connected to, and checks its proof.
+    ///
+    /// # Errors
+    /// [`NotTrusted`]; the connection is then of no use.
+    pub async fn prove(&self, stream: &mut TcpStream) -> Result<(), NotTrusted> {
+        timeout(TIMEOUT, self.prove_now(stream)).await.unwrap_or(Err(NotTrusted::Timeout))
+    }
+
+    async fn prove_now(&self, stream: &mut TcpStream) -> Result<(), NotTrusted> {
+        let keys = self.load();
+        let key = keys.as_ref().map(|keys| keys.first().ok_or(NotTrusted::NoKey)).transpose()?;
+        let nonce = nonce();
+        let id = key.map_or(NO_KEY, |key| key.id);
+        stream.write_all(&[MAGIC.as_slice(), &id, &nonce].concat()).await?;
+        let (their_id, their_nonce) = read_hello(stream).await?;
+        let Some(key) = key else {
+            return if their_id == NO_KEY { Ok(()) } else { Err(NotTrusted::UnknownKey) };
+        };
+        if their_id == NO_KEY {
+            return Err(NotTrusted::NoKey);
+        }
+        let mut proof = [0; MAC];
+        stream.read_exact(&mut proof).await?;
+        check(key, b"accepts", &nonce, &their_nonce, &proof)?;
+        stream
+            .write_all(&mac(key, b"connects", &nonce, &their_nonce).finalize().into_bytes())
+            .await?;
+        match stream.read_u8().await? {
+            TAKEN => Ok(()),
+            _ => Err(NotTrusted::NotADaemon),
+        }
+    }
+
+    /// Checks the proof of a daemon that connects, and proves itself to it.
+    ///
+    /// # Errors
+    /// [`NotTrusted`]; the connection is then of no use.
+    pub async fn check(&self, stream: &mut TcpStream) -> Result<(), NotTrusted> {
+        timeout(TIMEOUT, self.check_now(stream)).await.unwrap_or(Err(NotTrusted::Timeout))
+    }
+
+    async fn check_now(&self, stream: &mut TcpStream) -> Result<(), NotTrusted> {
+        let keys = self.load();
+        let (their_id, their_nonce) = read_hello(stream).await?;
+        let nonce = nonce();
+        let Some(keys) = keys else {
+            stream.write_all(&[MAGIC.as_slice(), &NO_KEY, &nonce].concat()).await?;
+            return if their_id == NO_KEY { Ok(()) } else { Err(NotTrusted::UnknownKey) };
+        };
+        if their_id == NO_KEY {
+            return Err(NotTrusted::NoKey);
+        }
+        let key = keys.iter().find(|key| key.id == their_id).ok_or(NotTrusted::UnknownKey)?;
+        let own = mac(key, b"accepts", &their_nonce, &nonce).finalize().into_bytes();
+        stream.write_all(&[MAGIC.as_slice(), &key.id, &nonce, &own].concat()).await?;
+        let mut proof = [0; MAC];
+        stream.read_exact(&mut proof).await?;
+        check(key, b"connects", &their_nonce, &nonce, &proof)?;
+        stream.write_u8(TAKEN).await?;
+        Ok(())
+    }
+}
+
+async fn read_hello(stream: &mut TcpStream) -> Result<([u8; ID], [u8; NONCE]), NotTrusted> {
+    let mut magic = [0; MAGIC.len()];
+    stream.read_exact(&mut magic).await?;
+    if magic != *MAGIC {
+        return Err(NotTrusted::NotADaemon);
+    }
+    let mut id = [0; ID];
+    stream.read_exact(&mut id).await?;
+    let mut nonce = [0; NONCE];
+    stream.read_exact(&mut nonce).await?;
+    Ok((id, nonce))
+}
+
+fn mac(key: &Key, role: &[u8], connecting: &[u8], accepting: &[u8]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(&key.secret)
+        .unwrap_or_else(|_| unreachable!("HMAC takes keys of any length"));
+    // The role keeps one side's proof from being sent back as the other's.
+    mac.update(role);
+    mac.update(connecting);
+    mac.update(accepting);
+    mac
+}
+
+fn check(
+    key: &Key,
+    role: &[u8],
+    connecting: &[u8],
+    accepting: &[u8],
+    proof: &[u8],
+) -> Result<(), NotTrusted> {
+    mac(key, role, connecting, accepting).verify_slice(proof).map_err(|_| NotTrusted::WrongProof)
+}
+
+fn nonce() -> [u8; NONCE] {
+    let mut nonce = [0; NONCE];
+    if rand::rngs::SysRng.try_fill_bytes(&mut nonce).is_err() {
+        log::error!("the system gives no random numbers; connections between daemons fail");
+    }
+    nonce
+}
+
+fn read(file: &Path) -> Result<Vec<Key>, BadKeys> {
+    let path: Box<str> = file.display().to_string().into();
+    let text =
+        fs::read_to_string(file).map_err(|source| BadKeys::Read { path: path.clone(), source })?;
+    let mut keys = Vec::new();
+    for (at, line) in text.lines().map(str::trim).enumerate() {
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        if line.len() < KEY_MIN {
+            return Err(BadKeys::Short { path, line: at + 1 });
+        }
+        let digest = Sha256::new().chain_update(b"yuccalink key ").chain_update(line).finalize();
+        let mut id = [0; ID];
+        id.copy_from_slice(&digest[..ID]);
+        keys.push(Key { id, secret: line.as_bytes().into() });
+    }
+    match keys.len() {
+        0 => Err(BadKeys::Empty { path }),
+        count if count > KEYS_MAX => Err(BadKeys::Many { path }),
+        _ => Ok(keys),
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! The transport layer: HTTP servers for callers, targets and operators, HTTP
 //! connections to runners and workers, and RPC connections between daemons.
 
+pub mod auth;
 pub mod body;
 pub mod pool;
 pub mod reply;
--- a/crates/transport/src/rpc.rs
+++ b/crates/transport/src/rpc.rs
@@ -1,5 +1,6 @@
 //! Connections between daemons, carrying Cap'n Proto RPC.
 
+use crate::auth::{Keys, NotTrusted};
 use capnp::message::ReaderOptions;
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -49,11 +50,13 @@
 /// Connects to the daemon at `address`. Must be called on a `LocalSet`.
 ///
 /// # Errors
-/// When no connection is made within [`CONNECT_TIMEOUT`].
-pub async fn connect(address: SocketAddr) -> io::Result<Link> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+/// [`NotTrusted`] when no connection is made within [`CONNECT_TIMEOUT`], or the
+/// other daemon does not know a key of `keys`.
+pub async fn connect(address: SocketAddr, keys: &Keys) -> Result<Link, NotTrusted> {
+    let mut stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    keys.prove(&mut stream).await?;
     let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)?), None);
     let peer: peer::Client = system.bootstrap(Side::Server);
     let task = tokio::task::spawn_local(async move {
@@ -64,12 +67,25 @@
     Ok(Link { peer, task: task.abort_handle() })
 }
 
+async fn serve(
+    mut stream: TcpStream,
+    service: peer::Client,
+    keys: &Keys,
+) -> Result<(), NotTrusted> {
+    keys.check(&mut stream).await?;
+    let system = RpcSystem::new(Box::new(network(stream, Side::Server)?), Some(service.client));
+    if let Err(error) = system.await {
+        log::debug!("a daemon's connection ended: {error}");
+    }
+    Ok(())
+}
+
 /// Accepts connections from other daemons for ever, each served by a clone of
 /// `service`. Must run on a `LocalSet`.
 ///
 /// # Errors
 /// When the listener fails.
-pub async fn accept(listener: TcpListener, service: peer::Client) -> io::Result<()> {
+pub async fn accept(listener: TcpListener, service: peer::Client, keys: Keys) -> io::Result<()> {
     let open = Arc::new(Semaphore::new(CONNECTIONS_MAX));
     loop {
         let Ok(permit) = open.clone().acquire_owned().await else { return Ok(()) };
@@ -81,17 +97,10 @@
                 continue;
             }
         };
-        let network = match network(stream, Side::Server) {
-            Ok(network) => network,
-            Err(error) => {
-                log::debug!("connection from daemon {from} failed: {error}");
-                continue;
-            }
-        };
-        let system = RpcSystem::new(Box::new(network), Some(service.clone().client));
+        let (service, keys) = (service.clone(), keys.clone());
         tokio::task::spawn_local(async move {
-            if let Err(error) = system.await {
-                log::debug!("connection from daemon {from} ended: {error}");
+            if let Err(error) = serve(stream, service, &keys).await {
+                log::warn!("connection from {from}: {error}");
             }
             drop(permit);
         });
--- /dev/null
+++ b/crates/transport/tests/auth.rs
@@ -0,0 +1,110 @@
+//! Daemons prove to each other that they know a shared key.
+
+use std::fs;
+use std::path::PathBuf;
+use tempfile::TempDir;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use yuccalink_transport::auth::{Keys, NotTrusted};
+
+const OLD: &str = "0123456789abcdef0123456789abcdef";
+const NEW: &str = "fedcba9876543210fedcba9876543210";
+
+fn file(folder: &TempDir, name: &str, keys: &[&str]) -> PathBuf {
+    let path = folder.path().join(name);
+    fs::write(&path, keys.join("\n")).expect("written");
+    path
+}
+
+async fn meet(connecting: &Keys, accepting: &Keys) -> [Result<(), NotTrusted>; 2] {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let connect = async {
+        let mut stream = TcpStream::connect(address).await?;
+        connecting.prove(&mut stream).await
+    };
+    let accept = async {
+        let (mut stream, _) = listener.accept().await?;
+        accepting.check(&mut stream).await
+    };
+    let (a, b) = tokio::join!(connect, accept);
+    [a, b]
+}
+
+#[tokio::test]
+async fn the_same_key_is_trusted_and_another_is_not() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let keys =
+        |name: &str, keys: &[&str]| Keys::open(Some(file(&folder, name, keys))).expect("keys");
+    let (old, new) = (keys("old", &[OLD]), keys("new", &[NEW]));
+    assert!(meet(&old, &old).await.iter().all(Result::is_ok));
+    let [_, refused] = meet(&old, &new).await;
+    assert!(matches!(refused, Err(NotTrusted::UnknownKey)), "{refused:?}");
+    let none = Keys::open(None).expect("no keys");
+    assert!(meet(&none, &none).await.iter().all(Result::is_ok));
+    for (a, b) in [(&none, &old), (&old, &none)] {
+        assert!(meet(a, b).await.iter().all(Result::is_err));
+    }
+}
+
+/// The key of a running system is exchanged in three steps, one daemon after the
+/// other. At no moment do two daemons distrust each other.
+#[tokio::test]
+async fn a_key_is_exchanged_without_a_stop() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let steps: [&[&str]; 4] = [&[OLD], &[OLD, NEW], &[NEW, OLD], &[NEW]];
+    let a = Keys::open(Some(file(&folder, "a", steps[0]))).expect("keys");
+    let b = Keys::open(Some(file(&folder, "b", steps[0]))).expect("keys");
+    for step in &steps[1..] {
+        for name in ["a", "b"] {
+            file(&folder, name, step);
+            for (from, to) in [(&a, &b), (&b, &a)] {
+                let met = meet(from, to).await;
+                assert!(met.iter().all(Result::is_ok), "{name} {step:?}: {met:?}");
+            }
+        }
+    }
+}
+
+/// Somebody who knows no key sends back what it hears, or nonsense.
+#[tokio::test]
+async fn an_echo_and_nonsense_are_not_trusted() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let keys = Keys::open(Some(file(&folder, "k", &[OLD]))).expect("keys");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let echo = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let (mut reader, mut writer) = stream.split();
+        let _ = tokio::io::copy(&mut reader, &mut writer).await;
+    };
+    let prove = async {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        keys.prove(&mut stream).await
+    };
+    let (result, ()) = tokio::join!(prove, echo);
+    assert!(result.is_err(), "an echo was trusted");
+    let nonsense = async {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        stream.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("sent");
+    };
+    let check = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        keys.check(&mut stream).await
+    };
+    let ((), result) = tokio::join!(nonsense, check);
+    assert!(matches!(result, Err(NotTrusted::NotADaemon)), "{result:?}");
+}
+
+#[test]
+fn bad_files_of_keys_name_the_remedy() {
+    let folder = tempfile::tempdir().expect("a folder");
+    for (keys, what) in [
+        (vec!["short"], "line 1"),
+        (vec!["# only a comment"], "has no key"),
+        (vec![OLD; 17], "more than 16"),
+    ] {
+        let error = Keys::open(Some(file(&folder, "bad", &keys))).expect_err(what);
+        assert!(error.to_string().contains(what), "{error}");
+    }
+}
--- a/crates/yuccalinkd/src/args.rs
+++ b/crates/yuccalinkd/src/args.rs
@@ -54,7 +54,7 @@
 }
 
 /// All settings, in the order of the help.
-pub(crate) const SETTINGS: [Setting; 18] = [
+pub(crate) const SETTINGS: [Setting; 19] = [
     Setting {
         flag: "name",
         value: "NAME",
@@ -112,6 +112,14 @@
         long: "Keep it reachable from entry VMs only.",
         set: |config, text| Ok(config.peer(address(text)?)),
     },
+    Setting {
+        flag: "peer-keys",
+        value: "FILE",
+        short: "keys that daemons share [none: any daemon is trusted]",
+        long: "One key of at least 32 characters a line. The first is shown, any is accepted; the \
+               file is read anew for each connection, so keys can be exchanged without a stop.",
+        set: |config, text| Ok(config.peer_keys(Some(text.into()))),
+    },
     Setting {
         flag: "traffic-threads",
         value: "N",
--- a/crates/yuccalinkd/tests/support/mod.rs
+++ b/crates/yuccalinkd/tests/support/mod.rs
@@ -114,6 +114,9 @@
             .args(["--drain-delay", "400ms", "--traffic-threads", "1"])
             .stdin(Stdio::null())
             .stderr(log);
+        let keys = self.folder.path().join("keys");
+        std::fs::write(&keys, "a key that only these daemons know, long enough").expect("written");
+        command.arg("--peer-keys").arg(keys);
         if at < VOTERS {
             command.arg("--data").arg(self.data(at));
         }
