--- /dev/null
+++ b/crates/coordination/src/raft/election.rs
@@ -0,0 +1,94 @@
+//! Elections: asking beforehand, campaigning, voting.
+
+use super::*;
+
+impl Raft {
+    /// Asks whether it would be elected. A replica that was cut off would
+    /// otherwise come back with a high term and unseat a good leader.
+    pub(super) fn ask_beforehand(&mut self, now: Moment) {
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes = BTreeSet::from([self.id]);
+        self.rest(now);
+        if self.votes.len() >= self.members.quorum() {
+            return self.campaign(now, false);
+        }
+        let (index, last_term) = self.log.tail();
+        let term = self.hard.term + 1;
+        self.ask_voters(&Message::PreVote { term, index, last_term });
+    }
+
+    pub(super) fn campaign(&mut self, now: Moment, handed_over: bool) {
+        self.role = Role::Candidate;
+        self.hard = HardState { term: self.hard.term + 1, vote: Some(self.id) };
+        self.leader = None;
+        self.votes = BTreeSet::new();
+        self.rest(now);
+        self.write(self.log.last() + 1, Vec::new());
+        // Its own vote counts once it is on the disk, like everybody else's.
+        let (index, last_term) = self.log.tail();
+        let term = self.hard.term;
+        self.ask_voters(&Message::Vote { term, index, last_term, handed_over });
+    }
+
+    pub(super) fn ask_voters(&mut self, message: &Message) {
+        let others: Vec<ReplicaId> =
+            self.members.voters.iter().map(|v| v.id).filter(|id| *id != self.id).collect();
+        for to in others {
+            self.send(to, message.clone());
+        }
+    }
+
+    pub(super) fn vote_came(&mut self, now: Moment, from: ReplicaId) {
+        if self.members.is_voter(from) {
+            self.votes.insert(from);
+        }
+        if self.votes.len() < self.members.quorum() {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate => self.campaign(now, false),
+            Role::Candidate => self.become_leader(now),
+            Role::Follower | Role::Leader => {}
+        }
+    }
+
+    pub(super) fn become_leader(&mut self, now: Moment) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id);
+        self.elected_at = now;
+        self.handing_over = false;
+        self.progress.clear();
+        self.heartbeat_at = now + HEARTBEAT;
+        // An entry of its own term commits all earlier ones with it; entries of
+        // earlier terms must not be counted on their own (Raft, figure 8).
+        self.append(vec![Payload::Empty]);
+        self.led_since = self.log.last();
+        self.meet_members(now);
+        self.send_all(now, false);
+        self.advance();
+    }
+
+    pub(super) fn meet_members(&mut self, now: Moment) {
+        let ids: BTreeSet<ReplicaId> =
+            self.members.all().map(|m| m.id).filter(|id| *id != self.id).collect();
+        self.progress.retain(|id, _| ids.contains(id));
+        let next = self.log.last();
+        for id in ids {
+            self.progress.entry(id).or_insert_with(|| Progress::new(next.max(1), now));
+        }
+    }
+
+    pub(super) fn follow(&mut self, now: Moment, term: u64, leader: Option<ReplicaId>) {
+        if term > self.hard.term {
+            self.hard = HardState { term, vote: None };
+            self.write(self.log.last() + 1, Vec::new());
+        }
+        if self.role == Role::Leader {
+            self.progress.clear();
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.rest(now);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/raft/leader.rs
@@ -0,0 +1,231 @@
+//! Leading: proposals, changes of members, and what followers have.
+
+use super::*;
+
+impl Raft {
+    /// Proposes commands; returns the index of the first.
+    ///
+    /// # Errors
+    /// [`NotProposed::NotLeader`].
+    pub fn propose(&mut self, now: Moment, commands: Vec<Arc<[u8]>>) -> Result<u64, NotProposed> {
+        if !self.is_settled() {
+            return Err(NotProposed::NotLeader);
+        }
+        let first = self.log.last() + 1;
+        self.append(commands.into_iter().map(Payload::Command).collect());
+        self.send_all(now, false);
+        Ok(first)
+    }
+
+    /// Proposes the next members, which may differ by one voter at most.
+    ///
+    /// # Errors
+    /// [`NotProposed::Busy`] while an earlier change is not committed.
+    pub fn change_members(&mut self, now: Moment, members: Members) -> Result<(), NotProposed> {
+        if !self.is_settled() {
+            return Err(NotProposed::NotLeader);
+        }
+        // Two changes at once could give two disjoint quorums.
+        if self.members_at > self.commit || !one_step(&self.members, &members) {
+            return Err(NotProposed::Busy);
+        }
+        self.append(vec![Payload::Members(members)]);
+        self.meet_members(now);
+        self.send_all(now, false);
+        self.advance();
+        Ok(())
+    }
+
+    /// Asks the voter that is furthest to take over, before a planned stop: the
+    /// others need not wait until they miss this leader. False when none can.
+    /// From then on it grants nothing until it is elected again: the election it
+    /// asked for, which may come late, does not wait for leases.
+    pub fn hand_over(&mut self) -> bool {
+        if !self.is_settled() {
+            return false;
+        }
+        let last = self.log.last();
+        let ready = |(id, progress): &(&ReplicaId, &Progress)| {
+            progress.matched == last && self.members.is_voter(**id)
+        };
+        let best = self.progress.iter().filter(ready).max_by_key(|(_, p)| p.heard);
+        let Some((to, _)) = best else { return false };
+        let to = *to;
+        self.handing_over = true;
+        self.send_now(to, Message::TakeOver { term: self.hard.term });
+        true
+    }
+
+    /// Whether a learner has all but the newest entries.
+    pub fn is_caught_up(&self, id: ReplicaId) -> bool {
+        self.progress.get(&id).is_some_and(|p| p.matched + CAUGHT_UP >= self.log.last())
+    }
+
+    /// When a member was last heard by this leader.
+    pub fn heard(&self, id: ReplicaId) -> Option<Moment> {
+        self.progress.get(&id).map(|progress| progress.heard)
+    }
+
+    pub(super) fn append(&mut self, payloads: Vec<Payload>) {
+        let first = self.log.last() + 1;
+        let term = self.hard.term;
+        let entries: Vec<Entry> =
+            payloads.into_iter().map(|payload| Entry { term, payload }).collect();
+        for entry in &entries {
+            self.push(entry.clone());
+        }
+        self.write(first, entries);
+    }
+
+    pub(super) fn write(&mut self, first: u64, entries: Vec<Entry>) {
+        self.seq += 1;
+        self.writing.push_back((self.seq, self.log.last()));
+        self.out.persist.push(Persist { seq: self.seq, hard: self.hard, first, entries });
+    }
+
+    /// The disk has confirmed all writes up to `seq`.
+    pub fn persisted(&mut self, seq: u64, now: Moment) {
+        self.written = self.written.max(seq);
+        while let Some((at, last)) = self.writing.front().copied() {
+            if at > seq {
+                break;
+            }
+            self.writing.pop_front();
+            self.stable = self.stable.max(last).min(self.log.last());
+        }
+        match self.role {
+            Role::Candidate if self.written == self.seq => self.vote_came(now, self.id),
+            Role::Leader => self.advance(),
+            _ => {}
+        }
+    }
+
+    pub(super) fn send(&mut self, to: ReplicaId, message: Message) {
+        let envelope = Envelope { from: self.id, to, message };
+        // Whatever this replica tells rests on what it has decided to write.
+        self.out.messages.push((self.seq, envelope));
+    }
+
+    /// Messages that promise nothing of this replica's own disk.
+    pub(super) fn send_now(&mut self, to: ReplicaId, message: Message) {
+        let envelope = Envelope { from: self.id, to, message };
+        self.out.messages.push((0, envelope));
+    }
+
+    pub(super) fn send_all(&mut self, now: Moment, heartbeat: bool) {
+        let ids: Vec<ReplicaId> = self.progress.keys().copied().collect();
+        for id in ids {
+            self.send_to(now, id, heartbeat);
+        }
+    }
+
+    pub(super) fn send_to(&mut self, now: Moment, to: ReplicaId, heartbeat: bool) {
+        let Some(progress) = self.progress.get_mut(&to) else { return };
+        match &mut progress.sending {
+            Sending::Snapshot { asked: false, .. } => {
+                self.out.need_snapshot.push(to);
+                if let Sending::Snapshot { asked, .. } = &mut progress.sending {
+                    *asked = true;
+                }
+                self.beat(now, to);
+            }
+            Sending::Snapshot { .. } => {
+                if heartbeat {
+                    self.beat(now, to);
+                }
+            }
+            Sending::Entries => self.send_entries(now, to, heartbeat),
+        }
+    }
+
+    /// Keeps a follower from electing another while it takes in a snapshot.
+    pub(super) fn beat(&mut self, now: Moment, to: ReplicaId) {
+        let base = self.log.base();
+        let message = Message::Append {
+            term: self.hard.term,
+            prev: base,
+            prev_term: self.log.term(base).unwrap_or(0),
+            entries: Vec::new(),
+            commit: 0,
+            sent: now,
+        };
+        self.send_now(to, message);
+    }
+
+    pub(super) fn send_entries(&mut self, now: Moment, to: ReplicaId, heartbeat: bool) {
+        let mut sent_any = false;
+        loop {
+            let Some(progress) = self.progress.get_mut(&to) else { return };
+            let prev = progress.next - 1;
+            let Some(prev_term) = self.log.term(prev) else {
+                progress.sending = Sending::Snapshot { asked: true, bytes: None };
+                self.out.need_snapshot.push(to);
+                return self.beat(now, to);
+            };
+            let full = progress.in_flight >= progress.window();
+            let more = progress.next <= self.log.last() && !full;
+            if !more && (sent_any || !heartbeat) {
+                return;
+            }
+            let entries = if more { self.log.slice(progress.next) } else { Vec::new() };
+            if !entries.is_empty() {
+                progress.in_flight += 1;
+                progress.next += entries.len() as u64;
+            }
+            sent_any = true;
+            let message = Message::Append {
+                term: self.hard.term,
+                prev,
+                prev_term,
+                entries,
+                commit: self.commit,
+                sent: now,
+            };
+            self.send_now(to, message);
+        }
+    }
+
+    pub(super) fn append_answered(
+        &mut self,
+        now: Moment,
+        from: ReplicaId,
+        ok: bool,
+        index: u64,
+        echo: Moment,
+    ) {
+        let last = self.log.last();
+        let Some(progress) = self.progress.get_mut(&from) else { return };
+        progress.hear(now, echo);
+        if ok {
+            let index = index.min(last);
+            progress.reached(index);
+            if let Sending::Snapshot { bytes, .. } = &progress.sending {
+                let offered = bytes.as_ref().map(|(meta, _)| meta.index);
+                if index >= self.log.base() {
+                    progress.sending = Sending::Entries;
+                    progress.next = index + 1;
+                } else if offered.is_some_and(|offered| index >= offered) {
+                    // The entries after it were forgotten while it was on its way.
+                    progress.sending = Sending::Snapshot { asked: false, bytes: None };
+                }
+            }
+            self.advance();
+        } else {
+            progress.refused(index);
+        }
+        self.send_to(now, from, false);
+    }
+
+    pub(super) fn advance(&mut self) {
+        let reached = |voter: &Member| match voter.id == self.id {
+            true => self.stable,
+            false => self.progress.get(&voter.id).map_or(0, |p| p.matched),
+        };
+        let mut all: Vec<u64> = self.members.voters.iter().map(reached).collect();
+        all.sort_by(|a, b| b.cmp(a));
+        let Some(index) = all.get(self.members.quorum() - 1).copied() else { return };
+        if index > self.commit && self.log.term(index) == Some(self.hard.term) {
+            self.commit = index;
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/raft/snapshots.rs
@@ -0,0 +1,73 @@
+//! Sending snapshots to followers that are too far behind.
+
+use super::*;
+
+impl Raft {
+    /// Answers [`Output::need_snapshot`] with the state after an applied entry.
+    pub fn offer_snapshot(
+        &mut self,
+        now: Moment,
+        to: ReplicaId,
+        meta: SnapshotMeta,
+        bytes: Arc<[u8]>,
+    ) {
+        if let Some(progress) = self.progress.get_mut(&to) {
+            progress.sending =
+                Sending::Snapshot { asked: true, bytes: Some((Box::new(meta), bytes)) };
+            progress.offset = 0;
+            progress.moved = now;
+            self.send_chunk(now, to, 0);
+        }
+    }
+
+    /// Members after the applied entry `index`, for a snapshot of it.
+    pub fn members_at(&self, index: u64) -> Members {
+        self.log.members_at(index)
+    }
+
+    /// Forgets entries that a durable snapshot of `index` contains, but the last
+    /// `keep`, for followers that are a little behind; see [`KEPT_BEHIND`].
+    pub fn compact(&mut self, index: u64, keep: u64) {
+        let base = index.min(self.handed_out).saturating_sub(keep);
+        self.log.compact(base);
+    }
+
+    pub(super) fn send_chunk(&mut self, now: Moment, to: ReplicaId, offset: u64) {
+        let Some(progress) = self.progress.get(&to) else { return };
+        let Sending::Snapshot { bytes: Some((meta, bytes)), .. } = &progress.sending else {
+            return;
+        };
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(bytes.len());
+        let end = (start + CHUNK).min(bytes.len());
+        let message = Message::Chunk {
+            term: self.hard.term,
+            meta: (**meta).clone(),
+            offset,
+            total: bytes.len() as u64,
+            data: bytes[start..end].into(),
+            sent: now,
+        };
+        self.send_now(to, message);
+    }
+
+    pub(super) fn chunk_answered(
+        &mut self,
+        now: Moment,
+        from: ReplicaId,
+        index: u64,
+        offset: u64,
+        echo: Moment,
+    ) {
+        let Some(progress) = self.progress.get_mut(&from) else { return };
+        progress.hear(now, echo);
+        let same = match &progress.sending {
+            Sending::Snapshot { bytes: Some((meta, _)), .. } => meta.index == index,
+            _ => false,
+        };
+        if same && offset > progress.offset {
+            progress.offset = offset;
+            progress.moved = now;
+            self.send_chunk(now, from, offset);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/scenario/world/events.rs
@@ -0,0 +1,201 @@
+//! What the lines of a scenario do.
+
+use super::*;
+
+impl World {
+    pub(super) fn step(&mut self, step: &Step) -> Result<(), Box<str>> {
+        match &step.event {
+            Event::Submit { name, kind, count, urgent } => self.submit(name, kind, *count, *urgent),
+            Event::Cancel(name) => {
+                let ids = self.ids(name)?;
+                self.machine.apply(Command::Cancel(ids));
+                Ok(())
+            }
+            Event::Evict(name) => {
+                let ids = self.ids(name)?;
+                self.machine.apply(Command::Evict(ids));
+                Ok(())
+            }
+            Event::Finish(name) => self.end(name, &TaskEvent::Finished),
+            Event::Fail(name) => self.end(name, &TaskEvent::Failed { reason: "scenario".into() }),
+            Event::Silence(name) => self.set_silent(name, true),
+            Event::Hear(name) => self.set_silent(name, false),
+            Event::Leave(name) => self.leave(name),
+            Event::Restart(name) => self.restart(name),
+            Event::Request { name, service, entry, deadline, worth } => {
+                self.request(name, service, entry, *deadline, *worth)
+            }
+            Event::Answer(name) => self.answer(name, Ended::Answered),
+            Event::Break(name) => self.answer(name, Ended::Failed),
+            Event::Expect(expect) => self.expect(expect),
+        }
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        name: &str,
+        kind: &Name,
+        count: u32,
+        urgent: bool,
+    ) -> Result<(), Box<str>> {
+        let submit = Submit {
+            key: name.into(),
+            service: self.service.clone(),
+            kind: kind.clone(),
+            count,
+            urgent,
+            payload: "".into(),
+            at_ms: 0,
+        };
+        match self.machine.apply(Command::Submit(submit)) {
+            Outcome::Submitted { first, .. } => {
+                for at in 0..count {
+                    let label = if count == 1 { name.into() } else { format!("{name}.{}", at + 1) };
+                    self.tasks.insert(label.into(), TaskId(first.0 + u64::from(at)));
+                }
+                Ok(())
+            }
+            other => Err(format!("submitting came to {other:?}").into()),
+        }
+    }
+
+    /// The tasks called `name`, or `name.1` and so on.
+    pub(super) fn ids(&self, name: &str) -> Result<Box<[TaskId]>, Box<str>> {
+        let group = format!("{name}.");
+        let found: Box<[TaskId]> = self
+            .tasks
+            .iter()
+            .filter(|(label, _)| ***label == *name || label.starts_with(&group))
+            .map(|(_, id)| *id)
+            .collect();
+        match found.is_empty() {
+            true => Err(format!("no task is called {name}").into()),
+            false => Ok(found),
+        }
+    }
+
+    pub(super) fn end(&mut self, name: &str, event: &TaskEvent) -> Result<(), Box<str>> {
+        for task in self.ids(name)? {
+            let holder = self.workers.iter_mut().find(|w| w.running.contains_key(&task));
+            let Some(worker) = holder else { return Err(format!("{name} runs nowhere").into()) };
+            let Some(epoch) = worker.running.remove(&task) else { continue };
+            match event {
+                TaskEvent::Finished => self.task_watch.finished(task, epoch),
+                _ => self.task_watch.stopped(task, epoch),
+            }
+            worker.reports.push(TaskReport { task, epoch, event: event.clone() });
+        }
+        Ok(())
+    }
+
+    pub(super) fn set_silent(&mut self, name: &Name, silent: bool) -> Result<(), Box<str>> {
+        if let Some(worker) = self.workers.iter_mut().find(|w| w.spec.name == *name) {
+            worker.silent = silent;
+        } else if let Some(runner) = self.runners.iter_mut().find(|r| r.spec.name == *name) {
+            runner.silent = silent;
+        } else if let Some(entry) = self.fakes.iter_mut().find(|e| e.name == *name) {
+            entry.silent = silent;
+        } else {
+            return Err(format!("nothing is called {name}").into());
+        }
+        Ok(())
+    }
+
+    pub(super) fn leave(&mut self, name: &Name) -> Result<(), Box<str>> {
+        if let Some(worker) = self.workers.iter_mut().find(|w| w.spec.name == *name) {
+            worker.leaving = true;
+            worker.next_beat = self.now;
+        } else if let Some(runner) = self.runners.iter_mut().find(|r| r.spec.name == *name) {
+            runner.leaving = true;
+            runner.next_beat = self.now;
+        } else if let Some(entry) = self.fakes.iter_mut().find(|e| e.name == *name) {
+            entry.draining = true;
+            entry.next_sync = self.now;
+        } else {
+            return Err(format!("nothing is called {name}").into());
+        }
+        Ok(())
+    }
+
+    pub(super) fn restart(&mut self, name: &Name) -> Result<(), Box<str>> {
+        let run = self.run_number();
+        if let Some(worker) = self.workers.iter_mut().find(|w| w.spec.name == *name) {
+            for (task, epoch) in std::mem::take(&mut worker.running) {
+                self.task_watch.stopped(task, epoch);
+            }
+            worker.spec.incarnation = run;
+            worker.known = false;
+            worker.seen.clear();
+            worker.reports.clear();
+            worker.next_beat = self.now;
+            Ok(())
+        } else if let Some(runner) = self.runners.iter_mut().find(|r| r.spec.name == *name) {
+            runner.spec.incarnation = run;
+            runner.known = false;
+            runner.busy = 0;
+            runner.next_beat = self.now;
+            Ok(())
+        } else if let Some(entry) = self.fakes.iter_mut().find(|e| e.name == *name) {
+            entry.run = run;
+            entry.router = Router::new(entry.zone.clone());
+            entry.version = 0;
+            entry.lease = Lease::default();
+            entry.next_sync = self.now;
+            Ok(())
+        } else {
+            Err(format!("nothing is called {name}").into())
+        }
+    }
+
+    pub(super) fn request(
+        &mut self,
+        name: &str,
+        service: &Name,
+        entry: &Name,
+        deadline: Duration,
+        worth: u32,
+    ) -> Result<(), Box<str>> {
+        let at = self.fakes.iter().position(|fake| fake.name == *entry);
+        let at = at.ok_or_else(|| format!("no entry is called {entry}"))?;
+        self.request_watch.sent(name, 0, true);
+        let deadline = self.now + deadline;
+        let fake = &mut self.fakes[at];
+        let state = if fake.lease.holds(self.now) {
+            let arrival = Arrival { service, deadline, worth, avoid: None };
+            fake.router.admit(self.now, arrival)
+        } else {
+            Admission::Refuse(crate::router::Refusal::NoneHealthy, Duration::ZERO)
+        };
+        let mut request = Request { entry: at, deadline, state: RequestState::NotRun };
+        match state {
+            Admission::Refuse(..) => self.request_watch.told(name, Told::NotRun),
+            Admission::Wait(ticket) => request.state = RequestState::Waiting(ticket),
+            Admission::Go(_) => {}
+        }
+        self.requests.insert(name.into(), request);
+        if let Admission::Go(grant) = state {
+            self.send(name, grant);
+        }
+        Ok(())
+    }
+
+    pub(super) fn answer(&mut self, name: &str, ended: Ended) -> Result<(), Box<str>> {
+        let request = self.requests.get_mut(name).ok_or_else(|| format!("no request {name}"))?;
+        let RequestState::At(grant, runner) = request.state.clone() else {
+            return Err(format!("request {name} is at no runner").into());
+        };
+        request.state = match ended {
+            Ended::Answered => RequestState::Answered,
+            Ended::Failed | Ended::Abandoned => RequestState::Broken,
+        };
+        if let Some(fake) = self.runners.iter_mut().find(|fake| fake.spec.name == runner) {
+            fake.busy = fake.busy.saturating_sub(1);
+            self.request_watch.done(runner.as_str());
+        }
+        let at = request.entry;
+        let mut turns = Vec::new();
+        self.fakes[at].router.release(self.now, grant, ended, &mut turns);
+        self.take_turns(at, turns);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/scenario/world/routing.rs
@@ -0,0 +1,123 @@
+//! Fake runners and entries: ownership and requests under way.
+
+use super::*;
+
+impl World {
+    pub(super) fn beat_runners(&mut self) {
+        for runner in &mut self.runners {
+            if runner.silent || self.now < runner.next_beat {
+                continue;
+            }
+            let spec = &runner.spec;
+            if !runner.known {
+                let target = TargetSpec::Runner(spec.clone());
+                self.directory.announce(self.now, target, runner.busy);
+                runner.known = true;
+            }
+            let usage = Usage { busy: runner.busy, ..Usage::default() };
+            let heard = if runner.leaving {
+                self.directory.leave(&spec.name, spec.incarnation)
+            } else {
+                self.directory.heartbeat(self.now, &spec.name, spec.incarnation, usage)
+            };
+            runner.known = heard == Heard::Noted;
+            runner.next_beat = self.now + HEARTBEAT;
+        }
+    }
+
+    pub(super) fn sync_entries(&mut self) {
+        for at in 0..self.fakes.len() {
+            let entry = &self.fakes[at];
+            let news = self.directory.version() > entry.version;
+            if entry.silent || (self.now < entry.next_sync && !news) {
+                continue;
+            }
+            self.sync_entry(at);
+        }
+    }
+
+    pub(super) fn sync_entry(&mut self, at: usize) {
+        let entry = &mut self.fakes[at];
+        let hello = Hello {
+            name: entry.name.clone(),
+            incarnation: entry.run,
+            callers: "127.0.0.1:1".into(),
+            zone: entry.zone.clone(),
+            acked: Revision(1),
+            draining: entry.draining,
+        };
+        if self.entries.hear(self.now, &hello) {
+            self.directory.owner_restarted(self.now, &entry.name);
+        }
+        let done: Vec<Name> = entry
+            .releasing
+            .iter()
+            .filter(|name| entry.router.in_flight(name).is_none_or(|busy| busy == 0))
+            .cloned()
+            .collect();
+        for name in done {
+            entry.releasing.remove(&name);
+            entry.router.disown(&name);
+            self.directory.let_go(&name, &entry.name);
+        }
+        let changes = self.directory.changes(entry.version);
+        entry.version = self.directory.version();
+        let mut turns = Vec::new();
+        for change in changes {
+            let name = &change.spec.name;
+            let mine = change.owner.as_ref() == Some(&entry.name);
+            if mine && change.usable {
+                entry.router.reported(self.now, name, change.busy, &mut turns);
+                entry.router.own(self.now, change.spec.clone(), change.busy, &mut turns);
+            } else if entry.router.in_flight(name).is_some() {
+                entry.router.close(name);
+                if !mine {
+                    entry.releasing.insert(name.clone());
+                }
+            }
+        }
+        entry.lease.renew(self.now);
+        entry.next_sync = self.now + SYNC;
+        self.take_turns(at, turns);
+    }
+
+    pub(super) fn take_turns(&mut self, entry: usize, turns: Vec<Turn>) {
+        for turn in turns {
+            let found = self.requests.iter().find(|(_, request)| {
+                request.entry == entry
+                    && matches!(&request.state, RequestState::Waiting(t) if *t == turn.ticket)
+            });
+            if let Some(name) = found.map(|(name, _)| name.clone()) {
+                self.send(&name, turn.grant);
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, name: &str, grant: Grant) {
+        let Some(request) = self.requests.get_mut(name) else { return };
+        let router = &self.fakes[request.entry].router;
+        let Some(runner) = router.runner(grant.runner).map(|r| r.spec.name.clone()) else { return };
+        if let Some(fake) = self.runners.iter_mut().find(|fake| fake.spec.name == runner) {
+            fake.busy += 1;
+            self.request_watch.ran(name, runner.as_str(), fake.spec.slots);
+        }
+        request.state = RequestState::At(grant, runner);
+    }
+
+    pub(super) fn expire_requests(&mut self) {
+        let late: Vec<Box<str>> = self
+            .requests
+            .iter()
+            .filter(|(_, r)| self.now >= r.deadline && matches!(r.state, RequestState::Waiting(_)))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in late {
+            let Some(request) = self.requests.get_mut(&name) else { continue };
+            if let RequestState::Waiting(ticket) = request.state {
+                self.fakes[request.entry].router.abandon(ticket);
+                request.state = RequestState::NotRun;
+                self.request_watch.told(&name, Told::NotRun);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/scenario/world/tasks.rs
@@ -0,0 +1,123 @@
+//! Fake workers: leases, heartbeats and orders.
+
+use super::*;
+
+impl World {
+    /// A worker whose lease has ended drops everything, cut off or not.
+    pub(super) fn end_leases(&mut self) {
+        for worker in &mut self.workers {
+            if self.now < worker.lease_until {
+                continue;
+            }
+            for (task, epoch) in std::mem::take(&mut worker.running) {
+                self.task_watch.stopped(task, epoch);
+                worker.reports.push(TaskReport { task, epoch, event: TaskEvent::Stopped });
+            }
+        }
+    }
+
+    pub(super) fn beat_workers(&mut self) {
+        for at in 0..self.workers.len() {
+            let worker = &self.workers[at];
+            if worker.silent || (self.now < worker.next_beat && worker.reports.is_empty()) {
+                continue;
+            }
+            if self.worker_beat(at) {
+                let worker = &mut self.workers[at];
+                worker.lease_until = self.now + WORKER_LEASE;
+                worker.next_beat = self.now + HEARTBEAT;
+            }
+        }
+    }
+
+    /// True when the lease was renewed.
+    pub(super) fn worker_beat(&mut self, at: usize) -> bool {
+        let worker = &mut self.workers[at];
+        let spec = worker.spec.clone();
+        if !worker.known {
+            let target = TargetSpec::Worker(spec.clone());
+            if self.directory.announce(self.now, target, 0) != Heard::Noted {
+                return false;
+            }
+            if let Some(former) = workers::former_run(&self.machine, &spec) {
+                self.machine.apply(Command::WorkerGone(spec.name.clone(), former));
+            }
+            let up = self.machine.apply(Command::WorkerUp(Box::new(spec)));
+            self.workers[at].known = matches!(up, Outcome::WorkerUp(_));
+            return self.workers[at].known;
+        }
+        let usage = Usage::default();
+        let heard = self.directory.heartbeat(self.now, &spec.name, spec.incarnation, usage);
+        let record = self.machine.worker(&spec.name);
+        let gone = record.is_none_or(|(_, worker)| worker.phase == WorkerPhase::Gone);
+        if heard != Heard::Noted || gone {
+            worker.known = false;
+            return false;
+        }
+        let reports = std::mem::take(&mut worker.reports);
+        if worker.leaving {
+            self.directory.leave(&spec.name, spec.incarnation);
+            self.machine.apply(Command::WorkerLeaving(spec.name, spec.incarnation));
+        }
+        self.machine.apply(Command::Report(reports.into()));
+        true
+    }
+
+    pub(super) fn give_up_workers(&mut self) {
+        for (name, run) in workers::lost(&self.machine, &self.directory, START, self.now) {
+            self.machine.apply(Command::WorkerGone(name.clone(), run));
+            self.directory.drop_worker(&name);
+        }
+    }
+
+    pub(super) fn place(&mut self) {
+        let plan = placement::plan(&self.machine);
+        if !plan.decisions.is_empty() {
+            self.machine.apply(Command::Place(plan.placements()));
+        }
+    }
+
+    pub(super) fn deliver_orders(&mut self) {
+        for at in 0..self.workers.len() {
+            let spec = &self.workers[at].spec;
+            let Some((key, record)) = self.machine.worker(&spec.name) else { continue };
+            if record.spec.incarnation != spec.incarnation {
+                continue;
+            }
+            let due = self.dispatch.due(self.now, &self.machine, key);
+            let mut reports = Vec::new();
+            for due in due {
+                match self.workers[at].silent {
+                    true => self.dispatch.failed(&due),
+                    false => reports.extend(self.obey(at, &due)),
+                }
+            }
+            self.machine.apply(Command::Report(reports.into()));
+        }
+    }
+
+    pub(super) fn obey(&mut self, at: usize, due: &Due) -> Option<TaskReport> {
+        let Due { task, epoch, order } = *due;
+        let worker = &mut self.workers[at];
+        let report = |event| Some(TaskReport { task, epoch, event });
+        match order {
+            Order::Start if self.now >= worker.lease_until => {
+                report(TaskEvent::Refused { reason: "the lease has ended".into() })
+            }
+            Order::Start if worker.seen.get(&task).is_some_and(|seen| *seen >= epoch) => None,
+            Order::Start => {
+                worker.seen.insert(task, epoch);
+                worker.running.insert(task, epoch);
+                self.task_watch.started(task, epoch);
+                report(TaskEvent::Started)
+            }
+            Order::Checkpoint | Order::Stop => {
+                if worker.running.get(&task) == Some(&epoch) {
+                    worker.running.remove(&task);
+                    self.task_watch.stopped(task, epoch);
+                }
+                report(TaskEvent::Stopped)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/leader/asks.rs
@@ -0,0 +1,326 @@
+//! What entries ask of the leader: documents, tasks, requests, and the views of operators.
+
+use super::*;
+
+impl Leader {
+    pub(crate) fn ask(&mut self, ask: Ask, reply: Reply) {
+        let answer = match ask {
+            Ask::Apply { text, author } => return self.apply(text, author, reply),
+            Ask::InForce { revision } => return self.wait_in_force(Revision(revision), reply),
+            Ask::Submit { key, tasks } => return self.submit(key, tasks, reply),
+            Ask::Cancel(tasks) => return self.cancel(tasks, reply),
+            Ask::Announce { target, busy } => return self.announce(target, busy, reply),
+            Ask::Heartbeat { name, beat } => return self.heartbeat(&name, beat, reply),
+            Ask::Leave { name, incarnation } => return self.leave(name, incarnation, reply),
+            Ask::RequestBegin(begin) => {
+                return self.propose_for(Command::RequestBegin(begin), Then::Request, reply);
+            }
+            Ask::RequestEnd(end) => {
+                return self.propose_for(Command::RequestEnd(end), Then::Done, reply);
+            }
+            Ask::Services => {
+                let all = self.machine.services();
+                Answer::Services(all.map(|s| views::service(&s.accepted, false)).collect())
+            }
+            Ask::Service(name) => match self.machine.service(&name) {
+                Some(found) => Answer::Service(views::service(&found.accepted, true)),
+                None => {
+                    not_found(format!("no service is called {name}; `yuccalink list` shows all"))
+                }
+            },
+            Ask::Task(id) => match self.machine.task(id) {
+                Some(task) => Answer::Task(views::task(&self.machine, task)),
+                None => not_found(format!("no task {id} is known; it may have ended long ago")),
+            },
+            Ask::Tasks(filter) => Answer::Tasks(self.tasks(&filter)),
+            Ask::Status => Answer::Status(Box::new(self.status(LogView::default(), Vec::new()))),
+            Ask::Targets => Answer::Targets(self.targets()),
+            Ask::Decisions => Answer::Decisions(self.shared.decisions.list()),
+            // Answered by the replica, which knows the log.
+            Ask::Snapshot => Answer::Problem(no_leader()),
+        };
+        let _ = reply.send(answer);
+    }
+
+    pub(super) fn apply(&mut self, text: Box<str>, author: Box<str>, reply: Reply) {
+        let document = match document::read(&text) {
+            Ok(document) => document,
+            Err(faults) => {
+                let _ = reply.send(Answer::Problem(unacceptable_document(&faults)));
+                return;
+            }
+        };
+        let service = document.service.clone();
+        let version = document.version;
+        let digest = document::digest(&text);
+        let command = Command::Apply(Box::new(Apply { document, text, digest, author }));
+        let then = |reply| Then::Applied { service, version, reply };
+        self.propose_for(command, then, reply);
+    }
+
+    pub(super) fn wait_in_force(&mut self, revision: Revision, reply: Reply) {
+        let until = self.clock.now() + FORCE_WAIT;
+        self.force.push(ForceWaiter { revision, until, reply });
+        self.answer_in_force();
+    }
+
+    pub(super) fn answer_in_force(&mut self) {
+        let now = self.clock.now();
+        for waiter in std::mem::take(&mut self.force) {
+            let state = self.entries.in_force(now, waiter.revision);
+            let everywhere = state == InForce::Everywhere;
+            if !everywhere && now < waiter.until {
+                self.force.push(waiter);
+                continue;
+            }
+            let waiting_for = match state {
+                InForce::Not(names) => names.into(),
+                InForce::Everywhere | InForce::LeaderTooNew => Vec::new(),
+            };
+            let _ = waiter.reply.send(Answer::InForce { everywhere, waiting_for });
+        }
+    }
+
+    pub(super) fn submit(&mut self, key: Box<str>, tasks: SubmitTasks, reply: Reply) {
+        if let Some(problem) = self.unacceptable(&tasks) {
+            let _ = reply.send(Answer::Problem(problem));
+            return;
+        }
+        let command = Command::Submit(Submit {
+            key,
+            service: tasks.service,
+            kind: tasks.kind,
+            count: tasks.count,
+            urgent: tasks.urgent,
+            payload: tasks.payload,
+            at_ms: unix_ms(),
+        });
+        self.propose_for(command, Then::Submitted, reply);
+    }
+
+    pub(super) fn unacceptable(&self, tasks: &SubmitTasks) -> Option<Problem> {
+        let refuse = |what: String| Some(Problem::new(Kind::Unacceptable, Ran::NotRun, what));
+        if tasks.count == 0 || tasks.count > SUBMIT_MAX {
+            return refuse(format!(
+                "count must be from 1 to {SUBMIT_MAX}; submit in several parts"
+            ));
+        }
+        if tasks.payload.len() > PAYLOAD_MAX {
+            return refuse(format!(
+                "the payload is over {PAYLOAD_MAX} bytes; put it in your own storage and pass its name"
+            ));
+        }
+        let service = self.machine.service(&tasks.service)?;
+        let need = service.accepted.document.task_kind(&tasks.kind)?.need;
+        match placement::possible(&self.machine, need) {
+            Err(never @ placement::Impossible::TooLarge { .. }) => {
+                refuse(format!("{}/{} can never run: {never}", tasks.service, tasks.kind))
+            }
+            Ok(()) | Err(placement::Impossible::NoWorker) => None,
+        }
+    }
+
+    pub(super) fn cancel(&mut self, tasks: Vec<TaskId>, reply: Reply) {
+        if tasks.len() > LIST_MAX {
+            let what =
+                format!("at most {LIST_MAX} tasks can be cancelled at once; send several parts");
+            let problem = Problem::new(Kind::Unacceptable, Ran::NotRun, what);
+            let _ = reply.send(Answer::Problem(problem));
+            return;
+        }
+        let command = Command::Cancel(tasks.clone().into());
+        self.propose_for(command, |reply| Then::Cancelled { tasks, reply }, reply);
+    }
+
+    pub(super) fn announce(&mut self, target: TargetSpec, busy: u32, reply: Reply) {
+        let now = self.clock.now();
+        let new_run = self
+            .directory
+            .get(target.name())
+            .is_none_or(|known| known.spec.incarnation() != target.incarnation());
+        if let Some(wait) = self.former_run(&target, now) {
+            let _ = reply.send(Answer::Problem(busy_problem(&target, wait)));
+            return;
+        }
+        match self.directory.announce(now, target.clone(), busy) {
+            Heard::Busy(wait) => {
+                let _ = reply.send(Answer::Problem(busy_problem(&target, wait)));
+                return;
+            }
+            Heard::Noted | Heard::AnnounceAgain => {}
+        }
+        if new_run {
+            log::info!("target {} announced itself at {}", target.name(), target.address());
+        }
+        self.directory.tick(now, &self.entries);
+        self.bump();
+        match target {
+            TargetSpec::Runner(_) => {
+                let _ = reply.send(Answer::Welcome(runner_welcome()));
+            }
+            TargetSpec::Worker(spec) => {
+                let known = self.machine.worker(&spec.name);
+                if known.is_some_and(|(_, w)| w.spec == spec && w.phase == WorkerPhase::Live) {
+                    let _ = reply.send(Answer::Welcome(worker_welcome()));
+                    return;
+                }
+                if let Some(former) = workers::former_run(&self.machine, &spec) {
+                    let name = spec.name.clone();
+                    let gone = Command::WorkerGone(name.clone(), former);
+                    self.propose(gone, Then::FormerRunGone(name));
+                }
+                let command = Command::WorkerUp(Box::new(spec));
+                self.propose_for(command, Then::Announced, reply);
+            }
+        }
+    }
+
+    /// After a change of leader the directory is empty, but the state knows the
+    /// worker: its former run may hold a lease of the last leader.
+    pub(super) fn former_run(&self, target: &TargetSpec, now: Moment) -> Option<Duration> {
+        let TargetSpec::Worker(spec) = target else { return None };
+        workers::former_run(&self.machine, spec)?;
+        if self.directory.get(&spec.name).is_some() {
+            return None;
+        }
+        let wait = workers::wait_after_election(self.started, now);
+        (wait > Duration::ZERO).then_some(wait)
+    }
+
+    pub(super) fn heartbeat(&mut self, name: &Name, beat: Heartbeat, reply: Reply) {
+        let now = self.clock.now();
+        let usage =
+            Usage { busy: beat.busy, millicores: beat.millicores, memory_mib: beat.memory_mib };
+        let before = self.directory.version();
+        if self.directory.heartbeat(now, name, beat.incarnation, usage) != Heard::Noted {
+            let what = format!("target {name} is not known in this run; announce it first");
+            let problem = Problem::new(Kind::NotFound, Ran::NotRun, what);
+            let _ = reply.send(Answer::Problem(problem));
+            return;
+        }
+        if self.directory.version() != before {
+            self.bump();
+        }
+        let is_worker = matches!(
+            self.directory.get(name).map(|target| &target.spec),
+            Some(TargetSpec::Worker(_))
+        );
+        if !is_worker {
+            let _ = reply.send(Answer::Welcome(runner_welcome()));
+            return;
+        }
+        self.worker_beat(name, beat, reply);
+    }
+
+    pub(super) fn worker_beat(&mut self, name: &Name, beat: Heartbeat, reply: Reply) {
+        let known = self.machine.worker(name).filter(|(_, w)| {
+            w.spec.incarnation == beat.incarnation && w.phase != WorkerPhase::Gone
+        });
+        let Some((key, _)) = known else {
+            // It was given up: whatever it still holds is somebody else's by now.
+            let what = format!("worker {name} was given up; stop its tasks and announce it again");
+            let problem = Problem::new(Kind::NotFound, Ran::NotRun, what);
+            let _ = reply.send(Answer::Problem(problem));
+            return;
+        };
+        let held: Vec<_> = beat.held.iter().map(|held| (held.task, held.epoch)).collect();
+        let differences = self.reconcile.compare(&self.machine, key, &held);
+        if !differences.stray.is_empty() {
+            log::warn!("worker {name} holds {} tasks it should not", differences.stray.len());
+            self.strays.insert(key, differences.stray);
+            self.dirty.insert(key);
+            self.orders.notify_one();
+        }
+        let lost = differences.lost.into_iter();
+        let lost = lost.map(|(task, epoch)| TaskReport { task, epoch, event: TaskEvent::Stopped });
+        let reports: Box<[TaskReport]> = beat.reports.into_iter().chain(lost).collect();
+        if reports.is_empty() {
+            let _ = reply.send(Answer::Welcome(worker_welcome()));
+            return;
+        }
+        let then = |reply| Then::Reported(Some(reply));
+        self.propose_for(Command::Report(reports), then, reply);
+    }
+
+    /// Reports that came as the answer to orders.
+    pub(crate) fn reported(&mut self, reports: Vec<TaskReport>) {
+        if !reports.is_empty() {
+            self.propose(Command::Report(reports.into()), Then::Reported(None));
+        }
+    }
+
+    pub(super) fn leave(&mut self, name: Name, run: Incarnation, reply: Reply) {
+        let now = self.clock.now();
+        if self.directory.leave(&name, run) != Heard::Noted {
+            let what = format!("target {name} is not known in this run");
+            let _ = reply.send(not_found(what));
+            return;
+        }
+        log::info!("target {name} leaves");
+        self.directory.tick(now, &self.entries);
+        self.bump();
+        if self.machine.worker(&name).is_some() {
+            let command = Command::WorkerLeaving(name, run);
+            self.propose_for(command, Then::Done, reply);
+        } else {
+            let _ = reply.send(Answer::Done);
+        }
+    }
+
+    pub(super) fn tasks(&self, filter: &TaskFilter) -> Vec<yuccalink_protocol::api::TaskView> {
+        let limit = filter.limit.clamp(1, PAGE_MAX) as usize;
+        let of_service = |task: &&Task| {
+            let service = &self.machine.service_at(task.service).accepted.document.service;
+            filter.service.as_ref().is_none_or(|want| want == service)
+        };
+        let in_phase =
+            |task: &&Task| filter.phase.as_ref().is_none_or(|want| **want == *views::phase(task));
+        let found = self.machine.tasks_after(TaskId(filter.after)).filter(of_service);
+        found.filter(in_phase).take(limit).map(|task| views::task(&self.machine, task)).collect()
+    }
+
+    pub(crate) fn status(&self, log: LogView, members: Vec<MemberView>) -> Status {
+        let now = self.clock.now();
+        let entries = self.entries.iter().map(|(name, entry)| EntryView {
+            entry: name.clone(),
+            zone: entry.zone.clone(),
+            callers: entry.callers.clone(),
+            revision: entry.acked.0,
+            lease: entry.may_hold_lease(now),
+            draining: entry.draining,
+            silent_ms: millis(now.since(entry.heard)),
+        });
+        let on_workers = self.machine.workers().map(|(_, worker)| u64::from(worker.tasks)).sum();
+        Status {
+            entry: self.shared.config.name.clone(),
+            leader: Some(self.shared.config.name.clone()),
+            term: self.term,
+            revision: self.machine.revision().0,
+            entries: entries.collect(),
+            waiting: self.machine.waiting_len() as u64,
+            on_workers,
+            ledger_requests: self.machine.ledger().len() as u64,
+            ledger_bytes: self.machine.ledger().bytes() as u64,
+            log,
+            members,
+        }
+    }
+
+    pub(super) fn targets(&self) -> Vec<TargetView> {
+        let now = self.clock.now();
+        let view =
+            |(name, target): (&Name, &yuccalink_coordination::directory::Target)| TargetView {
+                target: target.spec.clone(),
+                health: health_name(target.health).into(),
+                busy: target.usage.busy,
+                owner: target.owner.clone(),
+                silent_ms: millis(now.since(target.heard)),
+                committed: self.committed_on(name),
+            };
+        self.directory.iter().map(view).collect()
+    }
+
+    pub(super) fn committed_on(&self, name: &Name) -> Option<Resources> {
+        self.machine.worker(name).map(|(_, worker)| worker.committed)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/leader/orders.rs
@@ -0,0 +1,64 @@
+//! Orders that are due at workers.
+
+use super::*;
+
+impl Leader {
+    /// Orders that are due at workers with something new.
+    pub(crate) fn orders_due(&mut self, busy: &BTreeSet<WorkerKey>) -> Vec<OrderBatch> {
+        let now = self.clock.now();
+        let ready: Vec<WorkerKey> =
+            self.dirty.iter().copied().filter(|key| !busy.contains(key)).collect();
+        let mut batches = Vec::new();
+        for key in ready {
+            self.dirty.remove(&key);
+            let mut due = self.dispatch.due(now, &self.machine, key);
+            for (task, epoch) in self.strays.remove(&key).unwrap_or_default() {
+                due.push(Due { task, epoch, order: Order::Stop });
+            }
+            if due.is_empty() {
+                continue;
+            }
+            let worker = &self.machine.worker_at(key).spec;
+            batches.push(OrderBatch {
+                worker: key,
+                name: worker.name.clone(),
+                incarnation: worker.incarnation,
+                address: worker.address.clone(),
+                orders: due.iter().filter_map(|due| self.order(due)).collect(),
+                due,
+            });
+        }
+        batches
+    }
+
+    pub(super) fn order(&self, due: &Due) -> Option<OrderTask> {
+        let held = Held { task: due.task, epoch: due.epoch };
+        match due.order {
+            Order::Stop => Some(OrderTask::Stop(held)),
+            Order::Checkpoint => Some(OrderTask::Checkpoint(held)),
+            Order::Start => {
+                let task = self.machine.task(due.task)?;
+                let document = &self.machine.service_at(task.service).accepted.document;
+                let kind = document.task_kind(&task.kind);
+                Some(OrderTask::Start(Start {
+                    task: task.id,
+                    epoch: task.epoch,
+                    service: document.service.clone(),
+                    kind: task.kind.clone(),
+                    need: task.need,
+                    duration_ms: kind.map_or(0, |kind| kind.duration_ms),
+                    done_ms: task.checkpoint.map_or(0, |saved| saved.done_ms),
+                    checkpoint: task.checkpoint.map(|saved| saved.epoch),
+                    payload: task.payload.clone(),
+                }))
+            }
+        }
+    }
+
+    /// Orders could not be delivered: they are due again at the next sweep.
+    pub(crate) fn orders_failed(&mut self, due: &[Due]) {
+        for due in due {
+            self.dispatch.failed(due);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/leader/time.rs
@@ -0,0 +1,49 @@
+//! What only time brings about.
+
+use super::*;
+
+impl Leader {
+    /// Everything that only time brings about.
+    pub(crate) fn tick(&mut self) {
+        let now = self.clock.now();
+        let before = self.directory.version();
+        for name in self.directory.tick(now, &self.entries) {
+            let owner = self.directory.get(&name).and_then(|target| target.owner.clone());
+            let owner = owner.map_or_else(|| "nobody".into(), |owner| owner.to_string());
+            self.shared.decisions.note(format!("runner {name} is routed to by entry {owner}"));
+        }
+        if self.directory.version() != before {
+            self.bump();
+        }
+        if !self.settled && !self.entries.too_new(now) {
+            self.settled = true;
+            self.bump();
+        }
+        self.entries.tidy(now);
+        self.give_up_workers(now);
+        self.answer_in_force();
+        if now.since(self.swept) >= SWEEP {
+            self.swept = now;
+            self.dispatch.tidy(&self.machine);
+            self.dirty.extend(self.machine.workers().filter(|(_, w)| w.tasks > 0).map(|(k, _)| k));
+            self.plan_due |= self.machine.waiting_len() > 0;
+            self.orders.notify_one();
+            self.gauges();
+        }
+    }
+
+    pub(super) fn gauges(&self) {
+        let metrics = &self.shared.metrics;
+        metrics.gauge("tasks_waiting", self.machine.waiting_len() as u64);
+        metrics.gauge("ledger_bytes", self.machine.ledger().bytes() as u64);
+    }
+
+    pub(super) fn give_up_workers(&mut self, now: Moment) {
+        for (name, run) in workers::lost(&self.machine, &self.directory, self.started, now) {
+            if !self.going.insert(name.clone()) {
+                continue;
+            }
+            self.propose(Command::WorkerGone(name.clone(), run), Then::WorkerGone(name));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/replica/disk.rs
@@ -0,0 +1,97 @@
+//! What a replica asks of its disk, and what it makes of the answers.
+
+use super::*;
+
+impl Replica {
+    /// What the disk is to do next, writes first.
+    pub(crate) fn next_work(&mut self) -> Option<Work> {
+        if !self.writes.is_empty() {
+            return Some(Work::Write(std::mem::take(&mut self.writes)));
+        }
+        if let Some((meta, bytes)) = &self.install {
+            return Some(Work::Install { index: meta.index, bytes: bytes.clone() });
+        }
+        self.snapshot_due()
+    }
+
+    /// The disk has done something.
+    pub(crate) fn did(&mut self, done: &Done) {
+        match done {
+            Done::Written { seq, counts } => {
+                self.written = *seq;
+                self.counts = *counts;
+                self.raft.persisted(*seq, self.shared.clock.now());
+            }
+            Done::Compacted { index } => self.raft.compact(*index, KEPT_BEHIND),
+            Done::Installed => self.installed(),
+            Done::Failed(_) => {}
+        }
+        self.propose();
+    }
+
+    pub(super) fn installed(&mut self) {
+        let Some((meta, bytes)) = self.install.take() else { return };
+        match snapshot::decode(&bytes, "a snapshot of the leader") {
+            Ok(found) => {
+                log::info!("took over the leader's state up to record {}", meta.index);
+                self.machine = Some(found.machine);
+                self.applied = meta.index;
+                self.raft.installed(Some(meta));
+            }
+            Err(error) => {
+                log::error!("the leader's snapshot cannot be read: {error}");
+                self.raft.installed(None);
+            }
+        }
+    }
+
+    pub(super) fn encode_snapshot(&self) -> Option<(SnapshotMeta, Vec<u8>)> {
+        let machine = match &self.leader {
+            Some(leader) => leader.machine(),
+            None => self.machine.as_ref()?,
+        };
+        let index = self.applied;
+        let term = self.raft.term_at(index)?;
+        let members = self.raft.members_at(index);
+        let encoded = peer::encode(&members).ok()?;
+        let meta = Meta { index, term, members: encoded.into() };
+        match snapshot::encode(&meta, machine) {
+            Ok(bytes) => Some((SnapshotMeta { index, term, members }, bytes)),
+            Err(error) => {
+                log::error!("no snapshot: {error}");
+                None
+            }
+        }
+    }
+
+    pub(super) fn snapshot_due(&mut self) -> Option<Work> {
+        let records = self.counts.records - self.snapshot_at.records;
+        let bytes = self.counts.bytes - self.snapshot_at.bytes;
+        if records < SNAPSHOT_RECORDS && bytes < SNAPSHOT_BYTES {
+            return None;
+        }
+        self.snapshot_at = self.counts;
+        let (meta, bytes) = self.encode_snapshot()?;
+        Some(Work::Compact { index: meta.index, bytes })
+    }
+
+    pub(super) fn offer_snapshot(&mut self, to: ReplicaId) {
+        if let Some((meta, bytes)) = self.encode_snapshot() {
+            log::info!("sending replica {to} the state up to record {}", meta.index);
+            self.raft.offer_snapshot(self.shared.clock.now(), to, meta, bytes.into());
+            self.pump();
+        }
+    }
+
+    /// Before a planned stop: lets another voter lead at once.
+    pub(crate) fn hand_over(&mut self) -> bool {
+        let asked = self.raft.hand_over();
+        self.pump();
+        asked
+    }
+
+    /// Whether this replica is the leader, with or without a lease.
+    pub(crate) fn is_leader(&self) -> bool {
+        self.raft.role() == Role::Leader
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/once.rs
@@ -0,0 +1,111 @@
+//! Requests that must run at most once.
+
+use super::*;
+
+impl Traffic {
+    /// Lets a request with a key run if it is the first, and otherwise says what
+    /// became of the first.
+    pub(super) async fn once(
+        &self,
+        serving: &Arc<Serving>,
+        key: &RequestKey,
+    ) -> Result<WebResponse, Problem> {
+        // An entry without runners of the service hands the request on before it
+        // is noted, so that the entry that sends it also notes it.
+        if !serving.handed_on && !self.owns(&serving.document) {
+            return self.hand_on(serving, Refusal::NoRunner, Duration::from_secs(1)).await;
+        }
+        let attempt = self.rng.borrow_mut().next_u64();
+        let mut pause = RUNNING_PAUSE;
+        loop {
+            match self.begin(serving, key, attempt).await? {
+                Verdict::Go => return self.run_once(serving, key).await,
+                Verdict::Answered(kept) => return Ok(again(&kept)),
+                Verdict::Running if Instant::now() + pause < serving.deadline => {
+                    sleep(pause).await;
+                    pause = (pause * 2).min(Duration::from_secs(1));
+                }
+                Verdict::Running => {
+                    let what = "the same request is still under way; ask again with the same key";
+                    return Err(
+                        Problem::new(Kind::InProgress, Ran::Unknown, what).retry_after(1000)
+                    );
+                }
+                Verdict::AnsweredTooLarge => {
+                    let what = "it ran once and was answered; the answer was too large to keep";
+                    return Err(Problem::new(Kind::AnswerNotKept, Ran::Ran, what));
+                }
+                Verdict::Unknown => {
+                    let what = "it was sent once and its outcome was lost; ask the service whether \
+                                it took effect, and use a new key to send it again";
+                    return Err(Problem::new(Kind::OutcomeUnknown, Ran::Unknown, what));
+                }
+                Verdict::KeyReused => {
+                    let what = "this Idempotency-Key was used for another request; use a new key";
+                    return Err(Problem::new(Kind::KeyReused, Ran::NotRun, what));
+                }
+                Verdict::Full => {
+                    let what = "too many requests with keys are remembered; send it again later";
+                    return Err(self.come_back(Kind::Overloaded, what, 5000));
+                }
+            }
+        }
+    }
+
+    pub(super) async fn begin(
+        &self,
+        serving: &Serving,
+        key: &RequestKey,
+        attempt: u64,
+    ) -> Result<Verdict, Problem> {
+        let call = &serving.call;
+        let at_ms = unix_ms();
+        let left = serving.deadline.saturating_duration_since(Instant::now());
+        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let ask = Ask::RequestBegin(RequestBegin {
+            key: key.clone(),
+            digest: request::digest(call.method.as_str(), call.path(), &call.body),
+            attempt,
+            at_ms,
+            until_ms: at_ms.saturating_add(left).saturating_add(LEDGER_GRACE_MS),
+        });
+        match self.shared.ask(ask).await {
+            LeaderAnswer::Request(verdict) => Ok(verdict),
+            LeaderAnswer::Problem(mut problem) => {
+                // Nothing has been sent to a runner, whatever the leader noted.
+                problem.ran = Ran::NotRun;
+                self.end(key, Outcome::NotRun).await;
+                Err(problem)
+            }
+            _ => Err(self.come_back(Kind::NotServing, "the leader gave no verdict", 1000)),
+        }
+    }
+
+    pub(super) async fn run_once(
+        &self,
+        serving: &Arc<Serving>,
+        key: &RequestKey,
+    ) -> Result<WebResponse, Problem> {
+        let mut noted = Noted { shared: self.shared.clone(), key: Some(key.clone()) };
+        let result = self.route(serving, Some(&mut noted)).await;
+        let (Err(problem), Some(key)) = (&result, noted.key.take()) else { return result };
+        let outcome = match problem.ran {
+            Ran::NotRun => Outcome::NotRun,
+            Ran::Ran | Ran::Unknown => Outcome::Unknown,
+        };
+        let not_run = outcome == Outcome::NotRun;
+        self.end(&key, outcome).await;
+        // Its runners may have gone to another entry meanwhile: that one notes the
+        // request anew, now that the key is free again.
+        let view = self.shared.view.load_full();
+        let elsewhere = self.other_owner(&view, &serving.document, &[]).is_some();
+        if not_run && elsewhere && !serving.handed_on && Instant::now() < serving.deadline {
+            return self.hand_on(serving, Refusal::NoneHealthy, Duration::from_secs(1)).await;
+        }
+        result
+    }
+
+    pub(super) async fn end(&self, key: &RequestKey, ended: Outcome) {
+        let _ = self.shared.ask(Ask::RequestEnd(RequestEnd { key: key.clone(), ended })).await;
+    }
+}
--- a/crates/transport/src/auth.rs
+++ b/crates/transport/src/auth.rs
@@ -9,6 +9,7 @@
 use rand::TryRng as _;
 use sha2::{Digest, Sha256};
 use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use std::{fs, io};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -84,6 +85,7 @@
 
 impl std::error::Error for BadKeys {}
 
+#[derive(Clone)]
 struct Key {
     id: [u8; ID],
     secret: Box<[u8]>,
@@ -91,9 +93,17 @@
 
 /// The keys of one daemon: the first is shown, any is accepted. Read anew for
 /// each connection, so that keys are exchanged without a stop.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub struct Keys {
     file: Option<PathBuf>,
+    /// As they were when the file was last usable.
+    last: Arc<Mutex<Vec<Key>>>,
+}
+
+impl std::fmt::Debug for Keys {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Keys").field("file", &self.file).finish_non_exhaustive()
+    }
 }
 
 impl Keys {
@@ -108,22 +118,20 @@
     /// assert!(Keys::open(Some("/nowhere".into())).is_err());
     /// ```
     pub fn open(file: Option<PathBuf>) -> Result<Self, BadKeys> {
-        if let Some(file) = &file {
-            read(file)?;
-        }
-        Ok(Self { file })
+        let keys = file.as_deref().map(read).transpose()?.unwrap_or_default();
+        Ok(Self { file, last: Arc::new(Mutex::new(keys)) })
     }
 
     fn load(&self) -> Option<Vec<Key>> {
         let file = self.file.as_ref()?;
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
         match read(file) {
-            Ok(keys) => Some(keys),
-            Err(error) => {
-                // No key is no reason to let anybody in.
-                log::error!("{error}; no daemon is let in until it is mended");
-                Some(Vec::new())
-            }
+            Ok(keys) => *last = keys,
+            // An editor may have emptied the file to write it anew: daemons must
+            // not lose each other for that moment.
+            Err(error) => log::error!("{error}; the keys read before stay in use"),
         }
+        Some(last.clone())
     }
 
     /// Proves itself to the daemon that was connected to, and checks its proof.
--- a/crates/transport/tests/auth.rs
+++ b/crates/transport/tests/auth.rs
@@ -66,6 +66,19 @@
     }
 }
 
+/// An operator's editor empties the file for a moment, or it is lost. The daemons
+/// go on trusting each other by the keys that they read before.
+#[tokio::test]
+async fn an_emptied_file_changes_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = file(&folder, "k", &[OLD]);
+    let keys = Keys::open(Some(path.clone())).expect("keys");
+    fs::write(&path, "").expect("emptied");
+    assert!(meet(&keys, &keys).await.iter().all(Result::is_ok));
+    fs::remove_file(&path).expect("removed");
+    assert!(meet(&keys, &keys).await.iter().all(Result::is_ok));
+}
+
 /// Somebody who knows no key sends back what it hears, or nonsense.
 #[tokio::test]
 async fn an_echo_and_nonsense_are_not_trusted() {
--- a/crates/yuccalinkd/tests/support/mod.rs
+++ b/crates/yuccalinkd/tests/support/mod.rs
@@ -72,6 +72,8 @@
             requests: Arc::default(),
             tasks: Arc::default(),
         };
+        let keys = daemons.folder.path().join("keys");
+        std::fs::write(keys, "a key that only these daemons know, long enough").expect("written");
         (0..count).for_each(|at| daemons.launch(at));
         for at in 0..count {
             until("a ready entry", || daemons.is_ready(at).then_some(()));
@@ -114,9 +116,7 @@
             .args(["--drain-delay", "400ms", "--traffic-threads", "1"])
             .stdin(Stdio::null())
             .stderr(log);
-        let keys = self.folder.path().join("keys");
-        std::fs::write(&keys, "a key that only these daemons know, long enough").expect("written");
-        command.arg("--peer-keys").arg(keys);
+        command.arg("--peer-keys").arg(self.folder.path().join("keys"));
         if at < VOTERS {
             command.arg("--data").arg(self.data(at));
         }
