--- a/crates/yuccalinkd/tests/system.rs
+++ b/crates/yuccalinkd/tests/system.rs
@@ -121,6 +121,39 @@
     daemons.no_breach();
 }
 
+/// What a change costs in syncs and in bytes of the log, and that changes which come
+/// at once share syncs. Bounds are on counts: a lost group commit shows at once.
+#[test]
+fn a_change_costs_few_syncs_and_bytes() {
+    const CHANGES: u64 = 20;
+    let daemons = Daemons::start(4).with_document();
+    let leader = daemons.leader();
+    let log = || daemons.status(leader).expect("a status").log;
+    let before = log();
+    for version in 2..2 + CHANGES {
+        assert_eq!(daemons.apply(3, version).expect("an answer").status, 200);
+    }
+    let one_by_one = log();
+    assert_eq!(one_by_one.records - before.records, CHANGES);
+    assert!(one_by_one.syncs - before.syncs <= CHANGES + 2, "{one_by_one:?} after {before:?}");
+    let bytes = (one_by_one.bytes - before.bytes) / CHANGES;
+    assert!(bytes < 1024, "{bytes} bytes of log a change");
+
+    let body = br#"{"service":"q","kind":"k"}"#;
+    let threads: Vec<_> = (0..48)
+        .map(|at| {
+            let caller = daemons.control(at % 4).header("idempotency-key", &format!("k{at}"));
+            std::thread::spawn(move || caller.post("/v1/tasks", body).expect("an answer").status)
+        })
+        .collect();
+    for thread in threads {
+        assert_eq!(thread.join().expect("a caller"), 202);
+    }
+    let at_once = log();
+    assert_eq!(at_once.records - one_by_one.records, 48);
+    assert!(at_once.syncs - one_by_one.syncs < 48, "nothing shared a sync");
+}
+
 fn operate(daemons: &Daemons, at: usize, command: Command) -> command::Output {
     let client = Client::builder().servers(vec![daemons.address(at, 8081)]).build();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
