A caller that stops reading loses its connection

Cause: the server library's timers do not see a write that hangs; a stalled caller gave back the runner's slot but kept its connection for as long as it liked. Ruled out: a timer in the body (it is not polled while the write hangs). Change: TCP_USER_TIMEOUT on the listener, taken over by accepted connections. Before: with one connection allowed, nobody else was served (test failed first).

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -202,6 +202,7 @@
         connections: config.connections,
         head_timeout: config.head_timeout,
         idle_timeout: config.idle_timeout,
+        stall_timeout: config.stall_timeout,
     };
     let shared = shared.clone();
     Server::start(listener, limits, move || Traffic::new(shared.clone(), draw()))
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -195,6 +195,23 @@
     });
 }
 
+/// The same caller also holds a connection. With all connections held so nobody
+/// else would be served: the connection itself is closed, not only the answer.
+#[test]
+fn a_caller_that_stalls_loses_its_connection() {
+    let system =
+        System::start_with(0, |c| c.stall_timeout(Duration::from_millis(300)).connections(1))
+            .with_document()
+            .with_runners(1, 8);
+    let mut stalled = TcpStream::connect(system.callers[0]).expect("a connection");
+    let head = "GET /q/large HTTP/1.1\r\nhost: x\r\nfake-size: 200000000\r\n\r\n";
+    stalled.write_all(head.as_bytes()).expect("sent");
+    until("the connection of another caller", || {
+        let reply = system.caller(0).get("/q/next").ok()?;
+        (reply.status == 200).then_some(())
+    });
+}
+
 /// An entry stops while requests are in flight. They are finished, and the health
 /// check is red before anything is refused.
 #[test]
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 server on threads of its own, with limits on connections and time.
 
 use bytes::Bytes;
+use socket2::SockRef;
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
@@ -44,6 +45,8 @@
     pub head_timeout: Duration,
     /// Time that a connection may stay without a request.
     pub idle_timeout: Duration,
+    /// Time that a caller may leave sent bytes untaken; then its connection is closed.
+    pub stall_timeout: Duration,
 }
 
 impl Default for Limits {
@@ -53,6 +56,7 @@
             connections: 4096,
             head_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(60),
+            stall_timeout: Duration::from_secs(10),
         }
     }
 }
@@ -121,6 +125,10 @@
         H: Handler,
     {
         let address = listener.local_addr()?;
+        // A caller that stops reading leaves a write hanging, which the server's own
+        // timers do not see: it would hold its connection until it pleases. The
+        // system closes it; accepted connections take the setting from here.
+        SockRef::from(&listener).set_tcp_user_timeout(Some(limits.stall_timeout))?;
         let open = Arc::new(Semaphore::new(limits.connections.max(1)));
         let build = fn_build(async move |()| {
             Ok::<_, Infallible>(PerThread { handler: Rc::new(make()), open: open.clone() })
