Heartbeats carry a digest of held tasks; runners' loads are told only where they matter

Cause: 20.1 KB/s a daemon while idle with 3,200 held tasks, of which 21 bytes/s a task were lists in heartbeats; and every change of a runner's load went to all entries. Ruled out: heartbeats less often (slower suspicion). Change: the list is sent when it is asked for, which is while the digests differ; a runner's load is news only while a former owner's requests may still be there. Before: 20.1 KB/s.

--- a/crates/coordination/src/directory.rs
+++ b/crates/coordination/src/directory.rs
@@ -62,6 +62,8 @@
     pub heard: Moment,
     /// The entry that routes to it, for runners.
     pub owner: Option<Name>,
+    /// Requests of a former owner that it may still hold.
+    reserved: u32,
     /// The owner that must let go, or lose its lease, before another is chosen.
     released: Option<Release>,
     changed: u64,
@@ -166,6 +168,7 @@
                     usage,
                     heard: now,
                     owner: None,
+                    reserved: 0,
                     released: None,
                     changed: self.version,
                     interval: HEARTBEAT,
@@ -185,13 +188,16 @@
         let gap = now.since(target.heard).min(DEAD);
         target.interval = (target.interval * 7 + gap) / 8;
         target.heard = now;
-        let busy_changed = target.usage.busy != usage.busy;
+        // The owner counts its own requests; only what a former owner left there
+        // must be told it.
+        let tells_owner = target.reserved > 0 && target.usage.busy != usage.busy;
+        target.reserved = target.reserved.min(usage.busy);
         target.usage = usage;
         let revived = target.health == Health::Suspected;
         if revived {
             target.health = Health::Live;
         }
-        if revived || (busy_changed && target.owner.is_some()) {
+        if revived || tells_owner {
             self.version += 1;
             target.changed = self.version;
         }
@@ -282,6 +288,7 @@
             held.add(&spec.service, spec.slots);
             self.version += 1;
             target.owner = Some(owner.clone());
+            target.reserved = target.usage.busy;
             target.released = None;
             target.changed = self.version;
             given.push(name.clone());
@@ -340,6 +347,7 @@
             usage: Usage::default(),
             heard: now,
             owner: None,
+            reserved: 0,
             released: None,
             changed,
             interval: HEARTBEAT,
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -108,7 +108,8 @@
             ("POST", ["v1", "targets", name, "heartbeat"]) => {
                 let name = named(name)?;
                 let beat: Heartbeat = json(asked.body).await?;
-                if beat.held.len() > LIST_MAX || beat.reports.len() > LIST_MAX {
+                let held = beat.held.as_ref().map_or(0, Vec::len);
+                if held > LIST_MAX || beat.reports.len() > LIST_MAX {
                     let what =
                         format!("more than {LIST_MAX} items in a list; send several heartbeats");
                     return Err(Problem::new(Kind::TooLarge, Ran::NotRun, what));
--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot, watch};
 use yuccalink_coordination::directory::{Directory, HEARTBEAT, Health, Heard, Usage, WORKER_LEASE};
-use yuccalink_coordination::dispatch::{Dispatch, Due, Order, Reconcile};
+use yuccalink_coordination::dispatch::{Differences, Dispatch, Due, Order, Reconcile};
 use yuccalink_coordination::entries::{Entries, Hello, InForce};
 use yuccalink_coordination::moment::Moment;
 use yuccalink_coordination::placement::{self, Decision, PLAN_MAX};
@@ -22,6 +22,7 @@
 use yuccalink_protocol::api::{
     Applied, Cancelled, EntryView, Heartbeat, Held, LIST_MAX, LogView, MemberView, OrderTask,
     PAYLOAD_MAX, SUBMIT_MAX, Start, Status, SubmitTasks, Submitted, TargetView, Welcome,
+    held_digest,
 };
 use yuccalink_protocol::document;
 use yuccalink_protocol::peer::{
@@ -31,7 +32,7 @@
 use yuccalink_state::command::{Apply, Command, Missing, Outcome, Submit, TaskEvent, TaskReport};
 use yuccalink_state::id::{Epoch, Incarnation, Name, Revision, TaskId, WorkerKey};
 use yuccalink_state::target::TargetSpec;
-use yuccalink_state::task::Task;
+use yuccalink_state::task::{Task, TaskPhase};
 use yuccalink_state::worker::WorkerPhase;
 use yuccalink_state::{Machine, Resources};
 
@@ -53,7 +54,7 @@
     Cancelled { tasks: Vec<TaskId>, reply: Reply },
     Placed(Vec<Decision>),
     Announced(Reply),
-    Reported(Option<Reply>),
+    Reported(Option<(Reply, bool)>),
     Request(Reply),
     Done(Reply),
     WorkerGone(Name),
@@ -229,8 +230,8 @@
             Then::Announced(reply) => self.finish_announce(&outcome, reply),
             Then::Reported(reply) => {
                 self.plan_due = true;
-                if let Some(reply) = reply {
-                    let _ = reply.send(Answer::Welcome(worker_welcome()));
+                if let Some((reply, send_held)) = reply {
+                    let _ = reply.send(Answer::Welcome(worker_welcome(send_held)));
                 }
             }
             Then::Request(reply) => {
@@ -329,7 +330,7 @@
     fn finish_announce(&mut self, outcome: &Outcome, reply: Reply) {
         self.plan_due = true;
         let answer = match outcome {
-            Outcome::WorkerUp(_) => Answer::Welcome(worker_welcome()),
+            Outcome::WorkerUp(_) => Answer::Welcome(worker_welcome(true)),
             Outcome::WorkerBusy => {
                 let what = "tasks of an earlier run are not given up yet; announce again";
                 let problem = Problem::new(Kind::InProgress, Ran::NotRun, what);
@@ -374,11 +375,12 @@
 }
 
 fn runner_welcome() -> Welcome {
-    Welcome { heartbeat_ms: millis(HEARTBEAT), lease_ms: None }
+    Welcome { heartbeat_ms: millis(HEARTBEAT), lease_ms: None, send_held: false }
 }
 
-fn worker_welcome() -> Welcome {
-    Welcome { heartbeat_ms: millis(HEARTBEAT), lease_ms: Some(millis(WORKER_LEASE)) }
+fn worker_welcome(send_held: bool) -> Welcome {
+    let lease_ms = Some(millis(WORKER_LEASE));
+    Welcome { heartbeat_ms: millis(HEARTBEAT), lease_ms, send_held }
 }
 
 fn busy_problem(target: &TargetSpec, wait: Duration) -> Problem {
--- a/crates/daemon/src/leader/asks.rs
+++ b/crates/daemon/src/leader/asks.rs
@@ -161,7 +161,7 @@
             TargetSpec::Worker(spec) => {
                 let known = self.machine.worker(&spec.name);
                 if known.is_some_and(|(_, w)| w.spec == spec && w.phase == WorkerPhase::Live) {
-                    let _ = reply.send(Answer::Welcome(worker_welcome()));
+                    let _ = reply.send(Answer::Welcome(worker_welcome(true)));
                     return;
                 }
                 if let Some(former) = workers::former_run(&self.machine, &spec) {
@@ -223,8 +223,16 @@
             let _ = reply.send(Answer::Problem(problem));
             return;
         };
-        let held: Vec<_> = beat.held.iter().map(|held| (held.task, held.epoch)).collect();
-        let differences = self.reconcile.compare(&self.machine, key, &held);
+        // A list is asked for whenever the digests differ, and until they are equal:
+        // what differs for good is then found by two lists in a row.
+        let send_held = beat.held_digest != self.digest_of(key);
+        let differences = match &beat.held {
+            Some(held) => {
+                let held: Vec<_> = held.iter().map(|held| (held.task, held.epoch)).collect();
+                self.reconcile.compare(&self.machine, key, &held)
+            }
+            None => Differences::default(),
+        };
         if !differences.stray.is_empty() {
             log::warn!("worker {name} holds {} tasks it should not", differences.stray.len());
             self.strays.insert(key, differences.stray);
@@ -235,13 +243,22 @@
         let lost = lost.map(|(task, epoch)| TaskReport { task, epoch, event: TaskEvent::Stopped });
         let reports: Box<[TaskReport]> = beat.reports.into_iter().chain(lost).collect();
         if reports.is_empty() {
-            let _ = reply.send(Answer::Welcome(worker_welcome()));
+            let _ = reply.send(Answer::Welcome(worker_welcome(send_held)));
             return;
         }
-        let then = |reply| Then::Reported(Some(reply));
+        let then = |reply| Then::Reported(Some((reply, send_held)));
         self.propose_for(Command::Report(reports), then, reply);
     }
 
+    /// Digest of the tasks that a worker has confirmed and should hold.
+    fn digest_of(&self, worker: WorkerKey) -> u32 {
+        let confirmed = self
+            .machine
+            .held_by(worker)
+            .filter(|task| matches!(task.phase, TaskPhase::Running(_) | TaskPhase::Stopping(..)));
+        held_digest(confirmed.map(|task| Held { task: task.id, epoch: task.epoch }))
+    }
+
     /// Reports that came as the answer to orders.
     pub(crate) fn reported(&mut self, reports: Vec<TaskReport>) {
         if !reports.is_empty() {
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -409,7 +409,9 @@
             Ended::Answered(answer) => answer.body.len() + SMALL,
             Ended::AnsweredTooLarge | Ended::NotRun | Ended::Unknown => SMALL,
         },
-        Ask::Heartbeat { beat, .. } => (beat.held.len() + beat.reports.len()) * SMALL + SMALL,
+        Ask::Heartbeat { beat, .. } => {
+            (beat.held.as_ref().map_or(0, Vec::len) + beat.reports.len()) * SMALL + SMALL
+        }
         _ => SMALL,
     }
 }
--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -45,7 +45,9 @@
         match self.post(entry, path, message).await {
             Ok((200, body)) => match serde_json::from_slice(&body) {
                 Ok(welcome) => Told::Welcome(welcome),
-                Err(_) => Told::Welcome(Welcome { heartbeat_ms: 1000, lease_ms: None }),
+                Err(_) => {
+                    Told::Welcome(Welcome { heartbeat_ms: 1000, lease_ms: None, send_held: false })
+                }
             },
             Ok((404, _)) => Told::Announce,
             Ok((status, body)) => {
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -15,7 +15,7 @@
 use xitca_web::http::{WebRequest, WebResponse};
 use yuccalink_coordination::invariants::TaskWatch;
 use yuccalink_protocol::api::{
-    Announce, Heartbeat, Held, Leave, OrderTask, Orders, OrdersTaken, Start,
+    Announce, Heartbeat, Held, Leave, OrderTask, Orders, OrdersTaken, Start, held_digest,
 };
 use yuccalink_protocol::units;
 use yuccalink_state::Resources;
@@ -181,6 +181,7 @@
     let path = format!("/v1/targets/{}", settings.name);
     let mut known = false;
     let mut told_leaving = false;
+    let mut send_held = true;
     while !state.stop.load(Ordering::SeqCst) {
         if state.frozen.load(Ordering::SeqCst) {
             sleep(AGAIN).await;
@@ -193,7 +194,7 @@
                     entries.tell(&format!("{path}/leave"), &Leave { incarnation: run }).await;
                 told_leaving = matches!(left, Told::Welcome(_));
             }
-            let (beat, reported) = heartbeat(&state);
+            let (beat, reported) = heartbeat(&state, send_held);
             (entries.tell(&format!("{path}/heartbeat"), &beat).await, reported)
         } else {
             let spec = WorkerSpec {
@@ -209,6 +210,7 @@
         let pause = match told {
             Told::Welcome(welcome) => {
                 known = true;
+                send_held = welcome.send_held;
                 lock(&state.tasks).reports.drain(..reported);
                 // The lease counts from when the message was sent: what the
                 // answer's way back took is not the system's to give.
@@ -242,18 +244,20 @@
     }
 }
 
-fn heartbeat(state: &State) -> (Heartbeat, usize) {
+fn heartbeat(state: &State, send_held: bool) -> (Heartbeat, usize) {
     let tasks = lock(&state.tasks);
     let running = tasks.running.iter().map(|(task, run)| Held { task: *task, epoch: run.epoch });
     let reported = tasks.reports.iter().map(|r| Held { task: r.task, epoch: r.epoch });
     let millicores = tasks.running.values().map(|run| run.need.millicores).sum();
     let memory_mib = tasks.running.values().map(|run| run.need.memory_mib).sum();
+    let held: Vec<Held> = running.chain(reported).collect();
     let beat = Heartbeat {
         incarnation: state.incarnation,
         busy: u32::try_from(tasks.running.len()).unwrap_or(u32::MAX),
         millicores,
         memory_mib,
-        held: running.chain(reported).collect(),
+        held_digest: held_digest(held.iter().copied()),
+        held: send_held.then_some(held),
         reports: tasks.reports.clone(),
     };
     (beat, tasks.reports.len())
--- a/crates/protocol/src/api.rs
+++ b/crates/protocol/src/api.rs
@@ -55,6 +55,9 @@
     /// that this answers, in milliseconds. Then they must be stopped.
     #[serde(default)]
     pub lease_ms: Option<u64>,
+    /// For workers: the next heartbeat must list every held task.
+    #[serde(default)]
+    pub send_held: bool,
 }
 
 /// A target's regular word.
@@ -73,8 +76,12 @@
     #[serde(default)]
     pub memory_mib: u64,
     /// For workers: every task held, and every one with a report not yet answered.
+    /// May be left out where `held-digest` is given and the list was not asked for.
+    #[serde(default)]
+    pub held: Option<Vec<Held>>,
+    /// For workers: [`held_digest`] of the same tasks.
     #[serde(default)]
-    pub held: Vec<Held>,
+    pub held_digest: u32,
     /// For workers: what happened since the last answered report.
     #[serde(default)]
     pub reports: Vec<TaskReport>,
@@ -90,6 +97,25 @@
     pub epoch: Epoch,
 }
 
+/// Digest of held tasks: equal digests on both sides spare the list. The sum, in
+/// 32 bits, of a mix of each task and epoch; the order does not matter.
+///
+/// ```
+/// # use yuccalink_protocol::api::{Held, held_digest};
+/// # use yuccalink_state::id::{Epoch, TaskId};
+/// let held = |task, epoch| Held { task: TaskId(task), epoch: Epoch(epoch) };
+/// assert_eq!(held_digest([]), 0);
+/// assert_eq!(held_digest([held(7, 2), held(9, 1)]), held_digest([held(9, 1), held(7, 2)]));
+/// assert_ne!(held_digest([held(7, 2)]), held_digest([held(7, 3)]));
+/// ```
+pub fn held_digest(held: impl IntoIterator<Item = Held>) -> u32 {
+    const MIX: u64 = 0x9E37_79B9_7F4A_7C15;
+    held.into_iter().fold(0, |sum, Held { task, epoch }| {
+        let mixed = task.0.wrapping_mul(31).wrapping_add(epoch.0).wrapping_mul(MIX);
+        sum.wrapping_add((mixed >> 32) as u32)
+    })
+}
+
 /// A target leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
