--- a/crates/daemon/src/traffic/exchange.rs
+++ b/crates/daemon/src/traffic/exchange.rs
@@ -9,6 +9,11 @@
         mut slot: Slot,
         noted: Option<&mut Noted>,
     ) -> Result<WebResponse, Miss> {
+        // The VM may have been frozen since the request came: by now another document
+        // may be in force, and the runner somebody else's.
+        if !self.shared.has_lease() {
+            return Err(Miss::NotRun("this entry is out of touch with the others".into()));
+        }
         let Some((to, name)) = self.shared.runner_of(slot.grant) else {
             return Err(Miss::NotRun("the runner has just left".into()));
         };
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -131,6 +131,18 @@
     }
 }
 
+#[test]
+fn head_is_answered_without_a_body() {
+    let system = System::start(1).with_document().with_runners(1, 8);
+    for entry in 0..2 {
+        let caller = system.caller(entry).header("fake-tag", "12345");
+        let get = caller.get("/q/x").expect("an answer");
+        assert_eq!((get.status, get.text().as_str()), (200, "12345"));
+        let head = caller.send("HEAD", "/q/x", b"").expect("an answer");
+        assert_eq!((head.status, head.body.len()), (200, 0), "entry {entry}");
+    }
+}
+
 #[test]
 fn errors_are_problems_that_say_not_run() {
     let system = System::start(0).with_document();
