Batch tasks are throttled while latency-critical ones need room

Cause: throttling was in the protocol and nothing ordered it; half a stub. Ruled out: replicated throttles (a lost leader would leave work slow). Change: coordination::pressure, a first rule with hysteresis, from the workers' own late words; a throttle lasts 5 s unless renewed. Before: no throttle was ever sent. After: unit tests of whom and when; with a real worker two over-using batch tasks are throttled and run free when the other has gone.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod invariants;
 pub mod moment;
 pub mod placement;
+pub mod pressure;
 pub mod raft;
 pub mod retry;
 pub mod router;
--- /dev/null
+++ b/crates/coordination/src/pressure.rs
@@ -0,0 +1,97 @@
+//! Pressure on a worker: while its processors are nearly all in use and it runs
+//! latency-critical tasks, the batch tasks whose services allow it are throttled.
+//!
+//! A throttle lasts a short time at the worker and is renewed with each heartbeat
+//! under pressure, so that a lost leader never leaves work slow for good.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use yuccalink_state::Machine;
+use yuccalink_state::document::TaskClass;
+use yuccalink_state::id::{Epoch, TaskId, WorkerKey};
+use yuccalink_state::task::{Task, TaskPhase};
+
+/// Share of a worker's processors in use from which it is under pressure, in
+/// thousandths.
+pub const PRESSED_FROM: u64 = 900;
+/// Share below which it is not any more; the gap keeps it from going to and fro.
+pub const EASED_BELOW: u64 = 700;
+/// What a throttled task gets of its processors, in thousandths.
+pub const SHARE: u32 = 500;
+/// How long a throttle lasts unless renewed.
+pub const LASTS: Duration = Duration::from_secs(5);
+
+/// A task to be throttled now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Throttle {
+    /// The task.
+    pub task: TaskId,
+    /// Its placement.
+    pub epoch: Epoch,
+}
+
+/// How a worker's state changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It came under pressure.
+    Pressed,
+    /// The pressure is over.
+    Eased,
+}
+
+/// Workers under pressure.
+#[derive(Debug, Default)]
+pub struct Pressure {
+    pressed: BTreeSet<WorkerKey>,
+}
+
+impl Pressure {
+    /// Takes in a worker's use of its processors; returns what to throttle now, and
+    /// whether its state changed.
+    ///
+    /// ```
+    /// # use yuccalink_coordination::pressure::Pressure;
+    /// # use yuccalink_state::{Machine, id::WorkerKey};
+    /// let (throttles, turn) = Pressure::default().note(&Machine::new(), WorkerKey(0), 900);
+    /// assert!(throttles.is_empty() && turn.is_none());
+    /// ```
+    pub fn note(
+        &mut self,
+        machine: &Machine,
+        worker: WorkerKey,
+        used_millicores: u64,
+    ) -> (Vec<Throttle>, Option<Turn>) {
+        let found = machine.workers().nth(worker.0 as usize);
+        let Some((_, record)) = found else { return (Vec::new(), None) };
+        let used = used_millicores.saturating_mul(1000) / record.spec.capacity.millicores.max(1);
+        let critical =
+            machine.held_by(worker).any(|task| class(machine, task) == TaskClass::LatencyCritical);
+        let was = self.pressed.contains(&worker);
+        let is = critical && used >= if was { EASED_BELOW } else { PRESSED_FROM };
+        let turn = match (was, is) {
+            (false, true) => Some(Turn::Pressed),
+            (true, false) => Some(Turn::Eased),
+            _ => None,
+        };
+        if !is {
+            self.pressed.remove(&worker);
+            return (Vec::new(), turn);
+        }
+        self.pressed.insert(worker);
+        let throttles = machine.held_by(worker).filter(|task| may_throttle(machine, task));
+        (throttles.map(|task| Throttle { task: task.id, epoch: task.epoch }).collect(), turn)
+    }
+}
+
+fn class(machine: &Machine, task: &Task) -> TaskClass {
+    let document = &machine.service_at(task.service).accepted.document;
+    document.task_kind(&task.kind).map_or(TaskClass::Batch, |kind| kind.class)
+}
+
+fn may_throttle(machine: &Machine, task: &Task) -> bool {
+    let allowed = machine.service_at(task.service).accepted.document.gives_up.throttle;
+    allowed
+        && !task.urgent
+        && matches!(task.phase, TaskPhase::Running(_))
+        && class(machine, task) == TaskClass::Batch
+}
--- /dev/null
+++ b/crates/coordination/tests/pressure.rs
@@ -0,0 +1,93 @@
+//! Throttling under pressure: whom, when, and until when.
+
+use yuccalink_coordination::pressure::{Pressure, Turn};
+use yuccalink_state::command::{Apply, Placement, Submit, TaskEvent, TaskReport};
+use yuccalink_state::document::{Document, GivesUp, TaskClass, TaskKind};
+use yuccalink_state::id::{Epoch, Incarnation, Name, TaskId, WorkerKey};
+use yuccalink_state::worker::WorkerSpec;
+use yuccalink_state::{Command, Machine, Resources};
+
+const WORKER: WorkerKey = WorkerKey(0);
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+fn need(millicores: u64) -> Resources {
+    Resources { millicores, memory_mib: 1, accelerators: 0 }
+}
+
+/// A worker of ten cores that runs one task of each kind given.
+fn machine(throttle: bool, classes: &[TaskClass]) -> Machine {
+    let mut machine = Machine::new();
+    let kinds = classes.iter().enumerate().map(|(at, class)| TaskKind {
+        name: name(&format!("k{at}")),
+        need: need(1000),
+        duration_ms: 1,
+        class: *class,
+        spread: Default::default(),
+    });
+    let document = Document {
+        service: name("s"),
+        team: name("t"),
+        version: 1,
+        peak: None,
+        requests: [].into(),
+        tasks: kinds.collect(),
+        gives_up: GivesUp { throttle, ..GivesUp::default() },
+    };
+    let apply = Apply { document, text: "".into(), digest: [0; 32], author: "a".into() };
+    machine.apply(Command::Apply(Box::new(apply)));
+    machine.apply(Command::WorkerUp(Box::new(WorkerSpec {
+        name: name("w"),
+        incarnation: Incarnation(1),
+        address: "127.0.0.1:1".into(),
+        capacity: Resources { millicores: 10_000, memory_mib: 100, accelerators: 0 },
+        rack: name("r"),
+        zone: name("z"),
+    })));
+    for at in 0..classes.len() as u64 {
+        machine.apply(Command::Submit(Submit {
+            key: at.to_string().into(),
+            service: name("s"),
+            kind: name(&format!("k{at}")),
+            count: 1,
+            urgent: false,
+            payload: "".into(),
+            at_ms: 0,
+        }));
+        let task = TaskId(at + 1);
+        machine.apply(Command::Place([Placement { task, worker: WORKER }].into()));
+        let report = TaskReport { task, epoch: Epoch(1), event: TaskEvent::Started };
+        machine.apply(Command::Report([report].into()));
+    }
+    machine
+}
+
+fn throttled(pressure: &mut Pressure, machine: &Machine, used: u64) -> Vec<u64> {
+    pressure.note(machine, WORKER, used).0.iter().map(|throttle| throttle.task.0).collect()
+}
+
+/// A batch wave fills a worker on which people wait for a latency-critical task.
+/// Only batch tasks are slowed, until the pressure is well over.
+#[test]
+fn batch_makes_way_for_latency_critical_work() {
+    use TaskClass::{Batch, LatencyCritical};
+    let machine = machine(true, &[LatencyCritical, Batch, Batch]);
+    let mut pressure = Pressure::default();
+    assert!(throttled(&mut pressure, &machine, 8_900).is_empty(), "not yet");
+    assert_eq!(pressure.note(&machine, WORKER, 9_100).1, Some(Turn::Pressed));
+    assert_eq!(throttled(&mut pressure, &machine, 9_100), [2, 3], "renewed at each word");
+    assert_eq!(throttled(&mut pressure, &machine, 7_500), [2, 3], "not to and fro");
+    assert_eq!(pressure.note(&machine, WORKER, 6_900).1, Some(Turn::Eased));
+    assert!(throttled(&mut pressure, &machine, 8_000).is_empty());
+}
+
+#[test]
+fn nothing_is_slowed_without_leave_or_need() {
+    use TaskClass::{Batch, LatencyCritical};
+    let without_leave = machine(false, &[LatencyCritical, Batch]);
+    assert!(throttled(&mut Pressure::default(), &without_leave, 10_000).is_empty());
+    let without_need = machine(true, &[Batch, Batch]);
+    assert!(throttled(&mut Pressure::default(), &without_need, 10_000).is_empty());
+}
--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -18,6 +18,7 @@
 use yuccalink_coordination::entries::{Entries, Hello, InForce};
 use yuccalink_coordination::moment::Moment;
 use yuccalink_coordination::placement::{self, Decision, PLAN_MAX};
+use yuccalink_coordination::pressure::{self, Pressure, Throttle, Turn};
 use yuccalink_coordination::workers;
 use yuccalink_protocol::api::{
     Applied, Cancelled, EntryView, Heartbeat, Held, LIST_MAX, LogView, MemberView, OrderTask,
@@ -97,6 +98,9 @@
     dirty: BTreeSet<WorkerKey>,
     /// Tasks that workers hold and should not, to be stopped.
     strays: BTreeMap<WorkerKey, Vec<(TaskId, Epoch)>>,
+    pressure: Pressure,
+    /// Tasks to be slowed, by worker.
+    throttles: BTreeMap<WorkerKey, Vec<Throttle>>,
     swept: Moment,
     force: Vec<ForceWaiter>,
     /// Whether the directory is complete; see [`News::settled`].
@@ -133,6 +137,8 @@
             going: BTreeSet::new(),
             dirty: BTreeSet::new(),
             strays: BTreeMap::new(),
+            pressure: Pressure::default(),
+            throttles: BTreeMap::new(),
             swept: started,
             force: Vec::new(),
             settled: false,
--- a/crates/daemon/src/leader/asks.rs
+++ b/crates/daemon/src/leader/asks.rs
@@ -223,6 +223,7 @@
             let _ = reply.send(Answer::Problem(problem));
             return;
         };
+        self.relieve(key, beat.millicores);
         // A list is asked for whenever the digests differ, and until they are equal:
         // what differs for good is then found by two lists in a row.
         let send_held = beat.held_digest != self.digest_of(key);
@@ -250,6 +251,28 @@
         self.propose_for(Command::Report(reports), then, reply);
     }
 
+    /// Throttles batch tasks on a worker whose latency-critical ones need room.
+    fn relieve(&mut self, worker: WorkerKey, used_millicores: u64) {
+        let (throttles, turn) = self.pressure.note(&self.machine, worker, used_millicores);
+        if let Some(turn) = turn {
+            let name = &self.machine.worker_at(worker).spec.name;
+            let line = match turn {
+                Turn::Pressed => format!(
+                    "worker {name} uses {used_millicores} millicores and runs latency-critical \
+                     tasks: throttling {} batch tasks",
+                    throttles.len()
+                ),
+                Turn::Eased => format!("worker {name} has room again: throttles run out"),
+            };
+            self.shared.decisions.note(line);
+        }
+        if !throttles.is_empty() {
+            self.throttles.insert(worker, throttles);
+            self.dirty.insert(worker);
+            self.orders.notify_one();
+        }
+    }
+
     /// Digest of the tasks that a worker has confirmed and should hold.
     fn digest_of(&self, worker: WorkerKey) -> u32 {
         let confirmed = self
--- a/crates/daemon/src/leader/orders.rs
+++ b/crates/daemon/src/leader/orders.rs
@@ -15,7 +15,9 @@
             for (task, epoch) in self.strays.remove(&key).unwrap_or_default() {
                 due.push(Due { task, epoch, order: Order::Stop });
             }
-            if due.is_empty() {
+            // Not repeated when lost: the next heartbeat brings them again.
+            let throttles = self.throttles.remove(&key).unwrap_or_default();
+            if due.is_empty() && throttles.is_empty() {
                 continue;
             }
             let worker = &self.machine.worker_at(key).spec;
@@ -24,7 +26,11 @@
                 name: worker.name.clone(),
                 incarnation: worker.incarnation,
                 address: worker.address.clone(),
-                orders: due.iter().filter_map(|due| self.order(due)).collect(),
+                orders: due
+                    .iter()
+                    .filter_map(|due| self.order(due))
+                    .chain(throttles.iter().map(throttle))
+                    .collect(),
                 due,
             });
         }
@@ -62,3 +68,12 @@
         }
     }
 }
+
+fn throttle(throttle: &Throttle) -> OrderTask {
+    OrderTask::Throttle {
+        task: throttle.task,
+        epoch: throttle.epoch,
+        share: pressure::SHARE,
+        for_ms: millis(pressure::LASTS),
+    }
+}
--- a/crates/daemon/tests/control.rs
+++ b/crates/daemon/tests/control.rs
@@ -150,6 +150,26 @@
     system.no_breach();
 }
 
+/// Batch tasks use far more than they declared, on a worker where a latency-critical
+/// task runs. They are throttled, that one is not, and when it has gone they run on.
+#[test]
+fn batch_is_throttled_while_latency_critical_work_needs_room() {
+    let mut system = System::start(1).with_document();
+    let text = DOCUMENT.replace("version = 1", "version = 2").replace("[gives-up]", "[[task]]\nname = 'lc'\nprocessors = 1\nmemory = '10MiB'\nduration = '1h'\nclass = 'latency-critical'\n[gives-up]\nthrottle = true");
+    assert_eq!(system.apply(0, &text).status, 200);
+    system.add_worker(0, 4);
+    until("the worker", || (!system.targets().is_empty()).then_some(()));
+    let critical = submit(&system, 0, "a", r#"{"service":"q","kind":"lc"}"#);
+    let batch = r#"{"service":"q","kind":"k","count":2,"payload":"run=1h use=1600"}"#;
+    submit(&system, 0, "b", batch);
+    until("both are throttled", || (system.workers[0].throttled() == 2).then_some(()));
+    let cancel = format!("/v1/tasks/{}/cancel", critical.first);
+    assert_eq!(system.control(1).post(&cancel, b"").expect("an answer").status, 200);
+    until("they run at full speed again", || (system.workers[0].throttled() == 0).then_some(()));
+    let decisions = system.control(0).get("/v1/decisions").expect("an answer").text();
+    assert!(decisions.contains("throttling 2 batch tasks"), "{decisions}");
+}
+
 #[test]
 fn what_can_never_run_is_refused_with_its_remedy() {
     let mut system = System::start(0).with_document();
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -1,6 +1,7 @@
 //! A small worker: "runs" each task for the time that its payload asks for.
 //!
-//! A payload such as `run=200ms fail` runs for 200 ms and then fails; without
+//! A payload such as `run=200ms fail` runs for 200 ms and then fails, and `use=900`
+//! uses 900 millicores whatever was declared; without
 //! one, a task runs for its declared time. Tasks save their state when ordered to.
 
 use crate::runner::run_local;
@@ -56,9 +57,19 @@
     before: Duration,
     ends: Duration,
     fails: bool,
+    /// Processors that it really uses, in thousandths.
+    uses: u64,
+    /// Its share of them, and until when.
+    throttle: Option<(u32, Instant)>,
 }
 
 impl Running {
+    /// What it uses now. The fake's throttle shows in its use, not in its speed.
+    fn use_now(&self) -> u64 {
+        let share = self.throttle.filter(|(_, until)| Instant::now() < *until);
+        self.uses * u64::from(share.map_or(1000, |(share, _)| share)) / 1000
+    }
+
     fn done(&self) -> Duration {
         self.before + self.began.elapsed()
     }
@@ -148,6 +159,13 @@
         self.state.dropped.load(Ordering::SeqCst)
     }
 
+    /// Tasks that are throttled now.
+    pub fn throttled(&self) -> usize {
+        let now = Instant::now();
+        let tasks = lock(&self.state.tasks);
+        tasks.running.values().filter(|run| run.throttle.is_some_and(|(_, u)| now < u)).count()
+    }
+
     /// How often it was ordered to run more than it holds.
     pub fn over(&self) -> u64 {
         self.state.over.load(Ordering::SeqCst)
@@ -248,7 +266,7 @@
     let tasks = lock(&state.tasks);
     let running = tasks.running.iter().map(|(task, run)| Held { task: *task, epoch: run.epoch });
     let reported = tasks.reports.iter().map(|r| Held { task: r.task, epoch: r.epoch });
-    let millicores = tasks.running.values().map(|run| run.need.millicores).sum();
+    let millicores = tasks.running.values().map(Running::use_now).sum();
     let memory_mib = tasks.running.values().map(|run| run.need.memory_mib).sum();
     let held: Vec<Held> = running.chain(reported).collect();
     let beat = Heartbeat {
@@ -340,7 +358,15 @@
             OrderTask::Start(start) => self.start(&start),
             OrderTask::Checkpoint(held) => self.stop(held, true),
             OrderTask::Stop(held) => self.stop(held, false),
-            OrderTask::Throttle { .. } => None,
+            OrderTask::Throttle { task, epoch, share, for_ms } => {
+                let mut tasks = lock(&self.0.tasks);
+                let run = tasks.running.get_mut(&task).filter(|run| run.epoch == epoch);
+                if let Some(run) = run {
+                    let until = Instant::now() + Duration::from_millis(for_ms);
+                    run.throttle = Some((share, until));
+                }
+                None
+            }
         }
     }
 
@@ -411,5 +437,10 @@
         before: Duration::from_millis(start.done_ms),
         ends: Duration::from_millis(ends),
         fails: words.contains(&"fail"),
+        uses: words
+            .iter()
+            .find_map(|word| word.strip_prefix("use=")?.parse().ok())
+            .unwrap_or(start.need.millicores),
+        throttle: None,
     }
 }
--- a/crates/protocol/src/api.rs
+++ b/crates/protocol/src/api.rs
@@ -145,7 +145,7 @@
     Checkpoint(Held),
     /// Stop it.
     Stop(Held),
-    /// Run it with this share of its processors, in thousandths.
+    /// Run it with this share of its processors, in thousandths, for a while.
     Throttle {
         /// The task.
         task: TaskId,
@@ -153,6 +153,9 @@
         epoch: Epoch,
         /// 1000 is full speed.
         share: u32,
+        /// Then it runs at full speed again, unless the order came once more.
+        #[serde(rename = "for-ms")]
+        for_ms: u64,
     },
 }
 
