Two guards that no test missed when removed now have one

Ruled out: timing the frozen entry's first request. Change: a test that cuts off all voters, and a look at the frozen entry's lease when 'in force' is said. Both fail with their guard removed and pass with it. Also examples on the main types of the coordination layer.

--- a/crates/coordination/src/directory.rs
+++ b/crates/coordination/src/directory.rs
@@ -122,6 +122,29 @@
 }
 
 /// All targets.
+///
+/// ```
+/// use yuccalink_coordination::{Moment, directory::*, entries::{Entries, Hello}};
+/// use yuccalink_state::{id::{Incarnation, Name, Revision}, target::{RunnerSpec, TargetSpec}};
+/// let (run, now) = (Incarnation(1), Moment::from_millis(10_000));
+/// let mut entries = Entries::new(Moment::ZERO);
+/// entries.hear(now, &Hello {
+///     name: Name::new("e1")?, incarnation: run, callers: "127.0.0.1:8080".into(),
+///     zone: Name::new("brno")?, acked: Revision(0), draining: false,
+/// });
+/// let mut directory = Directory::new();
+/// let name = Name::new("r1")?;
+/// assert_eq!(directory.heartbeat(now, &name, run, Usage::default()), Heard::AnnounceAgain);
+/// let spec = RunnerSpec {
+///     name: name.clone(), incarnation: run, service: Name::new("quotes")?,
+///     address: "127.0.0.1:9".into(), slots: 8, connections: 64, zone: Name::new("brno")?,
+/// };
+/// assert_eq!(directory.announce(now, TargetSpec::Runner(spec), 0), Heard::Noted);
+/// assert_eq!(directory.tick(now, &entries), [name.clone()], "e1 owns it now");
+/// directory.leave(&name, run);
+/// assert!(!directory.changes(0)[0].usable);
+/// # Ok::<(), yuccalink_state::id::BadName>(())
+/// ```
 #[derive(Debug, Default)]
 pub struct Directory {
     targets: BTreeMap<Name, Target>,
--- a/crates/coordination/src/entries.rs
+++ b/crates/coordination/src/entries.rs
@@ -53,6 +53,24 @@
 }
 
 /// All entries heard by this leader.
+///
+/// ```
+/// use yuccalink_coordination::{Moment, entries::*};
+/// use yuccalink_state::id::{Incarnation, Name, Revision};
+/// let mut entries = Entries::new(Moment::ZERO);
+/// let mut hello = Hello {
+///     name: Name::new("e1")?, incarnation: Incarnation(1), callers: "127.0.0.1:8080".into(),
+///     zone: Name::new("brno")?, acked: Revision(6), draining: false,
+/// };
+/// let at = |ms| Moment::from_millis(ms);
+/// entries.hear(at(10_000), &hello);
+/// assert_eq!(entries.in_force(at(10_100), Revision(7)), InForce::Not([hello.name.clone()].into()));
+/// assert_eq!(entries.in_force(at(14_000), Revision(7)), InForce::Everywhere, "its lease ended");
+/// hello.acked = Revision(7);
+/// entries.hear(at(10_200), &hello);
+/// assert_eq!(entries.in_force(at(10_200), Revision(7)), InForce::Everywhere);
+/// # Ok::<(), yuccalink_state::id::BadName>(())
+/// ```
 #[derive(Debug)]
 pub struct Entries {
     all: BTreeMap<Name, Entry>,
--- a/crates/coordination/src/invariants.rs
+++ b/crates/coordination/src/invariants.rs
@@ -68,6 +68,15 @@
 }
 
 /// Watches what workers really do with tasks.
+///
+/// ```
+/// use yuccalink_coordination::invariants::TaskWatch;
+/// use yuccalink_state::id::{Epoch, TaskId};
+/// let mut watch = TaskWatch::default();
+/// watch.started(TaskId(1), Epoch(1));
+/// watch.started(TaskId(1), Epoch(2));
+/// assert_eq!(watch.breaches()[0].to_string(), "task t1 ran as epoch 1 and epoch 2 at once");
+/// ```
 #[derive(Debug, Default)]
 pub struct TaskWatch {
     running: HashMap<TaskId, Epoch>,
@@ -125,7 +134,18 @@
     told: Vec<Told>,
 }
 
-/// Watches what runners really do with requests and what callers are told.
+/// Watches what runners really do with requests and what callers are told. Each
+/// sending of a request that may be called "not run" wants a name of its own.
+///
+/// ```
+/// use yuccalink_coordination::invariants::{RequestWatch, Told};
+/// let mut watch = RequestWatch::default();
+/// watch.sent("invoice", 7, true);
+/// watch.ran("invoice", "r1", 8);
+/// watch.done("r1");
+/// watch.told("invoice", Told::NotRun);
+/// assert_eq!(watch.breaches()[0].to_string(), "request invoice was called \"not run\" and had run");
+/// ```
 #[derive(Debug, Default)]
 pub struct RequestWatch {
     requests: BTreeMap<Box<str>, Request>,
--- a/crates/coordination/src/router.rs
+++ b/crates/coordination/src/router.rs
@@ -183,6 +183,30 @@
 }
 
 /// Routing state of one entry VM.
+///
+/// ```
+/// use yuccalink_coordination::{Moment, router::*};
+/// use yuccalink_state::{id::{Incarnation, Name}, target::RunnerSpec};
+/// let (quotes, now) = (Name::new("quotes")?, Moment::from_millis(1));
+/// let mut router = Router::new(Name::new("brno")?);
+/// let mut turns = Vec::new();
+/// let spec = RunnerSpec {
+///     name: Name::new("r1")?, incarnation: Incarnation(1), service: quotes.clone(),
+///     address: "127.0.0.1:9".into(), slots: 1, connections: 8, zone: Name::new("brno")?,
+/// };
+/// router.own(now, spec, 0, &mut turns);
+/// let deadline = Moment::from_millis(9_000);
+/// let arrival = Arrival { service: &quotes, deadline, worth: 1, avoid: None };
+/// let Admission::Go(grant) = router.admit(now, arrival) else { panic!("a free slot") };
+/// let Admission::Wait(ticket) = router.admit(now, arrival) else { panic!("a queue") };
+/// assert_eq!(router.queued(&quotes), 1);
+/// router.release(now, grant, Ended::Answered, &mut turns);
+/// assert_eq!(turns[0].ticket, ticket, "the waiting one is next");
+/// router.close(&Name::new("r1")?);
+/// assert!(!router.abandon(ticket), "its turn has come already");
+/// assert!(matches!(router.admit(now, arrival), Admission::Refuse(Refusal::NoneHealthy, _)));
+/// # Ok::<(), yuccalink_state::id::BadName>(())
+/// ```
 #[derive(Debug)]
 pub struct Router {
     zone: Name,
--- a/crates/yuccalinkd/tests/system.rs
+++ b/crates/yuccalinkd/tests/system.rs
@@ -10,6 +10,7 @@
 use yuccalink_operator::Client;
 use yuccalink_operator::command::{self, Command};
 use yuccalink_protocol::api::Status;
+use yuccalink_protocol::problem::Ran;
 
 fn voters(status: &Status) -> Vec<String> {
     let voters = status.members.iter().filter(|member| member.voter);
@@ -61,6 +62,9 @@
     let text = support::DOCUMENT.replace("version = 1", "version = 2").replace("'/any'", "'/new'");
     let reply = daemons.control(1).put("/v1/services/q", text.as_bytes()).expect("an answer");
     assert!(reply.text().contains("\"in-force-everywhere\":true"), "{}", reply.text());
+    let status = daemons.status(1).expect("a status");
+    let e10 = status.entries.iter().find(|entry| entry.entry.as_str() == "e10").expect("e10");
+    assert!(!e10.lease, "said to be in force while an entry may serve the old: {e10:?}");
     daemons.signal(frozen, "-CONT");
     let old = Caller::new(daemons.callers(frozen)).get("/q/any").expect("an answer");
     assert!(matches!(old.status, 404 | 503), "{}: {}", old.status, old.text());
@@ -70,6 +74,29 @@
     });
 }
 
+/// All voters are cut off at once. The entries that are left cannot know whether
+/// their documents are still in force: when their leases have ended they turn red
+/// and refuse at once, as "not run". They serve again when the voters are back.
+#[test]
+fn entries_without_a_leader_stop_serving() {
+    let daemons = Daemons::start(5).with_document().with_runners(3);
+    (0..VOTERS).for_each(|at| daemons.signal(at, "-STOP"));
+    until("both are red", || (!daemons.is_ready(3) && !daemons.is_ready(4)).then_some(()));
+    for entry in [3, 4] {
+        let reply = Caller::new(daemons.callers(entry)).get("/q/any").expect("an answer");
+        let problem = reply.problem().expect("a problem");
+        assert_eq!((reply.status, problem.ran), (503, Ran::NotRun), "{}", reply.text());
+        assert!(problem.retry_after_ms.is_some());
+    }
+    (0..VOTERS).for_each(|at| daemons.signal(at, "-CONT"));
+    for entry in 0..5 {
+        until("it serves again", || {
+            let reply = Caller::new(daemons.callers(entry)).get("/q/any").ok()?;
+            (reply.status == 200).then_some(())
+        });
+    }
+}
+
 /// A voter's VM is replaced by one with an empty disk, and right after it has
 /// caught up another voter's VM is lost. The system goes on: the new disk votes.
 #[test]
