--- /dev/null
+++ b/crates/coordination/benches/placement.rs
@@ -0,0 +1,114 @@
+//! What a placement and a routing decision cost as the system grows.
+//!
+//! `cargo bench -p yuccalink-coordination --bench placement`
+
+use std::time::{Duration, Instant};
+use yuccalink_coordination::Moment;
+use yuccalink_coordination::placement::plan;
+use yuccalink_coordination::router::{Admission, Arrival, Ended, Router};
+use yuccalink_state::command::{Apply, Submit};
+use yuccalink_state::document::{Document, GivesUp, TaskClass, TaskKind};
+use yuccalink_state::id::{Incarnation, Name};
+use yuccalink_state::target::RunnerSpec;
+use yuccalink_state::worker::WorkerSpec;
+use yuccalink_state::{Command, Machine, Resources};
+
+const ROUTED: u32 = 200_000;
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+fn machine(workers: u64, tasks: u32) -> Machine {
+    let mut machine = Machine::new();
+    let kind = TaskKind {
+        name: name("k"),
+        need: Resources { millicores: 700, memory_mib: 900, accelerators: 0 },
+        duration_ms: 1,
+        class: TaskClass::Batch,
+        spread: Default::default(),
+    };
+    let document = Document {
+        service: name("s"),
+        team: name("t"),
+        version: 1,
+        peak: None,
+        requests: [].into(),
+        tasks: [kind].into(),
+        gives_up: GivesUp::default(),
+    };
+    let apply = Apply { document, text: "".into(), digest: [0; 32], author: "a".into() };
+    machine.apply(Command::Apply(Box::new(apply)));
+    for at in 0..workers {
+        machine.apply(Command::WorkerUp(Box::new(WorkerSpec {
+            name: name(&format!("w{at}")),
+            incarnation: Incarnation(1),
+            address: "127.0.0.1:1".into(),
+            capacity: Resources { millicores: 64_000, memory_mib: 250_000, accelerators: 0 },
+            rack: name(&format!("r{}", at / 6)),
+            zone: name("z"),
+        })));
+    }
+    machine.apply(Command::Submit(Submit {
+        key: "k".into(),
+        service: name("s"),
+        kind: name("k"),
+        count: tasks,
+        urgent: false,
+        payload: "".into(),
+        at_ms: 0,
+    }));
+    machine
+}
+
+fn placement() {
+    println!("| workers | placements in a plan | us each |");
+    println!("|---|---|---|");
+    for workers in [50u64, 571, 16_000] {
+        let machine = machine(workers, 1_000);
+        let started = Instant::now();
+        let placed = plan(&machine).decisions.len();
+        let each = started.elapsed().as_secs_f64() * 1e6 / placed as f64;
+        println!("| {workers} | {placed} | {each:.1} |");
+    }
+}
+
+fn routing() {
+    println!("\n| runners | us a decision (admit and release) |");
+    println!("|---|---|");
+    for runners in [5u32, 50, 1_000, 10_000] {
+        let service = name("q");
+        let mut router = Router::new(name("z"));
+        let mut turns = Vec::new();
+        for at in 0..runners {
+            let spec = RunnerSpec {
+                name: name(&format!("r{at}")),
+                incarnation: Incarnation(1),
+                service: service.clone(),
+                address: "127.0.0.1:1".into(),
+                slots: 8,
+                connections: 64,
+                zone: name("z"),
+            };
+            router.own(Moment::ZERO, spec, 0, &mut turns);
+        }
+        let count = if runners > 100 { ROUTED / 100 } else { ROUTED };
+        let started = Instant::now();
+        let mut now = Moment::from_millis(1);
+        for _ in 0..count {
+            now = now + Duration::from_micros(10);
+            let deadline = now + Duration::from_secs(1);
+            let arrival = Arrival { service: &service, deadline, worth: 1, avoid: None };
+            if let Admission::Go(grant) = router.admit(now, arrival) {
+                router.release(now, grant, Ended::Answered, &mut turns);
+            }
+        }
+        let each = started.elapsed().as_secs_f64() * 1e6 / f64::from(count);
+        println!("| {runners} | {each:.2} |");
+    }
+}
+
+fn main() {
+    placement();
+    routing();
+}
