The end of one attempt no longer frees the key of another

Cause: found by reading the ledger's path as a newcomer: an entry whose 'begin' got no verdict (a change of leader) reports 'not run' so that the key is free again. The word named the key only. With the same request under way at another entry, it freed that one's key, and the next resend ran a second time. Ruled out: not reporting at all (keys of requests that never ran would stay blocked until their deadline and then be 'unknown'). Change: the end names the attempt, and counts for that one only. Before: the new test got 'Go' where 'Running' was due. After: it holds; all green. The system tests had not met the interleaving.

--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -308,6 +308,7 @@
 struct Noted {
     shared: Arc<Shared>,
     key: Option<RequestKey>,
+    attempt: u64,
 }
 
 impl Noted {
@@ -320,7 +321,7 @@
             headers: to_ledger(response.headers()),
             body: body.as_ref().into(),
         };
-        let end = RequestEnd { key, ended: Outcome::Answered(answer) };
+        let end = RequestEnd { key, attempt: self.attempt, ended: Outcome::Answered(answer) };
         if let LeaderAnswer::Problem(problem) = self.shared.ask(Ask::RequestEnd(end)).await {
             log::warn!("an answer could not be kept for resends: {}", problem.detail);
         }
--- a/crates/daemon/src/traffic/exchange.rs
+++ b/crates/daemon/src/traffic/exchange.rs
@@ -88,7 +88,7 @@
         if let Some(noted) = noted
             && let Some(key) = noted.key.take()
         {
-            self.end(&key, Outcome::AnsweredTooLarge).await;
+            self.end(&key, noted.attempt, Outcome::AnsweredTooLarge).await;
         }
         let (tx, body) = passed(size);
         *response.body_mut() = body;
--- a/crates/daemon/src/traffic/once.rs
+++ b/crates/daemon/src/traffic/once.rs
@@ -19,7 +19,7 @@
         let mut pause = RUNNING_PAUSE;
         loop {
             match self.begin(serving, key, attempt).await? {
-                Verdict::Go => return self.run_once(serving, key).await,
+                Verdict::Go => return self.run_once(serving, key, attempt).await,
                 Verdict::Answered(kept) => return Ok(again(&kept)),
                 Verdict::Running if Instant::now() + pause < serving.deadline => {
                     sleep(pause).await;
@@ -74,7 +74,7 @@
             LeaderAnswer::Problem(mut problem) => {
                 // Nothing has been sent to a runner, whatever the leader noted.
                 problem.ran = Ran::NotRun;
-                self.end(key, Outcome::NotRun).await;
+                self.end(key, attempt, Outcome::NotRun).await;
                 Err(problem)
             }
             _ => Err(self.come_back(Kind::NotServing, "the leader gave no verdict", 1000)),
@@ -85,8 +85,9 @@
         &self,
         serving: &Arc<Serving>,
         key: &RequestKey,
+        attempt: u64,
     ) -> Result<WebResponse, Problem> {
-        let mut noted = Noted { shared: self.shared.clone(), key: Some(key.clone()) };
+        let mut noted = Noted { shared: self.shared.clone(), key: Some(key.clone()), attempt };
         let result = self.route(serving, Some(&mut noted)).await;
         let (Err(problem), Some(key)) = (&result, noted.key.take()) else { return result };
         let outcome = match problem.ran {
@@ -94,7 +95,7 @@
             Ran::Ran | Ran::Unknown => Outcome::Unknown,
         };
         let not_run = outcome == Outcome::NotRun;
-        self.end(&key, outcome).await;
+        self.end(&key, attempt, outcome).await;
         // Its runners may have gone to another entry meanwhile: that one notes the
         // request anew, now that the key is free again.
         let view = self.shared.view.load_full();
@@ -105,7 +106,8 @@
         result
     }
 
-    pub(super) async fn end(&self, key: &RequestKey, ended: Outcome) {
-        let _ = self.shared.ask(Ask::RequestEnd(RequestEnd { key: key.clone(), ended })).await;
+    pub(super) async fn end(&self, key: &RequestKey, attempt: u64, ended: Outcome) {
+        let end = RequestEnd { key: key.clone(), attempt, ended };
+        let _ = self.shared.ask(Ask::RequestEnd(end)).await;
     }
 }
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -135,6 +135,8 @@
 pub struct RequestEnd {
     /// The request.
     pub key: RequestKey,
+    /// The attempt that ended; another one's fate is not touched.
+    pub attempt: u64,
     /// How it ended.
     pub ended: Ended,
 }
--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -181,9 +181,11 @@
     }
 
     /// Records how a request ended; only the first ending counts.
-    pub(crate) fn finish(&mut self, key: &RequestKey, ended: Ended) {
+    pub(crate) fn finish(&mut self, key: &RequestKey, attempt: u64, ended: Ended) {
         let Some(entry) = self.entries.get_mut(key) else { return };
-        if !matches!(entry.fate, Fate::Running { .. }) {
+        // A resend through another entry that came to nothing says "not run" of its
+        // own attempt only: freeing the key of the one under way would let it run twice.
+        if entry.attempt != attempt || !matches!(entry.fate, Fate::Running { .. }) {
             return;
         }
         let before = size(key, &entry.fate);
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -111,7 +111,7 @@
             Command::WorkerGone(name, run) => self.worker_gone(&name, run),
             Command::RequestBegin(begin) => Outcome::Request(self.ledger.begin(&begin)),
             Command::RequestEnd(end) => {
-                self.ledger.finish(&end.key, end.ended);
+                self.ledger.finish(&end.key, end.attempt, end.ended);
                 Outcome::Done
             }
         }
--- a/crates/state/tests/machine.rs
+++ b/crates/state/tests/machine.rs
@@ -211,8 +211,8 @@
     })
 }
 
-fn end(text: &str, ended: Ended) -> Command {
-    Command::RequestEnd(RequestEnd { key: key(text), ended })
+fn end(text: &str, attempt: u64, ended: Ended) -> Command {
+    Command::RequestEnd(RequestEnd { key: key(text), attempt, ended })
 }
 
 fn answer(size: usize) -> Answer {
@@ -228,19 +228,33 @@
     assert_eq!(machine.apply(begin("a", 1, 0)), Outcome::Request(Verdict::Go), "the same attempt");
     assert_eq!(machine.apply(begin("a", 2, 10)), Outcome::Request(Verdict::Running));
     assert_eq!(machine.apply(begin("a", 2, 5000)), Outcome::Request(Verdict::Unknown));
-    machine.apply(end("a", Ended::Answered(answer(3))));
+    machine.apply(end("a", 1, Ended::Answered(answer(3))));
     let given = Outcome::Request(Verdict::Answered(answer(3)));
     assert_eq!(machine.apply(begin("a", 3, 20)), given);
-    machine.apply(end("a", Ended::NotRun));
+    machine.apply(end("a", 1, Ended::NotRun));
     assert_eq!(machine.apply(begin("a", 4, 30)), given, "the first ending stands");
 }
 
 #[test]
 fn a_request_that_did_not_run_may_be_sent_again() {
-    let mut machine = machine([begin("a", 1, 0), end("a", Ended::NotRun)]);
+    let mut machine = machine([begin("a", 1, 0), end("a", 1, Ended::NotRun)]);
     assert_eq!(machine.apply(begin("a", 2, 10)), Outcome::Request(Verdict::Go));
 }
 
+/// A request is under way at one entry. Its caller sends it again through another,
+/// whose asking the leader comes to nothing; that entry knows that it sent nothing
+/// and says so. Were the key freed by that word, the third sending would run again.
+#[test]
+fn one_attempts_end_does_not_free_anothers_key() {
+    let mut machine = machine([begin("a", 1, 0)]);
+    machine.apply(end("a", 2, Ended::NotRun));
+    assert_eq!(machine.apply(begin("a", 3, 10)), Outcome::Request(Verdict::Running));
+    machine.apply(end("a", 2, Ended::Unknown));
+    machine.apply(end("a", 1, Ended::Answered(answer(3))));
+    let given = Outcome::Request(Verdict::Answered(answer(3)));
+    assert_eq!(machine.apply(begin("a", 4, 20)), given);
+}
+
 #[test]
 fn a_key_used_for_another_request_is_refused() {
     let mut machine = machine([begin("a", 1, 0)]);
@@ -263,7 +277,7 @@
             Outcome::Request(Verdict::Full) => break,
             other => panic!("{other:?}"),
         }
-        machine.apply(end(&text, Ended::Answered(answer(ANSWER_MAX))));
+        machine.apply(end(&text, taken, Ended::Answered(answer(ANSWER_MAX))));
         taken += 1;
     }
     assert!(machine.ledger().bytes() <= KEEP_BYTES);
