One piece of code where the change had written two; dead code out

Written twice: the look-up of a task's kind and class (five places), the reading of a task number (daemon and command), milliseconds of a span, the pump and the head of an answer on its way back, the wait of two test supports, the writer of message parts. Never used: sort_entries, Shown, Router::owns and pools, Pool::forget, the leader's answer to 'status' that the replica gives. Needless: a module around one closure, a cell around a pinned body, a field named like a method. Work done for nothing: every ask built a view of the log, and a heartbeat walked to its worker's record. Ruled out: merging the announcing loops of the two fakes (they differ in what they say and when they stop), and deriving test documents from one fixture. Change: as above; behaviour, bounds and assertions are as they were.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -102,8 +102,8 @@
         TaskPhase::Placed(_) => Some(Order::Start),
         TaskPhase::Stopping(_, StopReason::Cancel) => Some(Order::Stop),
         TaskPhase::Stopping(_, StopReason::Evict) => {
-            let document = &machine.service_at(task.service).accepted.document;
-            Some(if document.gives_up.checkpoint { Order::Checkpoint } else { Order::Stop })
+            let checkpoint = machine.document_of(task).gives_up.checkpoint;
+            Some(if checkpoint { Order::Checkpoint } else { Order::Stop })
         }
         TaskPhase::Waiting | TaskPhase::Running(_) | TaskPhase::Ended(_) => None,
     }
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{HashMap, HashSet};
 use yuccalink_state::command::Placement;
-use yuccalink_state::document::{Spread, TaskClass, TaskKind};
+use yuccalink_state::document::{Spread, TaskClass};
 use yuccalink_state::id::{Name, ServiceKey, TaskId, WorkerKey};
 use yuccalink_state::task::Task;
 use yuccalink_state::worker::WorkerPhase;
@@ -147,7 +147,7 @@
         if self.full_for.contains(&task.need) {
             return None;
         }
-        let kind = kind_of(self.machine, task);
+        let kind = self.machine.kind_of(task);
         let spread = kind.map_or(Spread::None, |kind| kind.spread);
         let class = kind.map_or(TaskClass::Batch, |kind| kind.class);
         let near = self.neighbours_of(task, spread);
@@ -192,15 +192,11 @@
     }
 }
 
-fn kind_of<'a>(machine: &'a Machine, task: &Task) -> Option<&'a TaskKind> {
-    machine.service_at(task.service).accepted.document.task_kind(&task.kind)
-}
-
 fn count_neighbours(machine: &Machine) -> Neighbours {
     let mut all = Neighbours::new();
     for (key, worker) in machine.workers() {
         for task in machine.held_by(key) {
-            let place = match kind_of(machine, task).map(|kind| kind.spread) {
+            let place = match machine.kind_of(task).map(|kind| kind.spread) {
                 Some(Spread::Racks) => &worker.spec.rack,
                 Some(Spread::Zones) => &worker.spec.zone,
                 Some(Spread::None) | None => continue,
--- a/crates/coordination/src/pressure.rs
+++ b/crates/coordination/src/pressure.rs
@@ -61,13 +61,12 @@
         worker: WorkerKey,
         used_millicores: u64,
     ) -> (Vec<Throttle>, Option<Turn>) {
-        let found = machine.workers().nth(worker.0 as usize);
-        let Some((_, record)) = found else { return (Vec::new(), None) };
-        let used = used_millicores.saturating_mul(1000) / record.spec.capacity.millicores.max(1);
-        let critical =
-            machine.held_by(worker).any(|task| class(machine, task) == TaskClass::LatencyCritical);
+        let critical = machine
+            .held_by(worker)
+            .any(|task| machine.class_of(task) == TaskClass::LatencyCritical);
         let was = self.pressed.contains(&worker);
-        let is = critical && used >= if was { EASED_BELOW } else { PRESSED_FROM };
+        let from = if was { EASED_BELOW } else { PRESSED_FROM };
+        let is = critical && used_share(machine, worker, used_millicores) >= from;
         let turn = match (was, is) {
             (false, true) => Some(Turn::Pressed),
             (true, false) => Some(Turn::Eased),
@@ -83,15 +82,15 @@
     }
 }
 
-fn class(machine: &Machine, task: &Task) -> TaskClass {
-    let document = &machine.service_at(task.service).accepted.document;
-    document.task_kind(&task.kind).map_or(TaskClass::Batch, |kind| kind.class)
+/// In thousandths of what the worker has.
+fn used_share(machine: &Machine, worker: WorkerKey, used_millicores: u64) -> u64 {
+    let all = machine.worker_at(worker).spec.capacity.millicores;
+    used_millicores.saturating_mul(1000) / all.max(1)
 }
 
 fn may_throttle(machine: &Machine, task: &Task) -> bool {
-    let allowed = machine.service_at(task.service).accepted.document.gives_up.throttle;
-    allowed
+    machine.document_of(task).gives_up.throttle
         && !task.urgent
         && matches!(task.phase, TaskPhase::Running(_))
-        && class(machine, task) == TaskClass::Batch
+        && machine.class_of(task) == TaskClass::Batch
 }
--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -199,7 +199,7 @@
     leader: Option<ReplicaId>,
     log: MemoryLog,
     members: Members,
-    members_at: u64,
+    members_index: u64,
     commit: u64,
     handed_out: u64,
     leader_heard: Option<Moment>,
@@ -259,7 +259,7 @@
             leader: None,
             log,
             members: Members::default(),
-            members_at: commit,
+            members_index: commit,
             commit,
             handed_out: commit,
             leader_heard: None,
@@ -330,7 +330,7 @@
 
     /// Whether the newest members are committed: only then is a repair done.
     pub fn members_committed(&self) -> bool {
-        self.members_at <= self.commit
+        self.members_index <= self.commit
     }
 
     /// The last committed index.
--- a/crates/coordination/src/raft/follower.rs
+++ b/crates/coordination/src/raft/follower.rs
@@ -50,7 +50,7 @@
         for (_, last) in &mut self.writing {
             *last = (*last).min(first - 1);
         }
-        if self.members_at >= first {
+        if self.members_index >= first {
             self.read_members();
         }
         for entry in &entries {
@@ -64,18 +64,18 @@
         let index = self.log.last();
         if let Some(Entry { payload: Payload::Members(members), .. }) = self.log.get(index) {
             self.members = members.clone();
-            self.members_at = index;
+            self.members_index = index;
         }
     }
 
     /// Finds the newest members in the log.
     pub(super) fn read_members(&mut self) {
         self.members = self.log.base_members().clone();
-        self.members_at = self.log.base();
+        self.members_index = self.log.base();
         for index in self.log.base() + 1..=self.log.last() {
             if let Some(Entry { payload: Payload::Members(members), .. }) = self.log.get(index) {
                 self.members = members.clone();
-                self.members_at = index;
+                self.members_index = index;
             }
         }
     }
--- a/crates/coordination/src/raft/leader.rs
+++ b/crates/coordination/src/raft/leader.rs
@@ -26,7 +26,7 @@
             return Err(NotProposed::NotLeader);
         }
         // Two changes at once could give two disjoint quorums.
-        if self.members_at > self.commit || !one_step(&self.members, &members) {
+        if self.members_index > self.commit || !one_step(&self.members, &members) {
             return Err(NotProposed::Busy);
         }
         self.append(vec![Payload::Members(members)]);
--- a/crates/coordination/src/router.rs
+++ b/crates/coordination/src/router.rs
@@ -11,7 +11,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
-use yuccalink_state::id::{Incarnation, Name};
+use yuccalink_state::id::Name;
 use yuccalink_state::target::RunnerSpec;
 
 /// Failures in a row after which a runner is ejected for a while.
@@ -161,7 +161,6 @@
 
 #[derive(Debug)]
 struct Pool {
-    name: Name,
     runners: Vec<RunnerKey>,
     queue: BTreeMap<(Reverse<u32>, Ticket), Waiting>,
     service_time: Duration,
@@ -420,7 +419,6 @@
             return *key;
         }
         let key = self.pools.insert(Pool {
-            name: service.clone(),
             runners: Vec::new(),
             queue: BTreeMap::new(),
             service_time: FIRST_GUESS,
@@ -518,19 +516,8 @@
         self.counts.ejected += 1;
     }
 
-    /// Services with a pool here, and how many runners each has.
-    pub fn pools(&self) -> impl Iterator<Item = (&Name, usize)> {
-        self.pools.values().map(|pool| (&pool.name, pool.runners.len()))
-    }
-
     /// Requests of this entry that a runner holds, if it is owned here.
     pub fn in_flight(&self, name: &Name) -> Option<u32> {
         self.by_name.get(name).and_then(|key| self.runners.get(*key)).map(|runner| runner.busy)
     }
-
-    /// Whether a runner of this run is owned here.
-    pub fn owns(&self, name: &Name, run: Incarnation) -> bool {
-        let key = self.by_name.get(name);
-        key.and_then(|key| self.runners.get(*key)).is_some_and(|r| r.spec.incarnation == run)
-    }
 }
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -18,7 +18,7 @@
 use yuccalink_protocol::peer::{Answer, Ask, TaskFilter};
 use yuccalink_protocol::problem::{Kind, Problem, Ran};
 use yuccalink_protocol::request::{IDEMPOTENCY_KEY, check_key};
-use yuccalink_state::id::{Name, TaskId};
+use yuccalink_state::id::{BadTaskId, Name, TaskId};
 use yuccalink_transport::http::{HeaderMap, Method, StatusCode, request::Parts};
 use yuccalink_transport::reply;
 use yuccalink_transport::server::{Handler, read_body};
@@ -320,11 +320,8 @@
 }
 
 fn task_id(text: &str) -> Result<TaskId, Problem> {
-    let digits = text.strip_prefix('t').unwrap_or(text);
-    digits.parse().map(TaskId).map_err(|_| {
-        let what = format!("`{text}` is no task number; write one such as 7 or t7");
-        Problem::new(Kind::BadRequest, Ran::NotRun, what)
-    })
+    text.parse()
+        .map_err(|bad: BadTaskId| Problem::new(Kind::BadRequest, Ran::NotRun, bad.to_string()))
 }
 
 fn filter(query: &str) -> Result<TaskFilter, Problem> {
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -25,6 +25,10 @@
 
 /// Unix milliseconds by the wall clock.
 pub(crate) fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
+}
+
+/// Whole milliseconds of a span.
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -6,7 +6,7 @@
 mod orders;
 mod time;
 
-use crate::clock::{Clock, unix_ms};
+use crate::clock::{Clock, millis, unix_ms};
 use crate::shared::{Shared, no_leader};
 use crate::views;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -376,10 +376,6 @@
     }
 }
 
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn runner_welcome() -> Welcome {
     Welcome { heartbeat_ms: millis(HEARTBEAT), lease_ms: None, send_held: false }
 }
--- a/crates/daemon/src/leader/asks.rs
+++ b/crates/daemon/src/leader/asks.rs
@@ -33,11 +33,10 @@
                 None => not_found(format!("no task {id} is known; it may have ended long ago")),
             },
             Ask::Tasks(filter) => Answer::Tasks(self.tasks(&filter)),
-            Ask::Status => Answer::Status(Box::new(self.status(LogView::default(), Vec::new()))),
             Ask::Targets => Answer::Targets(self.targets()),
             Ask::Decisions => Answer::Decisions(self.shared.decisions.list()),
-            // Answered by the replica, which knows the log.
-            Ask::Snapshot => Answer::Problem(no_leader()),
+            // Answered by the replica, which knows the log and the members.
+            Ask::Status | Ask::Snapshot => Answer::Problem(no_leader()),
         };
         let _ = reply.send(answer);
     }
--- a/crates/daemon/src/leader/orders.rs
+++ b/crates/daemon/src/leader/orders.rs
@@ -44,12 +44,11 @@
             Order::Checkpoint => Some(OrderTask::Checkpoint(held)),
             Order::Start => {
                 let task = self.machine.task(due.task)?;
-                let document = &self.machine.service_at(task.service).accepted.document;
-                let kind = document.task_kind(&task.kind);
+                let kind = self.machine.kind_of(task);
                 Some(OrderTask::Start(Start {
                     task: task.id,
                     epoch: task.epoch,
-                    service: document.service.clone(),
+                    service: self.machine.document_of(task).service.clone(),
                     kind: task.kind.clone(),
                     need: task.need,
                     duration_ms: kind.map_or(0, |kind| kind.duration_ms),
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -4,6 +4,7 @@
 mod disk;
 mod repair;
 
+use crate::clock::millis;
 use crate::journal::{Done, Journal, from_hard, to_entry};
 use crate::leader::Leader;
 use crate::shared::{Shared, no_leader};
@@ -152,27 +153,22 @@
 
     /// Asks the leader's part; gives the ask back when this replica does not lead.
     pub(crate) fn ask(&mut self, ask: Ask, reply: Reply) -> Result<(), (Ask, Reply)> {
-        let is_status = matches!(ask, Ask::Status);
-        let members = is_status.then(|| self.member_views());
-        let log = self.log_view();
-        if self.leader().is_none() {
-            return Err((ask, reply));
-        }
-        if ask == Ask::Snapshot {
-            let _ = reply.send(self.saved());
-            return Ok(());
-        }
         let Some(leader) = self.leader() else { return Err((ask, reply)) };
-        if let Some(members) = members {
-            let status: Status = leader.status(log, members);
-            let _ = reply.send(Answer::Status(Box::new(status)));
-        } else {
-            leader.ask(ask, reply);
+        match ask {
+            Ask::Snapshot => drop(reply.send(self.saved())),
+            Ask::Status => drop(reply.send(self.status())),
+            ask => leader.ask(ask, reply),
         }
         self.propose();
         Ok(())
     }
 
+    fn status(&self) -> Answer {
+        let Some(leader) = &self.leader else { return Answer::Problem(no_leader()) };
+        let status: Status = leader.status(self.log_view(), self.member_views());
+        Answer::Status(Box::new(status))
+    }
+
     /// Takes in an entry's word; false when this replica does not lead.
     pub(crate) fn hear(&mut self, state: &EntryState) -> bool {
         let Some(leader) = self.leader() else { return false };
@@ -211,9 +207,7 @@
             leads: member.id == own,
             silent_ms: match member.id == own {
                 true => 0,
-                false => self.raft.heard(member.id).map_or(u64::MAX, |heard| {
-                    u64::try_from(now.since(heard).as_millis()).unwrap_or(u64::MAX)
-                }),
+                false => self.raft.heard(member.id).map_or(u64::MAX, |at| millis(now.since(at))),
             },
         };
         let members = self.raft.members();
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -5,7 +5,7 @@
 mod hand_on;
 mod once;
 
-use crate::clock::unix_ms;
+use crate::clock::{millis, unix_ms};
 use crate::metrics;
 use crate::shared::{Entrance, Owner, Shared, View};
 use crate::upstream::{Call, copy_end_to_end, from_ledger, to_ledger};
@@ -273,11 +273,22 @@
             Refusal::NoRunner | Refusal::NoneHealthy => Kind::NoRunner,
             Refusal::QueueFull | Refusal::TooLate => Kind::Overloaded,
         };
-        let ms = u64::try_from(retry.as_millis()).unwrap_or(1000).max(50);
+        let ms = millis(retry).max(50);
         let what = format!("{}: {why}; nothing was sent", serving.document.service);
         self.come_back(kind, &what, ms)
     }
 
+    // ---- answers on their way back ----
+
+    /// Moves an answer of this request to its caller.
+    fn pump(&self, serving: &Serving) -> Pump {
+        Pump {
+            stall: self.shared.config.stall_timeout,
+            deadline: serving.deadline,
+            in_flight: InFlight::new(&self.shared),
+        }
+    }
+
     // ---- telling ----
 
     fn decide(&self, serving: &Serving, what: &str) {
@@ -294,7 +305,8 @@
     /// A refusal that names a moment to come back, spread so that refused
     /// callers do not all come back at once.
     fn come_back(&self, kind: Kind, what: &str, ms: u64) -> Problem {
-        let jittered = self.rng.borrow_mut().random_range(ms..=ms.saturating_mul(2).max(ms + 1));
+        let jittered =
+            self.rng.borrow_mut().random_range(ms..=ms.saturating_mul(2).max(ms.saturating_add(1)));
         Problem::new(kind, Ran::NotRun, what).retry_after(jittered)
     }
 }
@@ -415,6 +427,14 @@
     }
 }
 
+/// Status and end-to-end headers of an answer, without its body.
+fn head_of(answer: &pool::Answer) -> WebResponse {
+    let mut response = WebResponse::new(ResponseBody::none());
+    *response.status_mut() = answer.head.status;
+    copy_end_to_end(&answer.head.headers, response.headers_mut());
+    response
+}
+
 async fn read_start(
     answer: &mut pool::Answer,
     limit: usize,
--- a/crates/daemon/src/traffic/exchange.rs
+++ b/crates/daemon/src/traffic/exchange.rs
@@ -49,9 +49,7 @@
         let ended = if failed { Ended::Failed } else { Ended::Answered };
         let no_body = serving.call.method == Method::HEAD;
         let size = answer.announced();
-        let mut response = WebResponse::new(ResponseBody::none());
-        *response.status_mut() = answer.head.status;
-        copy_end_to_end(&answer.head.headers, response.headers_mut());
+        let mut response = head_of(&answer);
         let keep = noted.is_some();
         let small = size.is_some_and(|size| size <= WHOLE_MAX);
         let keepable = keep && size.is_none_or(|size| size <= ANSWER_MAX as u64);
@@ -92,12 +90,7 @@
         }
         let (tx, body) = passed(size);
         *response.body_mut() = body;
-        let pump = Pump {
-            stall: self.shared.config.stall_timeout,
-            deadline: serving.deadline,
-            in_flight: InFlight::new(&self.shared),
-        };
-        tokio::task::spawn_local(pump.run(answer, slot, tx, start));
+        tokio::task::spawn_local(self.pump(serving).run(answer, slot, tx, start));
         response
     }
 }
--- a/crates/daemon/src/traffic/hand_on.rs
+++ b/crates/daemon/src/traffic/hand_on.rs
@@ -57,20 +57,13 @@
     /// Gives another entry's answer to the caller as it comes.
     pub(super) fn pass_back(&self, serving: &Serving, answer: pool::Answer) -> WebResponse {
         let size = answer.announced();
-        let mut response = WebResponse::new(ResponseBody::none());
-        *response.status_mut() = answer.head.status;
-        copy_end_to_end(&answer.head.headers, response.headers_mut());
+        let mut response = head_of(&answer);
         if serving.call.method == Method::HEAD {
             return response;
         }
         let (tx, body) = passed(size);
         *response.body_mut() = body;
-        let pump = Pump {
-            stall: self.shared.config.stall_timeout,
-            deadline: serving.deadline,
-            in_flight: InFlight::new(&self.shared),
-        };
-        tokio::task::spawn_local(pump.run(answer, (), tx, Bytes::new()));
+        tokio::task::spawn_local(self.pump(serving).run(answer, (), tx, Bytes::new()));
         response
     }
 
--- a/crates/daemon/src/traffic/once.rs
+++ b/crates/daemon/src/traffic/once.rs
@@ -60,8 +60,7 @@
     ) -> Result<Verdict, Problem> {
         let call = &serving.call;
         let at_ms = unix_ms();
-        let left = serving.deadline.saturating_duration_since(Instant::now());
-        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let left = millis(serving.deadline.saturating_duration_since(Instant::now()));
         let ask = Ask::RequestBegin(RequestBegin {
             key: key.clone(),
             digest: request::digest(call.method.as_str(), call.path(), &call.body),
@@ -99,8 +98,11 @@
         // Its runners may have gone to another entry meanwhile: that one notes the
         // request anew, now that the key is free again.
         let view = self.shared.view.load_full();
-        let elsewhere = self.other_owner(&view, &serving.document, &[]).is_some();
-        if not_run && elsewhere && !serving.handed_on && Instant::now() < serving.deadline {
+        if not_run
+            && !serving.handed_on
+            && Instant::now() < serving.deadline
+            && self.other_owner(&view, &serving.document, &[]).is_some()
+        {
             return self.hand_on(serving, Refusal::NoneHealthy, Duration::from_secs(1)).await;
         }
         result
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Building the request that goes to a runner or to another entry, and the
 //! answer that goes back, without the headers of either connection.
 
+use crate::clock::millis;
 use bytes::Bytes;
 use http_body_util::Full;
 use std::net::SocketAddr;
@@ -38,8 +39,7 @@
         {
             headers.insert(header::HOST, host);
         }
-        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        headers.insert(HeaderName::from_static(DEADLINE), HeaderValue::from(left));
+        headers.insert(HeaderName::from_static(DEADLINE), HeaderValue::from(millis(left)));
         req
     }
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -4,16 +4,16 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tempfile::TempDir;
 use yuccalink_coordination::invariants::{RequestWatch, TaskWatch};
 use yuccalink_daemon::{Config, ConfigBuilder, Daemon, Peer};
 use yuccalink_fakes::runner::RunnerSettings;
+pub use yuccalink_fakes::wait::name;
 use yuccalink_fakes::worker::WorkerSettings;
 use yuccalink_fakes::{Caller, FakeRunner, FakeWorker, Reply};
 use yuccalink_protocol::api::{Status, TargetView};
 use yuccalink_state::Resources;
-use yuccalink_state::id::Name;
 
 pub const DOCUMENT: &str = "service = 'q'\nteam = 't'\nversion = 1\n\
     [[request]]\nname = 'once'\nmethod = 'POST'\npath = '/once'\nidempotent = false\n\
@@ -26,21 +26,9 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-pub fn name(text: &str) -> Name {
-    Name::new(text).expect("a name")
-}
-
-/// Waits until `found` gives something. The limit only ends a test that has
-/// failed; no verdict depends on how long the wait was.
-pub fn until<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
-    let started = Instant::now();
-    loop {
-        if let Some(value) = found() {
-            return value;
-        }
-        assert!(started.elapsed() < Duration::from_secs(60), "never came: {what}");
-        std::thread::park_timeout(Duration::from_millis(5));
-    }
+/// Waits as [`yuccalink_fakes::wait::until`] does.
+pub fn until<T>(what: &str, found: impl FnMut() -> Option<T>) -> T {
+    yuccalink_fakes::wait::until(Duration::from_secs(60), what, found)
 }
 
 pub struct System {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod runner;
 mod target;
+pub mod wait;
 pub mod worker;
 
 pub use caller::{Caller, Reply};
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -2,8 +2,8 @@
 //! to the Cap'n Proto schema.
 
 use crate::api::{
-    Applied, Cancelled, DecisionView, EntryView, Heartbeat, ServiceView, Status, SubmitTasks,
-    Submitted, TargetView, TaskView, Welcome,
+    Applied, Cancelled, DecisionView, Heartbeat, ServiceView, Status, SubmitTasks, Submitted,
+    TargetView, TaskView, Welcome,
 };
 use crate::problem::Problem;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -290,16 +290,6 @@
     Ok(Name::new(reader.to_str()?)?)
 }
 
-fn write_parts<T>(mut list: capnp::data_list::Builder<'_>, values: &[T]) -> Result<(), BadMessage>
-where
-    T: Serialize,
-{
-    for (at, value) in (0..).zip(values) {
-        list.set(at, &encode(value)?);
-    }
-    Ok(())
-}
-
 /// Reads every part of a list.
 ///
 /// # Errors
@@ -315,11 +305,17 @@
 ///
 /// # Errors
 /// [`BadMessage::TooLarge`] when one is over [`PART_MAX`].
-pub fn fill_parts<T>(list: capnp::data_list::Builder<'_>, values: &[T]) -> Result<(), BadMessage>
+pub fn fill_parts<T>(
+    mut list: capnp::data_list::Builder<'_>,
+    values: &[T],
+) -> Result<(), BadMessage>
 where
     T: Serialize,
 {
-    write_parts(list, values)
+    for (at, value) in (0..).zip(values) {
+        list.set(at, &encode(value)?);
+    }
+    Ok(())
 }
 
 /// How many items a list has, as Cap'n Proto counts them.
@@ -350,7 +346,7 @@
         for (at, name) in (0..).zip(&self.let_go) {
             let_go.set(at, name.as_str());
         }
-        write_parts(to.init_owned(count(&self.owned)), &self.owned)
+        fill_parts(to.init_owned(count(&self.owned)), &self.owned)
     }
 
     /// Reads a state from a message.
@@ -386,8 +382,8 @@
         to.set_revision(self.revision);
         to.set_table_version(self.table_version);
         to.set_settled(self.settled);
-        write_parts(to.reborrow().init_documents(count(&self.documents)), &self.documents)?;
-        write_parts(to.reborrow().init_runners(count(&self.runners)), &self.runners)?;
+        fill_parts(to.reborrow().init_documents(count(&self.documents)), &self.documents)?;
+        fill_parts(to.reborrow().init_runners(count(&self.runners)), &self.runners)?;
         let mut entries = to.init_entries(count(&self.entries));
         for (at, entry) in (0..).zip(&self.entries) {
             let mut to = entries.reborrow().get(at);
@@ -424,9 +420,3 @@
         })
     }
 }
-
-/// What `yuccalink status` shows of one entry; kept here so that daemon and
-/// command agree on the order.
-pub fn sort_entries(entries: &mut [EntryView]) {
-    entries.sort_by(|a, b| a.entry.cmp(&b.entry));
-}
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -1,7 +1,6 @@
 //! Maps callers' HTTP requests to the kinds that documents describe.
 
 use sha2::{Digest as _, Sha256};
-use std::fmt;
 use yuccalink_state::document::{Digest, Document, RequestKind};
 
 /// Longest accepted `Idempotency-Key`, in bytes.
@@ -125,12 +124,3 @@
     "transfer-encoding",
     "upgrade",
 ];
-
-/// Shows a request in a log line without its query, which may be private.
-pub struct Shown<'a>(pub &'a str, pub &'a str);
-
-impl fmt::Display for Shown<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}", self.0, self.1)
-    }
-}
--- a/crates/state/src/id.rs
+++ b/crates/state/src/id.rs
@@ -97,6 +97,28 @@
 #[serde(transparent)]
 pub struct TaskId(pub u64);
 
+/// `{0}` is no task number; write one such as 7 or t7
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+pub struct BadTaskId(pub Box<str>);
+
+impl std::error::Error for BadTaskId {}
+
+/// Reads `7` or `t7`.
+///
+/// ```
+/// # use yuccalink_state::id::TaskId;
+/// assert_eq!("t7".parse(), Ok(TaskId(7)));
+/// assert!("seven".parse::<TaskId>().is_err());
+/// ```
+impl std::str::FromStr for TaskId {
+    type Err = BadTaskId;
+
+    fn from_str(text: &str) -> Result<Self, BadTaskId> {
+        let digits = text.strip_prefix('t').unwrap_or(text);
+        digits.parse().map(Self).map_err(|_| BadTaskId(text.into()))
+    }
+}
+
 /// How many times a task has been placed; an order or report that carries an
 /// older epoch is refused.
 #[derive(
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -5,7 +5,7 @@
     Apply, CancelOutcome, Command, Committed, Missing, Outcome, Placement, Submit, TaskEvent,
     TaskReport,
 };
-use crate::document::{Accepted, PastVersion};
+use crate::document::{Accepted, Document, PastVersion, TaskClass, TaskKind};
 use crate::id::{Epoch, Incarnation, Name, Revision, ServiceKey, TaskId, WorkerKey};
 use crate::ledger::Ledger;
 use crate::resources::Resources;
@@ -156,6 +156,30 @@
         &self.services[key.0 as usize]
     }
 
+    /// The document of a task's service.
+    ///
+    /// # Panics
+    /// With a task of another machine.
+    pub fn document_of(&self, task: &Task) -> &Document {
+        &self.service_at(task.service).accepted.document
+    }
+
+    /// A task's kind, unless the document in force has none of that name any more.
+    ///
+    /// # Panics
+    /// With a task of another machine.
+    pub fn kind_of(&self, task: &Task) -> Option<&TaskKind> {
+        self.document_of(task).task_kind(&task.kind)
+    }
+
+    /// A task's class; batch when its kind is gone from the document.
+    ///
+    /// # Panics
+    /// With a task of another machine.
+    pub fn class_of(&self, task: &Task) -> TaskClass {
+        self.kind_of(task).map_or(TaskClass::Batch, |kind| kind.class)
+    }
+
     /// All worker records, gone ones included.
     ///
     /// ```
@@ -304,14 +328,12 @@
     }
 
     fn rank(&self, task: &Task) -> Rank {
-        use crate::document::TaskClass;
         if task.urgent {
             return Rank::Urgent;
         }
-        let document = &self.service_at(task.service).accepted.document;
-        match document.task_kind(&task.kind).map(|kind| kind.class) {
-            Some(TaskClass::LatencyCritical) => Rank::LatencyCritical,
-            Some(TaskClass::Batch) | None => Rank::Batch,
+        match self.class_of(task) {
+            TaskClass::LatencyCritical => Rank::LatencyCritical,
+            TaskClass::Batch => Rank::Batch,
         }
     }
 
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -158,11 +158,6 @@
         }
     }
 
-    /// Closes idle connections to `address`.
-    pub fn forget(&self, address: SocketAddr) {
-        self.idle.borrow_mut().remove(&address);
-    }
-
     /// Closes connections that were idle for too long.
     pub fn tidy(&self) {
         self.idle.borrow_mut().retain(|_, idle| {
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use socket2::SockRef;
-use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -64,23 +63,11 @@
 /// A running server.
 pub struct Server {
     address: SocketAddr,
-    handle: xitca_server_handle::Handle,
+    /// Tells the server to stop; the library does not export its handle's type.
+    tell_stop: Box<dyn Fn(bool) + Send + Sync>,
     thread: Option<thread::JoinHandle<io::Result<()>>>,
 }
 
-/// Hides the type of the handle, which the server library does not re-export.
-mod xitca_server_handle {
-    use std::fmt;
-
-    pub struct Handle(pub Box<dyn Fn(bool) + Send + Sync>);
-
-    impl fmt::Debug for Handle {
-        fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-            f.write_str("Handle")
-        }
-    }
-}
-
 impl std::fmt::Debug for Server {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Server").field("address", &self.address).finish_non_exhaustive()
@@ -148,8 +135,8 @@
         let thread = thread::Builder::new()
             .name(format!("http-{}", address.port()))
             .spawn(move || server.wait())?;
-        let handle = xitca_server_handle::Handle(Box::new(move |graceful| stop.stop(graceful)));
-        Ok(Self { address, handle, thread: Some(thread) })
+        let tell_stop = Box::new(move |graceful| stop.stop(graceful));
+        Ok(Self { address, tell_stop, thread: Some(thread) })
     }
 
     /// Where it listens; tells the port when 0 was asked for.
@@ -162,12 +149,12 @@
     /// flight is to be waited for before.
     pub fn stop(self, grace: Duration) {
         if !grace.is_zero() {
-            (self.handle.0)(true);
+            (self.tell_stop)(true);
             if self.ended_within(grace) {
                 return;
             }
         }
-        (self.handle.0)(false);
+        (self.tell_stop)(false);
         self.ended_within(FORCED_WAIT);
     }
 
@@ -209,11 +196,11 @@
 
 async fn collect(body: RequestBody, limit: usize) -> Result<Bytes, BadBody> {
     use xitca_web::body::{Body, Frame};
-    let body = RefCell::new(Box::pin(body));
+    let mut body = std::pin::pin!(body);
     let mut first: Option<Bytes> = None;
     let mut rest = Vec::new();
     loop {
-        let frame = std::future::poll_fn(|cx| body.borrow_mut().as_mut().poll_frame(cx)).await;
+        let frame = std::future::poll_fn(|cx| body.as_mut().poll_frame(cx)).await;
         let chunk = match frame {
             None => break,
             Some(Ok(Frame::Data(chunk))) => chunk,
--- a/crates/yuccalink/src/args.rs
+++ b/crates/yuccalink/src/args.rs
@@ -8,7 +8,7 @@
 use yuccalink_operator::{Error, Result};
 use yuccalink_protocol::api::SubmitTasks;
 use yuccalink_protocol::units;
-use yuccalink_state::id::{Name, TaskId};
+use yuccalink_state::id::{BadTaskId, Name, TaskId};
 
 /// What the command line asks for.
 #[derive(Debug)]
@@ -155,10 +155,7 @@
 }
 
 fn id(text: &str) -> Result<TaskId> {
-    let digits = text.strip_prefix('t').unwrap_or(text);
-    let number =
-        digits.parse().map_err(|_| usage(format!("`{text}` is no task; write one such as t7")))?;
-    Ok(TaskId(number))
+    text.parse().map_err(|bad: BadTaskId| usage(bad.to_string()))
 }
 
 /// Single tasks and ranges such as `t3-t9`.
--- a/crates/yuccalinkd/tests/support/mod.rs
+++ b/crates/yuccalinkd/tests/support/mod.rs
@@ -8,16 +8,16 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tempfile::TempDir;
 use yuccalink_coordination::invariants::{RequestWatch, TaskWatch, Told};
 use yuccalink_fakes::runner::RunnerSettings;
+pub use yuccalink_fakes::wait::name;
 use yuccalink_fakes::worker::WorkerSettings;
 use yuccalink_fakes::{Caller, FakeRunner, FakeWorker, Reply};
 use yuccalink_protocol::api::{Status, TargetView, TaskView};
 use yuccalink_protocol::problem::Ran;
 use yuccalink_state::Resources;
-use yuccalink_state::id::Name;
 
 pub const VOTERS: usize = 3;
 
@@ -27,20 +27,9 @@
     [[request]]\nname = 'any'\npath = '/any'\nidempotent = true\ndeadline = '4s'\n\
     [[task]]\nname = 'k'\nprocessors = 1\nmemory = '10MiB'\nduration = '1s'\n";
 
-pub fn name(text: &str) -> Name {
-    Name::new(text).expect("a name")
-}
-
-/// Waits until `found` gives something; the limit only ends a failed test.
-pub fn until<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
-    let started = Instant::now();
-    loop {
-        if let Some(value) = found() {
-            return value;
-        }
-        assert!(started.elapsed() < Duration::from_secs(30), "never came: {what}");
-        thread::park_timeout(Duration::from_millis(5));
-    }
+/// Waits as [`yuccalink_fakes::wait::until`] does.
+pub fn until<T>(what: &str, found: impl FnMut() -> Option<T>) -> T {
+    yuccalink_fakes::wait::until(Duration::from_secs(30), what, found)
 }
 
 /// Loopback addresses that no other test of this machine uses, so that daemons
