A test that a stopping process waits for the request in flight

Cause: with the wait removed on a scratch copy no test failed: within one process the server's threads live on after the daemon has 'stopped' and still answer. Ruled out: a longer request in that test; only the process's end cuts it. Change: the real program, SIGTERM while a request of 4.5 s is in flight. Before: guard removed, all green. After: guard removed, the caller's connection is closed before its answer; guard in place, the whole answer and exit code 0.

--- a/crates/yuccalinkd/tests/program.rs
+++ b/crates/yuccalinkd/tests/program.rs
@@ -5,7 +5,9 @@
 use std::path::Path;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
-use yuccalink_fakes::Caller;
+use yuccalink_fakes::runner::RunnerSettings;
+use yuccalink_fakes::wait::{name, until};
+use yuccalink_fakes::{Caller, FakeRunner};
 
 const DOCUMENT: &str = include_str!("../../../examples/quotes.toml");
 
@@ -70,6 +72,29 @@
     }
 }
 
+impl Running {
+    /// A runner of `quotes` that is routed to, and a caller.
+    fn with_runner(&self) -> (FakeRunner, Caller) {
+        let runner = FakeRunner::start(RunnerSettings {
+            name: name("r1"),
+            service: name("quotes"),
+            zone: name("zone"),
+            slots: 8,
+            connections: 64,
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            entries: vec![self.control],
+            threads: 1,
+        })
+        .expect("a runner");
+        let caller = Caller::new(self.callers);
+        until(Duration::from_secs(60), "a routed request", || {
+            let reply = caller.get("/quotes/prices/x").ok()?;
+            (reply.status == 200).then_some(())
+        });
+        (runner, caller)
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -178,6 +203,27 @@
     assert!(acknowledged > 0);
 }
 
+/// The platform stops a VM while a long request is in flight. The process lives until
+/// the whole answer has gone to its caller, and ends well.
+#[test]
+fn sigterm_waits_for_the_request_in_flight() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut running = Running::start(folder.path());
+    assert!(running.apply(1).is_some());
+    let (mut runner, caller) = running.with_runner();
+    let served = runner.served();
+    let slow = caller.header("fake-delay-ms", "4500");
+    let in_flight = std::thread::spawn(move || slow.post("/quotes/invoices", b"one net"));
+    until(Duration::from_secs(60), "the request at the runner", || {
+        (runner.served() > served).then_some(())
+    });
+    running.signal("-TERM");
+    let reply = in_flight.join().expect("a caller").expect("a whole answer");
+    assert_eq!((reply.status, reply.text().as_str()), (200, "one net"));
+    assert_eq!(running.exit_code(), Some(0));
+    runner.stop();
+}
+
 /// A runner's answer of 200 MB goes through the entry. Its memory must not grow
 /// with the answer's size.
 #[test]
@@ -185,24 +231,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     let running = Running::start(folder.path());
     assert!(running.apply(1).is_some());
-    let name = |text: &str| yuccalink_state::id::Name::new(text).expect("a name");
-    let mut runner = yuccalink_fakes::FakeRunner::start(yuccalink_fakes::runner::RunnerSettings {
-        name: name("r1"),
-        service: name("quotes"),
-        zone: name("zone"),
-        slots: 8,
-        connections: 64,
-        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-        entries: vec![running.control],
-        threads: 1,
-    })
-    .expect("a runner");
-    let caller = Caller::new(running.callers);
-    let started = Instant::now();
-    while !caller.get("/quotes/prices/x").is_ok_and(|reply| reply.status == 200) {
-        assert!(started.elapsed() < Duration::from_secs(60), "never routed");
-        std::thread::park_timeout(Duration::from_millis(20));
-    }
+    let (mut runner, caller) = running.with_runner();
     let peak = || -> u64 {
         let path = format!("/proc/{}/status", running.child.id());
         let status = std::fs::read_to_string(path).expect("its status");
