--- /dev/null
+++ b/crates/coordination/src/jobs.rs
@@ -0,0 +1,17 @@
+//! What the leader of a job cell decides, sans-IO: feed [`Leader`] asks, commits
+//! and ticks with the current [`Now`]; take its commands for the log and its
+//! answers. It never reads a clock and draws no random numbers.
+
+mod admission;
+pub mod ask;
+mod asks;
+mod estimate;
+mod heartbeat;
+mod leader;
+mod pace;
+mod place;
+mod ready;
+pub mod runner;
+
+pub use ask::{Answer, Ask, Finished, JobState, Orders, Report, RunnerState, Running, StartOrder};
+pub use leader::{Leader, LeaderConfig, Now, Token};
--- /dev/null
+++ b/crates/coordination/src/jobs/estimate.rs
@@ -0,0 +1,104 @@
+//! How long jobs take, from what teams guess, and what a finished job is worth.
+//!
+//! Guesses are up to 90 % off, so nothing here is a promise: the figures only
+//! order jobs against each other.
+
+use std::time::Duration;
+use yuccalink_state::jobs::{Job, JobSpec, Queue};
+
+/// Least time a task is taken to need, so that a guess of nothing orders no job
+/// before all others. A tenth of the shortest mean of the two users' sheets.
+const TASK_MIN: Duration = Duration::from_millis(60);
+/// A job that took up to this many times its objective still counts a little.
+const LATE_FACTOR: u32 = 3;
+/// Part of a job's worth that does not depend on its work; from the users' sheets.
+const WORTH_FIXED: f64 = 0.3;
+/// Part of a job's worth that grows with its work; from the users' sheets.
+const WORTH_PER_WORK: f64 = 0.7;
+
+/// Where a job stands against its objective.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Lateness {
+    /// It can be done within its objective.
+    Prompt,
+    /// It can be done within three times its objective, which counts a little.
+    Late,
+    /// Nobody waits for it any more, but it was accepted.
+    Overdue,
+}
+
+/// What a job's description says of its length and work.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Shape {
+    /// For each step: from its start to the job's end, at the least.
+    pub(super) tails: Vec<Duration>,
+    /// The longest chain.
+    pub(super) chain: Duration,
+    /// Core-seconds of each step's one task.
+    pub(super) task_work: Vec<f64>,
+    /// Core-seconds of all.
+    pub(super) work: f64,
+}
+
+impl Shape {
+    pub(super) fn of(spec: &JobSpec) -> Self {
+        let length = |ms: u64| Duration::from_millis(ms).max(TASK_MIN);
+        let mut tails: Vec<Duration> =
+            spec.steps.iter().map(|step| length(step.estimate_ms)).collect();
+        // Steps only come after earlier ones, so one pass from the end is enough.
+        for at in (0..spec.steps.len()).rev() {
+            let own = tails[at];
+            for before in &spec.steps[at].after {
+                let before = usize::from(*before);
+                let through = length(spec.steps[before].estimate_ms) + own;
+                tails[before] = tails[before].max(through);
+            }
+        }
+        let task_work: Vec<f64> = spec
+            .steps
+            .iter()
+            .map(|step| {
+                length(step.estimate_ms).as_secs_f64() * step.need.millicores as f64 / 1000.0
+            })
+            .collect();
+        let work =
+            spec.steps.iter().zip(&task_work).map(|(step, one)| f64::from(step.count) * one).sum();
+        let chain = tails.iter().copied().max().unwrap_or_default();
+        Self { tails, chain, task_work, work }
+    }
+
+    /// Time within which the job counts as prompt.
+    pub(super) fn objective(&self, queue: Option<&Queue>) -> Duration {
+        let slack = queue.map_or(1.0, |queue| queue.slack.clamp(1.0, 100.0));
+        let extra = queue.map_or(0, |queue| queue.objective_ms);
+        self.chain.mul_f64(slack) + Duration::from_millis(extra)
+    }
+
+    /// Core-seconds that are not done yet.
+    pub(super) fn work_left(&self, job: &Job) -> f64 {
+        let Some(occurrence) = job.occurrences.last() else { return self.work };
+        let steps = occurrence.steps.iter().zip(&self.task_work);
+        steps.map(|(step, one)| f64::from(step.left) * one).sum()
+    }
+
+    /// Where a job stands that came in `age` ago and whose next step has `tail`
+    /// before it.
+    pub(super) fn lateness(objective: Duration, age: Duration, tail: Duration) -> Lateness {
+        let at_best = age + tail;
+        if at_best <= objective {
+            Lateness::Prompt
+        } else if at_best <= objective * LATE_FACTOR {
+            Lateness::Late
+        } else {
+            Lateness::Overdue
+        }
+    }
+
+    /// Worth for each core-second that is left, against other jobs of its queue
+    /// whose mean work is `mean`. A job that is nearly done comes before one
+    /// that has just begun: it frees its caller for the least room.
+    pub(super) fn density(&self, left: f64, mean: f64) -> f64 {
+        let mean = if mean > 0.0 { mean } else { self.work.max(1e-3) };
+        (WORTH_FIXED + WORTH_PER_WORK * self.work / mean) / left.max(1e-3)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -0,0 +1,392 @@
+//! Heartbeats of runners: what they tell is taken in, what is to be started or
+//! stopped goes back with the answer.
+
+use super::ask::{Answer, Finished, Orders, Report, RunnerState, StartOrder};
+use super::leader::{Leader, Now, Then, Token, Waiting};
+use super::ready::Kind;
+use super::runner::{Runner, lease_surely_ended_after};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use yuccalink_state::jobs::{
+    End, How, JobCommand, JobOutcome, JobPhase, Life, LifeKey, Start, TaskKey,
+};
+
+/// Longest and shortest time between reports of a runner with room: each report
+/// is a chance to start something there, and costs the leader about 60 us.
+const REPORT_MIN: Duration = Duration::from_millis(150);
+const REPORT_MAX: Duration = Duration::from_millis(1_000);
+/// Added for each runner, so that all together report at most 250 times a second.
+const REPORT_PER_RUNNER: Duration = Duration::from_millis(4);
+/// A runner without room reports by itself after each end.
+const REPORT_FULL: Duration = Duration::from_millis(500);
+/// A runner leaves a little after it said, and what ends then is lost work.
+const LEAVE_MARGIN: Duration = Duration::from_millis(300);
+
+impl Leader {
+    /// Finds the newest life of each runner.
+    pub(super) fn index_lives(&mut self) {
+        let keys: Vec<LifeKey> = self.jobs.lives().map(|(key, _)| key).collect();
+        for key in keys {
+            self.index_life(key);
+        }
+    }
+
+    /// Marks the lives that `key` ended, or `key` itself where a newer one is known.
+    /// A new life under the same name, or at the same address, means that the
+    /// former is over, whatever a delayed report of it still says.
+    fn index_life(&mut self, key: LifeKey) {
+        let Some(life) = self.jobs.life(key).cloned() else { return };
+        let mut newest = key;
+        let mut newest_born = life.born_ms;
+        let mut over = Vec::new();
+        for (other, known) in self.jobs.lives() {
+            let same = known.id == life.id || known.address == life.address;
+            if other == key || !same || self.over.contains(&other) {
+                continue;
+            }
+            if known.born_ms > newest_born {
+                over.push(newest);
+                (newest, newest_born) = (other, known.born_ms);
+            } else {
+                over.push(other);
+            }
+        }
+        self.over.extend(over);
+        if newest == key || self.jobs.life(newest).is_some_and(|known| known.id == life.id) {
+            self.by_id.insert(life.id, newest);
+        }
+    }
+
+    pub(super) fn heartbeat(&mut self, now: Now, token: Token, report: Box<Report>) {
+        self.counts.heartbeats += 1;
+        let change = self.jobs.change();
+        if change.is_some_and(|change| change.pool(&report.pool).is_none()) {
+            log::info!("runner={} left aside: no pool {}", report.runner, report.pool);
+            let what = format!("there is no pool {}; correct the name", report.pool);
+            return self.answer(token, Answer::Invalid(what.into()));
+        }
+        let known = self.by_id.get(&report.runner).copied();
+        let born = known.and_then(|key| self.jobs.life(key)).map(|life| life.born_ms);
+        match (known, born) {
+            (Some(key), Some(born)) if born == report.born_ms => {
+                self.take_report(now, token, key, &report);
+            }
+            (_, Some(born)) if report.born_ms < born => {
+                log::info!(
+                    "runner={} report of an earlier life left aside: born={} newest={born}",
+                    report.runner,
+                    report.born_ms
+                );
+                let answer = self.empty_orders();
+                self.answer(token, answer);
+            }
+            _ => self.propose_life(token, report),
+        }
+    }
+
+    fn propose_life(&mut self, token: Token, report: Box<Report>) {
+        let life = Life {
+            id: report.runner.clone(),
+            born_ms: report.born_ms,
+            address: report.address.clone(),
+        };
+        self.propose(JobCommand::Meet(life), Then::Met { token, report });
+    }
+
+    /// A new life is in the log; what earlier ones ran is over.
+    pub(super) fn met(
+        &mut self,
+        now: Now,
+        token: Token,
+        report: Box<Report>,
+        outcome: &JobOutcome,
+    ) {
+        let JobOutcome::Met(key) = *outcome else { return };
+        self.index_life(key);
+        log::info!("runner={} {key} met: born={}", report.runner, report.born_ms);
+        let mut ends = Vec::new();
+        for over in &self.over {
+            self.collect_ends(*over, How::Gone, &mut ends);
+        }
+        let over = &self.over;
+        self.runners.retain(|key, _| !over.contains(key));
+        self.propose_ends(now, ends, Then::Nothing);
+        self.take_report(now, token, key, &report);
+    }
+
+    fn take_report(&mut self, now: Now, token: Token, key: LifeKey, report: &Report) {
+        let runner =
+            self.runners.entry(key).or_insert_with(|| Runner::new(key, report, now.at));
+        let late = report.sequence <= runner.sequence && runner.sequence > 0;
+        if late || self.over.contains(&key) {
+            log::info!("runner={} late report {} left aside", report.runner, report.sequence);
+            let answer = self.empty_orders();
+            return self.answer(token, answer);
+        }
+        if runner.state != report.state {
+            log::info!("runner={} state={} was={}", report.runner, report.state, runner.state);
+        }
+        runner.update(report, now.at);
+        let ends = self.new_ends(key, &report.finished);
+        let ended: BTreeSet<(TaskKey, u32)> =
+            report.finished.iter().filter_map(|f| f.task.map(|task| (task, f.run))).collect();
+        let mut all_ends = ends;
+        self.collect_never_started(key, &ended, &mut all_ends);
+        self.judge_runs(now, key);
+        self.pace(now, key);
+        let free = self.free_room(key, &ended);
+        if let Some(runner) = self.runners.get_mut(&key) {
+            runner.free = free;
+        }
+        let starts = self.pick(now, key);
+        self.commit_report(now, token, key, report, all_ends, starts);
+    }
+
+    /// Ends that are not yet in the log. Those of runs that are not held are known
+    /// already, or were given up when their lease ended.
+    fn new_ends(&self, key: LifeKey, finished: &[Finished]) -> Vec<End> {
+        let mut ends = Vec::new();
+        for end in finished {
+            let Some(task) = end.task else { continue };
+            let held = self.jobs.holds(key, task, end.run);
+            if held && !self.ending.contains(&(task, end.run)) {
+                let saved = end.saved.clone();
+                ends.push(End { task, run: end.run, life: key, how: end.how, saved });
+            }
+        }
+        ends
+    }
+
+    /// Runs that were never started and must not be any more: their job has ended.
+    fn collect_never_started(
+        &self,
+        key: LifeKey,
+        ended: &BTreeSet<(TaskKey, u32)>,
+        ends: &mut Vec<End>,
+    ) {
+        let Some(runner) = self.runners.get(&key) else { return };
+        for (task, run) in self.jobs.held(key) {
+            let listed = runner.running.get(&task).is_some_and(|view| view.run == run);
+            let under_way = self.ending.contains(&(task, run));
+            if listed || under_way || ended.contains(&(task, run)) || self.is_wanted(task) {
+                continue;
+            }
+            ends.push(End { task, run, life: key, how: How::Gone, saved: Box::default() });
+        }
+    }
+
+    /// Whether a task is still to be done.
+    fn is_wanted(&self, task: TaskKey) -> bool {
+        let active =
+            self.jobs.job(task.job).is_some_and(|job| job.phase == JobPhase::Active);
+        active && self.jobs.task(task).is_some_and(|task| !task.done)
+    }
+
+    /// Finds runs that stand still, and those that will not end before their
+    /// runner leaves.
+    fn judge_runs(&mut self, now: Now, key: LifeKey) {
+        let Some(runner) = self.runners.get_mut(&key) else { return };
+        let leaving = runner.state == RunnerState::Draining;
+        let mut standing = 0;
+        for (task, view) in &mut runner.running {
+            let Some(step) = self.jobs.step_spec(*task) else { continue };
+            if view.stopping {
+                continue;
+            }
+            if step.long_running {
+                // It is to serve elsewhere as soon as may be.
+                view.stopping = leaving;
+                continue;
+            }
+            let stands = !step.opportunistic && view.stands_still(now.at);
+            let too_long = leaving
+                && runner.leaves_at.is_some_and(|at| {
+                    let left = at.since(now.at + LEAVE_MARGIN);
+                    view.time_left(now.at, step.estimate_ms) > left && left < LEAVE_MARGIN * 4
+                });
+            if stands {
+                standing += 1;
+                log::info!(
+                    "stop task={task} run={} runner={} why=standing percent={} for={:?}",
+                    view.run,
+                    runner.id,
+                    view.percent,
+                    now.at.since(view.moved)
+                );
+            } else if too_long {
+                log::info!(
+                    "stop task={task} run={} runner={} why=leaving percent={}",
+                    view.run,
+                    runner.id,
+                    view.percent
+                );
+            }
+            view.stopping = stands || too_long;
+        }
+        for _ in 0..standing {
+            runner.health.went_badly(now.at);
+        }
+        self.counts.standing += standing;
+    }
+
+    fn commit_report(
+        &mut self,
+        now: Now,
+        token: Token,
+        key: LifeKey,
+        report: &Report,
+        ends: Vec<End>,
+        starts: Vec<Start>,
+    ) {
+        let newest = report.finished.iter().map(|end| end.number).max().unwrap_or(0);
+        let commands = u32::from(!ends.is_empty()) + u32::from(!starts.is_empty());
+        let Some(runner) = self.runners.get_mut(&key) else { return };
+        if commands == 0 {
+            // Nothing that it lists is on its way to the log any more.
+            if runner.proposed == runner.noted {
+                runner.noted = runner.noted.max(newest);
+                runner.proposed = runner.noted;
+            }
+            return self.send_orders(now, token, key);
+        }
+        runner.proposed = runner.proposed.max(newest);
+        let at = self.next_heartbeat;
+        self.next_heartbeat += 1;
+        let noted = runner.proposed;
+        let since = now.at;
+        let waiting = Waiting { token, life: key, commands, noted, since, answered: false };
+        self.heartbeats.insert(at, waiting);
+        self.propose_ends(now, ends, Then::Heartbeat(at));
+        if !starts.is_empty() {
+            self.starting.extend(starts.iter().map(|start| (start.task, *start)));
+            self.counts.starts += starts.len() as u64;
+            self.propose(JobCommand::Start(starts), Then::Heartbeat(at));
+        }
+    }
+
+    /// One of a heartbeat's commands is in the log.
+    pub(super) fn heartbeat_committed(&mut self, now: Now, at: u64) {
+        let Some(waiting) = self.heartbeats.get_mut(&at) else { return };
+        waiting.commands -= 1;
+        if waiting.commands > 0 {
+            return;
+        }
+        let Some(waiting) = self.heartbeats.remove(&at) else { return };
+        if let Some(runner) = self.runners.get_mut(&waiting.life) {
+            runner.noted = runner.noted.max(waiting.noted);
+        }
+        if !waiting.answered {
+            self.send_orders(now, waiting.token, waiting.life);
+        }
+    }
+
+    /// Answers a heartbeat by what is agreed on now.
+    pub(super) fn send_orders(&mut self, now: Now, token: Token, key: LifeKey) {
+        let pause = self.pause();
+        let Some(runner) = self.runners.get(&key) else {
+            let answer = self.empty_orders();
+            return self.answer(token, answer);
+        };
+        let start = self.start_orders(runner);
+        for order in &start {
+            log::info!(
+                "start task={} run={} runner={} rack={} resumes={} report={}",
+                order.task,
+                order.run,
+                runner.id,
+                runner.rack,
+                !order.saved.is_empty(),
+                runner.sequence
+            );
+        }
+        let stop = self.stop_orders(runner);
+        let noted = runner.noted;
+        let has_room = runner.takes_tasks() && runner.free.millicores > 0;
+        let retry = if has_room { pause } else { REPORT_FULL.max(pause) };
+        let retry = retry.min(self.cfg.heartbeat);
+        let Some(runner) = self.runners.get_mut(&key) else { return };
+        let rates = runner.rate_orders(&self.jobs);
+        runner.lease_end = now.at + lease_surely_ended_after(self.cfg.lease);
+        let orders = Orders {
+            lease_ms: millis(self.cfg.lease),
+            token: self.term,
+            noted,
+            start,
+            stop,
+            rates,
+            retry_after_ms: millis(retry),
+        };
+        self.answer(token, Answer::Orders(Box::new(orders)));
+    }
+
+    fn pause(&self) -> Duration {
+        let count = u32::try_from(self.runners.len()).unwrap_or(u32::MAX);
+        (REPORT_PER_RUNNER * count).clamp(REPORT_MIN, REPORT_MAX)
+    }
+
+    /// Runs that are to run there and that the runner does not list. An order whose
+    /// answer was lost is given again under the same number: a runner that has ended
+    /// that run refuses it.
+    fn start_orders(&self, runner: &Runner) -> Vec<StartOrder> {
+        let mut orders = Vec::new();
+        for (task, run) in self.jobs.held(runner.key) {
+            let listed = runner.running.get(&task).is_some_and(|view| view.run == run);
+            if listed || self.ending.contains(&(task, run)) || !self.is_wanted(task) {
+                continue;
+            }
+            let (Some(job), Some(state)) = (self.jobs.job(task.job), self.jobs.task(task)) else {
+                continue;
+            };
+            let payload = job.spec.payload.as_ref().into();
+            orders.push(StartOrder { task, run, payload, saved: state.saved.clone() });
+        }
+        orders
+    }
+
+    fn stop_orders(&self, runner: &Runner) -> Vec<(TaskKey, u32)> {
+        let unwanted = |task: TaskKey, run: u32, stopping: bool| {
+            stopping || !self.jobs.holds(runner.key, task, run) || !self.is_wanted(task)
+        };
+        let running = runner.running.iter();
+        let stop = running.filter(|(task, view)| unwanted(**task, view.run, view.stopping));
+        stop.map(|(task, view)| (*task, view.run)).collect()
+    }
+
+    /// A runner has left: everything on it is over, and it can say nothing more.
+    pub(super) fn leave(&mut self, now: Now, token: Token, id: &str, born_ms: Option<u64>) {
+        let known = self.by_id.get(id).copied();
+        let life = known.and_then(|key| self.jobs.life(key).map(|life| (key, life.born_ms)));
+        if let Some((key, born)) = life
+            && born_ms.is_none_or(|told| told == born)
+        {
+            log::info!("runner={id} {key} left");
+            match (born_ms, self.runners.get_mut(&key)) {
+                (Some(_), _) => {
+                    let mut ends = Vec::new();
+                    self.collect_ends(key, How::Gone, &mut ends);
+                    self.propose_ends(now, ends, Then::Nothing);
+                    self.over.insert(key);
+                    self.runners.remove(&key);
+                }
+                // It may be a delayed word of an earlier life: nothing is started
+                // there, but what runs there is given up only with its lease.
+                (None, Some(runner)) => runner.state = RunnerState::Draining,
+                (None, None) => {}
+            }
+        }
+        self.answer(token, Answer::Ok);
+    }
+
+    /// Whether a runner hosts tasks that serve users of their own.
+    pub(super) fn hosts_serving(&self, key: LifeKey) -> bool {
+        let mut held = self.jobs.held(key);
+        held.any(|(task, _)| {
+            self.jobs.step_spec(task).is_some_and(|step| Kind::of(step) == Kind::Serving)
+        })
+    }
+}
+
+/// Whole milliseconds of a span.
+pub(super) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/coordination/src/jobs/place.rs
@@ -0,0 +1,229 @@
+//! Which waiting tasks start on a runner that has just reported: its word is then
+//! fresh, and the order reaches it with the answer.
+
+use super::ask::RunnerState;
+use super::leader::{Leader, Now};
+use super::ready::{GroupKey, Kind, need};
+use super::runner::{Runner, Trust};
+use crate::moment::Moment;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use yuccalink_state::Resources;
+use yuccalink_state::jobs::{Job, LifeKey, Start, StepSpec, TaskKey};
+
+/// Waiting steps looked at for one report; the first in order matter most.
+const GROUPS_MAX: usize = 64;
+/// Starts ordered with one answer, so that it stays a small message.
+const STARTS_MAX: usize = 64;
+/// How long a task waits for the rack of its data, or of its step: tasks elsewhere
+/// take twice as long, so a wait of a fraction of the usual task pays.
+const RACK_WAIT: Duration = Duration::from_millis(500);
+/// How long a serving task waits for a runner without tasks that would disturb it.
+const QUIET_WAIT: Duration = Duration::from_millis(400);
+
+impl Leader {
+    /// What a runner has left: its capacity less all that may be running there.
+    /// Ends that it lists have freed their room, whether they are noted or not.
+    pub(super) fn free_room(
+        &self,
+        key: LifeKey,
+        ended: &BTreeSet<(TaskKey, u32)>,
+    ) -> Resources {
+        let Some(runner) = self.runners.get(&key) else { return Resources::ZERO };
+        let mut taken: BTreeSet<(TaskKey, u32)> =
+            self.jobs.held(key).filter(|run| !ended.contains(run)).collect();
+        taken.extend(runner.running.iter().map(|(task, view)| (*task, view.run)));
+        let starting = self.starting.values().filter(|start| start.life == key);
+        taken.extend(starting.map(|start| (start.task, start.run)));
+        let mut free = runner.capacity;
+        for (task, _) in taken {
+            let Some(step) = self.jobs.step_spec(task) else { continue };
+            free = less(free, need(step));
+        }
+        free
+    }
+
+    /// Chooses tasks for a runner, in the order of the waiting steps.
+    pub(super) fn pick(&mut self, now: Now, key: LifeKey) -> Vec<Start> {
+        let Some(runner) = self.runners.get(&key) else { return Vec::new() };
+        let trust = runner.health.trust(now.at);
+        let draining = runner.state == RunnerState::Draining;
+        if draining || trust == Trust::None || self.ready.is_empty() {
+            return Vec::new();
+        }
+        let order: Vec<GroupKey> =
+            self.ready.order(&self.jobs, now.at, false).iter().take(GROUPS_MAX).copied().collect();
+        let Some(runner) = self.runners.get(&key) else { return Vec::new() };
+        let mut chosen =
+            Chosen { starts: Vec::new(), free: runner.free, most: starts_allowed(trust, runner) };
+        let serving = self.hosts_serving(key);
+        for group in order {
+            if chosen.starts.len() >= chosen.most {
+                break;
+            }
+            self.pick_of(now, runner, trust, serving, group, &mut chosen);
+        }
+        chosen.starts
+    }
+
+    fn pick_of(
+        &self,
+        now: Now,
+        runner: &Runner,
+        trust: Trust,
+        serving: bool,
+        group: GroupKey,
+        chosen: &mut Chosen,
+    ) {
+        let Some(job) = self.jobs.job(group.job) else { return };
+        let Some(step) = job.spec.steps.get(usize::from(group.step)) else { return };
+        let since = self.ready.group(group).map_or(now.at, |group| group.since);
+        let fits = self.pool_of(job) == &*runner.pool
+            && label_fits(step, runner)
+            && chosen.free.holds(need(step))
+            && !step.gang
+            && self.rack_fits(now.at, since, job, step, group, runner)
+            && self.quiet_enough(now.at, since, step, serving, runner);
+        if !fits {
+            return;
+        }
+        let mut here = self.count_here(runner.key, group);
+        for index in 0..step.count {
+            let per_runner = step.per_runner_max;
+            if chosen.starts.len() >= chosen.most || (per_runner > 0 && here >= per_runner) {
+                return;
+            }
+            if !chosen.free.holds(need(step)) {
+                return;
+            }
+            let index = u16::try_from(index).unwrap_or(u16::MAX);
+            let (occurrence, step_at) = (group.occurrence, group.step);
+            let task = TaskKey { job: group.job, occurrence, step: step_at, index };
+            let Some(run) = self.next_run(job, step, task, runner.key, trust) else { continue };
+            chosen.free = less(chosen.free, need(step));
+            chosen.starts.push(Start { task, run, life: runner.key });
+            here += 1;
+        }
+    }
+
+    /// The number of a task's next run on a runner, if it may run there.
+    fn next_run(
+        &self,
+        job: &Job,
+        step: &StepSpec,
+        task: TaskKey,
+        life: LifeKey,
+        trust: Trust,
+    ) -> Option<u32> {
+        if self.starting.contains_key(&task) {
+            return None;
+        }
+        // A task of an occurrence that has not begun has no state yet.
+        let Some(state) = self.jobs.task(task) else { return Some(1) };
+        if state.done || !state.holds.is_empty() {
+            return None;
+        }
+        if !step.long_running {
+            // A second failure of the kind would end the whole job.
+            let last_try = state.failures + 1 >= job.attempts;
+            if state.failed_on.contains(&life) || (last_try && trust != Trust::Full) {
+                return None;
+            }
+        }
+        Some(state.last_run + 1)
+    }
+
+    /// The pool that runs a job's tasks now.
+    pub(super) fn pool_of<'a>(&'a self, job: &'a Job) -> &'a str {
+        let queue = self.jobs.change().and_then(|change| change.queue(&job.queue));
+        queue.map_or(&*job.pool, |queue| &*queue.pool)
+    }
+
+    fn count_here(&self, life: LifeKey, group: GroupKey) -> u32 {
+        let same = |task: TaskKey| {
+            (task.job, task.occurrence, task.step) == (group.job, group.occurrence, group.step)
+        };
+        let held = self.jobs.held(life).filter(|(task, _)| same(*task)).count();
+        let starting = self.starting.values().filter(|s| s.life == life && same(s.task)).count();
+        u32::try_from(held + starting).unwrap_or(u32::MAX)
+    }
+
+    fn rack_fits(
+        &self,
+        now: Moment,
+        since: Moment,
+        job: &Job,
+        step: &StepSpec,
+        group: GroupKey,
+        runner: &Runner,
+    ) -> bool {
+        if now.since(since) > RACK_WAIT {
+            return true;
+        }
+        if let Some(rack) = &step.data_rack {
+            return *rack == runner.rack;
+        }
+        if !step.rack_affinity {
+            return true;
+        }
+        let occurrence = job.occurrences.get(group.occurrence as usize);
+        let tasks = occurrence.and_then(|found| found.steps.get(usize::from(group.step)));
+        let mut lives = tasks.into_iter().flat_map(|step| &step.tasks).flat_map(|t| &t.holds);
+        lives.all(|hold| self.runners.get(&hold.life).is_none_or(|r| r.rack == runner.rack))
+    }
+
+    /// Keeps tasks that disturb away from those that serve, as far as there is room
+    /// apart. A serving task's tail grows several times over beside the wrong
+    /// neighbour, which is seen half a second late; apart, nothing has to be paced.
+    fn quiet_enough(
+        &self,
+        now: Moment,
+        since: Moment,
+        step: &StepSpec,
+        serving: bool,
+        runner: &Runner,
+    ) -> bool {
+        match Kind::of(step) {
+            Kind::Filling => step.image.is_none() || !serving,
+            Kind::Serving => {
+                serving || now.since(since) > QUIET_WAIT || !self.hosts_disturbing(runner.key)
+            }
+        }
+    }
+
+    fn hosts_disturbing(&self, life: LifeKey) -> bool {
+        self.jobs.held(life).any(|(task, _)| {
+            self.jobs
+                .step_spec(task)
+                .is_some_and(|step| step.image.is_some() && Kind::of(step) == Kind::Filling)
+        })
+    }
+}
+
+struct Chosen {
+    starts: Vec<Start>,
+    free: Resources,
+    most: usize,
+}
+
+/// A runner that is only being tried gets one task at a time.
+fn starts_allowed(trust: Trust, runner: &Runner) -> usize {
+    match trust {
+        Trust::Full | Trust::SecondTryOnly => STARTS_MAX,
+        Trust::Probe if runner.running.is_empty() => 1,
+        Trust::Probe | Trust::None => 0,
+    }
+}
+
+fn label_fits(step: &StepSpec, runner: &Runner) -> bool {
+    step.required_label.as_ref().is_none_or(|label| runner.has_label(label))
+}
+
+/// What is left, never below nothing.
+fn less(free: Resources, need: Resources) -> Resources {
+    Resources {
+        millicores: free.millicores.saturating_sub(need.millicores),
+        memory_mib: free.memory_mib.saturating_sub(need.memory_mib),
+        accelerators: free.accelerators.saturating_sub(need.accelerators),
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/jobs/runner.rs
@@ -0,0 +1,212 @@
+//! What a leader knows of one life of a runner: its last report, its lease, and
+//! how well its runs end.
+
+use super::ask::{Report, RunnerState, Running};
+use crate::moment::Moment;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use yuccalink_state::Resources;
+use yuccalink_state::jobs::{LifeKey, TaskKey};
+
+/// How slow a runner's steady clock may be, in percent, as the platform says.
+const RUNNER_CLOCK_SLOW_PERCENT: u32 = 2;
+/// How slow this VM's clock may be against true time, in percent; see
+/// [`crate::moment::DRIFT_PPM`].
+const OWN_CLOCK_SLOW_PERCENT: u32 = 1;
+/// Added to every lease where it is counted as ended: the runner may look at its
+/// clock this much late.
+const LEASE_SLACK: Duration = Duration::from_millis(100);
+/// A run whose figure has not moved for this long stands still. Heartbeats come
+/// at least once a second and a run of the longest task sheet moves by a percent
+/// in 70 ms, so two silent heartbeats in a row are no coincidence.
+const STANDING_AFTER: Duration = Duration::from_millis(1_800);
+/// How long a runner with several bad ends in a row gets nothing new.
+const QUARANTINE: Duration = Duration::from_millis(2_500);
+/// Bad ends in a row after which a runner is set aside. One is common: two to
+/// five tasks in a hundred fail by their own fault.
+const BAD_ENDS_MAX: u32 = 2;
+
+/// Bound on when a lease of `span`, granted now, has ended on the runner's clock.
+pub fn lease_surely_ended_after(span: Duration) -> Duration {
+    span + span * (RUNNER_CLOCK_SLOW_PERCENT + OWN_CLOCK_SLOW_PERCENT) / 100 + LEASE_SLACK
+}
+
+/// How the runs on a runner ended lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Health {
+    /// Failed or standing runs since the last one that was done.
+    bad: u32,
+    last_bad: Moment,
+}
+
+/// What may be started on a runner, by its health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Trust {
+    /// Anything.
+    Full,
+    /// Only tasks that may fail and be tried again.
+    SecondTryOnly,
+    /// One such task, to find out.
+    Probe,
+    /// Nothing.
+    None,
+}
+
+impl Health {
+    pub(super) fn went_well(&mut self) {
+        self.bad = 0;
+    }
+
+    pub(super) fn went_badly(&mut self, now: Moment) {
+        self.bad += 1;
+        self.last_bad = now;
+    }
+
+    pub(super) fn trust(self, now: Moment) -> Trust {
+        if self.bad == 0 {
+            return Trust::Full;
+        }
+        if self.bad < BAD_ENDS_MAX {
+            return Trust::SecondTryOnly;
+        }
+        match now.since(self.last_bad) < QUARANTINE {
+            true => Trust::None,
+            false => Trust::Probe,
+        }
+    }
+}
+
+/// One run as its runner reported it.
+#[derive(Clone, Debug)]
+pub(super) struct RunView {
+    pub(super) run: u32,
+    pub(super) saved: Box<str>,
+    pub(super) percent: u8,
+    pub(super) gauge: Option<u64>,
+    pub(super) first_seen: Moment,
+    pub(super) moved: Moment,
+    /// It is to be stopped; said again with each heartbeat until it is gone.
+    pub(super) stopping: bool,
+    /// The share at which it works, as far as this leader has said.
+    pub(super) rate: u8,
+}
+
+impl RunView {
+    /// About how long it still runs: by how far it has come, else by the guess.
+    pub(super) fn time_left(&self, now: Moment, estimate_ms: u64) -> Duration {
+        let ran = now.since(self.first_seen);
+        let left = u32::from(100 - self.percent.min(100));
+        match self.percent {
+            0 => Duration::from_millis(estimate_ms).saturating_sub(ran),
+            percent => ran * left / u32::from(percent),
+        }
+    }
+
+    pub(super) fn stands_still(&self, now: Moment) -> bool {
+        self.rate == 100 && self.percent < 100 && now.since(self.moved) > STANDING_AFTER
+    }
+}
+
+/// A life of a runner that has reported to this leader.
+#[derive(Debug)]
+pub(super) struct Runner {
+    pub(super) key: LifeKey,
+    pub(super) id: Box<str>,
+    pub(super) pool: Box<str>,
+    pub(super) rack: Box<str>,
+    pub(super) labels: Vec<Box<str>>,
+    pub(super) capacity: Resources,
+    pub(super) state: RunnerState,
+    pub(super) leaves_at: Option<Moment>,
+    pub(super) sequence: u64,
+    pub(super) heard: Moment,
+    /// All leases that this leader granted have surely ended by then.
+    pub(super) lease_end: Moment,
+    /// Ends up to this one are in the log.
+    pub(super) noted: u64,
+    /// Ends up to this one are proposed.
+    pub(super) proposed: u64,
+    pub(super) running: BTreeMap<TaskKey, RunView>,
+    pub(super) health: Health,
+    pub(super) free: Resources,
+    /// It hosts tasks that serve users of their own.
+    pub(super) serving: bool,
+    /// Share at which tasks that disturb those work, in percent.
+    pub(super) pace: u8,
+    pub(super) paced_at: Moment,
+}
+
+impl Runner {
+    pub(super) fn new(key: LifeKey, report: &Report, now: Moment) -> Self {
+        Self {
+            key,
+            id: report.runner.clone(),
+            pool: report.pool.clone(),
+            rack: report.rack.clone(),
+            labels: report.labels.clone(),
+            capacity: report.capacity,
+            state: report.state,
+            leaves_at: None,
+            sequence: 0,
+            heard: now,
+            lease_end: now,
+            noted: 0,
+            proposed: 0,
+            running: BTreeMap::new(),
+            health: Health::default(),
+            free: Resources::ZERO,
+            serving: false,
+            pace: 100,
+            paced_at: Moment::ZERO,
+        }
+    }
+
+    /// Takes a newer report in.
+    pub(super) fn update(&mut self, report: &Report, now: Moment) {
+        self.pool.clone_from(&report.pool);
+        self.capacity = report.capacity;
+        self.labels.clone_from(&report.labels);
+        self.state = report.state;
+        self.sequence = report.sequence;
+        self.heard = now;
+        self.leaves_at = match report.state {
+            RunnerState::Ready => None,
+            RunnerState::Draining => {
+                report.remaining_ms.map(|ms| now + Duration::from_millis(ms)).or(self.leaves_at)
+            }
+        };
+        let mut former = std::mem::take(&mut self.running);
+        for run in &report.running {
+            let view = next_view(former.remove(&run.task), run, now);
+            self.running.insert(run.task, view);
+        }
+    }
+
+    /// Whether it can be given new tasks at all.
+    pub(super) fn takes_tasks(&self) -> bool {
+        self.state == RunnerState::Ready
+    }
+
+    /// Whether it carries a label.
+    pub(super) fn has_label(&self, label: &str) -> bool {
+        self.labels.iter().any(|own| &**own == label)
+    }
+}
+
+fn next_view(former: Option<RunView>, run: &Running, now: Moment) -> RunView {
+    let same = former.filter(|view| view.run == run.run);
+    let moved = match &same {
+        Some(view) if view.percent == run.percent => view.moved,
+        _ => now,
+    };
+    RunView {
+        run: run.run,
+        saved: run.saved.clone(),
+        percent: run.percent,
+        gauge: run.gauge,
+        first_seen: same.as_ref().map_or(now, |view| view.first_seen),
+        moved,
+        stopping: same.as_ref().is_some_and(|view| view.stopping),
+        rate: same.as_ref().map_or(100, |view| view.rate),
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 pub mod entries;
 pub mod invariants;
+pub mod jobs;
 pub mod moment;
 pub mod placement;
 pub mod pressure;
@@ -16,6 +17,7 @@
 pub mod retry;
 pub mod router;
 pub mod scenario;
+pub mod voters;
 pub mod workers;
 
 pub use moment::Moment;
--- /dev/null
+++ b/crates/daemon/src/cell.rs
@@ -0,0 +1,26 @@
+//! A job cell: daemons that agree on jobs and tell runners what to run.
+//!
+//! One process on each entry VM, with one thread for everything but the disk and
+//! the log lines: where a VM has a fraction of one core, every hand-over between
+//! threads is a wake-up that is paid for. Any process takes any request; the one
+//! that leads decides, the others pass on.
+
+mod config;
+mod dialect;
+mod disk;
+mod frame;
+mod http;
+mod link;
+mod metrics;
+mod native;
+mod node;
+mod peers;
+mod replica;
+mod roster;
+mod run;
+mod seats;
+
+pub use config::{CellConfig, CellConfigBuilder};
+pub use dialect::{Dialect, Incoming, Reply, ReplyContext, Settings};
+pub use native::{Native, caller_ask, json, parse, plain_reply, problem};
+pub use run::run;
--- /dev/null
+++ b/crates/daemon/src/cell/config.rs
@@ -0,0 +1,153 @@
+//! Settings of one process of a cell.
+
+use crate::error::{Error, Result};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use yuccalink_coordination::jobs::LeaderConfig;
+
+/// What one process needs to know; made by [`CellConfigBuilder`].
+#[derive(Clone, Debug)]
+pub struct CellConfig {
+    pub(crate) name: Box<str>,
+    pub(crate) zone: Box<str>,
+    pub(crate) callers: Option<SocketAddr>,
+    pub(crate) ready: Option<SocketAddr>,
+    pub(crate) control: Option<SocketAddr>,
+    pub(crate) peer: SocketAddr,
+    pub(crate) metrics: Option<SocketAddr>,
+    pub(crate) data: Option<PathBuf>,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) found: bool,
+    pub(crate) losses: usize,
+    pub(crate) leader: LeaderConfig,
+    pub(crate) drain: Duration,
+}
+
+/// Makes a [`CellConfig`].
+#[derive(Clone, Debug)]
+pub struct CellConfigBuilder(CellConfig);
+
+impl CellConfig {
+    /// Settings of a cell of one process, with nothing to listen on but for peers.
+    ///
+    /// ```
+    /// use yuccalink_daemon::cell::CellConfig;
+    /// let any = "127.0.0.1:0".parse()?;
+    /// let config = CellConfig::builder("e1", any).control(any).found(true).build();
+    /// assert!(config.is_err(), "a founder needs a data folder");
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn builder(name: &str, peer: SocketAddr) -> CellConfigBuilder {
+        CellConfigBuilder(Self {
+            name: name.into(),
+            zone: "zone".into(),
+            callers: None,
+            ready: None,
+            control: None,
+            peer,
+            metrics: None,
+            data: None,
+            seeds: Vec::new(),
+            found: false,
+            losses: 1,
+            leader: LeaderConfig::default(),
+            drain: Duration::from_millis(3_000),
+        })
+    }
+}
+
+impl CellConfigBuilder {
+    /// Availability zone of this VM.
+    #[must_use]
+    pub fn zone(mut self, zone: &str) -> Self {
+        self.0.zone = zone.into();
+        self
+    }
+
+    /// Where callers connect.
+    #[must_use]
+    pub fn callers(mut self, at: SocketAddr) -> Self {
+        self.0.callers = Some(at);
+        self
+    }
+
+    /// Where the balancer asks whether this process is ready.
+    #[must_use]
+    pub fn ready(mut self, at: SocketAddr) -> Self {
+        self.0.ready = Some(at);
+        self
+    }
+
+    /// Where runners and operators connect.
+    #[must_use]
+    pub fn control(mut self, at: SocketAddr) -> Self {
+        self.0.control = Some(at);
+        self
+    }
+
+    /// Where counters and histograms are read.
+    #[must_use]
+    pub fn metrics(mut self, at: SocketAddr) -> Self {
+        self.0.metrics = Some(at);
+        self
+    }
+
+    /// Folder for the state, on a VM with a disk.
+    #[must_use]
+    pub fn data(mut self, folder: PathBuf) -> Self {
+        self.0.data = Some(folder);
+        self
+    }
+
+    /// Where other processes of the cell listen for peers; some of them.
+    #[must_use]
+    pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.0.seeds = seeds;
+        self
+    }
+
+    /// Whether the cell is new, so that its first seed with a disk may found it.
+    #[must_use]
+    pub fn found(mut self, found: bool) -> Self {
+        self.0.found = found;
+        self
+    }
+
+    /// Disks that may be lost at once.
+    #[must_use]
+    pub fn losses(mut self, losses: usize) -> Self {
+        self.0.losses = losses;
+        self
+    }
+
+    /// How the leader decides.
+    #[must_use]
+    pub fn leader(mut self, leader: LeaderConfig) -> Self {
+        self.0.leader = leader;
+        self
+    }
+
+    /// How long a stopping process goes on serving, for the balancer to notice.
+    #[must_use]
+    pub fn drain(mut self, drain: Duration) -> Self {
+        self.0.drain = drain;
+        self
+    }
+
+    /// Checks the settings against each other.
+    ///
+    /// # Errors
+    /// [`Error::Setting`] naming the setting and the remedy.
+    pub fn build(self) -> Result<CellConfig> {
+        let config = self.0;
+        let bad = |flag, what: &str| Err(Error::Setting { flag, what: what.into() });
+        if config.found && config.data.is_none() && config.seeds.is_empty() {
+            return bad("data", "a new cell of one process needs a data folder; name one");
+        }
+        if config.callers.is_none() && config.control.is_none() {
+            return bad("callers", "the process would serve nobody; name an address to listen on");
+        }
+        Ok(config)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cell/dialect.rs
@@ -0,0 +1,78 @@
+//! The edge of a process: how requests become asks and answers become responses.
+
+use bytes::Bytes;
+use std::net::SocketAddr;
+use yuccalink_coordination::jobs::{Answer, Ask};
+
+/// A request, read whole.
+#[derive(Clone, Copy, Debug)]
+pub struct Incoming<'a> {
+    /// Upper-case.
+    pub method: &'a str,
+    /// Without a query.
+    pub path: &'a str,
+    /// As the caller wrote it.
+    pub host: &'a str,
+    /// Possibly empty.
+    pub body: &'a [u8],
+}
+
+/// A response.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reply {
+    /// Its HTTP status.
+    pub status: u16,
+    /// JSON, or nothing.
+    pub body: Bytes,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Reply {
+    /// A response without a body.
+    pub fn empty(status: u16) -> Self {
+        Self { status, ..Self::default() }
+    }
+
+    /// A response with a JSON body.
+    pub fn json(status: u16, body: Vec<u8>) -> Self {
+        Self { status, body: body.into(), retry_after_ms: None }
+    }
+}
+
+/// What an answer may need beside itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReplyContext {
+    /// Where runners and operators reach the process that leads.
+    pub leader: Option<SocketAddr>,
+}
+
+/// One HTTP interface of the cell: its own, or that of a platform.
+pub trait Dialect {
+    /// A caller's request.
+    ///
+    /// # Errors
+    /// The response to one that cannot be understood.
+    fn caller(&self, req: Incoming<'_>) -> Result<Ask, Reply>;
+
+    /// A runner's or operator's request.
+    ///
+    /// # Errors
+    /// The response to one that cannot be understood.
+    fn control(&self, req: Incoming<'_>) -> Result<Ask, Reply>;
+
+    /// The response to an answer.
+    fn reply(&self, answer: Answer, cx: ReplyContext) -> Reply;
+
+    /// The path of the question whether this process is ready.
+    fn ready_path(&self) -> &str;
+}
+
+/// Where settings that may change come from.
+pub trait Settings {
+    /// The seeds as they are set now.
+    ///
+    /// # Errors
+    /// What is wrong with the settings; the former ones stay in use.
+    fn seeds(&self) -> Result<Vec<SocketAddr>, Box<str>>;
+}
--- /dev/null
+++ b/crates/daemon/src/cell/http.rs
@@ -0,0 +1,220 @@
+//! HTTP for callers, runners, operators and the balancer.
+
+use crate::cell::dialect::{Dialect, Incoming, Reply, ReplyContext};
+use crate::cell::node::Shared;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming as Body;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, LOCATION, RETRY_AFTER};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Longest wait for the leader on behalf of a caller: callers wait for 3 s, and
+/// another entry may do better.
+const CALLER_BUDGET: Duration = Duration::from_millis(2_000);
+/// A runner drops an answer that comes later than a second.
+const CONTROL_BUDGET: Duration = Duration::from_millis(900);
+/// A change set of 1,400 queues takes its time on a slow link.
+const LARGE_BUDGET: Duration = Duration::from_millis(2_500);
+/// Bodies from this size on are large, in bytes.
+const LARGE: usize = 32 * 1024;
+/// Largest body of a caller, in bytes.
+const CALLER_BODY_MAX: usize = 256 * 1024;
+/// Largest body of a runner or operator, in bytes: 10,000 queues.
+const CONTROL_BODY_MAX: usize = 4 * 1024 * 1024;
+/// Longest wait for a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest wait for a request's body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest head, in bytes.
+const HEAD_MAX: usize = 16 * 1024;
+/// Pause after a failed accept, as when no descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Port {
+    Callers,
+    Control,
+    Ready,
+    Metrics,
+}
+
+/// What all connections share.
+pub(crate) struct Site {
+    pub(crate) node: Shared,
+    pub(crate) dialect: Box<dyn Dialect>,
+    /// Requests being answered.
+    pub(crate) in_flight: Cell<usize>,
+    /// True once connections are to be closed after their answer.
+    pub(crate) closing: watch::Receiver<bool>,
+}
+
+/// Accepts connections until told to close.
+pub(crate) async fn serve(site: Rc<Site>, port: Port, listener: TcpListener) {
+    let mut closing = site.closing.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(site.clone(), port, stream));
+            }
+            Err(error) => {
+                log::warn!("cannot accept a connection for {port:?}: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(site: Rc<Site>, port: Port, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let mut closing = site.closing.clone();
+    let service = service_fn(move |req| {
+        let site = site.clone();
+        async move { Ok::<_, Infallible>(respond(site, port, req).await) }
+    });
+    let mut http = hyper::server::conn::http1::Builder::new();
+    http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(HEAD_MAX);
+    let connection = http.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _ = closing.wait_for(|closing| *closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("a connection for {port:?} has ended: {error}");
+    }
+}
+
+async fn respond(site: Rc<Site>, port: Port, req: Request<Body>) -> Response<Full<Bytes>> {
+    site.in_flight.set(site.in_flight.get() + 1);
+    let mut response = match port {
+        Port::Ready => plain(if site.node.is_ready() { 200 } else { 503 }),
+        Port::Metrics => metrics(&site),
+        Port::Callers | Port::Control => exchange(&site, port, req).await,
+    };
+    if site.node.is_draining() {
+        // The next request of this connection is for a process that stays.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    site.in_flight.set(site.in_flight.get() - 1);
+    response
+}
+
+async fn exchange(site: &Site, port: Port, req: Request<Body>) -> Response<Full<Bytes>> {
+    let began = Instant::now();
+    let (head, body) = req.into_parts();
+    let most = if port == Port::Callers { CALLER_BODY_MAX } else { CONTROL_BODY_MAX };
+    let body = match tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => {
+            log::info!("method={} path={} unread: {error}", head.method, head.uri.path());
+            return plain(413);
+        }
+        Err(_) => return plain(408),
+    };
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let path = head.uri.path();
+    let incoming = Incoming { method: head.method.as_str(), path, host, body: &body };
+    let asked = match port {
+        Port::Callers => site.dialect.caller(incoming),
+        _ => site.dialect.control(incoming),
+    };
+    let reply = match asked {
+        Err(reply) => {
+            log::info!("method={} path={path} status={} by itself", head.method, reply.status);
+            reply
+        }
+        Ok(ask) => {
+            let large = body.len() >= LARGE;
+            if large && let Some(elsewhere) = leader_elsewhere(site, port, path) {
+                return elsewhere;
+            }
+            let budget = match port {
+                Port::Callers => CALLER_BUDGET,
+                _ if large => LARGE_BUDGET,
+                _ => CONTROL_BUDGET,
+            };
+            let answer = site.node.ask(ask, budget).await;
+            let cx = ReplyContext { leader: site.node.leader_control() };
+            site.dialect.reply(answer, cx)
+        }
+    };
+    let took = began.elapsed();
+    site.node.with(|node| {
+        node.metrics.responded(reply.status);
+        match port {
+            Port::Callers => node.metrics.callers.add(took),
+            _ => node.metrics.control.add(took),
+        }
+    });
+    if reply.status >= 500 || reply.status == 429 {
+        log::info!(
+            "method={} path={path} status={} after-ms={} took={took:?}",
+            head.method,
+            reply.status,
+            reply.retry_after_ms.unwrap_or(0)
+        );
+    }
+    render(reply)
+}
+
+/// Sends a large body to the leader itself: passing it on would take a slow link
+/// twice.
+fn leader_elsewhere(site: &Site, port: Port, path: &str) -> Option<Response<Full<Bytes>>> {
+    if port != Port::Control {
+        return None;
+    }
+    let leader = site.node.leader_control()?;
+    let own = site.node.with(|node| node.cfg.control);
+    if own == Some(leader) {
+        return None;
+    }
+    let mut response = plain(307);
+    let at = HeaderValue::from_str(&format!("http://{leader}{path}")).ok()?;
+    response.headers_mut().insert(LOCATION, at);
+    Some(response)
+}
+
+fn metrics(site: &Site) -> Response<Full<Bytes>> {
+    let text = site.node.with(|node| {
+        let now = node.now();
+        let leader = node.replica.as_mut().and_then(|replica| replica.leader(now.at));
+        node.metrics.text(leader.as_deref())
+    });
+    Response::new(Full::new(Bytes::from(text)))
+}
+
+fn plain(status: u16) -> Response<Full<Bytes>> {
+    render(Reply::empty(status))
+}
+
+fn render(reply: Reply) -> Response<Full<Bytes>> {
+    let has_body = !reply.body.is_empty();
+    let mut response = Response::new(Full::new(reply.body));
+    *response.status_mut() =
+        StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    if has_body {
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    }
+    if let Some(ms) = reply.retry_after_ms {
+        headers.insert(RETRY_AFTER, HeaderValue::from(ms.div_ceil(1_000)));
+    }
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/cell/metrics.rs
@@ -0,0 +1,89 @@
+//! Counters and latency histograms of one process, as text.
+
+use std::fmt::Write;
+use std::time::Duration;
+use yuccalink_coordination::jobs::Leader;
+
+/// Upper bounds of the histograms' buckets, in milliseconds.
+const BOUNDS_MS: [u64; 10] = [1, 2, 5, 10, 20, 50, 100, 250, 1_000, 2_500];
+
+/// Counts of durations, by bucket.
+#[derive(Debug, Default)]
+pub(crate) struct Histogram {
+    buckets: [u64; BOUNDS_MS.len()],
+    count: u64,
+    sum: Duration,
+}
+
+impl Histogram {
+    pub(crate) fn add(&mut self, took: Duration) {
+        let ms = took.as_millis();
+        if let Some(at) = BOUNDS_MS.iter().position(|bound| ms <= u128::from(*bound)) {
+            self.buckets[at] += 1;
+        }
+        self.count += 1;
+        self.sum += took;
+    }
+
+    fn write(&self, name: &str, f: &mut String) {
+        let mut upto = 0;
+        for (bound, count) in BOUNDS_MS.iter().zip(self.buckets) {
+            upto += count;
+            let _ = writeln!(f, "{name}_ms_bucket{{le=\"{bound}\"}} {upto}");
+        }
+        let _ = writeln!(f, "{name}_ms_bucket{{le=\"+Inf\"}} {}", self.count);
+        let _ = writeln!(f, "{name}_ms_sum {}", self.sum.as_millis());
+        let _ = writeln!(f, "{name}_ms_count {}", self.count);
+    }
+}
+
+/// All of them.
+#[derive(Debug, Default)]
+pub(crate) struct Metrics {
+    /// Callers' requests.
+    pub(crate) callers: Histogram,
+    /// Requests of runners and operators.
+    pub(crate) control: Histogram,
+    /// Responses by their hundreds: 2xx, 3xx, 4xx, 5xx.
+    pub(crate) statuses: [u64; 4],
+}
+
+impl Metrics {
+    pub(crate) fn responded(&mut self, status: u16) {
+        let class = usize::from(status / 100).saturating_sub(2);
+        if let Some(count) = self.statuses.get_mut(class) {
+            *count += 1;
+        }
+    }
+
+    /// The text that is served.
+    pub(crate) fn text(&self, leader: Option<&Leader>) -> String {
+        let mut f = String::new();
+        for (class, count) in self.statuses.iter().enumerate() {
+            let class = class + 2;
+            let _ = writeln!(f, "yuccalink_responses{{class=\"{class}xx\"}} {count}");
+        }
+        self.callers.write("yuccalink_callers", &mut f);
+        self.control.write("yuccalink_control", &mut f);
+        let _ = writeln!(f, "yuccalink_leads {}", u8::from(leader.is_some()));
+        if let Some(leader) = leader {
+            let counts = leader.counts();
+            let values = [
+                ("jobs_accepted", counts.accepted),
+                ("jobs_refused", counts.refused),
+                ("runs_started", counts.starts),
+                ("runs_done", counts.done),
+                ("runs_failed", counts.failed),
+                ("runs_standing", counts.standing),
+                ("runs_lost", counts.lost),
+                ("heartbeats", counts.heartbeats),
+                ("runners", leader.runners_len() as u64),
+                ("steps_waiting", leader.waiting_len() as u64),
+            ];
+            for (name, value) in values {
+                let _ = writeln!(f, "yuccalink_{name} {value}");
+            }
+        }
+        f
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cell/node.rs
@@ -0,0 +1,376 @@
+//! The state of one process of a cell, and what its parts do with it.
+
+use crate::cell::config::CellConfig;
+use crate::cell::frame::{Frame, Lead, NodeInfo};
+use crate::cell::link::Link;
+use crate::cell::metrics::Metrics;
+use crate::cell::replica::Replica;
+use crate::cell::roster::Roster;
+use crate::clock::{BootClock, unix_ms};
+use crate::journal::Done;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::{Instant, timeout_at};
+use yuccalink_coordination::Moment;
+use yuccalink_coordination::jobs::{Answer, Ask, Now, Token};
+use yuccalink_coordination::raft::{Envelope, ReplicaId};
+
+/// Pause before a process asks again who leads.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+/// Longest wait for one answer of the leader before another way is tried. A commit
+/// takes 15 ms, or 400 ms with a disk that is 25 times as slow as usual.
+const TRY: Duration = Duration::from_millis(900);
+/// Without a leader for this long, requests are refused at once: an election takes
+/// one second, and what takes longer is not over soon.
+const HOPELESS_AFTER: Duration = Duration::from_millis(1_500);
+/// When to come back then, in milliseconds.
+const COME_BACK_MS: u64 = 2_000;
+
+pub(crate) struct Node {
+    pub(crate) cfg: CellConfig,
+    clock: BootClock,
+    pub(crate) roster: Roster,
+    pub(crate) replica: Option<Replica>,
+    links: HashMap<SocketAddr, Link>,
+    waiting: HashMap<Token, oneshot::Sender<Answer>>,
+    next_token: u64,
+    /// When a leader was last known.
+    led_at: Moment,
+    pub(crate) metrics: Metrics,
+}
+
+/// Handle of the state; one thread uses it, and never across an await.
+#[derive(Clone)]
+pub(crate) struct Shared(Rc<Inner>);
+
+struct Inner {
+    node: RefCell<Node>,
+    disk_wake: Arc<Notify>,
+    draining: Cell<bool>,
+    failed: watch::Sender<Option<Arc<yuccalink_state::Error>>>,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        cfg: CellConfig,
+        clock: BootClock,
+        info: NodeInfo,
+        replica: Option<Replica>,
+    ) -> Self {
+        let roster = Roster::new(info, cfg.seeds.clone(), cfg.found);
+        let node = Node {
+            cfg,
+            clock,
+            roster,
+            replica,
+            links: HashMap::new(),
+            waiting: HashMap::new(),
+            next_token: 0,
+            led_at: clock.now(),
+            metrics: Metrics::default(),
+        };
+        Self(Rc::new(Inner {
+            node: RefCell::new(node),
+            disk_wake: Arc::default(),
+            draining: Cell::new(false),
+            failed: watch::Sender::new(None),
+        }))
+    }
+
+    /// Works on the state; `f` must not call back into this handle.
+    pub(crate) fn with<F, T>(&self, f: F) -> T
+    where
+        F: FnOnce(&mut Node) -> T,
+    {
+        f(&mut self.0.node.borrow_mut())
+    }
+
+    pub(crate) fn disk_wake(&self) -> Arc<Notify> {
+        self.0.disk_wake.clone()
+    }
+
+    pub(crate) fn start_draining(&self) {
+        self.0.draining.set(true);
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.0.draining.get()
+    }
+
+    pub(crate) fn fail(&self, error: yuccalink_state::Error) {
+        let _ = self.0.failed.send(Some(Arc::new(error)));
+    }
+
+    pub(crate) fn failure(&self) -> watch::Receiver<Option<Arc<yuccalink_state::Error>>> {
+        self.0.failed.subscribe()
+    }
+
+    pub(crate) fn info(&self) -> NodeInfo {
+        self.with(|node| node.info())
+    }
+
+    /// Works on the replica, then carries out what follows from it.
+    fn drive<F>(&self, f: F)
+    where
+        F: FnOnce(&mut Replica, Now),
+    {
+        self.with(|node| {
+            let now = node.now();
+            if let Some(replica) = &mut node.replica {
+                f(replica, now);
+            }
+            node.flush(self);
+        });
+    }
+
+    pub(crate) fn tick(&self) {
+        self.drive(Replica::tick);
+        self.with(|node| node.tick(self));
+    }
+
+    pub(crate) fn disk_did(&self, done: &Done) {
+        self.drive(|replica, now| replica.did(now, done));
+    }
+
+    pub(crate) fn step(&self, envelopes: Vec<Envelope>) {
+        self.drive(|replica, now| {
+            for envelope in envelopes {
+                replica.step(now, envelope);
+            }
+        });
+    }
+
+    /// A process that this one has greeted answers.
+    pub(crate) fn welcomed(
+        &self,
+        from: SocketAddr,
+        me: NodeInfo,
+        lead: Option<Lead>,
+        disks: &[NodeInfo],
+        founder: Option<ReplicaId>,
+    ) {
+        self.with(|node| {
+            let now = node.clock.now();
+            node.roster.heard(me, now);
+            for disk in disks {
+                node.roster.told(disk, now);
+            }
+            node.roster.founder_told(founder, from);
+            if let Some(lead) = lead {
+                node.roster.lead_told(lead, from, now);
+            }
+        });
+    }
+
+    /// Another process greets this one.
+    pub(crate) fn greeted(&self, info: NodeInfo) -> Frame {
+        self.with(|node| {
+            let now = node.clock.now();
+            node.roster.heard(info, now);
+            Frame::Welcome {
+                me: node.info(),
+                lead: node.known_lead(),
+                disks: node.roster.disks(now),
+                founder: node.roster.designated(),
+            }
+        })
+    }
+
+    /// Asks the leader's part of this process; `None` where it does not lead.
+    pub(crate) fn ask_here(&self, ask: Ask) -> Option<oneshot::Receiver<Answer>> {
+        self.with(|node| {
+            let now = node.now();
+            let token = Token(node.next_token);
+            let leader = node.replica.as_mut()?.leader(now.at)?;
+            leader.ask(now, token, ask);
+            node.next_token += 1;
+            let (tx, rx) = oneshot::channel();
+            node.waiting.insert(token, tx);
+            if let Some(replica) = &mut node.replica {
+                replica.propose(now);
+            }
+            node.flush(self);
+            Some(rx)
+        })
+    }
+
+    /// Asks whichever process leads, for at most `budget`.
+    pub(crate) async fn ask(&self, ask: Ask, budget: Duration) -> Answer {
+        let until = Instant::now() + budget;
+        let mut sent = false;
+        while Instant::now() < until {
+            let way = match self.ask_here(ask.clone()) {
+                Some(rx) => Some((None, rx)),
+                None => self.ask_leader(&ask),
+            };
+            let Some((peer, rx)) = way else {
+                if !sent && self.is_hopeless() {
+                    break;
+                }
+                tokio::time::sleep(LOOK_AGAIN).await;
+                continue;
+            };
+            sent = true;
+            let limit = until.min(Instant::now() + TRY);
+            match timeout_at(limit, rx).await {
+                Ok(Ok(Answer::NotLeader { .. })) => {
+                    self.lead_lost(peer, "it does not lead");
+                    tokio::time::sleep(LOOK_AGAIN).await;
+                }
+                Ok(Ok(answer)) => return answer,
+                Ok(Err(_)) => tokio::time::sleep(LOOK_AGAIN).await,
+                Err(_) => self.lead_lost(peer, "no answer in time"),
+            }
+        }
+        match sent {
+            true => Answer::Unknown,
+            false => Answer::NotServing { after_ms: COME_BACK_MS },
+        }
+    }
+
+    fn ask_leader(&self, ask: &Ask) -> Option<(Option<SocketAddr>, oneshot::Receiver<Answer>)> {
+        self.with(|node| {
+            let lead = node.roster.lead()?;
+            let link = node.links.get_mut(&lead.peer)?;
+            Some((Some(lead.peer), link.ask(ask.clone())))
+        })
+    }
+
+    fn lead_lost(&self, peer: Option<SocketAddr>, why: &str) {
+        if let Some(peer) = peer {
+            self.with(|node| node.roster.lead_lost(peer, why));
+        }
+    }
+
+    fn is_hopeless(&self) -> bool {
+        self.with(|node| node.clock.now().since(node.led_at) > HOPELESS_AFTER)
+    }
+
+    /// Whether this process can serve callers now.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_draining() && self.with(|node| node.is_serving())
+    }
+
+    /// Where runners and operators reach the process that leads.
+    pub(crate) fn leader_control(&self) -> Option<SocketAddr> {
+        self.with(|node| node.known_lead().and_then(|lead| lead.control))
+    }
+}
+
+impl Node {
+    pub(crate) fn now(&self) -> Now {
+        Now { at: self.clock.now(), unix_ms: unix_ms() }
+    }
+
+    fn info(&self) -> NodeInfo {
+        let empty = self.replica.as_ref().is_some_and(|replica| replica.raft.is_empty());
+        NodeInfo { may_found: empty && self.cfg.found, ..self.roster.me.clone() }
+    }
+
+    fn is_serving(&mut self) -> bool {
+        let now = self.clock.now();
+        if let Some(leader) = self.replica.as_mut().and_then(|replica| replica.leader(now)) {
+            return leader.jobs().change().is_some();
+        }
+        self.roster.lead().is_some_and(|lead| lead.serving)
+    }
+
+    /// Who leads: by the own replica, else by what others say.
+    pub(crate) fn known_lead(&mut self) -> Option<Lead> {
+        let now = self.clock.now();
+        let me = (self.roster.me.peer, self.roster.me.control);
+        if let Some(replica) = &mut self.replica {
+            let term = replica.raft.term();
+            if let Some(leader) = replica.leader(now) {
+                let serving = leader.jobs().change().is_some();
+                return Some(Lead { term, peer: me.0, control: me.1, serving });
+            }
+        }
+        self.roster.lead()
+    }
+
+    /// A follower of the consensus learns first who leads.
+    fn learn_lead(&mut self) {
+        let now = self.clock.now();
+        let Some(replica) = &self.replica else { return };
+        let Some(id) = replica.raft.leader().filter(|id| *id != replica.raft.id()) else { return };
+        let term = replica.raft.term();
+        let Some(peer) = self.address_of(id) else { return };
+        if self.roster.lead().is_none_or(|lead| lead.term < term) {
+            let control = self.roster.control_of(peer);
+            let lead = Lead { term, peer, control, serving: false };
+            self.roster.lead_told(lead, self.roster.me.peer, now);
+        }
+    }
+
+    fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
+        let by_itself = self.roster.address_of(id);
+        let members = self.replica.as_ref().map(|replica| replica.raft.members());
+        let listed = || members?.get(id)?.address.parse().ok();
+        by_itself.or_else(listed)
+    }
+
+    fn member_addresses(&self) -> Vec<SocketAddr> {
+        let Some(replica) = &self.replica else { return Vec::new() };
+        let all = replica.raft.members().all();
+        all.filter_map(|member| member.address.parse().ok()).collect()
+    }
+
+    fn tick(&mut self, shared: &Shared) {
+        let now = self.clock.now();
+        self.roster.tick(now);
+        self.learn_lead();
+        if self.known_lead().is_some() {
+            self.led_at = now;
+        }
+        let wanted = self.roster.wanted_links(&self.member_addresses());
+        self.links.retain(|to, _| wanted.contains(to));
+        for to in wanted {
+            self.links.entry(to).or_insert_with(|| Link::open(shared.clone(), to));
+        }
+    }
+
+    /// Sends what the replica wants sent, and answers whom the leader has answered.
+    fn flush(&mut self, shared: &Shared) {
+        let now = self.clock.now();
+        let Some(replica) = &mut self.replica else { return };
+        if replica.has_work() {
+            shared.0.disk_wake.notify_one();
+        }
+        let outbox = std::mem::take(&mut replica.outbox);
+        // Without the lease another process may lead by now: what this one has
+        // decided is not told as true any more.
+        let answers = match replica.leader(now) {
+            Some(leader) => leader.take_answers(),
+            None => Vec::new(),
+        };
+        if replica.leader.is_none() && !self.waiting.is_empty() {
+            self.waiting.clear();
+        }
+        for (token, answer) in answers {
+            if let Some(tx) = self.waiting.remove(&token) {
+                let _ = tx.send(answer);
+            }
+        }
+        self.send_all(outbox);
+    }
+
+    fn send_all(&mut self, outbox: Vec<Envelope>) {
+        let mut by_peer: BTreeMap<SocketAddr, Vec<Envelope>> = BTreeMap::new();
+        for envelope in outbox {
+            if let Some(peer) = self.address_of(envelope.to) {
+                by_peer.entry(peer).or_default().push(envelope);
+            }
+        }
+        for (peer, envelopes) in by_peer {
+            if let Some(link) = self.links.get(&peer) {
+                link.send(Frame::Raft(envelopes));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cell/replica.rs
@@ -0,0 +1,293 @@
+//! One replica of the cell's state: its part in the consensus, and the leader
+//! while it leads. Carries out what the consensus asks for.
+
+use crate::cell::disk::Work;
+use crate::journal::{Done, from_hard, to_entry};
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use yuccalink_coordination::Moment;
+use yuccalink_coordination::jobs::{Leader, LeaderConfig, Now};
+use yuccalink_coordination::raft::{
+    Entry, Envelope, KEPT_BEHIND, Members, Payload, Persist, Raft, ReplicaId, Restored, Role,
+    SnapshotMeta,
+};
+use yuccalink_protocol::peer;
+use yuccalink_state::jobs::{JobCommand, Jobs};
+use yuccalink_state::log::Counts;
+use yuccalink_state::snapshot::{self, Meta};
+use yuccalink_state::store::Recovered;
+
+/// Records after which a snapshot is taken.
+const SNAPSHOT_RECORDS: u64 = 20_000;
+/// Bytes of log after which a snapshot is taken: two snapshots and two such logs
+/// stay under half of the smallest disk, 128 MB.
+const SNAPSHOT_BYTES: u64 = 8 * 1024 * 1024;
+/// Most commands in one proposal.
+const BATCH_MAX: usize = 512;
+
+pub(crate) struct Replica {
+    cfg: LeaderConfig,
+    pub(crate) raft: Raft,
+    /// The state, but while this replica leads: then the leader has it.
+    jobs: Option<Jobs>,
+    pub(crate) leader: Option<Leader>,
+    applied: u64,
+    writes: Vec<Persist>,
+    install: Option<(SnapshotMeta, Vec<u8>)>,
+    held: VecDeque<(u64, Envelope)>,
+    written: u64,
+    /// Messages to send now.
+    pub(crate) outbox: Vec<Envelope>,
+    counts: Counts,
+    snapshot_at: Counts,
+}
+
+impl Replica {
+    pub(crate) fn new(
+        cfg: LeaderConfig,
+        recovered: Recovered<Jobs>,
+        seed: u64,
+        now: Moment,
+    ) -> Result<Self, peer::BadMessage> {
+        let Recovered { replica, meta, machine, records, hard } = recovered;
+        let members =
+            if meta.members.is_empty() { Members::default() } else { peer::decode(&meta.members)? };
+        let entries = records.iter().map(to_entry).collect::<Result<Vec<Entry>, _>>()?;
+        let restored = Restored {
+            hard: from_hard(hard),
+            snapshot: SnapshotMeta { index: meta.index, term: meta.term, members },
+            entries,
+        };
+        Ok(Self {
+            cfg,
+            raft: Raft::new(ReplicaId(replica), restored, seed, now),
+            jobs: Some(machine),
+            leader: None,
+            applied: meta.index,
+            writes: Vec::new(),
+            install: None,
+            held: VecDeque::new(),
+            written: 0,
+            outbox: Vec::new(),
+            counts: Counts::default(),
+            snapshot_at: Counts::default(),
+        })
+    }
+
+    /// The leader, while this replica leads and no other can have been elected.
+    pub(crate) fn leader(&mut self, now: Moment) -> Option<&mut Leader> {
+        match self.raft.has_lease(now) {
+            true => self.leader.as_mut(),
+            false => None,
+        }
+    }
+
+    pub(crate) fn leads(&self) -> bool {
+        self.raft.role() == Role::Leader
+    }
+
+    pub(crate) fn tick(&mut self, now: Now) {
+        self.raft.tick(now.at);
+        if let Some(leader) = self.leader(now.at) {
+            leader.tick(now);
+        }
+        self.propose(now);
+    }
+
+    pub(crate) fn step(&mut self, now: Now, envelope: Envelope) {
+        self.raft.step(now.at, envelope);
+        self.pump(now);
+    }
+
+    /// Gives what the leader has decided to the log, and carries out what follows.
+    pub(crate) fn propose(&mut self, now: Now) {
+        if self.raft.has_lease(now.at)
+            && let Some(leader) = &mut self.leader
+        {
+            let commands = leader.next_batch(BATCH_MAX);
+            if !commands.is_empty() {
+                match encode_all(&commands) {
+                    Ok(encoded) => match self.raft.propose(now.at, encoded) {
+                        Ok(first) => leader.proposed(first),
+                        // A replica that lost the lead drops its leader right below.
+                        Err(why) => log::info!("nothing was proposed: {why}"),
+                    },
+                    Err(error) => log::error!("commands cannot be encoded: {error}"),
+                }
+            }
+        }
+        self.pump(now);
+    }
+
+    /// Carries out what the consensus asks for.
+    pub(crate) fn pump(&mut self, now: Now) {
+        loop {
+            let output = self.raft.take();
+            let committed = !output.committed.is_empty();
+            self.writes.extend(output.persist);
+            self.held.extend(output.messages);
+            if output.install.is_some() {
+                self.install = output.install;
+            }
+            for (index, entry) in output.committed {
+                self.apply(now, index, &entry);
+            }
+            self.change_role(now);
+            for to in output.need_snapshot {
+                self.offer_snapshot(now, to);
+            }
+            if !committed {
+                break;
+            }
+        }
+        self.release();
+    }
+
+    fn apply(&mut self, now: Now, index: u64, entry: &Entry) {
+        self.applied = index;
+        let Payload::Command(bytes) = &entry.payload else { return };
+        let command: JobCommand = match postcard::from_bytes(bytes) {
+            Ok(command) => command,
+            Err(error) => {
+                // Going on without it would let this replica's state part from the
+                // others' for ever.
+                log::error!("record {index} cannot be applied: {error}");
+                std::process::abort();
+            }
+        };
+        if let Some(leader) = &mut self.leader {
+            leader.committed(now, index, command);
+        } else if let Some(jobs) = &mut self.jobs {
+            jobs.apply(command);
+        }
+    }
+
+    fn change_role(&mut self, now: Now) {
+        if !self.leads()
+            && let Some(leader) = self.leader.take()
+        {
+            log::warn!("role=follower term={} was=leader", self.raft.term());
+            self.jobs = Some(leader.into_jobs());
+        }
+        if self.raft.is_settled()
+            && self.leader.is_none()
+            && let Some(jobs) = self.jobs.take()
+        {
+            log::info!("role=leader term={} record={}", self.raft.term(), self.applied);
+            self.leader = Some(Leader::new(self.cfg, self.raft.term(), jobs, now));
+        }
+    }
+
+    /// Lets go the messages whose writes the disk has confirmed.
+    fn release(&mut self) {
+        let written = self.written;
+        let mut later = VecDeque::new();
+        for (seq, envelope) in std::mem::take(&mut self.held) {
+            match seq > written {
+                true => later.push_back((seq, envelope)),
+                false => self.outbox.push(envelope),
+            }
+        }
+        self.held = later;
+    }
+
+    // ---- the disk ----
+
+    /// What the disk is to do next, writes first.
+    pub(crate) fn next_work(&mut self) -> Option<Work> {
+        if !self.writes.is_empty() {
+            return Some(Work::Write(std::mem::take(&mut self.writes)));
+        }
+        if let Some((meta, bytes)) = &self.install {
+            return Some(Work::Install { index: meta.index, bytes: bytes.clone() });
+        }
+        self.snapshot_due()
+    }
+
+    /// Whether the disk has something to do.
+    pub(crate) fn has_work(&self) -> bool {
+        !self.writes.is_empty() || self.install.is_some() || self.is_snapshot_due()
+    }
+
+    /// The disk has done something.
+    pub(crate) fn did(&mut self, now: Now, done: &Done) {
+        match done {
+            Done::Written { seq, counts } => {
+                self.written = *seq;
+                self.counts = *counts;
+                self.raft.persisted(*seq, now.at);
+            }
+            Done::Compacted { index } => self.raft.compact(*index, KEPT_BEHIND),
+            Done::Installed => self.installed(),
+            Done::Failed(_) => {}
+        }
+        self.propose(now);
+    }
+
+    fn installed(&mut self) {
+        let Some((meta, bytes)) = self.install.take() else { return };
+        match snapshot::decode_as::<Jobs>(&bytes, "a snapshot of the leader") {
+            Ok(found) => {
+                log::info!("took over the leader's state up to record {}", meta.index);
+                self.jobs = Some(found.machine);
+                self.applied = meta.index;
+                self.raft.installed(Some(meta));
+            }
+            Err(error) => {
+                log::error!("the leader's snapshot cannot be read: {error}");
+                self.raft.installed(None);
+            }
+        }
+    }
+
+    fn encode_snapshot(&self) -> Option<(SnapshotMeta, Vec<u8>)> {
+        let jobs = match &self.leader {
+            Some(leader) => leader.jobs(),
+            None => self.jobs.as_ref()?,
+        };
+        let index = self.applied;
+        let term = self.raft.term_at(index)?;
+        let members = self.raft.members_at(index);
+        let encoded = peer::encode(&members).ok()?;
+        let meta = Meta { index, term, members: encoded.into() };
+        match snapshot::encode(&meta, jobs) {
+            Ok(bytes) => Some((SnapshotMeta { index, term, members }, bytes)),
+            Err(error) => {
+                log::error!("no snapshot: {error}");
+                None
+            }
+        }
+    }
+
+    fn is_snapshot_due(&self) -> bool {
+        let records = self.counts.records - self.snapshot_at.records;
+        let bytes = self.counts.bytes - self.snapshot_at.bytes;
+        records >= SNAPSHOT_RECORDS || bytes >= SNAPSHOT_BYTES
+    }
+
+    fn snapshot_due(&mut self) -> Option<Work> {
+        if !self.is_snapshot_due() {
+            return None;
+        }
+        self.snapshot_at = self.counts;
+        let (meta, bytes) = self.encode_snapshot()?;
+        Some(Work::Compact { index: meta.index, bytes })
+    }
+
+    fn offer_snapshot(&mut self, now: Now, to: ReplicaId) {
+        if let Some((meta, bytes)) = self.encode_snapshot() {
+            log::info!("sending replica {to} the state up to record {}", meta.index);
+            self.raft.offer_snapshot(now.at, to, meta, bytes.into());
+        }
+    }
+
+    /// How long ago this leader heard a member's replica.
+    pub(crate) fn silent(&self, now: Moment, id: ReplicaId) -> Option<Duration> {
+        self.raft.heard(id).map(|heard| now.since(heard))
+    }
+}
+
+fn encode_all(commands: &[JobCommand]) -> Result<Vec<Arc<[u8]>>, postcard::Error> {
+    commands.iter().map(|command| postcard::to_stdvec(command).map(Arc::from)).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/cell/run.rs
@@ -0,0 +1,227 @@
+//! Starts and stops all parts of one process of a cell.
+
+use crate::cell::config::CellConfig;
+use crate::cell::dialect::{Dialect, Settings};
+use crate::cell::frame::NodeInfo;
+use crate::cell::http::{self, Port, Site};
+use crate::cell::node::Shared;
+use crate::cell::replica::Replica;
+use crate::cell::{disk, peers, seats};
+use crate::clock::BootClock;
+use crate::error::{Error, Result};
+use crate::journal::Journal;
+use rand::TryRng as _;
+use rand::rngs::SysRng;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+use yuccalink_coordination::Moment;
+use yuccalink_coordination::raft::ReplicaId;
+use yuccalink_state::jobs::Jobs;
+
+/// How often time is looked at where there is a replica: a quarter of the
+/// heartbeat of the consensus.
+const TICK: Duration = Duration::from_millis(25);
+/// How often settings are read again; they may change without a signal.
+const RELOAD: Duration = Duration::from_secs(1);
+/// Longest wait for another replica to take over at a planned stop.
+const HAND_OVER: Duration = Duration::from_millis(800);
+/// Longest wait for requests in flight once no new ones come.
+const FINISH: Duration = Duration::from_millis(1_200);
+/// How often a stopping process looks whether it may go on.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Runs one process of a cell until a signal ends it.
+///
+/// # Errors
+/// [`Error`] when a port is taken or the data folder cannot be used, or when the
+/// disk fails later on.
+pub fn run(
+    config: CellConfig,
+    dialect: Box<dyn Dialect>,
+    settings: Box<dyn Settings>,
+) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Thread)?;
+    LocalSet::new().block_on(&runtime, serve(config, dialect, settings))
+}
+
+async fn serve(
+    config: CellConfig,
+    dialect: Box<dyn Dialect>,
+    settings: Box<dyn Settings>,
+) -> Result<()> {
+    let mut term = on(SignalKind::terminate())?;
+    let mut int = on(SignalKind::interrupt())?;
+    let mut hup = on(SignalKind::hangup())?;
+    let (node, journal) = recover(&config)?;
+    let (close, closing) = watch::channel(false);
+    let in_flight = Cell::new(0);
+    let site = Rc::new(Site { node: node.clone(), dialect, in_flight, closing });
+    listen_all(&config, &site).await?;
+    if let Some(journal) = journal {
+        tokio::task::spawn_local(disk::feed(node.clone(), journal));
+        tokio::task::spawn_local(ticks(node.clone()));
+    }
+    tokio::task::spawn_local(seats::keep(node.clone()));
+    log::info!(
+        "started name={} zone={} peer={} disk={} seeds={:?}",
+        config.name,
+        config.zone,
+        config.peer,
+        config.data.is_some(),
+        config.seeds
+    );
+    let mut failure = node.failure();
+    let mut reload = tokio::time::interval(RELOAD);
+    reload.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => read_again(&node, &*settings, true),
+            _ = reload.tick() => read_again(&node, &*settings, false),
+            _ = failure.changed() => {
+                return Err(Error::Stopped);
+            }
+        }
+    }
+    stop(&node, &site, &close, config.drain).await;
+    Ok(())
+}
+
+/// Stops so that no request in flight is cut off: red for the balancer first,
+/// leadership to another, then no new connections, then what is in flight.
+async fn stop(node: &Shared, site: &Site, close: &watch::Sender<bool>, drain: Duration) {
+    log::info!("stopping: no longer ready, serving for {drain:?} more");
+    let began = Instant::now();
+    node.start_draining();
+    hand_over(node).await;
+    tokio::time::sleep_until(began + drain).await;
+    let _ = close.send(true);
+    let until = Instant::now() + FINISH;
+    while site.in_flight.get() > 0 && Instant::now() < until {
+        tokio::time::sleep(POLL).await;
+    }
+    // The last answers leave.
+    tokio::time::sleep(POLL).await;
+    log::info!("stopped in-flight={}", site.in_flight.get());
+}
+
+async fn hand_over(node: &Shared) {
+    let asked = node.with(|node| {
+        let now = node.now();
+        let Some(replica) = &mut node.replica else { return false };
+        let asked = replica.raft.hand_over();
+        replica.pump(now);
+        asked
+    });
+    if !asked {
+        return;
+    }
+    node.tick();
+    let until = Instant::now() + HAND_OVER;
+    while node.with(|node| node.replica.as_ref().is_some_and(Replica::leads))
+        && Instant::now() < until
+    {
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn ticks(node: Shared) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        node.tick();
+    }
+}
+
+fn read_again(node: &Shared, settings: &dyn Settings, asked: bool) {
+    match settings.seeds() {
+        Ok(seeds) => node.with(|node| {
+            if node.roster.seeds != seeds {
+                log::info!("reloaded seeds={seeds:?} were={:?}", node.roster.seeds);
+                node.roster.seeds = seeds;
+            } else if asked {
+                log::info!("reloaded, nothing has changed");
+            }
+        }),
+        Err(why) => log::warn!("settings are left as they were: {why}"),
+    }
+}
+
+fn recover(config: &CellConfig) -> Result<(Shared, Option<Journal>)> {
+    let clock = BootClock::start();
+    let mut replica = None;
+    let mut journal = None;
+    if let Some(folder) = &config.data {
+        let (opened, made) = open_disk(config, folder, clock.now())?;
+        replica = Some(made);
+        journal = Some(opened);
+    }
+    let info = NodeInfo {
+        name: config.name.clone(),
+        zone: config.zone.clone(),
+        peer: config.peer,
+        control: config.control,
+        replica: replica.as_ref().map(|replica: &Replica| replica.raft.id()),
+        may_found: false,
+    };
+    Ok((Shared::new(config.clone(), clock, info, replica), journal))
+}
+
+fn open_disk(config: &CellConfig, folder: &Path, now: Moment) -> Result<(Journal, Replica)> {
+    let (journal, recovered) = Journal::open::<Jobs>(folder, draw())?;
+    log::info!(
+        "disk replica={} snapshot={} records={}",
+        ReplicaId(recovered.replica),
+        recovered.meta.index,
+        recovered.records.len()
+    );
+    let replica = Replica::new(config.leader, recovered, draw(), now).map_err(|bad| {
+        Error::Setting { flag: "data", what: format!("the state cannot be read: {bad}").into() }
+    })?;
+    Ok((journal, replica))
+}
+
+async fn listen_all(config: &CellConfig, site: &Rc<Site>) -> Result<()> {
+    let peer = bind(config.peer, "daemons", "peer").await?;
+    tokio::task::spawn_local(peers::serve(site.node.clone(), peer));
+    let ports = [
+        (Port::Callers, config.callers, "callers", "callers"),
+        (Port::Control, config.control, "runners and operators", "control"),
+        (Port::Ready, config.ready, "the balancer", "ready"),
+        (Port::Metrics, config.metrics, "readers of metrics", "metrics"),
+    ];
+    for (port, at, whom, flag) in ports {
+        if let Some(at) = at {
+            let listener = bind(at, whom, flag).await?;
+            tokio::task::spawn_local(http::serve(site.clone(), port, listener));
+        }
+    }
+    Ok(())
+}
+
+async fn bind(at: SocketAddr, whom: &'static str, flag: &'static str) -> Result<TcpListener> {
+    let address = at.to_string().into();
+    TcpListener::bind(at).await.map_err(|source| Error::Listen { address, whom, flag, source })
+}
+
+fn on(kind: SignalKind) -> Result<Signal> {
+    signal(kind).map_err(Error::Thread)
+}
+
+/// A number from the system's generator.
+fn draw() -> u64 {
+    SysRng.try_next_u64().unwrap_or_else(|_| crate::clock::unix_ms())
+}
--- /dev/null
+++ b/crates/daemon/src/cell/seats.rs
@@ -0,0 +1,61 @@
+//! Founds the cell where that is this process's part, and keeps the voters right
+//! while it leads.
+
+use crate::cell::node::{Node, Shared};
+use crate::cell::roster::member_of;
+use std::time::Duration;
+use yuccalink_coordination::raft::{Members, ReplicaId};
+use yuccalink_coordination::voters::{self, View};
+
+/// How often the voters are looked at.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Runs until the process ends.
+pub(crate) async fn keep(node: Shared) {
+    let mut looks = tokio::time::interval(LOOK);
+    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        looks.tick().await;
+        node.with(|node| {
+            found(node);
+            settle(node);
+        });
+        node.tick();
+    }
+}
+
+fn found(node: &mut Node) {
+    let empty = node.replica.as_ref().is_some_and(|replica| replica.raft.is_empty());
+    if !node.roster.should_found(empty) {
+        return;
+    }
+    let now = node.now();
+    let Some(member) = member_of(&node.roster.me) else { return };
+    let Some(replica) = &mut node.replica else { return };
+    if replica.raft.is_empty() {
+        log::info!("founding a new cell with replica {}", member.id);
+        replica.raft.found(Members { voters: vec![member], learners: Vec::new() }, now.at);
+    }
+}
+
+fn settle(node: &mut Node) {
+    let now = node.now();
+    let disks = node.roster.candidates(now.at);
+    let wanted = voters::wanted(node.cfg.losses);
+    let Some(replica) = &mut node.replica else { return };
+    if !replica.raft.is_settled() || !replica.raft.members_committed() {
+        return;
+    }
+    let members = replica.raft.members().clone();
+    let ids: Vec<ReplicaId> = members.all().map(|member| member.id).collect();
+    let silent = ids.iter().filter_map(|id| Some((*id, replica.silent(now.at, *id)?))).collect();
+    let caught_up = ids.into_iter().filter(|id| replica.raft.is_caught_up(*id)).collect();
+    let own = replica.raft.id();
+    let view = View { members, own, disks, silent, caught_up };
+    if let Some((members, why)) = voters::next(&view, wanted) {
+        match replica.raft.change_members(now.at, members) {
+            Ok(()) => log::info!("members: {why}"),
+            Err(not) => log::info!("members: {why}: {not}"),
+        }
+    }
+}
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -32,3 +32,27 @@
 pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Moments since some start on the clock that goes on while the machine is
+/// suspended. A lease measured by the steady clock would still be valid to its
+/// holder after a suspension, when others have long taken over.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BootClock {
+    start: Duration,
+}
+
+impl BootClock {
+    pub(crate) fn start() -> Self {
+        Self { start: boot_time() }
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        Moment::ZERO + OFFSET + boot_time().saturating_sub(self.start)
+    }
+}
+
+fn boot_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let secs = u64::try_from(time.tv_sec).unwrap_or(0);
+    Duration::new(secs, u32::try_from(time.tv_nsec).unwrap_or(0))
+}
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -9,6 +9,7 @@
 use yuccalink_coordination::raft::{Entry, HardState, Payload, Persist, ReplicaId};
 use yuccalink_state::Store;
 use yuccalink_state::log::{Counts, Frame, Hard, Record};
+use yuccalink_state::snapshot::Replicated;
 use yuccalink_state::store::Recovered;
 
 enum Job {
@@ -39,8 +40,11 @@
 
 impl Journal {
     /// Opens the data folder and starts the disk thread.
-    pub(crate) fn open(folder: &Path, draw: u64) -> Result<(Self, Recovered)> {
-        let (store, recovered) = Store::open(folder, draw)?;
+    pub(crate) fn open<S>(folder: &Path, draw: u64) -> Result<(Self, Recovered<S>)>
+    where
+        S: Replicated,
+    {
+        let (store, recovered) = Store::open_as(folder, draw)?;
         let (jobs, rx) = channel();
         let (tx, done) = unbounded_channel();
         let thread = thread::Builder::new()
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! one for targets and operators, and the traffic threads for callers.
 
 mod admin;
+pub mod cell;
 mod clock;
 mod config;
 mod control;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,5 +1,5 @@
 //! Log lines leave through a thread of their own, so that a slow reader of
-//! standard error never holds up traffic, and without a wake-up per line.
+//! standard output never holds up traffic, and without a wake-up per line.
 
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -20,7 +20,7 @@
 #[derive(Clone, Default)]
 struct Lines(Arc<Mutex<Waiting>>);
 
-/// A writer for a logger: collects lines for a thread that writes to standard error.
+/// A writer for a logger: collects lines for a thread that writes to standard output.
 ///
 /// # Errors
 /// When the thread cannot be started.
@@ -70,10 +70,10 @@
         };
         if dropped > 0 {
             let note =
-                format!("[{dropped} log lines dropped: standard error is read too slowly]\n");
+                format!("[{dropped} log lines dropped: standard output is read too slowly]\n");
             batch.extend_from_slice(note.as_bytes());
         }
-        // A closed standard error is no reason to stop serving.
-        let _ = io::stderr().write_all(&batch);
+        // A closed standard output is no reason to stop serving.
+        let _ = io::stdout().write_all(&batch);
     }
 }
--- /dev/null
+++ b/crates/state/src/jobs/command.rs
@@ -0,0 +1,130 @@
+//! What may change the state of jobs, and what each change came to.
+
+use super::change::ChangeSet;
+use super::spec::JobSpec;
+use super::task::{JobId, LifeKey, TaskKey};
+use serde::{Deserialize, Serialize};
+
+/// One change, agreed on by the voters before it is applied.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum JobCommand {
+    /// Put this in force if its version is the highest so far.
+    Change(Box<ChangeSet>),
+    /// Add a job.
+    Submit(Box<Submit>),
+    /// Cancel a job.
+    Cancel {
+        /// Which.
+        id: JobId,
+        /// When, in Unix milliseconds.
+        at_ms: u64,
+    },
+    /// A runner's life is heard of for the first time.
+    Meet(Life),
+    /// Runs that have ended, or surely run no more.
+    End {
+        /// Each of them.
+        ends: Vec<End>,
+        /// When, in Unix milliseconds.
+        at_ms: u64,
+    },
+    /// Runs that runners are about to be told to start.
+    Start(Vec<Start>),
+    /// Jobs that ended long ago.
+    Forget(Vec<JobId>),
+}
+
+/// A job to add.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Submit {
+    /// Its number: the same number is the same job.
+    pub id: JobId,
+    /// Name of its queue.
+    pub queue: Box<str>,
+    /// The queue's pool at that time, for when the queue is gone.
+    pub pool: Box<str>,
+    /// Runs of one task that may fail.
+    pub attempts: u32,
+    /// When it came in, in Unix milliseconds.
+    pub at_ms: u64,
+    /// What to do.
+    pub spec: JobSpec,
+}
+
+/// One life of a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Life {
+    /// The runner's name, which its next life may carry too.
+    pub id: Box<str>,
+    /// When this life began, in Unix milliseconds by the runner's own clock.
+    pub born_ms: u64,
+    /// Where it listens; two lives never listen there at once.
+    pub address: Box<str>,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum How {
+    /// It did its work.
+    Done,
+    /// Through its own fault or its runner's.
+    Failed,
+    /// It was told to.
+    Stopped,
+    /// Its lease ended.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come.
+    Alone,
+    /// The runner did not start it.
+    Refused,
+    /// Its runner's life is over, or it was never started.
+    Gone,
+}
+
+/// The end of one run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// Whose run.
+    pub task: TaskKey,
+    /// Which run.
+    pub run: u32,
+    /// Where.
+    pub life: LifeKey,
+    /// How.
+    pub how: How,
+    /// The newest checkpoint, empty for none.
+    pub saved: Box<str>,
+}
+
+/// A run to start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// Whose run.
+    pub task: TaskKey,
+    /// Which run.
+    pub run: u32,
+    /// Where.
+    pub life: LifeKey,
+}
+
+/// What a command came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JobOutcome {
+    /// Nothing to tell.
+    Done,
+    /// The job is there; `new` unless it was before.
+    Accepted {
+        /// Whether this command added it.
+        new: bool,
+    },
+    /// Whether a job of that number was there.
+    Cancelled(bool),
+    /// The key of the life.
+    Met(LifeKey),
+    /// The starts that hold, of those asked for.
+    Started(Vec<Start>),
+    /// Whether the change is in force now; otherwise a higher version is.
+    Changed(bool),
+}
--- /dev/null
+++ b/crates/state/src/jobs/table.rs
@@ -0,0 +1,397 @@
+//! The table of jobs and runners' lives.
+
+use super::change::ChangeSet;
+use super::command::{End, How, JobCommand, JobOutcome, Life, Start, Submit};
+use super::spec::{JobSpec, StepSpec};
+use super::task::{Hold, JobId, LifeKey, Task, TaskKey};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Runs of one speculative task that may run at once.
+pub const COPIES_MAX: usize = 2;
+
+/// How far a job has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobPhase {
+    /// Its tasks wait or run.
+    #[default]
+    Active,
+    /// All its tasks are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+/// A job and what became of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// Name of its queue.
+    pub queue: Box<str>,
+    /// The queue's pool when the job came in.
+    pub pool: Box<str>,
+    /// Runs of one task that may fail.
+    pub attempts: u32,
+    /// When it came in, in Unix milliseconds.
+    pub at_ms: u64,
+    /// What to do.
+    pub spec: JobSpec,
+    /// How far it is.
+    pub phase: JobPhase,
+    /// When it ended, in Unix milliseconds.
+    pub ended_ms: u64,
+    /// Whether any task was ever started.
+    pub begun: bool,
+    /// Occurrences with a start, from the first on.
+    pub occurrences: Vec<Occurrence>,
+    /// Occurrences that are done.
+    pub finished: u32,
+}
+
+/// One time that a job runs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Occurrence {
+    /// As in the job's description.
+    pub steps: Vec<Step>,
+}
+
+/// The tasks of one step.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// Tasks that are not done.
+    pub left: u32,
+    /// In the order of their numbers.
+    pub tasks: Vec<Task>,
+}
+
+/// All jobs, the change set in force, and the lives of runners.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Jobs {
+    change: Option<Box<ChangeSet>>,
+    jobs: BTreeMap<JobId, Job>,
+    lives: Vec<Life>,
+    #[serde(skip)]
+    held: Vec<BTreeMap<TaskKey, u32>>,
+}
+
+impl Jobs {
+    /// An empty table.
+    ///
+    /// ```
+    /// assert!(yuccalink_state::jobs::Jobs::new().change().is_none());
+    /// ```
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The change set in force.
+    pub fn change(&self) -> Option<&ChangeSet> {
+        self.change.as_deref()
+    }
+
+    /// The job with this number.
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// All jobs, in order of their numbers.
+    pub fn all(&self) -> impl Iterator<Item = (JobId, &Job)> {
+        self.jobs.iter().map(|(id, job)| (*id, job))
+    }
+
+    /// A task, if its occurrence has begun.
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        let occurrence = self.jobs.get(&key.job)?.occurrences.get(key.occurrence as usize)?;
+        occurrence.steps.get(usize::from(key.step))?.tasks.get(usize::from(key.index))
+    }
+
+    /// A task's step as its caller described it.
+    pub fn step_spec(&self, key: TaskKey) -> Option<&StepSpec> {
+        self.jobs.get(&key.job)?.spec.steps.get(usize::from(key.step))
+    }
+
+    /// Lives of runners, oldest first.
+    pub fn lives(&self) -> impl Iterator<Item = (LifeKey, &Life)> {
+        self.lives.iter().enumerate().map(|(at, life)| (life_key(at), life))
+    }
+
+    /// A life, if there is one with this key.
+    pub fn life(&self, key: LifeKey) -> Option<&Life> {
+        self.lives.get(key.0 as usize)
+    }
+
+    /// Runs that may be running in a life.
+    pub fn held(&self, key: LifeKey) -> impl Iterator<Item = (TaskKey, u32)> {
+        self.held.get(key.0 as usize).into_iter().flatten().map(|(task, run)| (*task, *run))
+    }
+
+    /// Whether a run may be running in a life.
+    pub fn holds(&self, key: LifeKey, task: TaskKey, run: u32) -> bool {
+        self.held.get(key.0 as usize).is_some_and(|held| held.get(&task) == Some(&run))
+    }
+
+    /// Makes the change that `command` describes and says what it came to.
+    ///
+    /// ```
+    /// use yuccalink_state::jobs::{JobCommand, JobOutcome, Jobs};
+    /// assert_eq!(Jobs::new().apply(JobCommand::Forget(vec![])), JobOutcome::Done);
+    /// ```
+    pub fn apply(&mut self, command: JobCommand) -> JobOutcome {
+        match command {
+            JobCommand::Change(change) => JobOutcome::Changed(self.put(change)),
+            JobCommand::Submit(submit) => JobOutcome::Accepted { new: self.submit(*submit) },
+            JobCommand::Cancel { id, at_ms } => JobOutcome::Cancelled(self.cancel(id, at_ms)),
+            JobCommand::Meet(life) => JobOutcome::Met(self.meet(life)),
+            JobCommand::End { ends, at_ms } => {
+                for end in ends {
+                    self.end(&end, at_ms);
+                }
+                JobOutcome::Done
+            }
+            JobCommand::Start(starts) => {
+                JobOutcome::Started(starts.into_iter().filter(|start| self.start(*start)).collect())
+            }
+            JobCommand::Forget(ids) => {
+                for id in ids {
+                    self.forget(id);
+                }
+                JobOutcome::Done
+            }
+        }
+    }
+
+    /// Rebuilds what is derived and so not written to snapshots.
+    pub(crate) fn reindex(&mut self) {
+        self.held = vec![BTreeMap::new(); self.lives.len()];
+        let mut found = Vec::new();
+        for (id, job) in &self.jobs {
+            collect_holds(*id, job, &mut found);
+        }
+        for (task, hold) in found {
+            self.held[hold.life.0 as usize].insert(task, hold.run);
+        }
+    }
+
+    fn put(&mut self, change: Box<ChangeSet>) -> bool {
+        // An equal version is a resend, or another text that came too late: the
+        // first one committed stays, whoever asks.
+        if self.change.as_ref().is_some_and(|current| current.version >= change.version) {
+            return false;
+        }
+        self.change = Some(change);
+        true
+    }
+
+    fn submit(&mut self, submit: Submit) -> bool {
+        let Submit { id, queue, pool, attempts, at_ms, spec } = submit;
+        if self.jobs.contains_key(&id) {
+            return false;
+        }
+        let mut job = Job {
+            queue,
+            pool,
+            attempts: attempts.max(1),
+            at_ms,
+            spec,
+            phase: JobPhase::Active,
+            ended_ms: 0,
+            begun: false,
+            occurrences: Vec::new(),
+            finished: 0,
+        };
+        if job.spec.schedule.is_none() {
+            job.open(1);
+        }
+        self.jobs.insert(id, job);
+        true
+    }
+
+    fn cancel(&mut self, id: JobId, at_ms: u64) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else { return false };
+        if job.phase == JobPhase::Active {
+            job.finish(JobPhase::Cancelled, at_ms);
+        }
+        true
+    }
+
+    fn meet(&mut self, life: Life) -> LifeKey {
+        let same = |known: &Life| known.id == life.id && known.born_ms == life.born_ms;
+        if let Some(at) = self.lives.iter().position(same) {
+            return life_key(at);
+        }
+        self.lives.push(life);
+        self.held.push(BTreeMap::new());
+        life_key(self.lives.len() - 1)
+    }
+
+    fn start(&mut self, start: Start) -> bool {
+        let Start { task: key, run, life } = start;
+        if self.held.len() <= life.0 as usize {
+            return false;
+        }
+        let Some(job) = self.jobs.get_mut(&key.job) else { return false };
+        if job.phase != JobPhase::Active || key.occurrence >= job.spec.occurrences() {
+            return false;
+        }
+        job.open(key.occurrence + 1);
+        if !job.may_run(key.occurrence, key.step) {
+            return false;
+        }
+        let speculative =
+            job.spec.steps.get(usize::from(key.step)).is_some_and(|step| step.speculative);
+        let copies = if speculative { COPIES_MAX } else { 1 };
+        let Some(task) = job.task_mut(key) else { return false };
+        let twice_here = task.holds.iter().any(|hold| hold.life == life);
+        if task.done || run <= task.last_run || task.holds.len() >= copies || twice_here {
+            return false;
+        }
+        task.last_run = run;
+        task.holds.push(Hold { run, life });
+        job.begun = true;
+        self.held[life.0 as usize].insert(key, run);
+        true
+    }
+
+    fn end(&mut self, end: &End, at_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
+        let Some(spec) = job.spec.steps.get(usize::from(end.task.step)) else { return };
+        let (lasts, gang) = (spec.long_running, spec.gang);
+        let attempts = job.attempts;
+        let Some(task) = job.task_mut(end.task) else { return };
+        let ended = Hold { run: end.run, life: end.life };
+        let Some(at) = task.holds.iter().position(|hold| *hold == ended) else { return };
+        task.holds.swap_remove(at);
+        if !end.saved.is_empty() {
+            task.saved = end.saved.clone();
+        }
+        let mut failed = false;
+        if end.how == How::Failed {
+            task.failures += 1;
+            if !task.failed_on.contains(&end.life) {
+                task.failed_on.push(end.life);
+            }
+            failed = !lasts && task.failures >= attempts;
+        }
+        if let Some(held) = self.held.get_mut(end.life.0 as usize) {
+            held.remove(&end.task);
+        }
+        if job.phase != JobPhase::Active {
+            return;
+        }
+        if end.how == How::Done && !lasts {
+            job.mark_done(end.task, gang, at_ms);
+        } else if failed {
+            job.finish(JobPhase::Failed, at_ms);
+        }
+    }
+
+    fn forget(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let mut found = Vec::new();
+        collect_holds(id, job, &mut found);
+        if job.phase != JobPhase::Active && found.is_empty() {
+            self.jobs.remove(&id);
+        }
+    }
+
+    /// Jobs that ended before `before_ms` and have nothing running.
+    pub fn forgettable(&self, before_ms: u64, most: usize) -> Vec<JobId> {
+        let old = |job: &Job| job.phase != JobPhase::Active && job.ended_ms < before_ms;
+        self.jobs.iter().filter(|(_, job)| old(job)).map(|(id, _)| *id).take(most).collect()
+    }
+
+    /// Lives that may still run something.
+    pub fn lives_with_holds(&self) -> BTreeSet<LifeKey> {
+        let any = |(at, held): (usize, &BTreeMap<TaskKey, u32>)| {
+            (!held.is_empty()).then(|| life_key(at))
+        };
+        self.held.iter().enumerate().filter_map(any).collect()
+    }
+}
+
+impl Job {
+    /// Makes room for the first `count` occurrences.
+    fn open(&mut self, count: u32) {
+        while self.occurrences.len() < count as usize {
+            let steps = self.spec.steps.iter().map(|spec| Step {
+                left: spec.count,
+                tasks: vec![Task::default(); spec.count as usize],
+            });
+            self.occurrences.push(Occurrence { steps: steps.collect() });
+        }
+    }
+
+    fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        let occurrence = self.occurrences.get_mut(key.occurrence as usize)?;
+        occurrence.steps.get_mut(usize::from(key.step))?.tasks.get_mut(usize::from(key.index))
+    }
+
+    /// Whether all steps that come before `step` are done.
+    ///
+    /// ```
+    /// use yuccalink_state::jobs::*;
+    /// let one = StepSpec { count: 1, ..StepSpec::default() };
+    /// let two = StepSpec { count: 1, after: vec![0], ..StepSpec::default() };
+    /// let spec = JobSpec { steps: vec![one, two], ..JobSpec::default() };
+    /// let submit = Submit {
+    ///     id: JobId(1), queue: "q".into(), pool: "p".into(), attempts: 2, at_ms: 0, spec,
+    /// };
+    /// let mut jobs = Jobs::new();
+    /// jobs.apply(JobCommand::Submit(Box::new(submit)));
+    /// let job = jobs.job(JobId(1)).unwrap();
+    /// assert!(job.may_run(0, 0) && !job.may_run(0, 1));
+    /// ```
+    pub fn may_run(&self, occurrence: u32, step: u16) -> bool {
+        let Some(spec) = self.spec.steps.get(usize::from(step)) else { return false };
+        let Some(found) = self.occurrences.get(occurrence as usize) else {
+            return spec.after.is_empty();
+        };
+        let done = |after: &u16| found.steps.get(usize::from(*after)).is_some_and(|s| s.left == 0);
+        spec.after.iter().all(done)
+    }
+
+    fn mark_done(&mut self, key: TaskKey, gang: bool, at_ms: u64) {
+        let Some(occurrence) = self.occurrences.get_mut(key.occurrence as usize) else { return };
+        let Some(step) = occurrence.steps.get_mut(usize::from(key.step)) else { return };
+        // One member's end as done stands for its whole gang.
+        let through = if gang { step.tasks.len() } else { 0 };
+        for (at, task) in step.tasks.iter_mut().enumerate() {
+            if (at < through || at == usize::from(key.index)) && !task.done {
+                task.done = true;
+                step.left -= 1;
+            }
+        }
+        if occurrence.steps.iter().all(|step| step.left == 0) {
+            self.finished += 1;
+            if self.finished == self.spec.occurrences() {
+                self.finish(JobPhase::Completed, at_ms);
+            }
+        }
+    }
+
+    fn finish(&mut self, phase: JobPhase, at_ms: u64) {
+        self.phase = phase;
+        self.ended_ms = at_ms;
+    }
+}
+
+fn collect_holds(id: JobId, job: &Job, into: &mut Vec<(TaskKey, Hold)>) {
+    for (k, occurrence) in job.occurrences.iter().enumerate() {
+        for (s, step) in occurrence.steps.iter().enumerate() {
+            for (i, task) in step.tasks.iter().enumerate() {
+                let key = TaskKey {
+                    job: id,
+                    occurrence: u32::try_from(k).unwrap_or(u32::MAX),
+                    step: u16::try_from(s).unwrap_or(u16::MAX),
+                    index: u16::try_from(i).unwrap_or(u16::MAX),
+                };
+                into.extend(task.holds.iter().map(|hold| (key, *hold)));
+            }
+        }
+    }
+}
+
+fn life_key(at: usize) -> LifeKey {
+    LifeKey(u32::try_from(at).unwrap_or(u32::MAX))
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod document;
 pub mod error;
 pub mod id;
+pub mod jobs;
 pub mod ledger;
 pub mod log;
 pub mod machine;
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -3,7 +3,9 @@
 
 use crate::error::{Error, Result};
 use crate::log::sync_folder;
+use crate::jobs::Jobs;
 use crate::machine::Machine;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File};
 use std::io::{Read, Write};
@@ -27,13 +29,31 @@
     pub members: Box<[u8]>,
 }
 
+/// State that snapshots can hold: that of services, or that of jobs.
+pub trait Replicated: Default + Serialize + DeserializeOwned {
+    /// Rebuilds what is derived and so not written to snapshots.
+    fn reindex(&mut self);
+}
+
+impl Replicated for Machine {
+    fn reindex(&mut self) {
+        Machine::reindex(self);
+    }
+}
+
+impl Replicated for Jobs {
+    fn reindex(&mut self) {
+        Jobs::reindex(self);
+    }
+}
+
 /// A machine and what it stands for.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Snapshot {
+pub struct Snapshot<S = Machine> {
     /// The last record applied, and the members.
     pub meta: Meta,
     /// The state after it.
-    pub machine: Machine,
+    pub machine: S,
 }
 
 /// Encodes a snapshot: header, CRC-32 and state.
@@ -48,7 +68,10 @@
 /// assert_eq!(snapshot::decode(&bytes, "memory")?.meta, meta);
 /// # Ok::<(), yuccalink_state::Error>(())
 /// ```
-pub fn encode(meta: &Meta, machine: &Machine) -> Result<Vec<u8>> {
+pub fn encode<S>(meta: &Meta, machine: &S) -> Result<Vec<u8>>
+where
+    S: Replicated,
+{
     let body = postcard::to_stdvec(&(meta, machine))
         .map_err(|source| Error::Decode { what: "a snapshot", source })?;
     let mut buf = Vec::with_capacity(body.len() + HEAD);
@@ -65,6 +88,17 @@
 /// [`Error::DamagedMiddle`] when it is not whole, [`Error::Version`] when
 /// another release wrote it.
 pub fn decode(buf: &[u8], shown: &str) -> Result<Snapshot> {
+    decode_as(buf, shown)
+}
+
+/// As [`decode`], for any state.
+///
+/// # Errors
+/// As [`decode`].
+pub fn decode_as<S>(buf: &[u8], shown: &str) -> Result<Snapshot<S>>
+where
+    S: Replicated,
+{
     let damaged = || Error::DamagedMiddle { path: shown.into(), offset: 0 };
     if buf.len() < HEAD || &buf[..8] != MAGIC {
         return Err(damaged());
@@ -78,7 +112,7 @@
     if crc32fast::hash(body) != number(12) {
         return Err(damaged());
     }
-    let (meta, mut machine): (Meta, Machine) = postcard::from_bytes(body)
+    let (meta, mut machine): (Meta, S) = postcard::from_bytes(body)
         .map_err(|source| Error::Decode { what: "a snapshot", source })?;
     machine.reindex();
     Ok(Snapshot { meta, machine })
@@ -102,14 +136,17 @@
 ///
 /// # Errors
 /// [`Error::NoSnapshot`] when files are there but none is intact.
-pub fn newest(folder: &Path) -> Result<Option<Snapshot>> {
+pub fn newest<S>(folder: &Path) -> Result<Option<Snapshot<S>>>
+where
+    S: Replicated,
+{
     let found = list(folder)?;
     for (_, path) in found.iter().rev() {
         let mut buf = Vec::new();
         File::open(path)
             .and_then(|mut f| f.read_to_end(&mut buf))
             .map_err(|e| Error::io("read", path, e))?;
-        match decode(&buf, &path.display().to_string()) {
+        match decode_as(&buf, &path.display().to_string()) {
             Ok(snapshot) => return Ok(Some(snapshot)),
             Err(error @ Error::Version { .. }) => return Err(error),
             Err(_) => {}
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -4,7 +4,7 @@
 use crate::error::{Error, Result};
 use crate::log::{Counts, Frame, Hard, Log, Opened, Record, sync_folder};
 use crate::machine::Machine;
-use crate::snapshot::{self, Meta};
+use crate::snapshot::{self, Meta, Replicated};
 use std::fs::{self, File, TryLockError};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -25,13 +25,13 @@
 
 /// What was found in a data folder.
 #[derive(Debug)]
-pub struct Recovered {
+pub struct Recovered<S = Machine> {
     /// This disk's identity, drawn at its first use.
     pub replica: u64,
     /// What the snapshot stands for.
     pub meta: Meta,
     /// The state in the snapshot.
-    pub machine: Machine,
+    pub machine: S,
     /// The records after it, which may or may not be agreed on.
     pub records: Vec<Record>,
     /// The newest hard state.
@@ -56,9 +56,20 @@
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
     pub fn open(folder: &Path, draw: u64) -> Result<(Self, Recovered)> {
+        Self::open_as(folder, draw)
+    }
+
+    /// As [`Store::open`], for any state.
+    ///
+    /// # Errors
+    /// As [`Store::open`].
+    pub fn open_as<S>(folder: &Path, draw: u64) -> Result<(Self, Recovered<S>)>
+    where
+        S: Replicated,
+    {
         fs::create_dir_all(folder).map_err(|e| Error::io("create", folder, e))?;
         let lock = lock(folder)?;
-        let found = snapshot::newest(folder)?;
+        let found: Option<snapshot::Snapshot<S>> = snapshot::newest(folder)?;
         let meta = found.as_ref().map(|found| found.meta.clone()).unwrap_or_default();
         let machine = found.map(|found| found.machine).unwrap_or_default();
         let known = read_identity(folder)?;
--- a/crates/yuccalinkd/src/app.rs
+++ b/crates/yuccalinkd/src/app.rs
@@ -10,6 +10,9 @@
 /// How often the disk's state is looked at.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// Word that runs the process under the platform's settings.
+const PLATFORM: &str = "platform";
+
 /// Why the program ends with an error.
 #[derive(Debug, displaydoc::Display)]
 pub(crate) enum Failure {
@@ -21,6 +24,8 @@
     Disk(yuccalink_state::Error),
     /// cannot start: {0}
     Start(io::Error),
+    /// {0}
+    Platform(yuccalink_platform::Error),
 }
 
 impl Failure {
@@ -29,12 +34,16 @@
         ExitCode::from(match self {
             Self::Settings(_) | Self::Daemon(Error::Setting { .. }) => 2,
             Self::Disk(_) | Self::Daemon(Error::State(_)) => 3,
-            Self::Daemon(_) | Self::Start(_) => 1,
+            Self::Platform(yuccalink_platform::Error::Settings(_)) => 2,
+            Self::Daemon(_) | Self::Start(_) | Self::Platform(_) => 1,
         })
     }
 }
 
 pub(crate) fn run() -> Result<(), Failure> {
+    if std::env::args_os().nth(1).is_some_and(|word| word == PLATFORM) {
+        return on_platform();
+    }
     let parser = lexopt::Parser::from_env();
     match args::read(parser, |name| std::env::var_os(name)).map_err(Failure::Settings)? {
         Asked::ShortHelp => print(&args::help(false)),
@@ -44,6 +53,23 @@
     }
 }
 
+/// Runs a process of a cell as the platform's settings say.
+fn on_platform() -> Result<(), Failure> {
+    start_logging()?;
+    let result = yuccalink_platform::run().map_err(Failure::Platform);
+    yuccalink_daemon::finish_logging();
+    result
+}
+
+fn start_logging() -> Result<(), Failure> {
+    let lines = yuccalink_daemon::start_logging().map_err(Failure::Start)?;
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .target(env_logger::Target::Pipe(lines))
+        .format_timestamp_micros()
+        .init();
+    Ok(())
+}
+
 /// A reader that has seen enough is no error.
 fn print(text: &str) -> Result<(), Failure> {
     match io::stdout().write_all(text.as_bytes()) {
@@ -53,11 +79,7 @@
 }
 
 fn serve(config: Config) -> Result<(), Failure> {
-    let lines = yuccalink_daemon::start_logging().map_err(Failure::Start)?;
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .target(env_logger::Target::Pipe(lines))
-        .format_timestamp_micros()
-        .init();
+    start_logging()?;
     let mut daemon = Daemon::start(config).map_err(Failure::Daemon)?;
     let result = match wait_for_end(&mut daemon)? {
         Some(error) => Err(Failure::Disk(error)),
