Serving tasks gather by image on as few runners as hold them

Cause: serving tasks spread over all runners as these reported, three images to a runner, so that a filling image suited hardly any (300 tasks waited beside 600 free cores). Change: a runner that serves nothing takes a serving task only where none that serves its image has room; the largest first; hard images before others on runners that serve nothing; margins kept are a quarter, not half, above the bound.

--- a/crates/coordination/src/jobs/interference.rs
+++ b/crates/coordination/src/jobs/interference.rs
@@ -166,6 +166,19 @@
         }
     }
 
+    /// Mean weight of an image against all that serve: how hard it is to place.
+    pub fn hardness(&self, filling: ImageKey) -> f64 {
+        let mut sum = 0.0;
+        let mut count = 0.0;
+        for ((_, fill), weight) in &self.weights {
+            if *fill == filling {
+                sum += weight.mean;
+                count += 1.0;
+            }
+        }
+        if count > 0.0 { sum / count } else { WEIGHT_START.mean }
+    }
+
     fn weight(&self, serving: ImageKey, filling: ImageKey) -> Guess {
         self.weights.get(&(serving, filling)).copied().unwrap_or(WEIGHT_START)
     }
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -2,6 +2,7 @@
 
 use super::ask::{Answer, Ask, Orders, Report};
 use super::interference::Interference;
+use super::neighbours::Neighbours;
 use super::ready::{GroupKey, Ready};
 use super::runner::{Runner, lease_surely_ended_after};
 use crate::moment::Moment;
@@ -82,6 +83,17 @@
     pub(super) answered: bool,
 }
 
+/// How full the runners are.
+#[derive(Default)]
+struct Load {
+    serving: usize,
+    mixed: usize,
+    paced: usize,
+    runs: usize,
+    filling: f64,
+    free: u64,
+}
+
 /// Leads one job cell while its replica leads the log.
 pub struct Leader {
     pub(super) cfg: LeaderConfig,
@@ -336,6 +348,33 @@
         }
     }
 
+    /// One line on how full the cell is.
+    fn log_load(&self) {
+        let mut load = Load::default();
+        for runner in self.runners.values() {
+            let beside = Neighbours::of(runner, &self.jobs, &self.interference);
+            load.mixed += usize::from(beside.serving.len() > 1);
+            load.serving += usize::from(!beside.serving.is_empty());
+            load.paced += usize::from(runner.paces.values().any(|pace| *pace < 100));
+            load.filling += beside.filling.iter().map(|fill| fill.share).sum::<f64>();
+            load.runs += runner.running.len();
+            load.free += runner.free.millicores;
+        }
+        log::info!(
+            "load runners={} serving={} mixed={} paced={} runs={} filling-runners={:.1} \
+             free-cores={} waiting-steps={} waiting-tasks={}",
+            self.runners.len(),
+            load.serving,
+            load.mixed,
+            load.paced,
+            load.runs,
+            load.filling,
+            load.free / 1000,
+            self.ready.len(),
+            self.ready.waiting_tasks(&self.jobs)
+        );
+    }
+
     fn log_accepted(&self, id: JobId) {
         let Some(job) = self.jobs.job(id) else { return };
         let steps: Vec<Box<str>> = job.spec.steps.iter().map(shown_step).collect();
@@ -379,6 +418,7 @@
         if now.at.since(self.forgot) >= FORGET_EVERY {
             self.forgot = now.at;
             self.forget(now);
+            self.log_load();
         }
     }
 
--- a/crates/coordination/src/jobs/neighbours.rs
+++ b/crates/coordination/src/jobs/neighbours.rs
@@ -12,8 +12,8 @@
 /// the runner is full.
 const STARVED: f64 = 0.7;
 /// Margin that every serving task must keep, as expected, beside one more filling
-/// task: half above its bound, since its own load may grow before the next figure.
-const MARGIN_MIN: f64 = 1.5;
+/// task: a quarter above its bound, since its own load may grow before the next figure.
+const MARGIN_MIN: f64 = 1.25;
 /// Margin of a serving task that has told no figure yet: as at half load.
 const MARGIN_UNSEEN: f64 = 3.0;
 
@@ -89,6 +89,14 @@
         }
     }
 
+    /// The image that serves there, where it is only one.
+    pub(super) fn only_serving(&self) -> Option<ImageKey> {
+        match self.serving.as_slice() {
+            [only] => Some(only.image),
+            _ => None,
+        }
+    }
+
     /// Counts a task that is about to start.
     pub(super) fn started(&mut self, step: &StepSpec, learnt: &Interference) {
         self.add(step, None, learnt);
--- a/crates/coordination/src/jobs/pace.rs
+++ b/crates/coordination/src/jobs/pace.rs
@@ -11,7 +11,7 @@
 
 /// Margin that pacing aims at: the figures are half a second old, and a load can
 /// take 0.2 of a margin in that time.
-const MARGIN_AIM: f64 = 1.3;
+const MARGIN_AIM: f64 = 1.12;
 /// Least part of a pressure, of all that presses on a task, that makes an image one
 /// of its causes.
 const CAUSE_MIN: f64 = 0.15;
@@ -38,6 +38,7 @@
         self.learn(now, key);
         let Some(runner) = self.runners.get_mut(&key) else { return };
         let neighbours = Neighbours::of(runner, &self.jobs, &self.interference);
+        runner.serves = neighbours.only_serving();
         let verdict = neighbours
             .serving
             .iter()
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -2,6 +2,7 @@
 //! fresh, and the order reaches it with the answer.
 
 use super::ask::RunnerState;
+use super::interference::ImageKey;
 use super::leader::{Leader, Now};
 use super::neighbours::Neighbours;
 use super::ready::{GroupKey, Kind, need};
@@ -19,6 +20,11 @@
 /// How long a task waits for the rack of its data, or of its step: tasks elsewhere
 /// take twice as long, so a wait of a fraction of the usual task pays.
 const RACK_WAIT: Duration = Duration::from_millis(500);
+/// A runner heard within this time is expected to report again soon.
+const HEARD_LATELY: Duration = Duration::from_millis(1_500);
+/// Mean weight of a filling image, against all that serve, from which it is given
+/// the runners that serve nothing before others are.
+const HARD: f64 = 5.0;
 /// How long a serving task waits for a runner whose serving tasks are of its image.
 const ALIKE_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -61,13 +67,30 @@
             most: starts_allowed(trust, runner),
             neighbours: Neighbours::of(runner, &self.jobs, &self.interference),
         };
-        for group in order {
+        let serves_nothing = chosen.neighbours.serving.is_empty();
+        let (first, second): (Vec<GroupKey>, Vec<GroupKey>) =
+            order.into_iter().partition(|group| !serves_nothing || self.is_hard(*group));
+        for group in first.into_iter().chain(second) {
             if chosen.starts.len() >= chosen.most {
                 break;
             }
             self.pick_of(now, runner, trust, group, &mut chosen);
         }
-        chosen.starts
+        let Chosen { starts, free, neighbours, .. } = chosen;
+        if let Some(runner) = self.runners.get_mut(&key) {
+            runner.free = free;
+            runner.serves = neighbours.only_serving();
+        }
+        starts
+    }
+
+    /// Whether a step's tasks disturb most that serve, or is to serve itself: the
+    /// others find room beside serving tasks as well.
+    fn is_hard(&self, group: GroupKey) -> bool {
+        let step = self.jobs.job(group.job).and_then(|j| j.spec.steps.get(usize::from(group.step)));
+        let Some(step) = step else { return false };
+        let image = step.image.as_deref().and_then(|name| self.interference.known(name));
+        step.long_running || image.is_some_and(|image| self.interference.hardness(image) >= HARD)
     }
 
     fn pick_of(
@@ -86,7 +109,7 @@
             && chosen.free.holds(need(step))
             && !step.gang
             && self.rack_fits(now.at, since, job, step, group, runner)
-            && self.suits(now.at, since, step, &chosen.neighbours);
+            && self.suits(now, since, step, &chosen.neighbours);
         if !fits {
             return;
         }
@@ -97,7 +120,7 @@
                 return;
             }
             if !chosen.free.holds(need(step))
-                || !self.suits(now.at, since, step, &chosen.neighbours)
+                || !self.suits(now, since, step, &chosen.neighbours)
             {
                 return;
             }
@@ -183,7 +206,7 @@
     /// nobody: among three images a filling one hardly ever suits all.
     fn suits(
         &self,
-        now: Moment,
+        now: Now,
         since: Moment,
         step: &StepSpec,
         neighbours: &Neighbours,
@@ -196,12 +219,31 @@
             Kind::Serving => {
                 let own = step.image.as_deref().and_then(|name| self.interference.known(name));
                 let alike = neighbours.serving.iter().all(|serving| Some(serving.image) == own);
-                alike || now.since(since) > ALIKE_WAIT
+                let settled = now.at.since(since) > ALIKE_WAIT;
+                match neighbours.serving.is_empty() {
+                    true => settled || !self.room_beside_alike(now, step, own),
+                    false => alike || settled,
+                }
             }
         }
     }
 }
 
+impl Leader {
+    /// Whether a runner that already serves this image has room for one more: then
+    /// runners that serve nothing stay free for work that disturbs.
+    fn room_beside_alike(&self, now: Now, step: &StepSpec, own: Option<ImageKey>) -> bool {
+        self.runners.values().any(|runner| {
+            runner.takes_tasks()
+                && runner.serves == own
+                && own.is_some()
+                && now.at.since(runner.heard) < HEARD_LATELY
+                && runner.free.holds(need(step))
+                && label_fits(step, runner)
+        })
+    }
+}
+
 struct Chosen {
     starts: Vec<Start>,
     free: Resources,
--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -141,6 +141,16 @@
         self.groups.len()
     }
 
+    /// How many tasks wait in them.
+    pub(super) fn waiting_tasks(&self, jobs: &Jobs) -> usize {
+        let waiting = |key: &GroupKey| {
+            let occurrence = jobs.job(key.job)?.occurrences.get(key.occurrence as usize)?;
+            let step = occurrence.steps.get(usize::from(key.step))?;
+            Some(step.tasks.iter().filter(|task| !task.done && task.holds.is_empty()).count())
+        };
+        self.groups.keys().filter_map(waiting).sum()
+    }
+
     /// Jobs with a schedule.
     pub(super) fn scheduled(&self) -> Vec<JobId> {
         self.scheduled.iter().copied().collect()
@@ -152,7 +162,14 @@
             return last;
         };
         let queue = jobs.change().and_then(|change| change.queue(&job.queue));
-        let lasts = job.spec.steps.get(usize::from(key.step)).is_some_and(|s| s.long_running);
+        let step = job.spec.steps.get(usize::from(key.step));
+        let lasts = step.is_some_and(|step| step.long_running);
+        if let Some(step) = step.filter(|step| step.long_running) {
+            // The largest first, so that the small ones fill what is left.
+            let density = -(step.need.millicores as f64);
+            let priority = queue.map_or(u32::MAX, |queue| queue.priority);
+            return Rank { batch: false, lateness: 0, priority, density };
+        }
         let lateness = self.lateness(job, meta, queue, key.step, now);
         let left = meta.shape.work_left(job);
         let mean = self.means.get(&job.queue).copied().unwrap_or(0.0);
--- a/crates/coordination/src/jobs/runner.rs
+++ b/crates/coordination/src/jobs/runner.rs
@@ -132,6 +132,8 @@
     pub(super) running: BTreeMap<TaskKey, RunView>,
     pub(super) health: Health,
     pub(super) free: Resources,
+    /// The image that serves there, where it is only one.
+    pub(super) serves: Option<ImageKey>,
     /// Share at which tasks of an image that disturbs work, in percent; 100 for
     /// those not named.
     pub(super) paces: BTreeMap<ImageKey, u8>,
@@ -157,6 +159,7 @@
             running: BTreeMap::new(),
             health: Health::default(),
             free: Resources::ZERO,
+            serves: None,
             paces: BTreeMap::new(),
             paced_at: Moment::ZERO,
         }
