A runner is full only by whole figures; a step that waits long starts at the pace that is borne

Cause: a runner counted as full once any task used less than it could; a task younger than the figure's half second always does, so a third of the runners took nothing while 10 to 39 cores were free. Ruled out: margins (they were kept at 1.25; most runners had room by them). Change: needs and uses of tasks older than 0.8 s are summed up; 1,024 steps are looked at; a step that has waited for 12 s starts anywhere with room, paced; a task is moved three times at most; a leader no longer believes what others tell of itself.

--- a/crates/coordination/src/jobs/neighbours.rs
+++ b/crates/coordination/src/jobs/neighbours.rs
@@ -3,6 +3,7 @@
 use super::interference::{Filling, ImageKey, Interference};
 use super::ready::Kind;
 use super::runner::{RunView, Runner};
+use std::time::Duration;
 use yuccalink_state::jobs::{Jobs, StepSpec};
 
 /// Part of its reserved processors that a serving task is taken to use. On the
@@ -11,6 +12,8 @@
 /// A filling task that gets less than this share of what it could use shows that
 /// the runner is full.
 const STARVED: f64 = 0.7;
+/// Age from which a task's figure, of the last half second, is all its own.
+const SETTLED_AFTER: Duration = Duration::from_millis(800);
 /// Margin that every serving task must keep, as expected, beside one more filling
 /// task: a quarter above its bound, since its own load may grow before the next figure.
 const MARGIN_MIN: f64 = 1.25;
@@ -38,7 +41,10 @@
     wanted: f64,
     /// Processors that all others use.
     used: f64,
-    starved: bool,
+    /// Processors that opportunistic tasks could use, of those that have told a
+    /// whole figure, and what they do use.
+    settled_need: f64,
+    settled_use: f64,
 }
 
 impl Neighbours {
@@ -78,8 +84,11 @@
         let rate = view.and_then(|view| view.rate).unwrap_or(100);
         if step.opportunistic {
             self.wanted += need;
-            let settled = view.is_some_and(|view| view.percent > 1) && rate == 100;
-            self.starved |= settled && in_use.is_some_and(|used| used < need * STARVED);
+            let settled = view.filter(|view| rate == 100 && view.age >= SETTLED_AFTER);
+            if let (Some(_), Some(in_use)) = (settled, in_use) {
+                self.settled_need += need;
+                self.settled_use += in_use;
+            }
         } else {
             self.used += need;
         }
@@ -105,7 +114,8 @@
     /// Whether processors are left that an opportunistic task could use.
     pub(super) fn has_spare(&self, step: &StepSpec) -> bool {
         let need = step.need.millicores as f64;
-        !self.starved && self.used + self.wanted + need <= self.capacity
+        let starved = self.settled_use < self.settled_need * STARVED;
+        !starved && self.used + self.wanted + need <= self.capacity
     }
 
     /// Whether all that serve there are expected to keep their margin beside one
--- a/crates/coordination/src/jobs/pace.rs
+++ b/crates/coordination/src/jobs/pace.rs
@@ -19,6 +19,9 @@
 const PRESSURE_MIN: f64 = 0.1;
 /// Below this pace, tasks with checkpoints are moved: elsewhere they do more.
 const MOVE_BELOW: f64 = 0.4;
+/// A task in this run or a later one is not moved any more: it seems to disturb
+/// wherever it goes, and only its pace is left.
+const RUNS_MOVED_MAX: u32 = 4;
 /// Steps in which paces are given, in percent, so that few orders are needed.
 const PACE_STEP: f64 = 10.0;
 /// Least time before a pace is raised again.
@@ -100,7 +103,13 @@
                 let Some(step) = self.jobs.step_spec(*task) else { continue };
                 let image = step.image.as_deref().and_then(|name| self.interference.known(name));
                 let cause = image.is_some_and(|image| verdict.causes.contains(&image));
-                if cause && !view.stopping && step.checkpointing && fills(step) {
+                let moves = self.jobs.task(*task).map_or(0, |task| task.last_run);
+                if cause
+                    && !view.stopping
+                    && step.checkpointing
+                    && fills(step)
+                    && moves < RUNS_MOVED_MAX
+                {
                     view.stopping = true;
                     moved += 1;
                 }
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -13,8 +13,9 @@
 use yuccalink_state::Resources;
 use yuccalink_state::jobs::{Job, LifeKey, Start, StepSpec, TaskKey};
 
-/// Waiting steps looked at for one report; the first in order matter most.
-const GROUPS_MAX: usize = 64;
+/// Waiting steps looked at for one report; the first in order matter most. A step
+/// beyond them is not looked at, so this is more than an hour of bursts leaves.
+const GROUPS_MAX: usize = 1_024;
 /// Starts ordered with one answer, so that it stays a small message.
 const STARTS_MAX: usize = 64;
 /// How long a task waits for the rack of its data, or of its step: tasks elsewhere
@@ -25,6 +26,10 @@
 /// Mean weight of a filling image, against all that serve, from which it is given
 /// the runners that serve nothing before others are.
 const HARD: f64 = 5.0;
+/// After this long a filling task starts anywhere with room, at the pace that its
+/// neighbours bear: without it, the tasks of an image that disturbs all that serve
+/// would wait for ever while processors are idle.
+const PATIENCE: Duration = Duration::from_secs(12);
 /// How long a serving task waits for a runner whose serving tasks are of its image.
 const ALIKE_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -214,7 +219,8 @@
         match Kind::of(step) {
             Kind::Filling => {
                 let spare = !step.opportunistic || neighbours.has_spare(step);
-                spare && neighbours.bears(step, &self.interference)
+                let waited = now.at.since(since) > PATIENCE;
+                spare && (waited || neighbours.bears(step, &self.interference))
             }
             Kind::Serving => {
                 let own = step.image.as_deref().and_then(|name| self.interference.known(name));
--- a/crates/coordination/src/jobs/runner.rs
+++ b/crates/coordination/src/jobs/runner.rs
@@ -85,6 +85,8 @@
     pub(super) percent: u8,
     pub(super) gauge: Option<u64>,
     pub(super) first_seen: Moment,
+    /// How long it has been listed.
+    pub(super) age: Duration,
     pub(super) moved: Moment,
     /// It is to be stopped; said again with each heartbeat until it is gone.
     pub(super) stopping: bool,
@@ -205,12 +207,14 @@
         Some(view) if view.percent == run.percent => view.moved,
         _ => now,
     };
+    let first_seen = same.as_ref().map_or(now, |view| view.first_seen);
     RunView {
         run: run.run,
+        age: now.since(first_seen),
         saved: run.saved.clone(),
         percent: run.percent,
         gauge: run.gauge,
-        first_seen: same.as_ref().map_or(now, |view| view.first_seen),
+        first_seen,
         moved,
         stopping: same.as_ref().is_some_and(|view| view.stopping),
         // A new leader does not know what the former one has ordered.
--- a/crates/daemon/src/cell/roster.rs
+++ b/crates/daemon/src/cell/roster.rs
@@ -81,11 +81,13 @@
     /// Another process tells who leads.
     pub(crate) fn lead_told(&mut self, lead: Lead, from: SocketAddr, now: Moment) {
         self.founded = true;
+        // Whether this process leads its own replica knows best.
+        if lead.peer == self.me.peer {
+            return;
+        }
         let by_itself = lead.peer == from;
         match &mut self.lead {
-            Some((known, at)) if known.term > lead.term => {
-                let _ = (known, at);
-            }
+            Some((known, _)) if known.term > lead.term => {}
             Some((known, at)) if known.term == lead.term && known.peer == lead.peer => {
                 if by_itself {
                     (*known, *at) = (lead, now);
