--- a/crates/coordination/tests/interference.rs
+++ b/crates/coordination/tests/interference.rs
@@ -59,7 +59,7 @@
             let load = 0.48 * (1.0 + 0.5 * (phase * std::f64::consts::TAU).sin());
             let turn = tick / 10 + runner as u64;
             let mut beside = Vec::new();
-            if turn % 3 > 0 {
+            if !turn.is_multiple_of(3) {
                 let first = usize::try_from((turn + turn / 9) % FILLS as u64).unwrap_or(0);
                 beside.push((first, 0.1));
                 if turn.is_multiple_of(2) {
