--- a/crates/coordination/src/jobs/interference.rs
+++ b/crates/coordination/src/jobs/interference.rs
@@ -18,12 +18,15 @@
 
 use crate::moment::Moment;
 use std::collections::HashMap;
+use yuccalink_state::jobs::PairWeight;
 
 /// Weight of a pair that was never seen together, and its variance: most pairs are
 /// harmless, and some are three times as bad as this.
 const WEIGHT_START: Guess = Guess { mean: 6.0, variance: 100.0 };
 /// Variance of a weight that has often been seen: pairs change.
 const WEIGHT_VARIANCE_MIN: f64 = 0.3;
+/// A recalled weight's variance is taken this many times as large.
+const RECALLED: f64 = 2.0;
 /// A serving task's own margin until it is seen, and its variance: at half load on
 /// a server whose bound is six times its shortest answer.
 const OWN_START: Guess = Guess { mean: 3.0, variance: 1.5 };
@@ -95,6 +98,34 @@
 }
 
 impl Interference {
+    /// Begins with what an earlier leader learnt, a little less sure of it.
+    pub fn recall(&mut self, learnt: &[PairWeight]) {
+        for pair in learnt {
+            let key = (self.image(&pair.serving), self.image(&pair.filling));
+            let variance = f64::from(pair.variance) * RECALLED;
+            self.weights.insert(key, Guess { mean: f64::from(pair.mean), variance });
+        }
+    }
+
+    /// What a later leader may begin with.
+    pub fn remember(&self) -> Vec<PairWeight> {
+        let mut names: Vec<(&ImageKey, &str)> =
+            self.images.iter().map(|(name, key)| (key, &**name)).collect();
+        names.sort_unstable();
+        let name = |key: ImageKey| names.get(key.0 as usize).map_or("", |(_, name)| name);
+        let mut pairs: Vec<_> = self.weights.iter().collect();
+        pairs.sort_unstable_by_key(|(key, _)| **key);
+        pairs
+            .into_iter()
+            .map(|((serving, filling), guess)| PairWeight {
+                serving: name(*serving).into(),
+                filling: name(*filling).into(),
+                mean: guess.mean as f32,
+                variance: guess.variance as f32,
+            })
+            .collect()
+    }
+
     /// The key of an image.
     pub fn image(&mut self, name: &str) -> ImageKey {
         if let Some(key) = self.images.get(name) {
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -177,6 +177,7 @@
             counts: Counts::default(),
         };
         leader.index_lives();
+        leader.interference.recall(leader.jobs.learnt());
         let active: Vec<JobId> = leader.jobs.all().map(|(id, _)| id).collect();
         for id in active {
             leader.meet_job(id, now);
@@ -299,7 +300,10 @@
                     self.ready.drop_job(*id);
                 }
             }
-            JobCommand::Change(_) | JobCommand::Cancel { .. } | JobCommand::Meet(_) => {}
+            JobCommand::Change(_)
+            | JobCommand::Cancel { .. }
+            | JobCommand::Meet(_)
+            | JobCommand::Learn(_) => {}
         }
     }
 
@@ -419,6 +423,7 @@
             self.forgot = now.at;
             self.forget(now);
             self.log_load();
+            self.remember();
         }
     }
 
@@ -489,6 +494,15 @@
         }
     }
 
+    /// Leaves what was learnt to a later leader: relearning costs serving tasks their
+    /// bounds for some ten seconds, with each change of leader.
+    fn remember(&mut self) {
+        let learnt = self.interference.remember();
+        if !learnt.is_empty() && learnt != self.jobs.learnt() {
+            self.propose(JobCommand::Learn(learnt), Then::Nothing);
+        }
+    }
+
     fn forget(&mut self, now: Now) {
         let keep = u64::try_from(self.cfg.remember.as_millis()).unwrap_or(u64::MAX);
         let ids = self.jobs.forgettable(now.unix_ms.saturating_sub(keep), FORGET_MAX);
@@ -578,6 +592,9 @@
         JobCommand::Cancel { id, .. } => BTreeSet::from([*id]),
         JobCommand::Start(starts) => starts.iter().map(|start| start.task.job).collect(),
         JobCommand::End { ends, .. } => ends.iter().map(|end| end.task.job).collect(),
-        JobCommand::Change(_) | JobCommand::Meet(_) | JobCommand::Forget(_) => BTreeSet::new(),
+        JobCommand::Change(_)
+        | JobCommand::Meet(_)
+        | JobCommand::Forget(_)
+        | JobCommand::Learn(_) => BTreeSet::new(),
     }
 }
--- a/crates/coordination/src/jobs/neighbours.rs
+++ b/crates/coordination/src/jobs/neighbours.rs
@@ -39,8 +39,9 @@
     capacity: f64,
     /// Processors that opportunistic tasks could use.
     wanted: f64,
-    /// Processors that all others use.
+    /// Processors that all others use, and those that they reserve.
     used: f64,
+    reserved: f64,
     /// Processors that opportunistic tasks could use, of those that have told a
     /// whole figure, and what they do use.
     settled_need: f64,
@@ -70,6 +71,7 @@
 
     fn add_serving(&mut self, step: &StepSpec, image: Option<ImageKey>, view: Option<&RunView>) {
         self.used += step.need.millicores as f64 * SERVING_USE;
+        self.reserved += step.need.millicores as f64;
         let Some(image) = image else { return };
         let own = view.and_then(|view| view.own).map_or(MARGIN_UNSEEN, |own| own.mean());
         match self.serving.iter_mut().find(|serving| serving.image == image) {
@@ -91,6 +93,7 @@
             }
         } else {
             self.used += need;
+            self.reserved += need;
         }
         if let Some(image) = image {
             add_share(&mut self.filling, image, in_use.unwrap_or(need) / self.capacity);
@@ -118,6 +121,11 @@
         !starved && self.used + self.wanted + need <= self.capacity
     }
 
+    /// Whether half of the processors are not even reserved.
+    pub(super) fn is_half_idle(&self) -> bool {
+        (self.reserved + self.wanted) * 2.0 < self.capacity
+    }
+
     /// Whether all that serve there are expected to keep their margin beside one
     /// more task of a step, with all that fill at full pace.
     pub(super) fn bears(&self, step: &StepSpec, learnt: &Interference) -> bool {
--- a/crates/coordination/src/jobs/pace.rs
+++ b/crates/coordination/src/jobs/pace.rs
@@ -19,6 +19,9 @@
 const PRESSURE_MIN: f64 = 0.1;
 /// Below this pace, tasks with checkpoints are moved: elsewhere they do more.
 const MOVE_BELOW: f64 = 0.4;
+/// Pressure, in margin, from which an image is moved: half a usual margin. Less than
+/// that is borne again as soon as the serving task's own load has swung back.
+const HARD_PRESSURE: f64 = 0.8;
 /// A task in this run or a later one is not moved any more: it seems to disturb
 /// wherever it goes, and only its pace is left.
 const RUNS_MOVED_MAX: u32 = 4;
@@ -32,6 +35,8 @@
     /// Share of full pace for the causes.
     pace: f64,
     causes: Vec<ImageKey>,
+    /// Those of them that press too hard to stay.
+    hard: Vec<ImageKey>,
     least: Serving,
 }
 
@@ -101,9 +106,9 @@
             for (task, view) in &mut runner.running {
                 let Some(step) = self.jobs.step_spec(*task) else { continue };
                 let image = step.image.as_deref().and_then(|name| self.interference.known(name));
-                let cause = image.is_some_and(|image| verdict.causes.contains(&image));
+                let hard = image.is_some_and(|image| verdict.hard.contains(&image));
                 let moves = self.jobs.task(*task).map_or(0, |task| task.last_run);
-                if cause
+                if hard
                     && !view.stopping
                     && step.checkpointing
                     && fills(step)
@@ -137,7 +142,12 @@
         .filter(|(_, pressure)| *pressure >= total * CAUSE_MIN)
         .map(|(image, _)| *image)
         .collect();
-    Some(Verdict { pace, causes, least: serving })
+    let hard = pressures
+        .iter()
+        .filter(|(_, pressure)| *pressure >= HARD_PRESSURE)
+        .map(|(image, _)| *image)
+        .collect();
+    Some(Verdict { pace, causes, hard, least: serving })
 }
 
 fn fills(step: &StepSpec) -> bool {
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -26,9 +26,9 @@
 /// Mean weight of a filling image, against all that serve, from which it is given
 /// the runners that serve nothing before others are.
 const HARD: f64 = 5.0;
-/// After this long a filling task starts anywhere with room, at the pace that its
-/// neighbours bear: without it, the tasks of an image that disturbs all that serve
-/// would wait for ever while processors are idle.
+/// After this long a filling task starts on any runner that is half idle, at the pace
+/// that its neighbours bear: without it, the tasks of an image that disturbs all that
+/// serve would wait for ever while processors are idle.
 const PATIENCE: Duration = Duration::from_secs(12);
 /// How long a serving task waits for a runner whose serving tasks are of its image.
 const ALIKE_WAIT: Duration = Duration::from_millis(1_500);
@@ -207,7 +207,7 @@
         match Kind::of(step) {
             Kind::Filling => {
                 let spare = !step.opportunistic || neighbours.has_spare(step);
-                let waited = now.at.since(since) > PATIENCE;
+                let waited = now.at.since(since) > PATIENCE && neighbours.is_half_idle();
                 spare && (waited || neighbours.bears(step, &self.interference))
             }
             Kind::Serving => {
--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -12,7 +12,7 @@
 pub mod task;
 
 pub use change::{ChangeSet, Limits, Pool, Queue};
-pub use command::{End, How, JobCommand, JobOutcome, Life, Start, Submit};
+pub use command::{End, How, JobCommand, JobOutcome, Life, PairWeight, Start, Submit};
 pub use spec::{JobSpec, Schedule, StepSpec};
 pub use table::{Job, JobPhase, Jobs, Occurrence, Step};
 pub use task::{Hold, JobId, LifeKey, Task, TaskKey};
--- a/crates/state/src/jobs/command.rs
+++ b/crates/state/src/jobs/command.rs
@@ -32,6 +32,21 @@
     Start(Vec<Start>),
     /// Jobs that ended long ago.
     Forget(Vec<JobId>),
+    /// What was learnt of pairs of images, for a later leader to begin with.
+    Learn(Vec<PairWeight>),
+}
+
+/// How hard tasks of one image press on those of another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PairWeight {
+    /// The image that serves.
+    pub serving: Box<str>,
+    /// The image that fills.
+    pub filling: Box<str>,
+    /// Margin that a whole runner of the latter would take.
+    pub mean: f32,
+    /// How sure that is.
+    pub variance: f32,
 }
 
 /// A job to add.
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -1,7 +1,7 @@
 //! The table of jobs and runners' lives.
 
 use super::change::ChangeSet;
-use super::command::{End, How, JobCommand, JobOutcome, Life, Start, Submit};
+use super::command::{End, How, JobCommand, JobOutcome, Life, PairWeight, Start, Submit};
 use super::spec::{JobSpec, StepSpec};
 use super::task::{Hold, JobId, LifeKey, Task, TaskKey};
 use serde::{Deserialize, Serialize};
@@ -71,6 +71,7 @@
     change: Option<Box<ChangeSet>>,
     jobs: BTreeMap<JobId, Job>,
     lives: Vec<Life>,
+    learnt: Vec<PairWeight>,
     #[serde(skip)]
     held: Vec<BTreeMap<TaskKey, u32>>,
 }
@@ -158,9 +159,18 @@
                 }
                 JobOutcome::Done
             }
+            JobCommand::Learn(learnt) => {
+                self.learnt = learnt;
+                JobOutcome::Done
+            }
         }
     }
 
+    /// What an earlier leader learnt of pairs of images.
+    pub fn learnt(&self) -> &[PairWeight] {
+        &self.learnt
+    }
+
     /// Rebuilds what is derived and so not written to snapshots.
     pub(crate) fn reindex(&mut self) {
         self.held = vec![BTreeMap::new(); self.lives.len()];
