The leader looks up instead of scanning

Found by reading: each rank of each waiting step searched all queues by name, all steps were ranked anew after each start and end, and who shares a runner was worked out three times a report with names hashed each time. Change: queues indexed by name and host, steps kept in order with their rank, what placement asks of a step kept by number, one look at the neighbours a report, the share that an image may still use kept until the next start. Ruled out: judging leases later after a stall: a lease that the leader counts as ended has ended on the runner in any case (test tried, guard taken out again).

--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -13,6 +13,7 @@
 mod pace;
 mod place;
 mod ready;
+mod routes;
 pub mod runner;
 
 pub use ask::{Answer, Ask, Finished, JobState, Orders, Report, RunnerState, Running, StartOrder};
--- a/crates/coordination/src/jobs/asks.rs
+++ b/crates/coordination/src/jobs/asks.rs
@@ -42,10 +42,10 @@
     where
         F: FnOnce(&Self, &Queue) -> Answer,
     {
-        let Some(change) = self.jobs.change() else {
+        if !self.routes.in_force() {
             return Answer::NotServing { after_ms: NO_CHANGE_YET_MS };
-        };
-        match change.route(&at.host, &at.path) {
+        }
+        match self.routes.route(&at.host, &at.path) {
             Some(queue) => then(self, queue),
             None => Answer::NoQueue,
         }
@@ -63,10 +63,12 @@
         id: JobId,
         spec: &Arc<JobSpec>,
     ) -> Option<Answer> {
-        let Some(change) = self.jobs.change() else {
+        if !self.routes.in_force() {
             return Some(Answer::NotServing { after_ms: NO_CHANGE_YET_MS });
+        }
+        let Some(queue) = self.routes.route(&at.host, &at.path) else {
+            return Some(Answer::NoQueue);
         };
-        let Some(queue) = change.route(&at.host, &at.path) else { return Some(Answer::NoQueue) };
         if self.jobs.job(id).is_some() {
             // A resend; the first answer may have been lost.
             return Some(Answer::Accepted);
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -125,12 +125,12 @@
         let mut all_ends = ends;
         self.collect_never_started(key, &ended, &mut all_ends);
         self.judge_runs(now, key);
-        self.pace(now, key);
+        let neighbours = self.pace(now, key);
         let free = self.free_room(key, &ended);
         if let Some(runner) = self.runners.get_mut(&key) {
             runner.free = free;
         }
-        let starts = self.pick(now, key);
+        let starts = self.pick(now, key, neighbours);
         self.commit_report(now, token, key, report, all_ends, starts);
     }
 
@@ -180,7 +180,7 @@
         let leaving = runner.state == RunnerState::Draining;
         let mut standing = 0;
         for (task, view) in &mut runner.running {
-            let Some(step) = self.jobs.step_spec(*task) else { continue };
+            let Some(step) = self.ready.step_of(*task) else { continue };
             if view.stopping {
                 continue;
             }
@@ -296,8 +296,7 @@
         let retry = if has_room { pause } else { REPORT_FULL.max(pause) };
         let retry = retry.min(self.cfg.heartbeat);
         let Some(runner) = self.runners.get_mut(&key) else { return };
-        let learnt = &self.interference;
-        let rates = runner.rate_orders(&self.jobs, |image| learnt.known(image));
+        let rates = runner.rate_orders(&self.ready);
         runner.lease_end = now.at + lease_surely_ended_after(self.cfg.lease);
         let orders = Orders {
             lease_ms: millis(self.cfg.lease),
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -4,6 +4,7 @@
 use super::interference::Interference;
 use super::neighbours::Neighbours;
 use super::ready::{GroupKey, Ready};
+use super::routes::Routes;
 use super::runner::{Runner, lease_surely_ended_after};
 use crate::moment::Moment;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -102,6 +103,7 @@
     pub(super) jobs: Jobs,
     pub(super) runners: BTreeMap<LifeKey, Runner>,
     pub(super) by_id: HashMap<Box<str>, LifeKey>,
+    pub(super) routes: Routes,
     pub(super) ready: Ready,
     pub(super) interference: Interference,
     /// Tasks whose start is under way to the log.
@@ -161,6 +163,7 @@
             jobs,
             runners: BTreeMap::new(),
             by_id: HashMap::new(),
+            routes: Routes::default(),
             ready: Ready::default(),
             interference: Interference::default(),
             starting: BTreeMap::new(),
@@ -176,6 +179,7 @@
             forgot: now.at,
             counts: Counts::default(),
         };
+        leader.routes = Routes::new(leader.jobs.change());
         leader.index_lives();
         leader.interference.recall(leader.jobs.learnt());
         let active: Vec<JobId> = leader.jobs.all().map(|(id, _)| id).collect();
@@ -300,10 +304,11 @@
                     self.ready.drop_job(*id);
                 }
             }
-            JobCommand::Change(_)
-            | JobCommand::Cancel { .. }
-            | JobCommand::Meet(_)
-            | JobCommand::Learn(_) => {}
+            JobCommand::Change(_) => {
+                self.routes = Routes::new(self.jobs.change());
+                self.ready.changed(&self.jobs, &self.routes);
+            }
+            JobCommand::Cancel { .. } | JobCommand::Meet(_) | JobCommand::Learn(_) => {}
         }
     }
 
@@ -356,7 +361,7 @@
     fn log_load(&self) {
         let mut load = Load::default();
         for runner in self.runners.values() {
-            let beside = Neighbours::of(runner, &self.jobs, &self.interference);
+            let beside = Neighbours::of(runner, &self.jobs, &self.ready);
             load.mixed += usize::from(beside.serving.len() > 1);
             load.serving += usize::from(!beside.serving.is_empty());
             load.paced += usize::from(runner.paces.values().any(|pace| *pace < 100));
@@ -389,14 +394,12 @@
 
     fn meet_job(&mut self, id: JobId, now: Now) {
         let Some(job) = self.jobs.job(id) else { return };
-        for image in job.spec.steps.iter().filter_map(|step| step.image.as_deref()) {
-            self.interference.image(image);
-        }
         // The wall clock may have jumped since; a job is never taken to be from
         // the future, or older than any objective.
         const AGE_MAX_MS: u64 = 60_000;
         let age = now.unix_ms.saturating_sub(job.at_ms).min(AGE_MAX_MS);
-        self.ready.meet(id, job, now.at - Duration::from_millis(age));
+        let came = now.at - Duration::from_millis(age);
+        self.ready.meet(id, job, came, &self.routes, &mut self.interference);
     }
 
     /// Finds the steps of a job that have tasks to start.
@@ -405,7 +408,7 @@
             Some(job) if job.phase == JobPhase::Active => startable(id, job),
             _ => Vec::new(),
         };
-        self.ready.set_groups(id, &keys, now);
+        self.ready.set_groups(id, &keys, &self.jobs, now);
     }
 
     // ---- time ----
@@ -414,7 +417,7 @@
     pub fn tick(&mut self, now: Now) {
         if now.at.since(self.ranked) >= RANK_EVERY {
             self.ranked = now.at;
-            self.ready.order(&self.jobs, now.at, true);
+            self.ready.rank_all(&self.jobs, now.at);
         }
         self.give_up_late_heartbeats(now);
         self.end_lapsed(now);
@@ -490,7 +493,7 @@
             } else {
                 Vec::new()
             };
-            self.ready.set_groups(id, &keys, now.at);
+            self.ready.set_groups(id, &keys, &self.jobs, now.at);
         }
     }
 
--- a/crates/coordination/src/jobs/neighbours.rs
+++ b/crates/coordination/src/jobs/neighbours.rs
@@ -1,16 +1,16 @@
 //! Who shares a runner: what serves, what fills, and the room that is really left.
 
 use super::interference::{Filling, ImageKey, Interference};
-use super::ready::Kind;
+use super::ready::{Kind, Ready, StepInfo};
 use super::runner::{RunView, Runner};
 use std::time::Duration;
-use yuccalink_state::jobs::{Jobs, StepSpec};
+use yuccalink_state::jobs::Jobs;
 
 /// Part of its reserved processors that a serving task is taken to use. On the
 /// users' sheets the mean load is 0.48, and swings by half of that.
 const SERVING_USE: f64 = 0.55;
-/// A filling task that gets less than this share of what it could use shows that
-/// the runner is full.
+/// A runner whose filling tasks get less than this share of what they could use is
+/// full.
 const STARVED: f64 = 0.7;
 /// Age from which a task's figure, of the last half second, is all its own.
 const SETTLED_AFTER: Duration = Duration::from_millis(800);
@@ -46,33 +46,36 @@
     /// whole figure, and what they do use.
     settled_need: f64,
     settled_use: f64,
+    /// Share of the runner that one more task of an image may use, as worked out
+    /// since the last start.
+    allowed: Vec<(ImageKey, f64)>,
 }
 
 impl Neighbours {
     /// Those of a runner by its last report and by what is on its way there.
-    pub(super) fn of(runner: &Runner, jobs: &Jobs, learnt: &Interference) -> Self {
+    pub(super) fn of(runner: &Runner, jobs: &Jobs, ready: &Ready) -> Self {
         let capacity = (runner.capacity.millicores as f64).max(1.0);
         let mut found = Self { capacity, ..Self::default() };
         for (task, run) in jobs.held(runner.key) {
-            let Some(step) = jobs.step_spec(task) else { continue };
+            let Some(step) = ready.step_of(task) else { continue };
             let view = runner.running.get(&task).filter(|view| view.run == run);
-            found.add(step, view, learnt);
+            found.add(step, view);
         }
         found
     }
 
-    fn add(&mut self, step: &StepSpec, view: Option<&RunView>, learnt: &Interference) {
-        let image = step.image.as_deref().and_then(|name| learnt.known(name));
-        match Kind::of(step) {
-            Kind::Serving => self.add_serving(step, image, view),
-            Kind::Filling => self.add_filling(step, image, view),
+    fn add(&mut self, step: &StepInfo, view: Option<&RunView>) {
+        self.allowed.clear();
+        match step.kind {
+            Kind::Serving => self.add_serving(step, view),
+            Kind::Filling => self.add_filling(step, view),
         }
     }
 
-    fn add_serving(&mut self, step: &StepSpec, image: Option<ImageKey>, view: Option<&RunView>) {
+    fn add_serving(&mut self, step: &StepInfo, view: Option<&RunView>) {
         self.used += step.need.millicores as f64 * SERVING_USE;
         self.reserved += step.need.millicores as f64;
-        let Some(image) = image else { return };
+        let Some(image) = step.image else { return };
         let own = view.and_then(|view| view.own).map_or(MARGIN_UNSEEN, |own| own.mean());
         match self.serving.iter_mut().find(|serving| serving.image == image) {
             Some(serving) => serving.own = serving.own.min(own),
@@ -80,7 +83,7 @@
         }
     }
 
-    fn add_filling(&mut self, step: &StepSpec, image: Option<ImageKey>, view: Option<&RunView>) {
+    fn add_filling(&mut self, step: &StepInfo, view: Option<&RunView>) {
         let need = step.need.millicores as f64;
         let in_use = view.and_then(|view| view.gauge).map(|gauge| gauge as f64);
         let rate = view.and_then(|view| view.rate).unwrap_or(100);
@@ -95,7 +98,7 @@
             self.used += need;
             self.reserved += need;
         }
-        if let Some(image) = image {
+        if let Some(image) = step.image {
             add_share(&mut self.filling, image, in_use.unwrap_or(need) / self.capacity);
             add_share(&mut self.at_full_pace, image, need / self.capacity);
         }
@@ -110,12 +113,12 @@
     }
 
     /// Counts a task that is about to start.
-    pub(super) fn started(&mut self, step: &StepSpec, learnt: &Interference) {
-        self.add(step, None, learnt);
+    pub(super) fn started(&mut self, step: &StepInfo) {
+        self.add(step, None);
     }
 
     /// Whether processors are left that an opportunistic task could use.
-    pub(super) fn has_spare(&self, step: &StepSpec) -> bool {
+    pub(super) fn has_spare(&self, step: &StepInfo) -> bool {
         let need = step.need.millicores as f64;
         let starved = self.settled_use < self.settled_need * STARVED;
         !starved && self.used + self.wanted + need <= self.capacity
@@ -128,15 +131,28 @@
 
     /// Whether all that serve there are expected to keep their margin beside one
     /// more task of a step, with all that fill at full pace.
-    pub(super) fn bears(&self, step: &StepSpec, learnt: &Interference) -> bool {
-        let Some(image) = step.image.as_deref().and_then(|name| learnt.known(name)) else {
-            return true;
-        };
-        let mut next = self.at_full_pace.clone();
-        add_share(&mut next, image, step.need.millicores as f64 / self.capacity);
-        let bears =
-            |serving: &Serving| serving.own - learnt.taken(serving.image, &next) >= MARGIN_MIN;
-        self.serving.iter().all(bears)
+    pub(super) fn bears(&mut self, step: &StepInfo, learnt: &Interference) -> bool {
+        let Some(image) = step.image else { return true };
+        let share = step.need.millicores as f64 / self.capacity;
+        let known = self.allowed.iter().find(|(of, _)| *of == image).map(|(_, share)| *share);
+        let allowed = known.unwrap_or_else(|| {
+            let allowed = self.allowed_share(image, learnt);
+            self.allowed.push((image, allowed));
+            allowed
+        });
+        share <= allowed
+    }
+
+    fn allowed_share(&self, image: ImageKey, learnt: &Interference) -> f64 {
+        let allowed = self.serving.iter().map(|serving| {
+            let left = serving.own - learnt.taken(serving.image, &self.at_full_pace) - MARGIN_MIN;
+            let weight = learnt.taken(serving.image, &[Filling { image, share: 1.0 }]);
+            match left < 0.0 {
+                true => 0.0,
+                false => left / weight.max(1e-6),
+            }
+        });
+        allowed.fold(f64::INFINITY, f64::min)
     }
 }
 
--- a/crates/coordination/src/jobs/pace.rs
+++ b/crates/coordination/src/jobs/pace.rs
@@ -1,13 +1,13 @@
 //! When a serving task's margin runs out: whoever presses on it is slowed by as much
 //! as is needed, or moved away where little would be left of its pace.
 
-use super::interference::{Filling, ImageKey, OwnMargin};
+use super::interference::{Filling, ImageKey, Interference, OwnMargin};
 use super::leader::{Leader, Now};
 use super::neighbours::{Neighbours, Serving};
-use super::ready::Kind;
+use super::ready::{Kind, Ready};
 use super::runner::Runner;
 use std::time::Duration;
-use yuccalink_state::jobs::{Jobs, LifeKey, StepSpec, TaskKey};
+use yuccalink_state::jobs::{LifeKey, TaskKey};
 
 /// Margin that pacing aims at: the figures are half a second old, and a load can
 /// take 0.2 of a margin in that time.
@@ -41,11 +41,14 @@
 }
 
 impl Leader {
-    /// Learns from a report, and acts on margins that run out.
-    pub(super) fn pace(&mut self, now: Now, key: LifeKey) {
-        self.learn(now, key);
-        let Some(runner) = self.runners.get_mut(&key) else { return };
-        let neighbours = Neighbours::of(runner, &self.jobs, &self.interference);
+    /// Learns from a report, and acts on margins that run out. Returns who shares the
+    /// runner.
+    pub(super) fn pace(&mut self, now: Now, key: LifeKey) -> Neighbours {
+        let Some(runner) = self.runners.get_mut(&key) else { return Neighbours::default() };
+        let mut neighbours = Neighbours::of(runner, &self.jobs, &self.ready);
+        if learn(now, runner, &self.ready, &mut self.interference, &neighbours) {
+            neighbours = Neighbours::of(runner, &self.jobs, &self.ready);
+        }
         runner.serves = neighbours.only_serving();
         let verdict = neighbours
             .serving
@@ -69,22 +72,7 @@
                 }
             }
         }
-    }
-
-    fn learn(&mut self, now: Now, key: LifeKey) {
-        let Some(runner) = self.runners.get_mut(&key) else { return };
-        let neighbours = Neighbours::of(runner, &self.jobs, &self.interference);
-        for (task, view) in &mut runner.running {
-            let Some(step) = self.jobs.step_spec(*task) else { continue };
-            if Kind::of(step) != Kind::Serving || view.percent < 100 {
-                continue;
-            }
-            let image = step.image.as_deref().and_then(|name| self.interference.known(name));
-            let (Some(image), Some(gauge)) = (image, view.gauge) else { continue };
-            let margin = step.target_ms as f64 / (gauge as f64).max(1.0);
-            let own = view.own.get_or_insert_with(|| OwnMargin::new(now.at));
-            self.interference.observe(image, own, margin, &neighbours.filling, now.at);
-        }
+        neighbours
     }
 
     /// Slows the causes to the pace that the margins allow; where that is little,
@@ -104,14 +92,13 @@
         let mut moved = 0;
         if verdict.pace < MOVE_BELOW {
             for (task, view) in &mut runner.running {
-                let Some(step) = self.jobs.step_spec(*task) else { continue };
-                let image = step.image.as_deref().and_then(|name| self.interference.known(name));
-                let hard = image.is_some_and(|image| verdict.hard.contains(&image));
+                let Some(step) = self.ready.step_of(*task) else { continue };
+                let hard = step.image.is_some_and(|image| verdict.hard.contains(&image));
                 let moves = self.jobs.task(*task).map_or(0, |task| task.last_run);
                 if hard
                     && !view.stopping
                     && step.checkpointing
-                    && fills(step)
+                    && step.disturbs()
                     && moves < RUNS_MOVED_MAX
                 {
                     view.stopping = true;
@@ -150,24 +137,39 @@
     Some(Verdict { pace, causes, hard, least: serving })
 }
 
-fn fills(step: &StepSpec) -> bool {
-    step.image.is_some() && Kind::of(step) == Kind::Filling
+/// Learns from the figures of the tasks that serve; false when there are none.
+fn learn(
+    now: Now,
+    runner: &mut Runner,
+    ready: &Ready,
+    learnt: &mut Interference,
+    neighbours: &Neighbours,
+) -> bool {
+    let mut any = false;
+    for (task, view) in &mut runner.running {
+        let Some(step) = ready.step_of(*task) else { continue };
+        if step.kind != Kind::Serving || view.percent < 100 {
+            continue;
+        }
+        let (Some(image), Some(gauge)) = (step.image, view.gauge) else { continue };
+        let margin = step.target_ms as f64 / (gauge as f64).max(1.0);
+        let own = view.own.get_or_insert_with(|| OwnMargin::new(now.at));
+        learnt.observe(image, own, margin, &neighbours.filling, now.at);
+        any = true;
+    }
+    any
 }
 
 impl Runner {
     /// Orders for runs that do not work at their image's pace yet.
-    pub(super) fn rate_orders<F>(&mut self, jobs: &Jobs, known: F) -> Vec<(TaskKey, u32, u8)>
-    where
-        F: Fn(&str) -> Option<ImageKey>,
-    {
+    pub(super) fn rate_orders(&mut self, ready: &Ready) -> Vec<(TaskKey, u32, u8)> {
         let mut orders = Vec::new();
         for (task, view) in &mut self.running {
-            let Some(step) = jobs.step_spec(*task) else { continue };
-            if !fills(step) || view.stopping {
+            let Some(step) = ready.step_of(*task) else { continue };
+            let Some(image) = step.image.filter(|_| step.disturbs() && !view.stopping) else {
                 continue;
-            }
-            let image = step.image.as_deref().and_then(&known);
-            let pace = image.and_then(|image| self.paces.get(&image)).copied().unwrap_or(100);
+            };
+            let pace = self.paces.get(&image).copied().unwrap_or(100);
             if view.rate != Some(pace) {
                 view.rate = Some(pace);
                 orders.push((*task, view.run, pace));
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -2,10 +2,9 @@
 //! fresh, and the order reaches it with the answer.
 
 use super::ask::RunnerState;
-use super::interference::ImageKey;
 use super::leader::{Leader, Now};
 use super::neighbours::Neighbours;
-use super::ready::{GroupKey, Kind, need};
+use super::ready::{GroupKey, Kind, StepInfo};
 use super::runner::{Runner, Trust};
 use crate::moment::Moment;
 use std::collections::BTreeSet;
@@ -45,33 +44,43 @@
         taken.extend(starting.map(|start| (start.task, start.run)));
         let mut free = runner.capacity;
         for (task, _) in taken {
-            let Some(step) = self.jobs.step_spec(task) else { continue };
-            free = less(free, need(step));
+            let Some(step) = self.ready.step_of(task) else { continue };
+            free = less(free, step.committed);
         }
         free
     }
 
     /// Chooses tasks for a runner, in the order of the waiting steps.
-    pub(super) fn pick(&mut self, now: Now, key: LifeKey) -> Vec<Start> {
+    pub(super) fn pick(&mut self, now: Now, key: LifeKey, neighbours: Neighbours) -> Vec<Start> {
         let Some(runner) = self.runners.get(&key) else { return Vec::new() };
         let trust = runner.health.trust(now.at);
         let draining = runner.state == RunnerState::Draining;
         if draining || trust == Trust::None || self.ready.is_empty() {
             return Vec::new();
         }
-        let order: Vec<GroupKey> =
-            self.ready.order(&self.jobs, now.at, false).iter().take(GROUPS_MAX).copied().collect();
-        let Some(runner) = self.runners.get(&key) else { return Vec::new() };
         let mut chosen = Chosen {
             starts: Vec::new(),
             free: runner.free,
             most: starts_allowed(trust, runner),
-            neighbours: Neighbours::of(runner, &self.jobs, &self.interference),
+            neighbours,
         };
+        let mut later = Vec::new();
         let serves_nothing = chosen.neighbours.serving.is_empty();
-        let (first, second): (Vec<GroupKey>, Vec<GroupKey>) =
-            order.into_iter().partition(|group| !serves_nothing || self.is_hard(*group));
-        for group in first.into_iter().chain(second) {
+        for group in self.ready.order().take(GROUPS_MAX) {
+            let Some(step) = self.ready.step(group.job, group.step) else { continue };
+            if !chosen.free.holds(step.committed) {
+                continue;
+            }
+            if serves_nothing && !self.is_hard(step) {
+                later.push(group);
+                continue;
+            }
+            if chosen.starts.len() >= chosen.most {
+                break;
+            }
+            self.pick_of(now, runner, trust, group, &mut chosen);
+        }
+        for group in later {
             if chosen.starts.len() >= chosen.most {
                 break;
             }
@@ -85,13 +94,11 @@
         starts
     }
 
-    /// Whether a step's tasks disturb most that serve, or is to serve itself: the
+    /// Whether a step's tasks disturb most that serve, or are to serve themselves: the
     /// others find room beside serving tasks as well.
-    fn is_hard(&self, group: GroupKey) -> bool {
-        let step = self.jobs.job(group.job).and_then(|j| j.spec.steps.get(usize::from(group.step)));
-        let Some(step) = step else { return false };
-        let image = step.image.as_deref().and_then(|name| self.interference.known(name));
-        step.long_running || image.is_some_and(|image| self.interference.hardness(image) >= HARD)
+    fn is_hard(&self, step: &StepInfo) -> bool {
+        let hard = |image| self.interference.hardness(image) >= HARD;
+        step.long_running || step.image.is_some_and(hard)
     }
 
     fn pick_of(
@@ -102,15 +109,19 @@
         group: GroupKey,
         chosen: &mut Chosen,
     ) {
+        let Some(info) = self.ready.step(group.job, group.step) else { return };
+        let since = self.ready.since(group).unwrap_or(now.at);
+        if !chosen.free.holds(info.committed)
+            || !self.suits(now, since, info, &mut chosen.neighbours)
+        {
+            return;
+        }
         let Some(job) = self.jobs.job(group.job) else { return };
         let Some(step) = job.spec.steps.get(usize::from(group.step)) else { return };
-        let since = self.ready.group(group).map_or(now.at, |group| group.since);
         let fits = self.pool_of(job) == &*runner.pool
             && label_fits(step, runner)
-            && chosen.free.holds(need(step))
             && !step.gang
-            && self.rack_fits(now.at, since, job, step, group, runner)
-            && self.suits(now, since, step, &chosen.neighbours);
+            && self.rack_fits(now.at, since, job, step, group, runner);
         if !fits {
             return;
         }
@@ -120,15 +131,17 @@
             if chosen.starts.len() >= chosen.most || (per_runner > 0 && here >= per_runner) {
                 return;
             }
-            if !chosen.free.holds(need(step)) || !self.suits(now, since, step, &chosen.neighbours) {
-                return;
-            }
             let index = u16::try_from(index).unwrap_or(u16::MAX);
             let (occurrence, step_at) = (group.occurrence, group.step);
             let task = TaskKey { job: group.job, occurrence, step: step_at, index };
             let Some(run) = self.next_run(job, step, task, runner.key, trust) else { continue };
-            chosen.free = less(chosen.free, need(step));
-            chosen.neighbours.started(step, &self.interference);
+            if !chosen.free.holds(info.committed)
+                || !self.suits(now, since, info, &mut chosen.neighbours)
+            {
+                return;
+            }
+            chosen.free = less(chosen.free, info.committed);
+            chosen.neighbours.started(info);
             chosen.starts.push(Start { task, run, life: runner.key });
             here += 1;
         }
@@ -163,7 +176,7 @@
 
     /// The pool that runs a job's tasks now.
     pub(super) fn pool_of<'a>(&'a self, job: &'a Job) -> &'a str {
-        let queue = self.jobs.change().and_then(|change| change.queue(&job.queue));
+        let queue = self.routes.queue(&job.queue);
         queue.map_or(&*job.pool, |queue| &*queue.pool)
     }
 
@@ -203,38 +216,35 @@
     /// Whether a task gets on with those on a runner. Serving tasks of one image
     /// gather, so that for each filling image there are runners where it disturbs
     /// nobody: among three images a filling one hardly ever suits all.
-    fn suits(&self, now: Now, since: Moment, step: &StepSpec, neighbours: &Neighbours) -> bool {
-        match Kind::of(step) {
+    fn suits(&self, now: Now, since: Moment, step: &StepInfo, neighbours: &mut Neighbours) -> bool {
+        match step.kind {
             Kind::Filling => {
                 let spare = !step.opportunistic || neighbours.has_spare(step);
                 let waited = now.at.since(since) > PATIENCE && neighbours.is_half_idle();
                 spare && (waited || neighbours.bears(step, &self.interference))
             }
             Kind::Serving => {
-                let own = step.image.as_deref().and_then(|name| self.interference.known(name));
+                let own = step.image;
                 let alike = neighbours.serving.iter().all(|serving| Some(serving.image) == own);
                 let settled = now.at.since(since) > ALIKE_WAIT;
                 match neighbours.serving.is_empty() {
-                    true => settled || !self.room_beside_alike(now, step, own),
+                    true => settled || !self.room_beside_alike(now, step),
                     false => alike || settled,
                 }
             }
         }
     }
-}
 
-impl Leader {
     /// Whether a runner that already serves this image has room for one more: then
     /// runners that serve nothing stay free for work that disturbs.
-    fn room_beside_alike(&self, now: Now, step: &StepSpec, own: Option<ImageKey>) -> bool {
-        self.runners.values().any(|runner| {
-            runner.takes_tasks()
-                && runner.serves == own
-                && own.is_some()
-                && now.at.since(runner.heard) < HEARD_LATELY
-                && runner.free.holds(need(step))
-                && label_fits(step, runner)
-        })
+    fn room_beside_alike(&self, now: Now, step: &StepInfo) -> bool {
+        step.image.is_some()
+            && self.runners.values().any(|runner| {
+                runner.serves == step.image
+                    && runner.takes_tasks()
+                    && now.at.since(runner.heard) < HEARD_LATELY
+                    && runner.free.holds(step.committed)
+            })
     }
 }
 
--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -7,13 +7,18 @@
 //! there is room for, and lets those fall behind that could not be prompt anyway.
 
 use super::estimate::{Lateness, Shape};
+use super::interference::{ImageKey, Interference};
+use super::routes::Routes;
 use crate::moment::Moment;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
 use yuccalink_state::Resources;
-use yuccalink_state::jobs::{Job, JobId, Jobs, Queue, StepSpec};
+use yuccalink_state::jobs::{Job, JobId, Jobs, StepSpec, TaskKey};
 
 /// Weight of a new job in the running mean of its queue's work.
 const MEAN_WEIGHT: f64 = 0.05;
+/// Worth for each core-second is compared in steps of a millionth.
+const DENSITY_SCALE: f64 = 1e6;
 
 /// A step of one occurrence of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -24,28 +29,81 @@
 }
 
 /// Where a step stands in the order; smaller comes first.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     /// Tasks that serve users earn while they run, so they never wait.
     batch: bool,
-    lateness: u8,
+    lateness: Lateness,
     priority: u32,
-    density: f64,
+    /// Worth for each core-second left, below nothing so that more comes first.
+    density: i64,
+    since: Moment,
+}
+
+/// What a step's tasks are to their neighbours.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kind {
+    /// Serves users of its own and has a bound on its tail.
+    Serving,
+    /// May disturb those that serve.
+    Filling,
+}
+
+/// What placement asks of a step for each report: kept ready, since hundreds of
+/// steps are looked at for each of hundreds of reports a second.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StepInfo {
+    /// Processors, memory and accelerators that one task may use.
+    pub(super) need: Resources,
+    /// What of that is committed.
+    pub(super) committed: Resources,
+    pub(super) kind: Kind,
+    pub(super) image: Option<ImageKey>,
+    pub(super) opportunistic: bool,
+    pub(super) long_running: bool,
+    pub(super) checkpointing: bool,
+    pub(super) target_ms: u64,
+    pub(super) estimate_ms: u64,
+}
+
+impl StepInfo {
+    fn of(step: &StepSpec, learnt: &mut Interference) -> Self {
+        Self {
+            need: step.need,
+            committed: step.committed(),
+            kind: if step.target_ms > 0 { Kind::Serving } else { Kind::Filling },
+            image: step.image.as_deref().map(|image| learnt.image(image)),
+            opportunistic: step.opportunistic,
+            long_running: step.long_running,
+            checkpointing: step.checkpointing,
+            target_ms: step.target_ms,
+            estimate_ms: step.estimate_ms,
+        }
+    }
+
+    /// Whether its tasks may disturb those that serve.
+    pub(super) fn disturbs(&self) -> bool {
+        self.kind == Kind::Filling && self.image.is_some()
+    }
 }
 
 /// What the leader keeps of a job beside its replicated state.
 #[derive(Debug)]
 pub(super) struct Meta {
-    pub(super) came: Moment,
-    pub(super) shape: Shape,
+    came: Moment,
+    shape: Shape,
+    steps: Vec<StepInfo>,
+    objective: Duration,
+    priority: u32,
+    lasts: bool,
+    scheduled: bool,
 }
 
 /// A step with waiting tasks.
 #[derive(Clone, Debug)]
-pub(super) struct Group {
-    pub(super) key: GroupKey,
+struct Group {
     /// When it first had tasks to start.
-    pub(super) since: Moment,
+    since: Moment,
     rank: Rank,
 }
 
@@ -53,82 +111,119 @@
 #[derive(Debug, Default)]
 pub(super) struct Ready {
     groups: BTreeMap<GroupKey, Group>,
-    order: Vec<GroupKey>,
-    unordered: bool,
-    pub(super) metas: HashMap<JobId, Meta>,
+    order: BTreeSet<(Rank, GroupKey)>,
+    metas: HashMap<JobId, Meta>,
     means: HashMap<Box<str>, f64>,
     scheduled: BTreeSet<JobId>,
 }
 
 impl Ready {
     /// Keeps what is needed of a job that came in at `came`.
-    pub(super) fn meet(&mut self, id: JobId, job: &Job, came: Moment) {
+    pub(super) fn meet(
+        &mut self,
+        id: JobId,
+        job: &Job,
+        came: Moment,
+        routes: &Routes,
+        learnt: &mut Interference,
+    ) {
         let shape = Shape::of(&job.spec);
         let mean = self.means.entry(job.queue.clone()).or_insert(shape.work);
         *mean += (shape.work - *mean) * MEAN_WEIGHT;
-        if job.spec.schedule.is_some() {
+        let queue = routes.queue(&job.queue);
+        let scheduled = job.spec.schedule.is_some();
+        if scheduled {
             self.scheduled.insert(id);
         }
-        self.metas.insert(id, Meta { came, shape });
+        let meta = Meta {
+            came,
+            objective: shape.objective(queue),
+            shape,
+            steps: job.spec.steps.iter().map(|step| StepInfo::of(step, learnt)).collect(),
+            priority: queue.map_or(u32::MAX, |queue| queue.priority),
+            lasts: job.spec.steps.iter().any(|step| step.long_running),
+            scheduled,
+        };
+        self.metas.insert(id, meta);
+    }
+
+    /// Another change set is in force.
+    pub(super) fn changed(&mut self, jobs: &Jobs, routes: &Routes) {
+        for (id, meta) in &mut self.metas {
+            let Some(job) = jobs.job(*id) else { continue };
+            // A job whose queue is gone keeps what it came with.
+            if let Some(queue) = routes.queue(&job.queue) {
+                meta.objective = meta.shape.objective(Some(queue));
+                meta.priority = queue.priority;
+            }
+        }
     }
 
     /// Forgets a job that needs nothing any more.
     pub(super) fn drop_job(&mut self, id: JobId) {
-        self.remove_groups(id);
+        for key in self.keys_of(id) {
+            self.remove(key);
+        }
         self.metas.remove(&id);
         self.scheduled.remove(&id);
     }
 
-    fn remove_groups(&mut self, id: JobId) {
+    fn keys_of(&self, id: JobId) -> Vec<GroupKey> {
         let from = GroupKey { job: id, occurrence: 0, step: 0 };
         let to = GroupKey { job: id, occurrence: u32::MAX, step: u16::MAX };
-        let keys: Vec<GroupKey> = self.groups.range(from..=to).map(|(key, _)| *key).collect();
-        for key in keys {
-            self.groups.remove(&key);
-            self.unordered = true;
+        self.groups.range(from..=to).map(|(key, _)| *key).collect()
+    }
+
+    fn remove(&mut self, key: GroupKey) {
+        if let Some(group) = self.groups.remove(&key) {
+            self.order.remove(&(group.rank, key));
         }
     }
 
     /// Puts the steps with these keys in place of those known of the job.
-    pub(super) fn set_groups(&mut self, id: JobId, keys: &[GroupKey], now: Moment) {
-        let from = GroupKey { job: id, occurrence: 0, step: 0 };
-        let to = GroupKey { job: id, occurrence: u32::MAX, step: u16::MAX };
-        let known: Vec<GroupKey> = self.groups.range(from..=to).map(|(key, _)| *key).collect();
-        for key in known.iter().filter(|key| !keys.contains(key)) {
-            self.groups.remove(key);
-            self.unordered = true;
+    pub(super) fn set_groups(&mut self, id: JobId, keys: &[GroupKey], jobs: &Jobs, now: Moment) {
+        for key in self.keys_of(id) {
+            if !keys.contains(&key) {
+                self.remove(key);
+            }
         }
         for key in keys {
-            if !known.contains(key) {
-                let rank = Rank { batch: true, lateness: 0, priority: 0, density: 0.0 };
-                self.groups.insert(*key, Group { key: *key, since: now, rank });
-                self.unordered = true;
+            if !self.groups.contains_key(key) {
+                let rank = self.rank(jobs, *key, now, now);
+                self.groups.insert(*key, Group { since: now, rank });
+                self.order.insert((rank, *key));
             }
         }
     }
 
-    /// The steps in order. Ranked anew where steps came or went, or when `anew`.
-    pub(super) fn order(&mut self, jobs: &Jobs, now: Moment, anew: bool) -> &[GroupKey] {
-        if self.unordered || anew {
-            self.unordered = false;
-            let mut groups = std::mem::take(&mut self.groups);
-            for group in groups.values_mut() {
-                group.rank = self.rank(jobs, group.key, now);
-            }
-            self.groups = groups;
-            let mut order: Vec<&Group> = self.groups.values().collect();
-            order.sort_by(|a, b| {
-                let by_rank = a.rank.partial_cmp(&b.rank);
-                by_rank.unwrap_or(std::cmp::Ordering::Equal).then(a.since.cmp(&b.since))
-            });
-            self.order = order.into_iter().map(|group| group.key).collect();
+    /// Ranks all steps anew: time has passed, work was done.
+    pub(super) fn rank_all(&mut self, jobs: &Jobs, now: Moment) {
+        let mut groups = std::mem::take(&mut self.groups);
+        for (key, group) in &mut groups {
+            group.rank = self.rank(jobs, *key, now, group.since);
         }
-        &self.order
+        self.order = groups.iter().map(|(key, group)| (group.rank, *key)).collect();
+        self.groups = groups;
+    }
+
+    /// The steps, the first to be started first.
+    pub(super) fn order(&self) -> impl Iterator<Item = GroupKey> {
+        self.order.iter().map(|(_, key)| *key)
+    }
+
+    /// When a step first had tasks to start.
+    pub(super) fn since(&self, key: GroupKey) -> Option<Moment> {
+        self.groups.get(&key).map(|group| group.since)
+    }
+
+    /// A step of a job.
+    pub(super) fn step(&self, job: JobId, step: u16) -> Option<&StepInfo> {
+        self.metas.get(&job)?.steps.get(usize::from(step))
     }
 
-    /// A step with waiting tasks.
-    pub(super) fn group(&self, key: GroupKey) -> Option<&Group> {
-        self.groups.get(&key)
+    /// A task's step.
+    pub(super) fn step_of(&self, task: TaskKey) -> Option<&StepInfo> {
+        self.step(task.job, task.step)
     }
 
     /// Whether nothing waits.
@@ -156,66 +251,42 @@
         self.scheduled.iter().copied().collect()
     }
 
-    fn rank(&self, jobs: &Jobs, key: GroupKey, now: Moment) -> Rank {
-        let last = Rank { batch: true, lateness: u8::MAX, priority: u32::MAX, density: 0.0 };
+    fn rank(&self, jobs: &Jobs, key: GroupKey, now: Moment, since: Moment) -> Rank {
+        let last = Rank {
+            batch: true,
+            lateness: Lateness::Overdue,
+            priority: u32::MAX,
+            density: 0,
+            since,
+        };
         let (Some(job), Some(meta)) = (jobs.job(key.job), self.metas.get(&key.job)) else {
             return last;
         };
-        let queue = jobs.change().and_then(|change| change.queue(&job.queue));
-        let step = job.spec.steps.get(usize::from(key.step));
-        let lasts = step.is_some_and(|step| step.long_running);
-        if let Some(step) = step.filter(|step| step.long_running) {
+        let Some(step) = meta.steps.get(usize::from(key.step)) else { return last };
+        let priority = meta.priority;
+        if step.long_running {
             // The largest first, so that the small ones fill what is left.
-            let density = -(step.need.millicores as f64);
-            let priority = queue.map_or(u32::MAX, |queue| queue.priority);
-            return Rank { batch: false, lateness: 0, priority, density };
+            let density = -i64::try_from(step.need.millicores).unwrap_or(i64::MAX);
+            return Rank { batch: false, lateness: Lateness::Prompt, priority, density, since };
         }
-        let lateness = self.lateness(job, meta, queue, key.step, now);
-        let left = meta.shape.work_left(job);
         let mean = self.means.get(&job.queue).copied().unwrap_or(0.0);
+        let density = meta.shape.density(meta.shape.work_left(job), mean);
         Rank {
-            batch: !lasts,
-            lateness: if job.spec.schedule.is_some() { 0 } else { lateness as u8 },
-            priority: queue.map_or(u32::MAX, |queue| queue.priority),
-            density: -meta.shape.density(left, mean),
-        }
-    }
-
-    fn lateness(
-        &self,
-        job: &Job,
-        meta: &Meta,
-        queue: Option<&Queue>,
-        step: u16,
-        now: Moment,
-    ) -> Lateness {
-        if job.spec.steps.iter().any(|step| step.long_running) {
-            return Lateness::Prompt;
+            batch: true,
+            lateness: meta.lateness(key.step, now),
+            priority,
+            density: -((density * DENSITY_SCALE) as i64),
+            since,
         }
-        let tail = meta.shape.tails.get(usize::from(step)).copied().unwrap_or_default();
-        Shape::lateness(meta.shape.objective(queue), now.since(meta.came), tail)
     }
 }
 
-/// What of a step is committed of a runner, and whom it may disturb.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Kind {
-    /// Serves users of its own and has a bound on its tail.
-    Serving,
-    /// May disturb those that serve.
-    Filling,
-}
-
-impl Kind {
-    pub(super) fn of(step: &StepSpec) -> Self {
-        match step.target_ms > 0 {
-            true => Self::Serving,
-            false => Self::Filling,
+impl Meta {
+    fn lateness(&self, step: u16, now: Moment) -> Lateness {
+        if self.lasts || self.scheduled {
+            return Lateness::Prompt;
         }
+        let tail = self.shape.tails.get(usize::from(step)).copied().unwrap_or_default();
+        Shape::lateness(self.objective, now.since(self.came), tail)
     }
 }
-
-/// Room that a step's one task takes.
-pub(super) fn need(step: &StepSpec) -> Resources {
-    step.committed()
-}
--- a/crates/coordination/tests/cell/world.rs
+++ b/crates/coordination/tests/cell/world.rs
@@ -211,16 +211,18 @@
     pub fn step(&mut self) {
         self.now = self.now + STEP;
         self.change_leader();
-        self.resubmit();
-        self.deliver_messages();
-        self.runners();
-        self.commit();
         let now = self.now();
+        // A timer that is due and a message that waits are taken in any order; here the
+        // timer comes first.
         if let Some(leader) = &mut self.leader {
             leader.tick(now);
             let answers = leader.take_answers();
             self.deliver(answers);
         }
+        self.resubmit();
+        self.deliver_messages();
+        self.runners();
+        self.commit();
         self.propose();
     }
 
