Gangs, outside policy with tickets, upkeep waves

Change: gangs are placed over all runners at once and fail as one, with one checkpoint; advice is asked one step at a time about 30 runners and kept while valid; waves empty machines within the budgets of long-running steps, then order the upkeep with holder and term. Calls leave through one client; the platform's folder only writes and reads them.

--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -3,18 +3,22 @@
 //! answers. It never reads a clock and draws no random numbers.
 
 mod admission;
+mod advice;
 pub mod ask;
 mod asks;
 mod estimate;
+mod gangs;
 mod heartbeat;
 pub mod interference;
 mod leader;
 mod neighbours;
+pub mod outside;
 mod pace;
 mod place;
 mod ready;
 mod routes;
 pub mod runner;
+mod waves;
 
 pub use ask::{Answer, Ask, Finished, JobState, Orders, Report, RunnerState, Running, StartOrder};
 pub use leader::{Leader, LeaderConfig, Now, Token};
--- /dev/null
+++ b/crates/coordination/src/jobs/advice.rs
@@ -0,0 +1,122 @@
+//! Tickets of an outside policy: one question at a time, about the runners with the
+//! most room, asked before a step is to start and kept for as long as they are valid.
+
+use super::leader::{Leader, Now};
+use super::outside::{Call, CallId, Told};
+use super::ready::GroupKey;
+use crate::moment::Moment;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use yuccalink_state::jobs::LifeKey;
+
+/// Runners asked about at once: as many as a job's objective allows for.
+const ASKED_MAX: usize = 30;
+/// A ticket that ends sooner than this may not reach its runner in time.
+const TICKET_MARGIN: Duration = Duration::from_millis(1_200);
+/// Longest wait for an answer before the question is asked anew.
+const ANSWER_MAX: Duration = Duration::from_millis(3_000);
+
+/// What is known for one step.
+#[derive(Debug, Default)]
+struct Known {
+    tickets: BTreeMap<LifeKey, Box<str>>,
+    until: Moment,
+    asked: BTreeSet<LifeKey>,
+}
+
+/// The question under way.
+#[derive(Debug)]
+struct Asked {
+    call: CallId,
+    group: GroupKey,
+    /// The runners asked about, by name.
+    lives: BTreeMap<Box<str>, LifeKey>,
+    since: Moment,
+}
+
+/// All of it.
+#[derive(Debug, Default)]
+pub(super) struct Advice {
+    known: BTreeMap<GroupKey, Known>,
+    asked: Option<Asked>,
+}
+
+impl Advice {
+    /// The ticket for a step's tasks on a runner, if it is valid for long enough.
+    pub(super) fn ticket(&self, group: GroupKey, life: LifeKey, now: Moment) -> Option<&str> {
+        let known = self.known.get(&group).filter(|known| known.until > now + TICKET_MARGIN)?;
+        known.tickets.get(&life).map(|ticket| &**ticket)
+    }
+
+    /// Takes an answer in; false when it is not to a question of ours.
+    pub(super) fn told(&mut self, call: CallId, told: &Told) -> bool {
+        let Some(asked) = self.asked.take_if(|asked| asked.call == call) else { return false };
+        let Told::Advice { allowed, validity_ms } = told else { return true };
+        let known = self.known.entry(asked.group).or_default();
+        // Valid from some moment between question and answer; the earliest counts.
+        known.until = asked.since + Duration::from_millis(*validity_ms);
+        known.asked.extend(asked.lives.values());
+        for (name, ticket) in allowed {
+            if let Some(life) = asked.lives.get(name) {
+                known.tickets.insert(*life, ticket.clone());
+            }
+        }
+        true
+    }
+}
+
+impl Leader {
+    /// Whether a step's tasks need a ticket.
+    pub(super) fn needs_ticket(&self, group: GroupKey) -> bool {
+        let job = self.jobs.job(group.job);
+        let queue = job.and_then(|job| self.routes.queue(&job.queue));
+        queue.is_some_and(|queue| queue.advisor.is_some())
+    }
+
+    /// Asks for the first step in order that needs tickets and has none left.
+    pub(super) fn ask_advice(&mut self, now: Now) {
+        if self.advice.asked.as_ref().is_some_and(|a| now.at.since(a.since) < ANSWER_MAX) {
+            return;
+        }
+        self.advice.asked = None;
+        self.advice.known.retain(|_, known| known.until > now.at);
+        let wants =
+            |group: &GroupKey| self.needs_ticket(*group) && !self.has_room_by_ticket(*group);
+        let Some(group) = self.ready.order().find(wants) else { return };
+        let lives = self.lives_to_ask(group);
+        if lives.is_empty() {
+            return;
+        }
+        let call = self.call(Call::Advise {
+            job: group.job,
+            occurrence: group.occurrence,
+            step: group.step,
+            runners: lives.keys().cloned().collect(),
+        });
+        log::info!("advice asked job={} step={} runners={}", group.job, group.step, lives.len());
+        self.advice.asked = Some(Asked { call, group, lives, since: now.at });
+    }
+
+    /// Whether a runner with a ticket has room for a task of the step.
+    fn has_room_by_ticket(&self, group: GroupKey) -> bool {
+        let Some(known) = self.advice.known.get(&group) else { return false };
+        let Some(step) = self.ready.step(group.job, group.step) else { return false };
+        known.tickets.keys().any(|life| {
+            self.runners.get(life).is_some_and(|r| r.takes_tasks() && r.free.holds(step.committed))
+        })
+    }
+
+    /// The runners with the most room that were not asked about yet; all of them once
+    /// none is left.
+    fn lives_to_ask(&self, group: GroupKey) -> BTreeMap<Box<str>, LifeKey> {
+        let Some(step) = self.ready.step(group.job, group.step) else { return BTreeMap::new() };
+        let known = self.advice.known.get(&group);
+        let asked = |life: LifeKey| known.is_some_and(|known| known.asked.contains(&life));
+        let fits = |r: &&super::runner::Runner| {
+            r.takes_tasks() && r.free.holds(step.committed) && !asked(r.key)
+        };
+        let mut runners: Vec<_> = self.runners.values().filter(fits).collect();
+        runners.sort_by_key(|runner| std::cmp::Reverse(runner.free.millicores));
+        runners.into_iter().take(ASKED_MAX).map(|r| (r.id.clone(), r.key)).collect()
+    }
+}
--- a/crates/coordination/src/jobs/ask.rs
+++ b/crates/coordination/src/jobs/ask.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use yuccalink_state::Resources;
-use yuccalink_state::jobs::{ChangeSet, How, JobId, JobSpec, TaskKey};
+use yuccalink_state::jobs::{ChangeSet, How, JobId, JobSpec, TaskKey, Wave};
 
 /// Where a caller's request goes: the host that it names, and the path up to the
 /// job's number.
@@ -66,6 +66,10 @@
     Change(Arc<ChangeSet>),
     /// The text of the change set in force.
     Document,
+    /// Take machines down for upkeep.
+    WaveStart(Wave),
+    /// How far is a wave?
+    WaveState(u64),
 }
 
 /// Whether a runner takes new tasks.
@@ -178,6 +182,8 @@
     pub payload: Arc<str>,
     /// The checkpoint to resume from, empty for none.
     pub saved: Box<str>,
+    /// Of the outside policy, where the queue has one.
+    pub ticket: Option<Box<str>>,
 }
 
 /// What a runner is to do; without a lease it keeps what it has and starts nothing.
@@ -230,6 +236,11 @@
     Unknown,
     /// What a runner is to do.
     Orders(Box<Orders>),
+    /// Whether a wave is done.
+    Wave {
+        /// All its machines are up again.
+        done: bool,
+    },
     /// Done.
     Ok,
     /// The text of the change set in force.
--- a/crates/coordination/src/jobs/asks.rs
+++ b/crates/coordination/src/jobs/asks.rs
@@ -30,6 +30,11 @@
                 Some(change) => Answer::Document(Arc::from(&*change.text)),
                 None => Answer::NotServing { after_ms: NO_CHANGE_YET_MS },
             }),
+            Ask::WaveStart(wave) => self.wave_start(token, wave),
+            Ask::WaveState(id) => Some(match self.jobs.wave(id) {
+                Some(wave) => Answer::Wave { done: wave.is_done() },
+                None => Answer::Gone,
+            }),
             // Taken in by the caller of this function.
             Ask::Heartbeat(_) => None,
         };
--- /dev/null
+++ b/crates/coordination/src/jobs/gangs.rs
@@ -0,0 +1,117 @@
+//! Gangs: all tasks of a step start together or not at all, so room for all of them
+//! is found over many runners at once. Each runner is told with its next report,
+//! which comes within a second; the members wait for each other that long.
+
+use super::leader::{Leader, Now, Then};
+use super::ready::GroupKey;
+use super::runner::{Runner, Trust};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use yuccalink_state::Resources;
+use yuccalink_state::jobs::{Job, JobCommand, LifeKey, Start, Step, StepSpec, TaskKey};
+
+/// A runner that has not reported for this long may not do so in time.
+const HEARD_LATELY: Duration = Duration::from_millis(1_200);
+/// Gangs tried at once, so that a tick stays short.
+const TRIED_MAX: usize = 8;
+
+impl Leader {
+    /// Starts gangs for which there is room.
+    pub(super) fn place_gangs(&mut self, now: Now) {
+        let is_gang = |group: &GroupKey| {
+            let job = self.jobs.job(group.job);
+            job.and_then(|j| j.spec.steps.get(usize::from(group.step))).is_some_and(|s| s.gang)
+        };
+        let groups: Vec<GroupKey> = self.ready.order().filter(is_gang).take(TRIED_MAX).collect();
+        for group in groups {
+            if let Some(starts) = self.gang_starts(now, group) {
+                log::info!("gang job={} step={} members={}", group.job, group.step, starts.len());
+                for start in &starts {
+                    self.take_room(group, start.life);
+                    self.starting.insert(start.task, *start);
+                }
+                self.counts.starts += starts.len() as u64;
+                self.propose(JobCommand::Start(starts), Then::Nothing);
+            }
+        }
+    }
+
+    fn take_room(&mut self, group: GroupKey, life: LifeKey) {
+        let Some(need) = self.ready.step(group.job, group.step).map(|step| step.committed) else {
+            return;
+        };
+        if let Some(runner) = self.runners.get_mut(&life) {
+            runner.free = runner.free.minus(need).unwrap_or(Resources::ZERO);
+        }
+    }
+
+    fn gang_starts(&self, now: Now, group: GroupKey) -> Option<Vec<Start>> {
+        let job = self.jobs.job(group.job)?;
+        let spec = job.spec.steps.get(usize::from(group.step))?;
+        let step =
+            job.occurrences.get(group.occurrence as usize)?.steps.get(usize::from(group.step))?;
+        let key = |index: usize| TaskKey {
+            job: group.job,
+            occurrence: group.occurrence,
+            step: group.step,
+            index: u16::try_from(index).unwrap_or(u16::MAX),
+        };
+        let whole = step.tasks.iter().enumerate().all(|(index, task)| {
+            !task.done && task.holds.is_empty() && !self.starting.contains_key(&key(index))
+        });
+        if !whole {
+            return None;
+        }
+        let run = step.tasks.iter().map(|task| task.last_run).max().unwrap_or(0) + 1;
+        let candidates = self.gang_candidates(now, job, spec, step);
+        let lives = seats(spec, &candidates)?;
+        let starts = lives.into_iter().enumerate();
+        Some(starts.map(|(index, life)| Start { task: key(index), run, life }).collect())
+    }
+
+    fn gang_candidates(&self, now: Now, job: &Job, spec: &StepSpec, step: &Step) -> Vec<&Runner> {
+        let failed_on = |life| step.tasks.iter().any(|task| task.failed_on.contains(&life));
+        let pool = self.pool_of(job);
+        let fits = |runner: &&Runner| {
+            runner.takes_tasks()
+                && &*runner.pool == pool
+                && now.at.since(runner.heard) < HEARD_LATELY
+                && runner.health.trust(now.at) == Trust::Full
+                && spec.required_label.as_ref().is_none_or(|label| runner.has_label(label))
+                && !failed_on(runner.key)
+        };
+        self.runners.values().filter(fits).collect()
+    }
+}
+
+/// A runner for each member: in one rack where there is one with room, since members
+/// in several racks take twice as long, else wherever there is room.
+fn seats(spec: &StepSpec, candidates: &[&Runner]) -> Option<Vec<LifeKey>> {
+    let mut racks: BTreeMap<&str, Vec<&Runner>> = BTreeMap::new();
+    for runner in candidates {
+        racks.entry(&runner.rack).or_default().push(runner);
+    }
+    let preferred = spec.data_rack.as_deref().and_then(|rack| racks.get(rack));
+    let in_one_rack =
+        preferred.into_iter().chain(racks.values()).find_map(|runners| seats_among(spec, runners));
+    in_one_rack.or_else(|| seats_among(spec, candidates))
+}
+
+fn seats_among(spec: &StepSpec, runners: &[&Runner]) -> Option<Vec<LifeKey>> {
+    let need = spec.committed();
+    let wanted = spec.count as usize;
+    let mut seats = Vec::with_capacity(wanted);
+    for runner in runners {
+        let mut free = runner.free;
+        let mut here = 0;
+        while seats.len() < wanted
+            && (spec.per_runner_max == 0 || here < spec.per_runner_max)
+            && let Some(rest) = free.minus(need)
+        {
+            free = rest;
+            here += 1;
+            seats.push(runner.key);
+        }
+    }
+    (seats.len() == wanted).then_some(seats)
+}
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -3,6 +3,7 @@
 
 use super::ask::{Answer, Finished, Orders, Report, RunnerState, StartOrder};
 use super::leader::{Leader, Now, Then, Token, Waiting};
+use super::ready::GroupKey;
 use super::runner::{Runner, lease_surely_ended_after};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -123,7 +124,7 @@
         let ended: BTreeSet<(TaskKey, u32)> =
             report.finished.iter().filter_map(|f| f.task.map(|task| (task, f.run))).collect();
         let mut all_ends = ends;
-        self.collect_never_started(key, &ended, &mut all_ends);
+        self.collect_never_started(now, key, &ended, &mut all_ends);
         self.judge_runs(now, key);
         let neighbours = self.pace(now, key);
         let free = self.free_room(key, &ended);
@@ -152,6 +153,7 @@
     /// Runs that were never started and must not be any more: their job has ended.
     fn collect_never_started(
         &self,
+        now: Now,
         key: LifeKey,
         ended: &BTreeSet<(TaskKey, u32)>,
         ends: &mut Vec<End>,
@@ -160,13 +162,21 @@
         for (task, run) in self.jobs.held(key) {
             let listed = runner.running.get(&task).is_some_and(|view| view.run == run);
             let under_way = self.ending.contains(&(task, run));
-            if listed || under_way || ended.contains(&(task, run)) || self.is_wanted(task) {
+            let wanted = self.is_wanted(task) && self.may_be_ordered(now, key, task);
+            if listed || under_way || ended.contains(&(task, run)) || wanted {
                 continue;
             }
             ends.push(End { task, run, life: key, how: How::Gone, saved: Box::default() });
         }
     }
 
+    /// Whether an order to start a task would be taken: one whose ticket has run out
+    /// would not.
+    fn may_be_ordered(&self, now: Now, life: LifeKey, task: TaskKey) -> bool {
+        let group = GroupKey { job: task.job, occurrence: task.occurrence, step: task.step };
+        !self.needs_ticket(group) || self.advice.ticket(group, life, now.at).is_some()
+    }
+
     /// Whether a task is still to be done.
     fn is_wanted(&self, task: TaskKey) -> bool {
         let active = self.jobs.job(task.job).is_some_and(|job| job.phase == JobPhase::Active);
@@ -278,7 +288,7 @@
             let answer = self.empty_orders();
             return self.answer(token, answer);
         };
-        let start = self.start_orders(runner);
+        let start = self.start_orders(now, runner);
         for order in &start {
             log::info!(
                 "start task={} run={} runner={} rack={} resumes={} report={}",
@@ -318,18 +328,24 @@
     /// Runs that are to run there and that the runner does not list. An order whose
     /// answer was lost is given again under the same number: a runner that has ended
     /// that run refuses it.
-    fn start_orders(&self, runner: &Runner) -> Vec<StartOrder> {
+    fn start_orders(&self, now: Now, runner: &Runner) -> Vec<StartOrder> {
         let mut orders = Vec::new();
         for (task, run) in self.jobs.held(runner.key) {
             let listed = runner.running.get(&task).is_some_and(|view| view.run == run);
             if listed || self.ending.contains(&(task, run)) || !self.is_wanted(task) {
                 continue;
             }
+            let group = GroupKey { job: task.job, occurrence: task.occurrence, step: task.step };
+            let ticket = self.advice.ticket(group, runner.key, now.at).map(Box::from);
+            if ticket.is_none() && self.needs_ticket(group) {
+                continue;
+            }
             let (Some(job), Some(state)) = (self.jobs.job(task.job), self.jobs.task(task)) else {
                 continue;
             };
             let payload = job.spec.payload.as_ref().into();
-            orders.push(StartOrder { task, run, payload, saved: state.saved.clone() });
+            let saved = state.saved.clone();
+            orders.push(StartOrder { task, run, payload, saved, ticket });
         }
         orders
     }
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -1,11 +1,14 @@
 //! The leader's part: what is under way to the log, what waits for it, and time.
 
+use super::advice::Advice;
 use super::ask::{Answer, Ask, Orders, Report};
 use super::interference::Interference;
 use super::neighbours::Neighbours;
+use super::outside::{Call, CallId, Told};
 use super::ready::{GroupKey, Ready};
 use super::routes::Routes;
 use super::runner::{Runner, lease_surely_ended_after};
+use super::waves::Waves;
 use crate::moment::Moment;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
@@ -69,6 +72,7 @@
     Changed { version: u64, token: Token },
     Met { token: Token, report: Box<Report> },
     Heartbeat(u64),
+    Acknowledged(Token),
     Nothing,
 }
 
@@ -116,6 +120,14 @@
     batch: Vec<Then>,
     committing: VecDeque<(u64, Then)>,
     pub(super) answers: Vec<(Token, Answer)>,
+    calls: Vec<(CallId, Call)>,
+    next_call: u64,
+    pub(super) advice: Advice,
+    pub(super) waves: Waves,
+    /// Returns of machines that are under way to the log.
+    pub(super) noting: BTreeSet<(u64, Box<str>)>,
+    /// How this process names itself to the platform.
+    pub(super) cfg_name: Box<str>,
     /// Lives that are over, though a late report of theirs may still come.
     pub(super) over: BTreeSet<LifeKey>,
     ranked: Moment,
@@ -174,6 +186,12 @@
             batch: Vec::new(),
             committing: VecDeque::new(),
             answers: Vec::new(),
+            calls: Vec::new(),
+            next_call: 0,
+            advice: Advice::default(),
+            waves: Waves::default(),
+            noting: BTreeSet::new(),
+            cfg_name: Box::default(),
             over: BTreeSet::new(),
             ranked: now.at,
             forgot: now.at,
@@ -221,6 +239,30 @@
         std::mem::take(&mut self.answers)
     }
 
+    /// How this process names itself where it orders something outside.
+    pub fn set_name(&mut self, name: &str) {
+        self.cfg_name = name.into();
+    }
+
+    /// Calls to services outside since the last call.
+    pub fn take_calls(&mut self) -> Vec<(CallId, Call)> {
+        std::mem::take(&mut self.calls)
+    }
+
+    /// A service outside has answered.
+    pub fn told(&mut self, now: Now, call: CallId, told: Told) {
+        if !self.advice.told(call, &told) {
+            self.machines_told(now, call, told);
+        }
+    }
+
+    pub(super) fn call(&mut self, call: Call) -> CallId {
+        let id = CallId(self.next_call);
+        self.next_call += 1;
+        self.calls.push((id, call));
+        id
+    }
+
     /// Takes in one ask; its answer comes at once or after a commit.
     pub fn ask(&mut self, now: Now, token: Token, ask: Ask) {
         match ask {
@@ -308,7 +350,14 @@
                 self.routes = Routes::new(self.jobs.change());
                 self.ready.changed(&self.jobs, &self.routes);
             }
-            JobCommand::Cancel { .. } | JobCommand::Meet(_) | JobCommand::Learn(_) => {}
+            JobCommand::UpkeepDone { wave, machine } => {
+                self.noting.remove(&(*wave, machine.clone()));
+            }
+            JobCommand::Cancel { .. }
+            | JobCommand::Meet(_)
+            | JobCommand::Learn(_)
+            | JobCommand::Wave(_)
+            | JobCommand::UpkeepBegun { .. } => {}
         }
     }
 
@@ -353,6 +402,7 @@
             }
             Then::Met { token, report } => self.met(now, token, &report, outcome),
             Then::Heartbeat(at) => self.heartbeat_committed(now, at),
+            Then::Acknowledged(token) => self.answer(token, Answer::Ok),
             Then::Nothing => {}
         }
     }
@@ -418,6 +468,9 @@
         if now.at.since(self.ranked) >= RANK_EVERY {
             self.ranked = now.at;
             self.ready.rank_all(&self.jobs, now.at);
+            self.place_gangs(now);
+            self.ask_advice(now);
+            self.keep_waves(now);
         }
         self.give_up_late_heartbeats(now);
         self.end_lapsed(now);
@@ -598,6 +651,9 @@
         JobCommand::Change(_)
         | JobCommand::Meet(_)
         | JobCommand::Forget(_)
-        | JobCommand::Learn(_) => BTreeSet::new(),
+        | JobCommand::Learn(_)
+        | JobCommand::Wave(_)
+        | JobCommand::UpkeepBegun { .. }
+        | JobCommand::UpkeepDone { .. } => BTreeSet::new(),
     }
 }
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -1,7 +1,6 @@
 //! Which waiting tasks start on a runner that has just reported: its word is then
 //! fresh, and the order reaches it with the answer.
 
-use super::ask::RunnerState;
 use super::leader::{Leader, Now};
 use super::neighbours::Neighbours;
 use super::ready::{GroupKey, Kind, StepInfo};
@@ -54,8 +53,7 @@
     pub(super) fn pick(&mut self, now: Now, key: LifeKey, neighbours: Neighbours) -> Vec<Start> {
         let Some(runner) = self.runners.get(&key) else { return Vec::new() };
         let trust = runner.health.trust(now.at);
-        let draining = runner.state == RunnerState::Draining;
-        if draining || trust == Trust::None || self.ready.is_empty() {
+        if !runner.takes_tasks() || trust == Trust::None || self.ready.is_empty() {
             return Vec::new();
         }
         let mut chosen = Chosen {
@@ -121,6 +119,7 @@
         let fits = self.pool_of(job) == &*runner.pool
             && label_fits(step, runner)
             && !step.gang
+            && self.ticket_fits(now, group, runner)
             && self.rack_fits(now.at, since, job, step, group, runner);
         if !fits {
             return;
@@ -180,6 +179,10 @@
         queue.map_or(&*job.pool, |queue| &*queue.pool)
     }
 
+    fn ticket_fits(&self, now: Now, group: GroupKey, runner: &Runner) -> bool {
+        !self.needs_ticket(group) || self.advice.ticket(group, runner.key, now.at).is_some()
+    }
+
     fn count_here(&self, life: LifeKey, group: GroupKey) -> u32 {
         let same = |task: TaskKey| {
             (task.job, task.occurrence, task.step) == (group.job, group.occurrence, group.step)
--- a/crates/coordination/src/jobs/runner.rs
+++ b/crates/coordination/src/jobs/runner.rs
@@ -127,6 +127,8 @@
     pub(super) labels: Vec<Box<str>>,
     pub(super) capacity: Resources,
     pub(super) state: RunnerState,
+    /// Its machine is to go down for upkeep.
+    pub(super) closing: bool,
     pub(super) leaves_at: Option<Moment>,
     pub(super) sequence: u64,
     pub(super) heard: Moment,
@@ -157,6 +159,7 @@
             labels: report.labels.clone(),
             capacity: report.capacity,
             state: report.state,
+            closing: false,
             leaves_at: None,
             sequence: 0,
             heard: now,
@@ -197,7 +200,7 @@
 
     /// Whether it can be given new tasks at all.
     pub(super) fn takes_tasks(&self) -> bool {
-        self.state == RunnerState::Ready
+        self.state == RunnerState::Ready && !self.closing
     }
 
     /// Whether it carries a label.
--- a/crates/daemon/src/cell.rs
+++ b/crates/daemon/src/cell.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod native;
 mod node;
+mod outside;
 mod peers;
 mod replica;
 mod roster;
@@ -21,6 +22,6 @@
 mod seats;
 
 pub use config::{CellConfig, CellConfigBuilder};
-pub use dialect::{Dialect, Incoming, Reply, ReplyContext, Settings};
-pub use native::{Native, caller_ask, json, parse, plain_reply, problem};
+pub use dialect::{Dialect, Incoming, Outgoing, Reply, ReplyContext, Settings};
+pub use native::{Native, caller_ask, json, number, parse, plain_reply, problem};
 pub use run::run;
--- a/crates/daemon/src/cell/dialect.rs
+++ b/crates/daemon/src/cell/dialect.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use std::net::SocketAddr;
+use yuccalink_coordination::jobs::outside::{Call, Told};
 use yuccalink_coordination::jobs::{Answer, Ask};
 
 /// A request, read whole.
@@ -64,8 +65,27 @@
     /// The response to an answer.
     fn reply(&self, answer: Answer, cx: ReplyContext) -> Reply;
 
-    /// The path of the question whether this process is ready.
-    fn ready_path(&self) -> &str;
+    /// The request for a call to a service outside; none where there is no such
+    /// service.
+    fn request(&self, call: &Call) -> Option<Outgoing>;
+
+    /// What the service's response says.
+    fn told(&self, call: &Call, status: u16, body: &[u8]) -> Told;
+}
+
+/// A request to a service outside.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// Where the service listens.
+    pub to: SocketAddr,
+    /// Upper-case.
+    pub method: &'static str,
+    /// With a query, if any.
+    pub path: Box<str>,
+    /// Besides those that every request has.
+    pub headers: Vec<(&'static str, Box<str>)>,
+    /// JSON, or nothing.
+    pub body: Vec<u8>,
 }
 
 /// Where settings that may change come from.
--- a/crates/daemon/src/cell/http.rs
+++ b/crates/daemon/src/cell/http.rs
@@ -51,7 +51,7 @@
 /// What all connections share.
 pub(crate) struct Site {
     pub(crate) node: Shared,
-    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) dialect: Rc<dyn Dialect>,
     /// Requests being answered.
     pub(crate) in_flight: Cell<usize>,
     /// True once connections are to be closed after their answer.
--- a/crates/daemon/src/cell/native.rs
+++ b/crates/daemon/src/cell/native.rs
@@ -4,13 +4,14 @@
 //! taken from the `Host` header. Runners: `POST /v1/runners/ID/heartbeat` and
 //! `/leave`. Operators: `PUT` and `GET /v1/change`.
 
-use crate::cell::dialect::{Dialect, Incoming, Reply, ReplyContext};
+use crate::cell::dialect::{Dialect, Incoming, Outgoing, Reply, ReplyContext};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
 use yuccalink_coordination::jobs::ask::Place;
+use yuccalink_coordination::jobs::outside::{Call, Told};
 use yuccalink_coordination::jobs::{Answer, Ask, Report};
-use yuccalink_state::jobs::{ChangeSet, JobId, JobSpec};
+use yuccalink_state::jobs::{ChangeSet, JobId, JobSpec, Wave};
 
 /// The interface that this project speaks by itself.
 #[derive(Clone, Copy, Debug, Default)]
@@ -34,6 +35,12 @@
     pending: u64,
 }
 
+/// How far a wave is.
+#[derive(Debug, Serialize)]
+struct WaveView {
+    state: &'static str,
+}
+
 impl Dialect for Native {
     fn caller(&self, req: Incoming<'_>) -> Result<Ask, Reply> {
         caller_ask(req, parse::<JobSpec>)
@@ -56,6 +63,12 @@
                 Ok(Ask::Change(Arc::new(change)))
             }
             ("GET", ["v1", "change"]) => Ok(Ask::Document),
+            ("PUT", ["v1", "waves", id]) => {
+                let mut wave: Wave = parse(req.body)?;
+                wave.id = number(id)?;
+                Ok(Ask::WaveStart(wave))
+            }
+            ("GET", ["v1", "waves", id]) => Ok(Ask::WaveState(number(id)?)),
             _ => Err(problem(404, "no such path; see docs/PROTOCOLS.md for those there are")),
         }
     }
@@ -68,11 +81,24 @@
         }
     }
 
-    fn ready_path(&self) -> &str {
-        "/readyz"
+    fn request(&self, _: &Call) -> Option<Outgoing> {
+        // On its own the cell has no policy to ask and no machines to order.
+        None
+    }
+
+    fn told(&self, _: &Call, _: u16, _: &[u8]) -> Told {
+        Told::Refused
     }
 }
 
+/// Reads a number in a path.
+///
+/// # Errors
+/// The response to what is none.
+pub fn number(text: &str) -> Result<u64, Reply> {
+    text.parse().map_err(|_| problem(400, &format!("{text:?} is no number; use digits")))
+}
+
 /// Reads a caller's request: the last part of its path is the job's number.
 ///
 /// # Errors
@@ -113,6 +139,9 @@
         Answer::Document(text) => Reply::json(200, text.to_vec()),
         Answer::Invalid(what) => problem(400, &what),
         Answer::Orders(orders) => json(200, &*orders),
+        Answer::Wave { done } => {
+            json(200, &WaveView { state: if done { "completed" } else { "running" } })
+        }
     }
 }
 
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -1,9 +1,11 @@
 //! The state of one process of a cell, and what its parts do with it.
 
 use crate::cell::config::CellConfig;
+use crate::cell::dialect::Dialect;
 use crate::cell::frame::{Frame, Lead, NodeInfo};
 use crate::cell::link::Link;
 use crate::cell::metrics::Metrics;
+use crate::cell::outside;
 use crate::cell::replica::Replica;
 use crate::cell::roster::Roster;
 use crate::clock::{BootClock, unix_ms};
@@ -17,6 +19,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, timeout_at};
 use yuccalink_coordination::Moment;
+use yuccalink_coordination::jobs::outside::{CallId, Told};
 use yuccalink_coordination::jobs::{Answer, Ask, Now, Token};
 use yuccalink_coordination::raft::{Envelope, ReplicaId};
 
@@ -42,6 +45,7 @@
     /// When a leader was last known.
     led_at: Moment,
     pub(crate) metrics: Metrics,
+    dialect: Rc<dyn Dialect>,
 }
 
 /// Handle of the state; one thread uses it, and never across an await.
@@ -61,6 +65,7 @@
         clock: BootClock,
         info: NodeInfo,
         replica: Option<Replica>,
+        dialect: Rc<dyn Dialect>,
     ) -> Self {
         let roster = Roster::new(info, cfg.seeds.clone(), cfg.found);
         let node = Node {
@@ -73,6 +78,7 @@
             next_token: 0,
             led_at: clock.now(),
             metrics: Metrics::default(),
+            dialect,
         };
         Self(Rc::new(Inner {
             node: RefCell::new(node),
@@ -145,6 +151,16 @@
         });
     }
 
+    /// A service outside has answered a call of the leader's.
+    pub(crate) fn told(&self, id: CallId, told: Told) {
+        self.drive(|replica, now| {
+            if let Some(leader) = replica.leader(now.at) {
+                leader.told(now, id, told);
+            }
+            replica.propose(now);
+        });
+    }
+
     /// A process that this one has greeted answers.
     pub(crate) fn welcomed(
         &self,
@@ -345,10 +361,14 @@
         let outbox = std::mem::take(&mut replica.outbox);
         // Without the lease another process may lead by now: what this one has
         // decided is not told as true any more.
-        let answers = match replica.leader(now) {
-            Some(leader) => leader.take_answers(),
-            None => Vec::new(),
+        let (answers, calls) = match replica.leader(now) {
+            Some(leader) => (leader.take_answers(), leader.take_calls()),
+            None => (Vec::new(), Vec::new()),
         };
+        for (id, call) in calls {
+            let dialect = self.dialect.clone();
+            tokio::task::spawn_local(outside::perform(shared.clone(), dialect, id, call));
+        }
         if replica.leader.is_none() && !self.waiting.is_empty() {
             self.waiting.clear();
         }
--- a/crates/daemon/src/cell/replica.rs
+++ b/crates/daemon/src/cell/replica.rs
@@ -28,6 +28,7 @@
 
 pub(crate) struct Replica {
     cfg: LeaderConfig,
+    name: Box<str>,
     pub(crate) raft: Raft,
     /// The state, but while this replica leads: then the leader has it.
     jobs: Option<Jobs>,
@@ -46,6 +47,7 @@
 impl Replica {
     pub(crate) fn new(
         cfg: LeaderConfig,
+        name: Box<str>,
         recovered: Recovered<Jobs>,
         seed: u64,
         now: Moment,
@@ -61,6 +63,7 @@
         };
         Ok(Self {
             cfg,
+            name,
             raft: Raft::new(ReplicaId(replica), restored, seed, now),
             jobs: Some(machine),
             leader: None,
@@ -175,7 +178,9 @@
             && let Some(jobs) = self.jobs.take()
         {
             log::info!("role=leader term={} record={}", self.raft.term(), self.applied);
-            self.leader = Some(Leader::new(self.cfg, self.raft.term(), jobs, now));
+            let mut leader = Leader::new(self.cfg, self.raft.term(), jobs, now);
+            leader.set_name(&self.name);
+            self.leader = Some(leader);
         }
     }
 
--- a/crates/daemon/src/cell/run.rs
+++ b/crates/daemon/src/cell/run.rs
@@ -63,7 +63,8 @@
     let mut term = on(SignalKind::terminate())?;
     let mut int = on(SignalKind::interrupt())?;
     let mut hup = on(SignalKind::hangup())?;
-    let (node, journal) = recover(&config)?;
+    let dialect: Rc<dyn Dialect> = Rc::from(dialect);
+    let (node, journal) = recover(&config, &dialect)?;
     let (close, closing) = watch::channel(false);
     let in_flight = Cell::new(0);
     let site = Rc::new(Site { node: node.clone(), dialect, in_flight, closing });
@@ -160,7 +161,7 @@
     }
 }
 
-fn recover(config: &CellConfig) -> Result<(Shared, Option<Journal>)> {
+fn recover(config: &CellConfig, dialect: &Rc<dyn Dialect>) -> Result<(Shared, Option<Journal>)> {
     let clock = BootClock::start();
     let mut replica = None;
     let mut journal = None;
@@ -177,7 +178,8 @@
         replica: replica.as_ref().map(|replica: &Replica| replica.raft.id()),
         may_found: false,
     };
-    Ok((Shared::new(config.clone(), clock, info, replica), journal))
+    let node = Shared::new(config.clone(), clock, info, replica, dialect.clone());
+    Ok((node, journal))
 }
 
 fn open_disk(config: &CellConfig, folder: &Path, now: Moment) -> Result<(Journal, Replica)> {
@@ -188,7 +190,8 @@
         recovered.meta.index,
         recovered.records.len()
     );
-    let replica = Replica::new(config.leader, recovered, draw(), now).map_err(|bad| {
+    let name = config.name.clone();
+    let replica = Replica::new(config.leader, name, recovered, draw(), now).map_err(|bad| {
         Error::Setting { flag: "data", what: format!("the state cannot be read: {bad}").into() }
     })?;
     Ok((journal, replica))
--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -10,9 +10,11 @@
 pub mod spec;
 mod table;
 pub mod task;
+mod wave;
 
 pub use change::{ChangeSet, Limits, Pool, Queue};
-pub use command::{End, How, JobCommand, JobOutcome, Life, PairWeight, Start, Submit};
+pub use command::{End, How, JobCommand, JobOutcome, Life, PairWeight, Start, Submit, Wave};
 pub use spec::{JobSpec, Schedule, StepSpec};
 pub use table::{Job, JobPhase, Jobs, Occurrence, Step};
 pub use task::{Hold, JobId, LifeKey, Task, TaskKey};
+pub use wave::WaveState;
--- a/crates/state/src/jobs/command.rs
+++ b/crates/state/src/jobs/command.rs
@@ -34,6 +34,38 @@
     Forget(Vec<JobId>),
     /// What was learnt of pairs of images, for a later leader to begin with.
     Learn(Vec<PairWeight>),
+    /// Machines to take down for upkeep.
+    Wave(Wave),
+    /// A machine has begun its upkeep.
+    UpkeepBegun {
+        /// Of this wave.
+        wave: u64,
+        /// Which.
+        machine: Box<str>,
+        /// The runner that was on it, which is over.
+        runner: Option<Box<str>>,
+    },
+    /// A machine is up again after its upkeep, or has left for good.
+    UpkeepDone {
+        /// Of this wave.
+        wave: u64,
+        /// Which.
+        machine: Box<str>,
+    },
+}
+
+/// A wave of upkeep, as its operator ordered it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
+pub struct Wave {
+    /// Its number: the same number is the same wave.
+    pub id: u64,
+    /// The machines.
+    pub machines: Vec<Box<str>>,
+    /// When all are to be done, in Unix milliseconds.
+    pub until_ms: u64,
+    /// Most machines down at once.
+    pub at_once: u32,
 }
 
 /// How hard tasks of one image press on those of another.
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -4,6 +4,7 @@
 use super::command::{End, How, JobCommand, JobOutcome, Life, PairWeight, Start, Submit};
 use super::spec::{JobSpec, StepSpec};
 use super::task::{Hold, JobId, LifeKey, Task, TaskKey};
+use super::wave::WaveState;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -72,6 +73,7 @@
     jobs: BTreeMap<JobId, Job>,
     lives: Vec<Life>,
     learnt: Vec<PairWeight>,
+    waves: BTreeMap<u64, WaveState>,
     #[serde(skip)]
     held: Vec<BTreeMap<TaskKey, u32>>,
 }
@@ -163,9 +165,35 @@
                 self.learnt = learnt;
                 JobOutcome::Done
             }
+            JobCommand::Wave(wave) => {
+                self.waves.entry(wave.id).or_insert_with(|| WaveState::new(wave));
+                JobOutcome::Done
+            }
+            JobCommand::UpkeepBegun { wave, machine, runner } => {
+                if let Some(wave) = self.waves.get_mut(&wave) {
+                    wave.begin(machine, runner);
+                }
+                JobOutcome::Done
+            }
+            JobCommand::UpkeepDone { wave, machine } => {
+                if let Some(wave) = self.waves.get_mut(&wave) {
+                    wave.finish(machine);
+                }
+                JobOutcome::Done
+            }
         }
     }
 
+    /// All waves, in order of their numbers.
+    pub fn waves(&self) -> impl Iterator<Item = &WaveState> {
+        self.waves.values()
+    }
+
+    /// A wave.
+    pub fn wave(&self, id: u64) -> Option<&WaveState> {
+        self.waves.get(&id)
+    }
+
     /// What an earlier leader learnt of pairs of images.
     pub fn learnt(&self) -> &[PairWeight] {
         &self.learnt
@@ -251,6 +279,9 @@
         let speculative =
             job.spec.steps.get(usize::from(key.step)).is_some_and(|step| step.speculative);
         let copies = if speculative { COPIES_MAX } else { 1 };
+        if job.spec.steps.get(usize::from(key.step)).is_some_and(|step| step.gang) {
+            job.share_checkpoint(key);
+        }
         let Some(task) = job.task_mut(key) else { return false };
         let twice_here = task.holds.iter().any(|hold| hold.life == life);
         if task.done || run <= task.last_run || task.holds.len() >= copies || twice_here {
@@ -281,7 +312,8 @@
             if !task.failed_on.contains(&end.life) {
                 task.failed_on.push(end.life);
             }
-            failed = !lasts && task.failures >= attempts;
+            let failures = if gang { job.failures_of_step(end.task) } else { task.failures };
+            failed = !lasts && failures >= attempts;
         }
         if let Some(held) = self.held.get_mut(end.life.0 as usize) {
             held.remove(&end.task);
@@ -360,6 +392,27 @@
         spec.after.iter().all(done)
     }
 
+    /// A gang fails as one, whichever member did.
+    fn failures_of_step(&self, key: TaskKey) -> u32 {
+        let occurrence = self.occurrences.get(key.occurrence as usize);
+        let step = occurrence.and_then(|found| found.steps.get(usize::from(key.step)));
+        step.into_iter().flat_map(|step| &step.tasks).map(|task| task.failures).sum()
+    }
+
+    /// Members of a gang resume from one checkpoint, that of the first that has one.
+    fn share_checkpoint(&mut self, key: TaskKey) {
+        let occurrence = self.occurrences.get_mut(key.occurrence as usize);
+        let Some(step) = occurrence.and_then(|found| found.steps.get_mut(usize::from(key.step)))
+        else {
+            return;
+        };
+        let saved = step.tasks.iter().find(|task| !task.saved.is_empty());
+        let Some(saved) = saved.map(|task| task.saved.clone()) else { return };
+        for task in &mut step.tasks {
+            task.saved.clone_from(&saved);
+        }
+    }
+
     fn mark_done(&mut self, key: TaskKey, gang: bool, at_ms: u64) {
         let Some(occurrence) = self.occurrences.get_mut(key.occurrence as usize) else { return };
         let Some(step) = occurrence.steps.get_mut(usize::from(key.step)) else { return };
--- /dev/null
+++ b/crates/state/src/jobs/wave.rs
@@ -0,0 +1,63 @@
+//! How far a wave of upkeep is.
+
+use super::command::Wave;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A wave and its machines.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveState {
+    /// As it was ordered.
+    pub wave: Wave,
+    /// Machines that have begun, each with the runner that was on it.
+    begun: BTreeMap<Box<str>, Option<Box<str>>>,
+    /// Machines that are up again.
+    done: BTreeSet<Box<str>>,
+}
+
+impl WaveState {
+    /// A wave that no machine has begun.
+    ///
+    /// ```
+    /// use yuccalink_state::jobs::{Wave, WaveState};
+    /// let mut state = WaveState::new(Wave { machines: vec!["m".into()], ..Wave::default() });
+    /// state.begin("m".into(), None);
+    /// assert!(!state.is_done());
+    /// state.finish("m".into());
+    /// assert!(state.is_done());
+    /// ```
+    pub fn new(wave: Wave) -> Self {
+        Self { wave, ..Self::default() }
+    }
+
+    /// A machine has begun.
+    pub fn begin(&mut self, machine: Box<str>, runner: Option<Box<str>>) {
+        self.begun.insert(machine, runner);
+    }
+
+    /// A machine is up again, or has left.
+    pub fn finish(&mut self, machine: Box<str>) {
+        self.done.insert(machine);
+    }
+
+    /// Whether all machines are done.
+    pub fn is_done(&self) -> bool {
+        self.wave.machines.iter().all(|machine| self.done.contains(machine))
+    }
+
+    /// Machines that have not begun.
+    pub fn waiting(&self) -> impl Iterator<Item = &str> {
+        let waits = |m: &&Box<str>| !self.begun.contains_key(*m) && !self.done.contains(*m);
+        self.wave.machines.iter().filter(waits).map(|machine| &**machine)
+    }
+
+    /// Machines that have begun and are not up again.
+    pub fn away(&self) -> impl Iterator<Item = &str> {
+        self.begun.keys().filter(|machine| !self.done.contains(*machine)).map(|m| &**m)
+    }
+
+    /// The runner that was on a machine before its upkeep.
+    pub fn runner_before(&self, machine: &str) -> Option<&str> {
+        self.begun.get(machine).and_then(|runner| runner.as_deref())
+    }
+}
