Tests of gangs, tickets and waves

The tests found one fault: tickets too old to be used still counted as room, so that nobody asked for new ones until they had run out.

--- a/crates/coordination/src/jobs/advice.rs
+++ b/crates/coordination/src/jobs/advice.rs
@@ -79,7 +79,8 @@
             return;
         }
         self.advice.asked = None;
-        self.advice.known.retain(|_, known| known.until > now.at);
+        // Tickets too old to be used count as none, or nobody would ask for new ones.
+        self.advice.known.retain(|_, known| known.until > now.at + TICKET_MARGIN);
         let wants =
             |group: &GroupKey| self.needs_ticket(*group) && !self.has_room_by_ticket(*group);
         let Some(group) = self.ready.order().find(wants) else { return };
--- a/crates/coordination/tests/cell.rs
+++ b/crates/coordination/tests/cell.rs
@@ -154,6 +154,26 @@
     assert_kept(&mut world);
 }
 
+/// The tasks of a gang work only together. With one runner too small for all of them
+/// they start on several within the same second, under one run number, or not at all.
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut world = World::new(10, 3, Rough::CALM);
+    let (mut spec, truths) = job(vec![step(9, 5, 2_000)]);
+    spec.steps[0].gang = true;
+    world.submit(JobId(1), spec, truths);
+    world.run_for(SECOND * 2);
+    let running: usize = (0..3).map(|at| world.running_on(at).len()).sum();
+    assert_eq!(running, 9);
+    let (mut spec, truths) = job(vec![step(10, 5, 500)]);
+    spec.steps[0].gang = true;
+    world.submit(JobId(2), spec, truths);
+    world.run_for(SECOND * 6);
+    assert_eq!(world.starts_of(key(2, 0, 0)), 0, "there is room for nine at most");
+    assert_eq!(world.state(JobId(1)), Some(JobState::Completed));
+    assert_kept(&mut world);
+}
+
 /// Messages are lost, late and doubled, leaders change with commands under way,
 /// runners crash, fail and stand, jobs are cancelled. Whatever the order of events,
 /// no task runs twice, none starts too early or too often, none is forgotten.
@@ -204,6 +224,7 @@
             spec.after = vec![u16::try_from(at - 1).unwrap_or(0)];
         }
         spec.checkpointing = world.draw(2) == 0;
+        spec.gang = world.draw(6) == 0;
         spec.per_runner_max = if world.draw(4) == 0 { 2 } else { 0 };
         truth.fails = world.draw(20) == 0;
         steps.push((spec, truth));
--- a/crates/state/src/jobs/wave.rs
+++ b/crates/state/src/jobs/wave.rs
@@ -47,8 +47,8 @@
 
     /// Machines that have not begun.
     pub fn waiting(&self) -> impl Iterator<Item = &str> {
-        let waits = |m: &&Box<str>| !self.begun.contains_key(*m) && !self.done.contains(*m);
-        self.wave.machines.iter().filter(waits).map(|machine| &**machine)
+        let waits = |m: &&str| !self.begun.contains_key(*m) && !self.done.contains(*m);
+        self.wave.machines.iter().map(|machine| &**machine).filter(waits)
     }
 
     /// Machines that have begun and are not up again.
