--- a/crates/daemon/src/cell/config.rs
+++ b/crates/daemon/src/cell/config.rs
@@ -15,6 +15,7 @@
     pub(crate) ready: Option<SocketAddr>,
     pub(crate) control: Option<SocketAddr>,
     pub(crate) peer: SocketAddr,
+    pub(crate) peer_advertised: Option<SocketAddr>,
     pub(crate) metrics: Option<SocketAddr>,
     pub(crate) data: Option<PathBuf>,
     pub(crate) seeds: Vec<SocketAddr>,
@@ -35,7 +36,7 @@
     /// use yuccalink_daemon::cell::CellConfig;
     /// let any = "127.0.0.1:0".parse()?;
     /// let config = CellConfig::builder("e1", any).control(any).found(true).build();
-    /// assert!(config.is_err(), "a founder needs a data folder");
+    /// assert!(config.is_err(), "a cell of one process needs a data folder");
     /// # Ok::<(), std::net::AddrParseError>(())
     /// ```
     pub fn builder(name: &str, peer: SocketAddr) -> CellConfigBuilder {
@@ -46,6 +47,7 @@
             ready: None,
             control: None,
             peer,
+            peer_advertised: None,
             metrics: None,
             data: None,
             seeds: Vec::new(),
@@ -57,7 +59,39 @@
     }
 }
 
+impl CellConfig {
+    /// Where some other processes listen for peers.
+    pub fn seeds(&self) -> &[SocketAddr] {
+        &self.seeds
+    }
+
+    pub(crate) fn peer_advertised(&self) -> SocketAddr {
+        self.peer_advertised.unwrap_or(self.peer)
+    }
+}
+
 impl CellConfigBuilder {
+    /// Name of this entry VM, unique in the cell.
+    #[must_use]
+    pub fn name(mut self, name: &str) -> Self {
+        self.0.name = name.into();
+        self
+    }
+
+    /// Where other processes connect.
+    #[must_use]
+    pub fn peer(mut self, at: SocketAddr) -> Self {
+        self.0.peer = at;
+        self
+    }
+
+    /// Where other processes reach it, behind a forwarder.
+    #[must_use]
+    pub fn peer_advertised(mut self, at: SocketAddr) -> Self {
+        self.0.peer_advertised = Some(at);
+        self
+    }
+
     /// Availability zone of this VM.
     #[must_use]
     pub fn zone(mut self, zone: &str) -> Self {
@@ -142,8 +176,9 @@
     pub fn build(self) -> Result<CellConfig> {
         let config = self.0;
         let bad = |flag, what: &str| Err(Error::Setting { flag, what: what.into() });
-        if config.found && config.data.is_none() && config.seeds.is_empty() {
-            return bad("data", "a new cell of one process needs a data folder; name one");
+        let alone = config.seeds.is_empty();
+        if alone && config.data.is_none() {
+            return bad("data", "a cell of one process needs a data folder; name one, or seeds");
         }
         if config.callers.is_none() && config.control.is_none() {
             return bad("callers", "the process would serve nobody; name an address to listen on");
--- a/crates/daemon/src/cell/run.rs
+++ b/crates/daemon/src/cell/run.rs
@@ -173,7 +173,7 @@
     let info = NodeInfo {
         name: config.name.clone(),
         zone: config.zone.clone(),
-        peer: config.peer,
+        peer: config.peer_advertised(),
         control: config.control,
         replica: replica.as_ref().map(|replica: &Replica| replica.raft.id()),
         may_found: false,
--- /dev/null
+++ b/crates/operator/src/cell.rs
@@ -0,0 +1,138 @@
+//! Commands for job cells: jobs, change sets and waves.
+
+use crate::client::Client;
+use crate::command::{Output, read_text};
+use crate::error::{Error, Result};
+use serde_json::{Value, json};
+use yuccalink_transport::http::Method;
+
+/// What to ask a job cell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CellCommand {
+    /// Hand a job in.
+    JobSubmit {
+        /// Host and path of its queue, such as `duty.example/returns/`.
+        queue: Box<str>,
+        /// 16 hexadecimal digits; the same number is the same job.
+        id: Box<str>,
+        /// A file with the job; `-` is standard input.
+        file: Box<str>,
+    },
+    /// How far is a job?
+    JobGet {
+        /// Host and path of its queue.
+        queue: Box<str>,
+        /// Its number.
+        id: Box<str>,
+    },
+    /// Cancel a job.
+    JobCancel {
+        /// Host and path of its queue.
+        queue: Box<str>,
+        /// Its number.
+        id: Box<str>,
+    },
+    /// How many jobs of a queue have not begun?
+    JobPending {
+        /// Host and path of the queue.
+        queue: Box<str>,
+    },
+    /// Put a change set in force.
+    ChangeApply {
+        /// A file; `-` is standard input.
+        file: Box<str>,
+    },
+    /// Print the change set in force.
+    ChangeGet,
+    /// Take machines down for upkeep.
+    WaveStart {
+        /// The wave's number.
+        id: u64,
+        /// A file; `-` is standard input.
+        file: Box<str>,
+    },
+    /// How far is a wave?
+    WaveGet {
+        /// Its number.
+        id: u64,
+    },
+}
+
+/// Carries out a command.
+///
+/// # Errors
+/// [`Error::Unreachable`], or [`Error::Cell`] with what the cell says.
+pub async fn run(client: &Client, command: CellCommand) -> Result<Output> {
+    match command {
+        CellCommand::JobSubmit { queue, id, file } => {
+            let body = read_text(&file)?.into_bytes();
+            job(client, Method::POST, &queue, &id, body, "accepted").await
+        }
+        CellCommand::JobGet { queue, id } => {
+            job(client, Method::GET, &queue, &id, Vec::new(), "").await
+        }
+        CellCommand::JobCancel { queue, id } => {
+            job(client, Method::DELETE, &queue, &id, Vec::new(), "cancelled").await
+        }
+        CellCommand::JobPending { queue } => {
+            job(client, Method::GET, &queue, "", Vec::new(), "").await
+        }
+        CellCommand::ChangeApply { file } => {
+            let body = read_text(&file)?.into_bytes();
+            plain(client, Method::PUT, "/v1/change", body, "in force").await
+        }
+        CellCommand::ChangeGet => plain(client, Method::GET, "/v1/change", Vec::new(), "").await,
+        CellCommand::WaveStart { id, file } => {
+            let body = read_text(&file)?.into_bytes();
+            plain(client, Method::PUT, &format!("/v1/waves/{id}"), body, "ordered").await
+        }
+        CellCommand::WaveGet { id } => {
+            plain(client, Method::GET, &format!("/v1/waves/{id}"), Vec::new(), "").await
+        }
+    }
+}
+
+async fn job(
+    client: &Client,
+    method: Method,
+    queue: &str,
+    id: &str,
+    body: Vec<u8>,
+    done: &str,
+) -> Result<Output> {
+    let Some((host, path)) = queue.split_once('/') else {
+        let what = format!("`{queue}` is no queue: write HOST/PATH/");
+        return Err(Error::Usage(what.into()));
+    };
+    let slash = if path.is_empty() || path.ends_with('/') { "" } else { "/" };
+    let path = format!("/{path}{slash}{id}");
+    answer(client.cell(method, Some(host), &path, body).await?, done)
+}
+
+async fn plain(
+    client: &Client,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+    done: &str,
+) -> Result<Output> {
+    answer(client.cell(method, None, path, body).await?, done)
+}
+
+fn answer((status, body): (u16, Vec<u8>), done: &str) -> Result<Output> {
+    let text = String::from_utf8_lossy(&body).into_owned();
+    match status {
+        200 if body.is_empty() => {
+            Ok(Output { text: format!("{done}\n"), json: json!({ "result": done }) })
+        }
+        200 => {
+            let json: Value =
+                serde_json::from_slice(&body).map_err(|e| Error::Answer(e.to_string().into()))?;
+            Ok(Output { text: format!("{text}\n"), json })
+        }
+        404 => Err(Error::Cell("there is no such queue; check host and path".into())),
+        410 => Err(Error::Cell("there is no such job; check its number".into())),
+        429 => Err(Error::Cell("too much to do: the job was not taken; try later".into())),
+        _ => Err(Error::Cell(format!("the cell answers {status}: {text}").into())),
+    }
+}
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -14,7 +14,7 @@
 use yuccalink_protocol::request::IDEMPOTENCY_KEY;
 use yuccalink_state::id::TaskId;
 use yuccalink_transport::http::{Method, Request, header};
-use yuccalink_transport::pool::{Pool, PoolSettings};
+use yuccalink_transport::pool::{Answer, Pool, PoolSettings};
 
 /// Largest answer, in bytes.
 const ANSWER_MAX: usize = 64 * 1024 * 1024;
@@ -184,6 +184,56 @@
         self.call_bytes(call).await
     }
 
+    /// Sends a request to a job cell and returns its status and body. Every such
+    /// request may be sent again; a process that cannot answer now is passed over.
+    pub(crate) async fn cell(
+        &self,
+        method: Method,
+        host: Option<&str>,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(u16, Vec<u8>)> {
+        let deadline = Instant::now() + self.timeout;
+        let mut last: Box<str> = "none is set".into();
+        loop {
+            for server in &self.servers {
+                let sent = self.try_cell(*server, &method, host, path, &body, deadline).await;
+                match sent {
+                    Ok((503 | 504, _)) => last = "it cannot answer now".into(),
+                    Ok(answer) => return Ok(answer),
+                    Err(why) => last = why.into(),
+                }
+            }
+            if Instant::now() + PAUSE >= deadline {
+                let all: Vec<String> = self.servers.iter().map(ToString::to_string).collect();
+                return Err(Error::Unreachable { server: all.join(", ").into(), why: last });
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn try_cell(
+        &self,
+        server: SocketAddr,
+        method: &Method,
+        host: Option<&str>,
+        path: &str,
+        body: &[u8],
+        deadline: Instant,
+    ) -> std::result::Result<(u16, Vec<u8>), String> {
+        let own = server.to_string();
+        let req = Request::builder()
+            .method(method.clone())
+            .uri(path)
+            .header(header::HOST, host.unwrap_or(&own))
+            .header(header::CONTENT_TYPE, yuccalink_transport::reply::JSON)
+            .body(body.to_vec().into())
+            .map_err(|e| e.to_string())?;
+        let answer = self.pool.send(server, req, deadline).await.map_err(|e| e.to_string())?;
+        let status = answer.head.status.as_u16();
+        Ok((status, read_whole(answer, deadline).await?))
+    }
+
     async fn get<T>(&self, path: &str) -> Result<T>
     where
         T: DeserializeOwned,
@@ -257,13 +307,17 @@
             req = req.header(IDEMPOTENCY_KEY, key);
         }
         let req = req.body(call.body.clone().into()).map_err(|e| e.to_string())?;
-        let mut answer = self.pool.send(server, req, deadline).await.map_err(|e| e.to_string())?;
+        let answer = self.pool.send(server, req, deadline).await.map_err(|e| e.to_string())?;
         let ok = answer.head.status.is_success();
-        let whole = tokio::time::timeout_at(deadline, answer.whole(ANSWER_MAX)).await;
-        let body = whole
-            .map_err(|_| "the answer came too slowly".to_string())?
-            .map_err(|e| e.to_string())?
-            .ok_or("the answer is too large")?;
-        Ok((ok, body.to_vec()))
+        Ok((ok, read_whole(answer, deadline).await?))
     }
 }
+
+async fn read_whole(mut answer: Answer, deadline: Instant) -> std::result::Result<Vec<u8>, String> {
+    let whole = tokio::time::timeout_at(deadline, answer.whole(ANSWER_MAX)).await;
+    let body = whole
+        .map_err(|_| "the answer came too slowly".to_string())?
+        .map_err(|e| e.to_string())?
+        .ok_or("the answer is too large")?;
+    Ok(body.to_vec())
+}
--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -1,6 +1,7 @@
 //! What the program `yuccalink` does: each command takes a client and returns
 //! its output, as a value for `--json` and as text for people.
 
+use crate::cell::{self, CellCommand};
 use crate::client::Client;
 use crate::error::{Error, Result};
 use crate::render;
@@ -79,6 +80,8 @@
     Targets,
     /// List the last decisions.
     Decisions,
+    /// Ask a job cell.
+    Cell(CellCommand),
     /// Save the state of the system.
     SnapshotSave {
         /// Where to.
@@ -163,6 +166,7 @@
         Command::SnapshotRestore { file, data, name, address } => {
             saved::restore(&file, &data, &name, address)
         }
+        Command::Cell(command) => cell::run(client, command).await,
         Command::Decisions => {
             let all = client.decisions().await?;
             output(&all, render::decisions(&all))
@@ -254,18 +258,23 @@
 }
 
 fn read(file: &str) -> Result<(String, Document)> {
+    let text = read_text(file)?;
+    let document =
+        document::read(&text).map_err(|faults| Error::Document { path: file.into(), faults })?;
+    Ok((text, document))
+}
+
+/// A file, or standard input for `-`.
+pub(crate) fn read_text(file: &str) -> Result<String> {
     let fail = |source| Error::Read { path: file.into(), source };
-    let text = match file {
+    match file {
         "-" => {
             let mut text = String::new();
             io::stdin().read_to_string(&mut text).map_err(fail)?;
-            text
+            Ok(text)
         }
-        path => fs::read_to_string(Path::new(path)).map_err(fail)?,
-    };
-    let document =
-        document::read(&text).map_err(|faults| Error::Document { path: file.into(), faults })?;
-    Ok((text, document))
+        path => fs::read_to_string(Path::new(path)).map_err(fail),
+    }
 }
 
 /// Says on standard error what a command waits for.
--- a/crates/operator/src/completions.rs
+++ b/crates/operator/src/completions.rs
@@ -32,13 +32,16 @@
 }
 
 /// Commands, and what each does in a few words.
-pub const COMMANDS: [(&str, &str); 12] = [
+pub const COMMANDS: [(&str, &str); 15] = [
     ("check", "check documents without sending them"),
     ("apply", "put a document in force"),
     ("get", "print the document in force"),
     ("list", "list the documents in force"),
     ("diff", "compare a file with what is in force"),
     ("task", "submit, cancel, list and show tasks"),
+    ("job", "submit, get and cancel jobs of a job cell, count those pending"),
+    ("change", "apply or get the change set of a job cell"),
+    ("wave", "start or get a wave of upkeep of a job cell"),
     ("status", "show the state of the system"),
     ("targets", "list runners and workers"),
     ("decisions", "list the last decisions"),
@@ -49,7 +52,7 @@
 /// Commands below `task`.
 pub const TASK_COMMANDS: [&str; 4] = ["submit", "cancel", "list", "show"];
 /// Flags of any command.
-pub const FLAGS: [&str; 17] = [
+pub const FLAGS: [&str; 19] = [
     "--server",
     "--json",
     "--author",
@@ -67,6 +70,8 @@
     "--data",
     "--name",
     "--address",
+    "--queue",
+    "--id",
 ];
 
 /// The completions for a shell.
--- a/crates/operator/src/error.rs
+++ b/crates/operator/src/error.rs
@@ -31,6 +31,8 @@
         why: Box<str>,
     },
     /// {0}
+    Cell(Box<str>),
+    /// {0}
     Refused(Refused),
     /// the answer cannot be read: {0}; use the command of the daemon's release
     Answer(Box<str>),
@@ -96,6 +98,7 @@
             | Self::Write { .. }
             | Self::Refused(_)
             | Self::Answer(_)
+            | Self::Cell(_)
             | Self::Output(_) => 1,
         }
     }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operator's side as a library: [`Client`] talks to any daemon of the
 //! system, [`command`] holds what the program `yuccalink` does with it.
 
+pub mod cell;
 mod client;
 pub mod command;
 pub mod completions;
--- /dev/null
+++ b/crates/soak/examples/soak.rs
@@ -0,0 +1,68 @@
+//! Runs seeds by hand: `cargo run --release -p yuccalink-soak --example soak -- PROGRAM
+//! [--from SEED] [--seeds N] [--seconds N] [--nodes N] [--disks N] [--runners N]`.
+//! Folders of seeds that broke a promise are kept and named.
+
+use lexopt::{Arg, Parser, ValueExt};
+use std::process::ExitCode;
+use std::time::Duration;
+use yuccalink_soak::{Settings, run};
+
+fn main() -> ExitCode {
+    match soak() {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("soak: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn soak() -> Result<u64, Box<dyn std::error::Error>> {
+    let (mut from, mut seeds, mut seconds) = (1, 1, 20);
+    let (mut nodes, mut disks, mut runners) = (5, 3, 8);
+    let mut program = None;
+    let mut parser = Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("from") => from = parser.value()?.parse()?,
+            Arg::Long("seeds") => seeds = parser.value()?.parse()?,
+            Arg::Long("seconds") => seconds = parser.value()?.parse()?,
+            Arg::Long("nodes") => nodes = parser.value()?.parse()?,
+            Arg::Long("disks") => disks = parser.value()?.parse()?,
+            Arg::Long("runners") => runners = parser.value()?.parse()?,
+            Arg::Value(value) => program = Some(value.into()),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let program: std::path::PathBuf = program.ok_or("name the program yuccalinkd")?;
+    let mut red = 0;
+    for seed in from..from + seeds {
+        let folder = tempfile::tempdir()?;
+        let settings = Settings {
+            program: program.clone(),
+            folder: folder.path().into(),
+            seed,
+            nodes,
+            disks,
+            runners,
+            span: Duration::from_secs(seconds),
+        };
+        let report = run(&settings)?;
+        println!(
+            "seed {seed}: {} jobs accepted, {} completed, {} starts, {} faults, {} broken",
+            report.accepted,
+            report.completed,
+            report.starts,
+            report.faults,
+            report.broken.len()
+        );
+        if !report.broken.is_empty() {
+            red += 1;
+            println!("  kept in {}", folder.keep().display());
+            report.broken.iter().take(10).for_each(|what| println!("  {what}"));
+        }
+    }
+    println!("{} seeds, {red} red", seeds);
+    Ok(red)
+}
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,142 @@
+//! Callers and an operator, who send again whatever got no clear answer.
+
+use crate::watch::Watch;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+use yuccalink_coordination::jobs::JobState;
+use yuccalink_state::jobs::JobId;
+use yuccalink_transport::http::{Method, Request, header};
+use yuccalink_transport::pool::{Pool, PoolSettings};
+
+const HOST: &str = "soak.example";
+const ANSWER_MAX: Duration = Duration::from_secs(3);
+const BODY_MAX: usize = 4 * 1024 * 1024;
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// Who asks, and whom.
+pub(crate) struct Asker {
+    pool: Pool,
+    nodes: Vec<SocketAddr>,
+    next: usize,
+}
+
+impl Asker {
+    pub(crate) fn new(nodes: Vec<SocketAddr>, first: usize) -> Self {
+        Self { pool: Pool::new(PoolSettings::default()), nodes, next: first }
+    }
+
+    /// One try, at the next process.
+    async fn ask(&mut self, method: Method, path: &str, body: Vec<u8>) -> Option<(u16, Vec<u8>)> {
+        self.next += 1;
+        let to = self.nodes[self.next % self.nodes.len()];
+        let req = Request::builder().method(method).uri(path).header(header::HOST, HOST);
+        let req = req.body(body.into()).ok()?;
+        let deadline = Instant::now() + ANSWER_MAX;
+        let mut answer = self.pool.send(to, req, deadline).await.ok()?;
+        let status = answer.head.status.as_u16();
+        let whole = tokio::time::timeout_at(deadline, answer.whole(BODY_MAX)).await;
+        Some((status, whole.ok()?.ok()??.to_vec()))
+    }
+}
+
+/// Hands in a job every `gap` until the time is up.
+pub(crate) async fn submit(
+    mut asker: Asker,
+    watch: Rc<RefCell<Watch>>,
+    seed: u64,
+    gap: Duration,
+    until: Instant,
+) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    while Instant::now() < until {
+        let id = JobId(rng.random_range(1..u64::MAX));
+        let count: u16 = rng.random_range(1..6);
+        let step = json!({
+            "count": count,
+            "need": { "millicores": 1_000, "memory-mib": 100 },
+            "estimate-ms": 400,
+        });
+        let body = json!({ "payload": "work", "steps": [step] }).to_string().into_bytes();
+        loop {
+            let sent = asker.ask(Method::POST, &format!("/q/{id}"), body.clone()).await;
+            match sent {
+                Some((200, _)) => {
+                    watch.borrow_mut().accepted(id, count);
+                    break;
+                }
+                // Truly not taken, so that it need not be asked for either.
+                Some((429 | 404 | 400, _)) => break,
+                _ if Instant::now() > until => break,
+                _ => tokio::time::sleep(AGAIN).await,
+            }
+        }
+        tokio::time::sleep(gap).await;
+    }
+}
+
+/// Asks for the states of open jobs, over and over.
+pub(crate) async fn ask_states(mut asker: Asker, watch: Rc<RefCell<Watch>>) {
+    loop {
+        let open = watch.borrow().open();
+        for id in open {
+            let asked = Instant::now();
+            let answer = asker.ask(Method::GET, &format!("/q/{id}"), Vec::new()).await;
+            match answer {
+                Some((200, body)) => {
+                    let state = serde_json::from_slice::<Value>(&body)
+                        .ok()
+                        .and_then(|view| serde_json::from_value(view["state"].clone()).ok());
+                    if let Some(state) = state {
+                        watch.borrow_mut().told(id, asked, Some::<JobState>(state));
+                    }
+                }
+                Some((410, _)) => watch.borrow_mut().told(id, asked, None),
+                _ => {}
+            }
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+}
+
+/// Puts versions in force, each until it is acknowledged, and reads them back.
+pub(crate) async fn operate(mut asker: Asker, watch: Rc<RefCell<Watch>>, gap: Duration) {
+    let mut version = 0;
+    loop {
+        version += 1;
+        let change = json!({
+            "version": version,
+            "queues": [{
+                "name": "q", "host": HOST, "prefix": "/q/", "pool": "pool",
+                "timeout-ms": 3_000, "objective-ms": 1_000, "slack": 2.0, "attempts": 3,
+            }],
+            "pools": [{ "name": "pool" }],
+        });
+        let body = change.to_string().into_bytes();
+        loop {
+            let sent = asker.ask(Method::PUT, "/v1/change", body.clone()).await;
+            if matches!(sent, Some((200, _))) {
+                watch.borrow_mut().version = Some((version, Instant::now()));
+                break;
+            }
+            tokio::time::sleep(AGAIN).await;
+        }
+        let until = Instant::now() + gap;
+        while Instant::now() < until {
+            let asked = Instant::now();
+            let read = asker.ask(Method::GET, "/v1/change", Vec::new()).await;
+            if let Some((200, body)) = read
+                && let Ok(view) = serde_json::from_slice::<Value>(&body)
+                && let Some(told) = view["version"].as_u64()
+            {
+                watch.borrow_mut().in_force(told, asked);
+            }
+            tokio::time::sleep(AGAIN).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,208 @@
+//! One soak: traffic, faults, calm, and what it came to.
+
+use crate::callers::{self, Asker};
+use crate::plan::{Fault, Plan, Step};
+use crate::runners;
+use crate::system::System;
+use crate::watch::{Report, Watch};
+use std::cell::RefCell;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+/// How a soak is run.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The program `yuccalinkd`.
+    pub program: PathBuf,
+    /// Where state and logs go; kept by the caller where something was broken.
+    pub folder: PathBuf,
+    /// Decides the faults and the traffic.
+    pub seed: u64,
+    /// Processes of the cell.
+    pub nodes: usize,
+    /// Those of them with a disk.
+    pub disks: usize,
+    /// Emulated runners.
+    pub runners: usize,
+    /// How long faults come.
+    pub span: Duration,
+}
+
+/// Longest wait for the first version to be in force.
+const START_MAX: Duration = Duration::from_secs(30);
+/// Longest wait, after the last fault, for all jobs to be completed.
+const CALM_MAX: Duration = Duration::from_secs(40);
+/// Between two jobs of the caller, and between two versions of the operator.
+const JOB_GAP: Duration = Duration::from_millis(150);
+const CHANGE_GAP: Duration = Duration::from_millis(1_500);
+const POLL: Duration = Duration::from_millis(50);
+/// Longest time that a process may take to stop when asked.
+const STOP_MAX: Duration = Duration::from_secs(6);
+
+/// Runs one soak.
+///
+/// # Errors
+/// When processes cannot be started or files cannot be made.
+pub fn run(settings: &Settings) -> io::Result<Report> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, soak(settings))
+}
+
+async fn soak(settings: &Settings) -> io::Result<Report> {
+    let Settings { program, folder, seed, nodes, disks, .. } = settings;
+    let system = System::start(program, folder, *nodes, *disks).await?;
+    let watch = Rc::new(RefCell::new(Watch::default()));
+    let began = Instant::now();
+    let asker = |first| Asker::new(system.callers(), first);
+    let operator = Asker::new(system.control(), 0);
+    tokio::task::spawn_local(callers::operate(operator, watch.clone(), CHANGE_GAP));
+    for at in 0..settings.runners {
+        let control = system.control();
+        tokio::task::spawn_local(runners::run(at, control, watch.clone(), began));
+    }
+    while watch.borrow().version.is_none() {
+        if began.elapsed() > START_MAX {
+            watch.borrow_mut().report.broken.push("no version is ever acknowledged".into());
+            return Ok(watch.borrow().report.clone());
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    let until = Instant::now() + settings.span;
+    for at in 0..2 {
+        let traffic =
+            callers::submit(asker(at), watch.clone(), seed * 10 + at as u64, JOB_GAP, until);
+        tokio::task::spawn_local(traffic);
+    }
+    tokio::task::spawn_local(callers::ask_states(asker(2), watch.clone()));
+    let plan = Plan::draw(*seed, *nodes, *disks, settings.span);
+    let system = Rc::new(RefCell::new(system));
+    inject(&plan, &system, &watch).await;
+    tokio::time::sleep_until(until).await;
+    settle(&system, &watch).await;
+    Ok(watch.borrow().report.clone())
+}
+
+type SharedSystem = Rc<RefCell<System>>;
+type SharedWatch = Rc<RefCell<Watch>>;
+
+async fn inject(plan: &Plan, system: &SharedSystem, watch: &SharedWatch) {
+    let began = Instant::now();
+    for step in &plan.0 {
+        tokio::time::sleep_until(began + step.at).await;
+        let fallen = system.borrow_mut().fallen();
+        if !fallen.is_empty() {
+            watch.borrow_mut().report.broken.push(format!("{fallen:?} ended by themselves"));
+        }
+        watch.borrow_mut().report.faults += 1;
+        tokio::task::spawn_local(strike(*step, system.clone(), watch.clone()));
+    }
+}
+
+async fn strike(step: Step, system: SharedSystem, watch: SharedWatch) {
+    let Step { node, fault, .. } = step;
+    let mood = system.borrow().moods[node].clone();
+    let result = match fault {
+        Fault::Kill(down) => {
+            system.borrow_mut().kill(node);
+            tokio::time::sleep(down).await;
+            system.borrow_mut().launch(node, false)
+        }
+        Fault::Pause(span) => {
+            let paused = system.borrow().signal(node, "-STOP");
+            tokio::time::sleep(span).await;
+            paused.and(system.borrow().signal(node, "-CONT"))
+        }
+        Fault::Restart => restart(node, &system, &watch).await,
+        Fault::Wipe(down) => {
+            let wiped = system.borrow_mut().wipe(node);
+            tokio::time::sleep(down).await;
+            wiped.and_then(|()| system.borrow_mut().launch(node, false))
+        }
+        Fault::Delay(by, span) => {
+            mood.delay.set(by);
+            tokio::time::sleep(span).await;
+            mood.delay.set(Duration::ZERO);
+            Ok(())
+        }
+        Fault::Silence(span) => {
+            mood.silent.set(true);
+            tokio::time::sleep(span).await;
+            mood.silent.set(false);
+            Ok(())
+        }
+        Fault::OneWay(span) => {
+            mood.one_way.set(true);
+            tokio::time::sleep(span).await;
+            mood.one_way.set(false);
+            Ok(())
+        }
+        Fault::Reset => {
+            mood.resets.set(mood.resets.get() + 1);
+            Ok(())
+        }
+        Fault::KillDisks(down) => kill_disks(down, &system).await,
+    };
+    if let Err(error) = result {
+        watch.borrow_mut().report.broken.push(format!("the soak itself failed: {error}"));
+    }
+}
+
+async fn kill_disks(down: Duration, system: &SharedSystem) -> io::Result<()> {
+    let disks = system.borrow().disks();
+    for at in 0..disks {
+        system.borrow_mut().kill(at);
+    }
+    tokio::time::sleep(down).await;
+    for at in 0..disks {
+        system.borrow_mut().launch(at, false)?;
+    }
+    Ok(())
+}
+
+/// Asks a process to stop; it must do so in time and with success, unless another
+/// fault takes it meanwhile.
+async fn restart(node: usize, system: &SharedSystem, watch: &SharedWatch) -> io::Result<()> {
+    system.borrow().signal(node, "-TERM")?;
+    let until = Instant::now() + STOP_MAX;
+    loop {
+        let ended = system.borrow_mut().has_ended(node)?;
+        match ended {
+            Some(true) => break,
+            Some(false) => {
+                watch.borrow_mut().report.broken.push(format!("{node} stops with an error"));
+                break;
+            }
+            // It may stand still by another fault.
+            None if Instant::now() > until => {
+                system.borrow_mut().kill(node);
+                break;
+            }
+            None => tokio::time::sleep(POLL).await,
+        }
+    }
+    system.borrow_mut().launch(node, false)
+}
+
+/// Ends all faults and waits until every acknowledged job is completed.
+async fn settle(system: &SharedSystem, watch: &SharedWatch) {
+    let until = Instant::now() + CALM_MAX;
+    while Instant::now() < until && !watch.borrow().open().is_empty() {
+        tokio::time::sleep(POLL).await;
+        let down: Vec<usize> = {
+            let system = system.borrow();
+            (0..system.nodes()).filter(|at| system.is_down(*at)).collect()
+        };
+        for at in down {
+            let _ = system.borrow_mut().launch(at, false);
+        }
+    }
+    let open = watch.borrow().open();
+    if !open.is_empty() {
+        let what = format!("{} jobs were acknowledged and never completed: {open:?}", open.len());
+        watch.borrow_mut().report.broken.push(what);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/system.rs
@@ -0,0 +1,168 @@
+//! The processes of one cell.
+
+use crate::proxy::{self, Mood};
+use std::fs::OpenOptions;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+const CALLERS: u16 = 8_080;
+const CONTROL: u16 = 8_081;
+const PEER: u16 = 8_082;
+const PROXY: u16 = 8_083;
+const METRICS: u16 = 8_084;
+
+pub(crate) struct System {
+    program: PathBuf,
+    folder: PathBuf,
+    network: [u8; 2],
+    nodes: usize,
+    disks: usize,
+    children: Vec<Option<Child>>,
+    pub(crate) moods: Vec<Rc<Mood>>,
+}
+
+impl System {
+    pub(crate) async fn start(
+        program: &Path,
+        folder: &Path,
+        nodes: usize,
+        disks: usize,
+    ) -> io::Result<Self> {
+        let mut system = Self {
+            program: program.into(),
+            folder: folder.into(),
+            network: network(),
+            nodes,
+            disks,
+            children: (0..nodes).map(|_| None).collect(),
+            moods: (0..nodes).map(|_| Rc::default()).collect(),
+        };
+        for at in 0..nodes {
+            let mood = system.moods[at].clone();
+            proxy::serve(system.address(at, PROXY), system.address(at, PEER), mood).await?;
+        }
+        for at in 0..nodes {
+            system.launch(at, true)?;
+        }
+        Ok(system)
+    }
+
+    fn address(&self, at: usize, port: u16) -> SocketAddr {
+        let [a, b] = self.network;
+        let host = u8::try_from(at + 1).unwrap_or(u8::MAX);
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, a, b, host)), port)
+    }
+
+    pub(crate) fn callers(&self) -> Vec<SocketAddr> {
+        (0..self.nodes).map(|at| self.address(at, CALLERS)).collect()
+    }
+
+    pub(crate) fn control(&self) -> Vec<SocketAddr> {
+        (0..self.nodes).map(|at| self.address(at, CONTROL)).collect()
+    }
+
+    pub(crate) fn nodes(&self) -> usize {
+        self.nodes
+    }
+
+    pub(crate) fn disks(&self) -> usize {
+        self.disks
+    }
+
+    pub(crate) fn is_down(&self, at: usize) -> bool {
+        self.children[at].is_none()
+    }
+
+    /// Starts a process, with an empty disk where it has none.
+    pub(crate) fn launch(&mut self, at: usize, found: bool) -> io::Result<()> {
+        if self.children[at].is_some() {
+            return Ok(());
+        }
+        let seeds: Vec<String> =
+            (0..self.disks).map(|seed| self.address(seed, PROXY).to_string()).collect();
+        let log = self.folder.join(format!("e{at}.log"));
+        let log = OpenOptions::new().create(true).append(true).open(log)?;
+        let mut command = Command::new(&self.program);
+        command
+            .env_clear()
+            .arg("cell")
+            .args(["--name", &format!("e{at}"), "--zone", &format!("z{}", at % 3)])
+            .args(["--peer", &self.address(at, PEER).to_string()])
+            .args(["--peer-advertised", &self.address(at, PROXY).to_string()])
+            .args(["--callers", &self.address(at, CALLERS).to_string()])
+            .args(["--control", &self.address(at, CONTROL).to_string()])
+            .args(["--metrics", &self.address(at, METRICS).to_string()])
+            .args(["--seeds", &seeds.join(","), "--drain", "1s"])
+            .args(["--found", if found { "yes" } else { "no" }])
+            .stdin(Stdio::null())
+            .stdout(log);
+        if at < self.disks {
+            command.arg("--data").arg(self.data(at));
+        }
+        self.children[at] = Some(command.spawn()?);
+        Ok(())
+    }
+
+    fn data(&self, at: usize) -> PathBuf {
+        self.folder.join(format!("d{at}"))
+    }
+
+    pub(crate) fn wipe(&mut self, at: usize) -> io::Result<()> {
+        self.kill(at);
+        match std::fs::remove_dir_all(self.data(at)) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+            _ => Ok(()),
+        }
+    }
+
+    pub(crate) fn kill(&mut self, at: usize) {
+        if let Some(mut child) = self.children[at].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal to a process that this soak started.
+    pub(crate) fn signal(&self, at: usize, signal: &str) -> io::Result<()> {
+        let Some(child) = &self.children[at] else { return Ok(()) };
+        Command::new("kill").args([signal, &child.id().to_string()]).status().map(drop)
+    }
+
+    /// Whether a process that was asked to stop has; its exit code must be 0.
+    pub(crate) fn has_ended(&mut self, at: usize) -> io::Result<Option<bool>> {
+        let Some(child) = &mut self.children[at] else { return Ok(Some(true)) };
+        let Some(status) = child.try_wait()? else { return Ok(None) };
+        self.children[at] = None;
+        Ok(Some(status.success()))
+    }
+
+    /// Processes that have ended by themselves.
+    pub(crate) fn fallen(&mut self) -> Vec<usize> {
+        let ended = |child: &mut Option<Child>| {
+            child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+        };
+        let nodes = self.children.iter_mut().enumerate();
+        nodes.filter_map(|(at, child)| ended(child).then_some(at)).collect()
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        for at in 0..self.nodes {
+            let _ = self.signal(at, "-CONT");
+            self.kill(at);
+        }
+    }
+}
+
+/// Loopback addresses that no other soak of this machine uses, so that processes can
+/// be started again where they were.
+fn network() -> [u8; 2] {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = std::process::id().wrapping_mul(16) + NEXT.fetch_add(1, Ordering::Relaxed);
+    [((number >> 8) as u8 | 1).min(253), number as u8]
+}
--- /dev/null
+++ b/crates/soak/src/watch.rs
@@ -0,0 +1,147 @@
+//! What runners and callers saw, checked against the promises while it comes in.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tokio::time::Instant;
+use yuccalink_coordination::jobs::JobState;
+use yuccalink_fakes::emulator::Happened;
+use yuccalink_state::jobs::{How, JobId, TaskKey};
+
+/// Time after an acknowledgement from which everybody must know of it.
+const VISIBLE_AFTER: Duration = Duration::from_secs(3);
+
+/// What a soak came to.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Promises that were broken, in the order in which it showed.
+    pub broken: Vec<String>,
+    /// Jobs that were acknowledged.
+    pub accepted: usize,
+    /// Jobs that were seen completed.
+    pub completed: usize,
+    /// Runs that began.
+    pub starts: usize,
+    /// Faults that were injected.
+    pub faults: usize,
+}
+
+#[derive(Default)]
+struct Task {
+    running: BTreeSet<usize>,
+    done: bool,
+    noted: bool,
+    runs: BTreeSet<u32>,
+}
+
+/// One runner's listed ends that are not noted yet.
+type Listed = BTreeMap<u64, (TaskKey, How)>;
+
+#[derive(Default)]
+pub(crate) struct Watch {
+    pub(crate) report: Report,
+    tasks: BTreeMap<TaskKey, Task>,
+    listed: BTreeMap<usize, Listed>,
+    counts: BTreeMap<usize, u64>,
+    accepted: BTreeMap<JobId, (Instant, u16)>,
+    pub(crate) completed: BTreeSet<JobId>,
+    pub(crate) version: Option<(u64, Instant)>,
+}
+
+impl Watch {
+    fn broken(&mut self, what: String) {
+        self.report.broken.push(what);
+    }
+
+    pub(crate) fn accepted(&mut self, id: JobId, tasks: u16) {
+        self.accepted.entry(id).or_insert((Instant::now(), tasks));
+        self.report.accepted = self.accepted.len();
+    }
+
+    pub(crate) fn open(&self) -> Vec<JobId> {
+        self.accepted.keys().filter(|id| !self.completed.contains(id)).copied().collect()
+    }
+
+    /// A caller asked at `asked` and was told a job's state, or that there is none.
+    pub(crate) fn told(&mut self, id: JobId, asked: Instant, state: Option<JobState>) {
+        let Some((at, tasks)) = self.accepted.get(&id).copied() else { return };
+        match state {
+            None if asked.duration_since(at) > VISIBLE_AFTER => {
+                self.broken(format!("{id} was acknowledged and is not known"));
+            }
+            Some(JobState::Completed) => {
+                let key = |index| TaskKey { job: id, occurrence: 0, step: 0, index };
+                let missing = (0..tasks).find(|i| self.tasks.get(&key(*i)).is_none_or(|t| !t.done));
+                if let Some(index) = missing {
+                    self.broken(format!("{id} is completed and its task {index} is not done"));
+                }
+                self.completed.insert(id);
+                self.report.completed = self.completed.len();
+            }
+            Some(JobState::Failed | JobState::Cancelled) => {
+                self.broken(format!("{id} is {state:?} and nobody failed or cancelled it"));
+            }
+            _ => {}
+        }
+    }
+
+    /// An operator asked at `asked` and was told that this version is in force.
+    pub(crate) fn in_force(&mut self, version: u64, asked: Instant) {
+        if let Some((acknowledged, at)) = self.version
+            && version < acknowledged
+            && asked > at
+        {
+            self.broken(format!("version {version} is told after {acknowledged} was acknowledged"));
+        }
+    }
+
+    /// What happened on a runner.
+    pub(crate) fn happened(&mut self, runner: usize, events: Vec<Happened>) {
+        for event in events {
+            match event {
+                Happened::Started { task, run, .. } => self.started(runner, task, run),
+                Happened::Ended { task, how, .. } => self.ended(runner, task, how),
+                Happened::Noted(upto) => self.noted(runner, upto),
+                Happened::Lapsed(_) => {
+                    self.listed.remove(&runner);
+                }
+            }
+        }
+    }
+
+    fn started(&mut self, runner: usize, key: TaskKey, run: u32) {
+        self.report.starts += 1;
+        let task = self.tasks.entry(key).or_default();
+        let elsewhere = !task.running.is_empty();
+        let again = !task.runs.insert(run);
+        let noted = task.noted;
+        task.running.insert(runner);
+        if elsewhere {
+            self.broken(format!("{key} run {run} starts while it runs elsewhere"));
+        }
+        if again {
+            self.broken(format!("{key} run {run} starts twice"));
+        }
+        if noted {
+            self.broken(format!("{key} run {run} starts after its end was noted"));
+        }
+    }
+
+    fn ended(&mut self, runner: usize, key: TaskKey, how: How) {
+        let task = self.tasks.entry(key).or_default();
+        task.running.remove(&runner);
+        task.done |= how == How::Done;
+        let count = self.counts.entry(runner).or_default();
+        *count += 1;
+        self.listed.entry(runner).or_default().insert(*count, (key, how));
+    }
+
+    fn noted(&mut self, runner: usize, upto: u64) {
+        let Some(listed) = self.listed.get_mut(&runner) else { return };
+        let rest = listed.split_off(&(upto + 1));
+        for (key, how) in std::mem::replace(listed, rest).into_values() {
+            if how == How::Done {
+                self.tasks.entry(key).or_default().noted = true;
+            }
+        }
+    }
+}
--- a/crates/yuccalink/src/args.rs
+++ b/crates/yuccalink/src/args.rs
@@ -3,12 +3,14 @@
 use lexopt::{Arg, Parser, ValueExt};
 use std::net::SocketAddr;
 use std::time::Duration;
+use yuccalink_operator::cell::CellCommand;
 use yuccalink_operator::command::Command;
 use yuccalink_operator::completions::{COMMANDS, Shell};
 use yuccalink_operator::{Error, Result};
 use yuccalink_protocol::api::SubmitTasks;
 use yuccalink_protocol::units;
 use yuccalink_state::id::{BadTaskId, Name, TaskId};
+use yuccalink_state::jobs::JobId;
 
 /// What the command line asks for.
 #[derive(Debug)]
@@ -48,6 +50,8 @@
     data: Option<Box<str>>,
     name: Option<Box<str>>,
     address: Option<Box<str>>,
+    queue: Option<Box<str>>,
+    id: Option<Box<str>>,
 }
 
 fn usage(what: impl Into<Box<str>>) -> Error {
@@ -78,6 +82,15 @@
         ["list"] => Command::List,
         ["diff", file] => Command::Diff { file: (*file).into() },
         ["task", rest @ ..] => task(rest, &given)?,
+        ["job", rest @ ..] => Command::Cell(job(rest, &given)?),
+        ["change", "apply", file] => {
+            Command::Cell(CellCommand::ChangeApply { file: (*file).into() })
+        }
+        ["change", "get"] => Command::Cell(CellCommand::ChangeGet),
+        ["wave", "start", id, file] => {
+            Command::Cell(CellCommand::WaveStart { id: wave(id)?, file: (*file).into() })
+        }
+        ["wave", "get", id] => Command::Cell(CellCommand::WaveGet { id: wave(id)? }),
         ["snapshot", rest @ ..] => snapshot(rest, &given)?,
         ["status"] => Command::Status,
         ["targets"] => Command::Targets,
@@ -133,6 +146,28 @@
     }
 }
 
+fn job(words: &[&str], given: &Given) -> Result<CellCommand> {
+    let queue = given.queue.clone().ok_or_else(|| usage("a job needs --queue HOST/PATH/"))?;
+    let id = |word: &str| {
+        let wrong = || usage(format!("`{word}` is no job's number: write 16 of 0-9 and a-f"));
+        JobId::parse(word).map(|id| id.to_string().into()).ok_or_else(wrong)
+    };
+    match words {
+        ["submit", file] => {
+            let given = given.id.as_deref().ok_or_else(|| usage("job submit needs --id"))?;
+            Ok(CellCommand::JobSubmit { queue, id: id(given)?, file: (*file).into() })
+        }
+        ["get", job] => Ok(CellCommand::JobGet { queue, id: id(job)? }),
+        ["cancel", job] => Ok(CellCommand::JobCancel { queue, id: id(job)? }),
+        ["pending"] => Ok(CellCommand::JobPending { queue }),
+        _ => Err(usage("write job submit FILE, job get JOB, job cancel JOB or job pending")),
+    }
+}
+
+fn wave(text: &str) -> Result<u64> {
+    text.parse().map_err(|_| usage(format!("`{text}` is no wave's number")))
+}
+
 fn query(given: &Given) -> Result<Box<str>> {
     let mut parts = Vec::new();
     if let Some(service) = &given.service {
@@ -194,6 +229,8 @@
             Arg::Long("data") => given.data = Some(text(&mut parser)?),
             Arg::Long("name") => given.name = Some(text(&mut parser)?),
             Arg::Long("address") => given.address = Some(text(&mut parser)?),
+            Arg::Long("queue") => given.queue = Some(text(&mut parser)?),
+            Arg::Long("id") => given.id = Some(text(&mut parser)?),
             Arg::Long("limit") => given.limit = Some(number(&mut parser)?),
             other => return Err(bad(other.unexpected())),
         }
@@ -282,6 +319,17 @@
   task show TASK [--wait]
   A submission sent again with the same --key gets the same answer and adds nothing.
 
+Job cells (--server names callers' ports for jobs, runners' and operators' for the rest):
+  job submit FILE --queue HOST/PATH/ --id JOB
+                            hand a job in; the same number is the same job
+  job get JOB --queue HOST/PATH/
+  job cancel JOB --queue HOST/PATH/
+  job pending --queue HOST/PATH/
+  change apply FILE         put queues and pools in force, whole or not at all
+  change get                print what is in force
+  wave start N FILE         take machines down for upkeep, a few at a time
+  wave get N                whether all are up again
+
 The system:
   status                    who leads, which revision each entry has in force
   targets                   runners and workers, their health and their owners
--- /dev/null
+++ b/crates/yuccalink/tests/cell.rs
@@ -0,0 +1,120 @@
+//! The operator's commands against a job cell of one process.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+use tempfile::TempDir;
+
+struct Cell {
+    child: Child,
+    folder: TempDir,
+    callers: SocketAddr,
+    control: SocketAddr,
+}
+
+/// The daemon beside this test's program; the workspace's tests build it.
+fn daemon() -> PathBuf {
+    let mut path = std::env::current_exe().expect("this test's path");
+    path.pop();
+    path.pop();
+    path.push("yuccalinkd");
+    assert!(path.exists(), "{} is missing; run `cargo build --bins` first", path.display());
+    path
+}
+
+impl Cell {
+    /// On a loopback address of its own, so that fixed ports are free.
+    fn start() -> Self {
+        let number = std::process::id();
+        let host = Ipv4Addr::new(127, (number >> 8) as u8 | 1, number as u8, 77);
+        let at = |port| SocketAddr::new(IpAddr::V4(host), port);
+        let folder = tempfile::tempdir().expect("a folder");
+        let child = Command::new(daemon())
+            .args(["cell", "--name", "e1", "--found", "yes", "--data"])
+            .arg(folder.path().join("data"))
+            .args(["--peer", &at(8_082).to_string()])
+            .args(["--callers", &at(8_080).to_string()])
+            .args(["--control", &at(8_081).to_string()])
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the daemon");
+        Self { child, folder, callers: at(8_080), control: at(8_081) }
+    }
+
+    fn run(&self, to: SocketAddr, words: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_yuccalink"))
+            .args(["--server", &to.to_string(), "--timeout", "10s"])
+            .args(words)
+            .output()
+            .expect("the command")
+    }
+
+    fn good(&self, to: SocketAddr, words: &[&str]) -> String {
+        let output = self.run(to, words);
+        let shown = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{words:?}: {shown}");
+        String::from_utf8_lossy(&output.stdout).trim().into()
+    }
+
+    fn bad(&self, to: SocketAddr, words: &[&str]) -> (Option<i32>, String) {
+        let output = self.run(to, words);
+        assert!(!output.status.success(), "{words:?}");
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into())
+    }
+
+    fn file(&self, name: &str, text: &str) -> String {
+        let path = self.folder.path().join(name);
+        std::fs::write(&path, text).expect("written");
+        path.display().to_string()
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+const CHANGE: &str = r#"{"version":3,"queues":[{"name":"q","host":"duty.example",
+    "prefix":"/returns/","pool":"p","timeout-ms":3000,"attempts":2}],"pools":[{"name":"p"}]}"#;
+const JOB: &str = r#"{"payload":"text","steps":[{"count":2,
+    "need":{"millicores":500,"memory-mib":64},"estimate-ms":900}]}"#;
+const QUEUE: [&str; 2] = ["--queue", "duty.example/returns/"];
+const ID: &str = "5c0e7a21d94b36f8";
+
+#[test]
+fn a_job_is_handed_in_looked_at_and_cancelled() {
+    let cell = Cell::start();
+    let change = cell.file("change.json", CHANGE);
+    let job = cell.file("job.json", JOB);
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(cell.good(cell.control, &["change", "apply", &change]), "in force");
+    assert_eq!(cell.good(cell.control, &["change", "get"]), CHANGE);
+    let submit = ["job", "submit", &job, "--id", ID, QUEUE[0], QUEUE[1]];
+    assert_eq!(cell.good(cell.callers, &submit), "accepted");
+    assert_eq!(cell.good(cell.callers, &submit), "accepted", "the same number again");
+    let get = ["job", "get", ID, QUEUE[0], QUEUE[1]];
+    assert_eq!(cell.good(cell.callers, &get), r#"{"state":"queued"}"#);
+    let pending = ["job", "pending", QUEUE[0], QUEUE[1]];
+    assert_eq!(cell.good(cell.callers, &pending), r#"{"pending":1}"#);
+    let cancel = ["job", "cancel", ID, QUEUE[0], QUEUE[1]];
+    assert_eq!(cell.good(cell.callers, &cancel), "cancelled");
+    assert_eq!(cell.good(cell.callers, &get), r#"{"state":"cancelled"}"#);
+
+    let (code, told) =
+        cell.bad(cell.callers, &["job", "get", "00000000000000aa", QUEUE[0], QUEUE[1]]);
+    assert_eq!(code, Some(1));
+    assert!(told.contains("no such job"), "{told}");
+    let (_, told) = cell.bad(cell.callers, &["job", "get", ID, "--queue", "other.example/"]);
+    assert!(told.contains("no such queue"), "{told}");
+    let (code, told) = cell.bad(cell.callers, &["job", "get", "7", QUEUE[0], QUEUE[1]]);
+    assert_eq!(code, Some(2));
+    assert!(told.contains("16 of 0-9 and a-f"), "{told}");
+    let broken = cell.file("broken.json", &CHANGE.replace("\"pool\":\"p\"", "\"pool\":\"x\""));
+    let newer = std::fs::read_to_string(&broken).expect("read").replace(":3,", ":4,");
+    let broken = cell.file("broken.json", &newer);
+    let (_, told) = cell.bad(cell.control, &["change", "apply", &broken]);
+    assert!(told.contains("names pool x, which is not among the pools"), "{told}");
+}
--- a/crates/yuccalinkd/src/app.rs
+++ b/crates/yuccalinkd/src/app.rs
@@ -1,17 +1,22 @@
 //! Turns settings into a running daemon and signals into its stop.
 
 use crate::args::{self, Asked, Bad};
+use crate::cell;
 use std::io::{self, Write};
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
+use yuccalink_daemon::cell::Native;
 use yuccalink_daemon::{Config, Daemon};
 
+const VERSION: &str = concat!("yuccalinkd ", env!("CARGO_PKG_VERSION"), "\n");
 /// How often the disk's state is looked at.
 const LOOK: Duration = Duration::from_millis(100);
 
 /// Word that runs the process under the platform's settings.
 const PLATFORM: &str = "platform";
+/// Word that runs one process of a job cell by flags.
+const CELL: &str = "cell";
 
 /// Why the program ends with an error.
 #[derive(Debug, displaydoc::Display)]
@@ -41,14 +46,17 @@
 }
 
 pub(crate) fn run() -> Result<(), Failure> {
-    if std::env::args_os().nth(1).is_some_and(|word| word == PLATFORM) {
-        return on_platform();
+    let word = std::env::args_os().nth(1);
+    match word.as_deref().and_then(|word| word.to_str()) {
+        Some(PLATFORM) => return on_platform(),
+        Some(CELL) => return in_cell(),
+        _ => {}
     }
     let parser = lexopt::Parser::from_env();
     match args::read(parser, |name| std::env::var_os(name)).map_err(Failure::Settings)? {
         Asked::ShortHelp => print(&args::help(false)),
         Asked::LongHelp => print(&args::help(true)),
-        Asked::Version => print(concat!("yuccalinkd ", env!("CARGO_PKG_VERSION"), "\n")),
+        Asked::Version => print(VERSION),
         Asked::Run(config) => serve(config.build().map_err(Failure::Daemon)?),
     }
 }
@@ -61,6 +69,24 @@
     result
 }
 
+/// Runs a process of a cell as its flags say.
+fn in_cell() -> Result<(), Failure> {
+    let parser = lexopt::Parser::from_args(std::env::args_os().skip(2));
+    let builder = match cell::read(parser, |name| std::env::var_os(name)) {
+        Ok(Asked::ShortHelp) => return print(&cell::help(false)),
+        Ok(Asked::LongHelp) => return print(&cell::help(true)),
+        Ok(Asked::Version) => return print(VERSION),
+        Ok(Asked::Run(builder)) => *builder,
+        Err(bad) => return Err(Failure::Settings(bad)),
+    };
+    let config = builder.build().map_err(Failure::Daemon)?;
+    start_logging()?;
+    let flags = Box::new(cell::Flags(config.seeds().to_vec()));
+    let result = yuccalink_daemon::cell::run(config, Box::new(Native), flags);
+    yuccalink_daemon::finish_logging();
+    result.map_err(Failure::Daemon)
+}
+
 fn start_logging() -> Result<(), Failure> {
     let lines = yuccalink_daemon::start_logging().map_err(Failure::Start)?;
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
--- a/crates/yuccalinkd/src/args.rs
+++ b/crates/yuccalinkd/src/args.rs
@@ -31,9 +31,9 @@
 
 /// What the command line asks for.
 #[derive(Debug)]
-pub(crate) enum Asked {
+pub(crate) enum Asked<B = ConfigBuilder> {
     /// Run with these settings.
-    Run(Box<ConfigBuilder>),
+    Run(Box<B>),
     /// Print the short help.
     ShortHelp,
     /// Print the long help.
@@ -42,15 +42,15 @@
     Version,
 }
 
-type Set = fn(ConfigBuilder, &str) -> Result<ConfigBuilder, String>;
+type Set<B> = fn(B, &str) -> Result<B, String>;
 
 /// One setting: `--flag` and `YUCCALINK_FLAG`.
-pub(crate) struct Setting {
-    flag: &'static str,
-    value: &'static str,
-    short: &'static str,
-    long: &'static str,
-    set: Set,
+pub(crate) struct Setting<B = ConfigBuilder> {
+    pub(crate) flag: &'static str,
+    pub(crate) value: &'static str,
+    pub(crate) short: &'static str,
+    pub(crate) long: &'static str,
+    pub(crate) set: Set<B>,
 }
 
 /// All settings, in the order of the help.
@@ -194,21 +194,33 @@
 
 /// Reads the environment, then the command line, which goes first.
 pub(crate) fn read<E>(parser: Parser, environment: E) -> Result<Asked, Bad>
+where
+    E: Fn(&str) -> Option<OsString>,
+{
+    read_all(parser, environment, &SETTINGS, Config::builder())
+}
+
+/// The same for any table of settings.
+pub(crate) fn read_all<B, E>(
+    parser: Parser,
+    environment: E,
+    settings: &[Setting<B>],
+    mut config: B,
+) -> Result<Asked<B>, Bad>
 where
     E: Fn(&str) -> Option<OsString>,
 {
     let mut given: BTreeMap<&'static str, (Box<str>, OsString)> = BTreeMap::new();
-    for setting in &SETTINGS {
+    for setting in settings {
         let variable = variable(setting.flag);
         if let Some(value) = environment(&variable) {
             given.insert(setting.flag, (variable.into(), value));
         }
     }
-    if let Some(other) = flags(parser, &mut given)? {
+    if let Some(other) = flags(parser, settings, &mut given)? {
         return Ok(other);
     }
-    let mut config = Config::builder();
-    for setting in &SETTINGS {
+    for setting in settings {
         let Some((from, value)) = given.remove(setting.flag) else { continue };
         let text = value.to_str().ok_or_else(|| Bad::NotText(from.clone()))?;
         config = (setting.set)(config, text).map_err(|why| Bad::Value {
@@ -220,17 +232,18 @@
     Ok(Asked::Run(Box::new(config)))
 }
 
-fn flags(
+fn flags<B>(
     mut parser: Parser,
+    settings: &[Setting<B>],
     given: &mut BTreeMap<&'static str, (Box<str>, OsString)>,
-) -> Result<Option<Asked>, Bad> {
+) -> Result<Option<Asked<B>>, Bad> {
     while let Some(arg) = parser.next().map_err(Bad::Usage)? {
         match arg {
             Arg::Short('h') => return Ok(Some(Asked::ShortHelp)),
             Arg::Long("help") => return Ok(Some(Asked::LongHelp)),
             Arg::Short('V') | Arg::Long("version") => return Ok(Some(Asked::Version)),
             Arg::Long(name) => {
-                let setting = SETTINGS.iter().find(|setting| setting.flag == name);
+                let setting = settings.iter().find(|setting| setting.flag == name);
                 let Some(setting) = setting else {
                     return Err(Bad::Usage(Arg::Long(name).unexpected()));
                 };
@@ -247,15 +260,15 @@
     format!("YUCCALINK_{}", flag.to_uppercase().replace('-', "_"))
 }
 
-fn address(text: &str) -> Result<SocketAddr, String> {
+pub(crate) fn address(text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| "write IP:PORT, such as 127.0.0.1:8080".into())
 }
 
-fn number(text: &str) -> Result<usize, String> {
+pub(crate) fn number(text: &str) -> Result<usize, String> {
     OsString::from(text).parse().map_err(|_| "write a whole number".into())
 }
 
-fn time(text: &str) -> Result<Duration, String> {
+pub(crate) fn time(text: &str) -> Result<Duration, String> {
     units::millis(text).map(Duration::from_millis).map_err(|bad| bad.to_string())
 }
 
@@ -277,13 +290,26 @@
 
 /// The help: a line a setting, or with `long` a paragraph each.
 pub(crate) fn help(long: bool) -> String {
-    let mut out = String::from(
-        "yuccalinkd - takes callers' requests, hears targets' announcements and keeps the state\n\n\
-         Usage: yuccalinkd [--FLAG VALUE]...\n\n\
-         Every flag can also be set as a variable: --drain-delay as YUCCALINK_DRAIN_DELAY.\n\
-         A flag goes before its variable. With no --voters the daemon runs alone.\n\nFlags:\n",
-    );
-    for setting in &SETTINGS {
+    let head = "yuccalinkd - takes callers' requests, hears targets' announcements and keeps the state\n\n\
+         Usage: yuccalinkd [--FLAG VALUE]...\n       yuccalinkd cell [--FLAG VALUE]...\n       \
+         yuccalinkd platform\n\n\
+         `yuccalinkd cell --help` tells of job cells. Under `platform` the users' platform sets\n\
+         everything. Every flag can also be set as a variable: --drain-delay as\n\
+         YUCCALINK_DRAIN_DELAY. A flag goes before its variable. With no --voters the daemon\n\
+         runs alone.\n\nFlags:\n";
+    let tail = "\nLog lines go to standard output; RUST_LOG filters them, such as\n\
+         RUST_LOG=info,yuccalink::decision=off.\n\n\
+         SIGTERM and SIGINT stop it gracefully: the health check turns red, requests are\n\
+         served for --drain-delay more, those in flight are finished, and it exits with 0.\n\n\
+         Exit codes: 0 stopped as asked, 1 failed while running, 2 wrong settings,\n\
+         3 the state on the disk cannot be used.\n";
+    help_of(&SETTINGS, head, if long { tail } else { "" }, long)
+}
+
+/// The help of any table of settings.
+pub(crate) fn help_of<B>(settings: &[Setting<B>], head: &str, tail: &str, long: bool) -> String {
+    let mut out = String::from(head);
+    for setting in settings {
         let head = format!("--{} {}", setting.flag, setting.value);
         out.push_str(&format!("  {head:<32} {}\n", setting.short));
         if long {
@@ -292,15 +318,6 @@
     }
     out.push_str("  -h, --help                       short help, long help\n");
     out.push_str("  -V, --version                    the version\n");
-    if long {
-        out.push_str(
-            "\nLog lines go to standard output; RUST_LOG filters them, such as\n\
-             RUST_LOG=info,yuccalink::decision=off.\n\n\
-             SIGTERM and SIGINT stop it gracefully: the health check turns red, requests are\n\
-             served for --drain-delay more, those in flight are finished, and it exits with 0.\n\n\
-             Exit codes: 0 stopped as asked, 1 failed while running, 2 wrong settings,\n\
-             3 the state on the disk cannot be used.\n",
-        );
-    }
+    out.push_str(tail);
     out
 }
--- a/crates/yuccalinkd/src/main.rs
+++ b/crates/yuccalinkd/src/main.rs
@@ -2,6 +2,7 @@
 
 mod app;
 mod args;
+mod cell;
 
 use std::process::ExitCode;
 
