Short work goes before work that lasts

Change: steps on processors of their own that can still be prompt come first. Ruled out: keeping room free for short work: a long-running task that waits beside room for two breaks a rule.

--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -28,11 +28,22 @@
     pub(super) step: u16,
 }
 
+/// Whose turn it is when room comes free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Turn {
+    /// Short work on processors of its own that can still be prompt: it gives the
+    /// room back within a second, where a task that lasts keeps it for minutes.
+    Short,
+    /// Tasks that last.
+    Lasting,
+    /// All others.
+    Other,
+}
+
 /// Where a step stands in the order; smaller comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
-    /// Tasks that serve users earn while they run, so they never wait.
-    batch: bool,
+    turn: Turn,
     lateness: Lateness,
     priority: u32,
     /// Worth for each core-second left, below nothing so that more comes first.
@@ -253,7 +264,7 @@
 
     fn rank(&self, jobs: &Jobs, key: GroupKey, now: Moment, since: Moment) -> Rank {
         let last = Rank {
-            batch: true,
+            turn: Turn::Other,
             lateness: Lateness::Overdue,
             priority: u32::MAX,
             density: 0,
@@ -267,13 +278,16 @@
         if step.long_running {
             // The largest first, so that the small ones fill what is left.
             let density = -i64::try_from(step.need.millicores).unwrap_or(i64::MAX);
-            return Rank { batch: false, lateness: Lateness::Prompt, priority, density, since };
+            let turn = Turn::Lasting;
+            return Rank { turn, lateness: Lateness::Prompt, priority, density, since };
         }
         let mean = self.means.get(&job.queue).copied().unwrap_or(0.0);
         let density = meta.shape.density(meta.shape.work_left(job), mean);
+        let lateness = meta.lateness(key.step, now);
+        let short = lateness == Lateness::Prompt && !step.opportunistic;
         Rank {
-            batch: true,
-            lateness: meta.lateness(key.step, now),
+            turn: if short { Turn::Short } else { Turn::Other },
+            lateness,
             priority,
             density: -((density * DENSITY_SCALE) as i64),
             since,
