--- a/crates/coordination/src/jobs/neighbours.rs
+++ b/crates/coordination/src/jobs/neighbours.rs
@@ -15,8 +15,8 @@
 /// Age from which a task's figure, of the last half second, is all its own.
 const SETTLED_AFTER: Duration = Duration::from_millis(800);
 /// Margin that every serving task must keep, as expected, beside one more filling
-/// task: a quarter above its bound, since its own load may grow before the next figure.
-const MARGIN_MIN: f64 = 1.25;
+/// task: a tenth above its bound, since its own load may grow before the next figure.
+const MARGIN_MIN: f64 = 1.1;
 /// Margin of a serving task that has told no figure yet: as at half load.
 const MARGIN_UNSEEN: f64 = 3.0;
 
