--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -16,9 +16,11 @@
 mod pace;
 mod place;
 mod ready;
+mod report;
 mod routes;
 pub mod runner;
 mod waves;
 
 pub use ask::{Answer, Ask, Finished, JobState, Orders, Report, RunnerState, Running, StartOrder};
 pub use leader::{Leader, LeaderConfig, Now, Token};
+pub use report::Counts;
--- a/crates/coordination/src/jobs/asks.rs
+++ b/crates/coordination/src/jobs/asks.rs
@@ -81,7 +81,7 @@
         if let Err(bad) = spec.check() {
             return Some(Answer::Invalid(bad.to_string().into()));
         }
-        if let Some(after_ms) = self.refuse(now, queue, spec) {
+        if let Some(after_ms) = self.refuse() {
             log::info!("job={id} queue={} refused after-ms={after_ms}", queue.name);
             self.counts.refused += 1;
             return Some(Answer::Refused { after_ms });
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -3,9 +3,9 @@
 use super::advice::Advice;
 use super::ask::{Answer, Ask, Orders, Report};
 use super::interference::Interference;
-use super::neighbours::Neighbours;
 use super::outside::{Call, CallId, Told};
 use super::ready::{GroupKey, Ready};
+use super::report::Counts;
 use super::routes::Routes;
 use super::runner::{Runner, lease_surely_ended_after};
 use super::waves::Waves;
@@ -88,17 +88,6 @@
     pub(super) answered: bool,
 }
 
-/// How full the runners are.
-#[derive(Default)]
-struct Load {
-    serving: usize,
-    mixed: usize,
-    paced: usize,
-    runs: usize,
-    filling: f64,
-    free: u64,
-}
-
 /// Leads one job cell while its replica leads the log.
 pub struct Leader {
     pub(super) cfg: LeaderConfig,
@@ -135,27 +124,6 @@
     pub(super) counts: Counts,
 }
 
-/// What happened since the leader began, for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Jobs accepted.
-    pub accepted: u64,
-    /// Jobs refused.
-    pub refused: u64,
-    /// Runs ordered.
-    pub starts: u64,
-    /// Runs that were done.
-    pub done: u64,
-    /// Runs that failed.
-    pub failed: u64,
-    /// Runs stopped because they stood still.
-    pub standing: u64,
-    /// Runs given up because their lease ended or their runner's life was over.
-    pub lost: u64,
-    /// Reports of runners.
-    pub heartbeats: u64,
-}
-
 impl Leader {
     /// Takes over `jobs` in `term`, all earlier commands applied.
     ///
@@ -407,39 +375,6 @@
         }
     }
 
-    /// One line on how full the cell is.
-    fn log_load(&self) {
-        let mut load = Load::default();
-        for runner in self.runners.values() {
-            let beside = Neighbours::of(runner, &self.jobs, &self.ready);
-            load.mixed += usize::from(beside.serving.len() > 1);
-            load.serving += usize::from(!beside.serving.is_empty());
-            load.paced += usize::from(runner.paces.values().any(|pace| *pace < 100));
-            load.filling += beside.filling.iter().map(|fill| fill.share).sum::<f64>();
-            load.runs += runner.running.len();
-            load.free += runner.free.millicores;
-        }
-        log::info!(
-            "load runners={} serving={} mixed={} paced={} runs={} filling-runners={:.1} \
-             free-cores={} waiting-steps={} waiting-tasks={}",
-            self.runners.len(),
-            load.serving,
-            load.mixed,
-            load.paced,
-            load.runs,
-            load.filling,
-            load.free / 1000,
-            self.ready.len(),
-            self.ready.waiting_tasks(&self.jobs)
-        );
-    }
-
-    fn log_accepted(&self, id: JobId) {
-        let Some(job) = self.jobs.job(id) else { return };
-        let steps: Vec<Box<str>> = job.spec.steps.iter().map(shown_step).collect();
-        log::info!("job={id} accepted queue={} steps=[{}]", job.queue, steps.join(" "));
-    }
-
     // ---- jobs ----
 
     fn meet_job(&mut self, id: JobId, now: Now) {
@@ -572,38 +507,6 @@
     }
 }
 
-/// A step in one word: tasks, millicores, MiB, estimate, and what is special.
-fn shown_step(step: &yuccalink_state::jobs::StepSpec) -> Box<str> {
-    let mut f = format!(
-        "{}x{}m/{}M/{}ms",
-        step.count, step.need.millicores, step.need.memory_mib, step.estimate_ms
-    );
-    let marks = [
-        ("+saves", step.checkpointing),
-        ("+gang", step.gang),
-        ("+rack", step.rack_affinity),
-        ("+copies", step.speculative),
-        ("+lasts", step.long_running),
-        ("+spare", step.opportunistic),
-        ("+apart", step.per_runner_max > 0),
-        ("+label", step.required_label.is_some()),
-        ("+data", step.data_rack.is_some()),
-    ];
-    for (mark, on) in marks {
-        if on {
-            f.push_str(mark);
-        }
-    }
-    if let Some(image) = &step.image {
-        f.push_str("+image=");
-        f.push_str(image);
-    }
-    if step.target_ms > 0 {
-        f.push_str(&format!("+tail={}ms", step.target_ms));
-    }
-    f.into()
-}
-
 /// Steps of begun occurrences with tasks that neither run nor are done.
 fn startable(id: JobId, job: &yuccalink_state::jobs::Job) -> Vec<GroupKey> {
     let mut keys = Vec::new();
