--- a/crates/coordination/tests/cell_outside.rs
+++ b/crates/coordination/tests/cell_outside.rs
@@ -246,3 +246,38 @@
     assert_eq!(desk.ask(Ask::WaveState(1)), Answer::Wave { done: true });
     assert_eq!(desk.ask(Ask::WaveState(2)), Answer::Gone);
 }
+
+/// A report is held up on its way and comes after newer ones. It does not list a run
+/// that began meanwhile; obeyed, the run would be ordered anew, and its lease be
+/// renewed by a word that is seconds old.
+#[test]
+fn a_late_report_gets_no_orders() {
+    let (spec, truth) = step(1, 1, 5_000);
+    let mut desk = Desk::new(1, None, truth);
+    let held_up = desk.runners[0].report(desk.now);
+    desk.round();
+    desk.submit(vec![spec]);
+    assert_eq!(desk.round()[0].start.len(), 1);
+    desk.round();
+    let Answer::Orders(orders) = desk.ask(Ask::Heartbeat(Box::new(held_up))) else { panic!() };
+    assert_eq!((orders.lease_ms, orders.start.len(), orders.stop.len()), (0, 0, 0));
+}
+
+/// A task fails on a runner that may be at fault. Tried again there at once, it would
+/// use up the job's attempts within a second; it waits for another runner.
+#[test]
+fn a_second_try_goes_to_another_runner() {
+    let (spec, truth) = step(1, 1, 100);
+    let mut desk = Desk::new(1, None, Truth { fails: true, ..truth });
+    desk.round();
+    desk.submit(vec![spec]);
+    assert_eq!(desk.round()[0].start.len(), 1);
+    for _ in 0..4 {
+        desk.pass(TICK);
+        assert!(desk.round()[0].start.is_empty(), "not where it failed");
+    }
+    let other = EmulatedRunner::new("w1", "r1", 5, CAPACITY, desk.now);
+    desk.runners.push(other);
+    desk.round();
+    assert_eq!(desk.round()[1].start.len() + desk.runners[1].running().count(), 1);
+}
