While half of a pool is idle, what waits starts anywhere, paced; distrust holds up no lasting task

At the end 456 tasks of images that press on most waited beside 1,924 free cores: a forced start needed a runner of which half was idle, and with 41 of 48 runners serving there was none. Change: the pool's idle half decides, after 1.8 s. A task that lasts and has waited 1.5 s starts on a distrusted runner as well: it loses nothing by another failure.

--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -113,6 +113,8 @@
     next_call: u64,
     pub(super) advice: Advice,
     pub(super) waves: Waves,
+    /// Pools of which half is idle, as of the last ranking.
+    pub(super) idle_pools: BTreeSet<Box<str>>,
     /// Returns of machines that are under way to the log.
     pub(super) noting: BTreeSet<(u64, Box<str>)>,
     /// How this process names itself to the platform.
@@ -158,6 +160,7 @@
             next_call: 0,
             advice: Advice::default(),
             waves: Waves::default(),
+            idle_pools: BTreeSet::new(),
             noting: BTreeSet::new(),
             cfg_name: Box::default(),
             over: BTreeSet::new(),
@@ -403,6 +406,7 @@
         if now.at.since(self.ranked) >= RANK_EVERY {
             self.ranked = now.at;
             self.ready.rank_all(&self.jobs, now.at);
+            self.find_idle_pools();
             self.place_gangs(now);
             self.ask_advice(now);
             self.keep_waves(now);
--- a/crates/coordination/src/jobs/neighbours.rs
+++ b/crates/coordination/src/jobs/neighbours.rs
@@ -36,12 +36,13 @@
     pub(super) filling: Vec<Filling>,
     /// The same, with what they would use at full pace.
     pub(super) at_full_pace: Vec<Filling>,
+    /// The runner's pool.
+    pub(super) pool: Box<str>,
     capacity: f64,
     /// Processors that opportunistic tasks could use.
     wanted: f64,
-    /// Processors that all others use, and those that they reserve.
+    /// Processors that all others use.
     used: f64,
-    reserved: f64,
     /// Processors that opportunistic tasks could use, of those that have told a
     /// whole figure, and what they do use.
     settled_need: f64,
@@ -55,7 +56,7 @@
     /// Those of a runner by its last report and by what is on its way there.
     pub(super) fn of(runner: &Runner, jobs: &Jobs, ready: &Ready) -> Self {
         let capacity = (runner.capacity.millicores as f64).max(1.0);
-        let mut found = Self { capacity, ..Self::default() };
+        let mut found = Self { capacity, pool: runner.pool.clone(), ..Self::default() };
         for (task, run) in jobs.held(runner.key) {
             let Some(step) = ready.step_of(task) else { continue };
             let view = runner.running.get(&task).filter(|view| view.run == run);
@@ -74,7 +75,6 @@
 
     fn add_serving(&mut self, step: &StepInfo, view: Option<&RunView>) {
         self.used += step.need.millicores as f64 * SERVING_USE;
-        self.reserved += step.need.millicores as f64;
         let Some(image) = step.image else { return };
         let own = view.and_then(|view| view.own).map_or(MARGIN_UNSEEN, |own| own.mean());
         match self.serving.iter_mut().find(|serving| serving.image == image) {
@@ -96,7 +96,6 @@
             }
         } else {
             self.used += need;
-            self.reserved += need;
         }
         if let Some(image) = step.image {
             add_share(&mut self.filling, image, in_use.unwrap_or(need) / self.capacity);
@@ -124,11 +123,6 @@
         !starved && self.used + self.wanted + need <= self.capacity
     }
 
-    /// Whether half of the processors are not even reserved.
-    pub(super) fn is_half_idle(&self) -> bool {
-        (self.reserved + self.wanted) * 2.0 < self.capacity
-    }
-
     /// Whether all that serve there are expected to keep their margin beside one
     /// more task of a step, with all that fill at full pace.
     pub(super) fn bears(&mut self, step: &StepInfo, learnt: &Interference) -> bool {
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -6,7 +6,7 @@
 use super::ready::{GroupKey, Kind, StepInfo};
 use super::runner::{Runner, Trust};
 use crate::moment::Moment;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use yuccalink_state::Resources;
 use yuccalink_state::jobs::{Job, LifeKey, Start, StepSpec, TaskKey};
@@ -24,10 +24,10 @@
 /// Mean weight of a filling image, against all that serve, from which it is given
 /// the runners that serve nothing before others are.
 const HARD: f64 = 5.0;
-/// After this long a filling task starts on any runner that is half idle, at the pace
-/// that its neighbours bear: without it, the tasks of an image that disturbs all that
-/// serve would wait for ever while processors are idle.
-const PATIENCE: Duration = Duration::from_secs(12);
+/// After this long, and while half of the pool is idle, a filling task starts on any
+/// runner with room, at the pace that its neighbours bear: without it, the tasks of an
+/// image that disturbs all that serve would wait for ever while processors are idle.
+const PATIENCE: Duration = Duration::from_millis(1_800);
 /// How long a serving task waits for a runner whose serving tasks are of its image.
 const ALIKE_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -53,7 +53,7 @@
     pub(super) fn pick(&mut self, now: Now, key: LifeKey, neighbours: Neighbours) -> Vec<Start> {
         let Some(runner) = self.runners.get(&key) else { return Vec::new() };
         let trust = runner.health.trust(now.at);
-        if !runner.takes_tasks() || trust == Trust::None || self.ready.is_empty() {
+        if !runner.takes_tasks() || self.ready.is_empty() {
             return Vec::new();
         }
         let mut chosen = Chosen {
@@ -69,6 +69,16 @@
             if !chosen.free.holds(step.committed) {
                 continue;
             }
+            if chosen.most == 0 {
+                // A task that lasts loses nothing by another failure, and must not wait
+                // beside room that only a distrusted runner has.
+                if step.long_running && self.has_waited(now, group) {
+                    chosen.most = 1;
+                    self.pick_of(now, runner, trust, group, &mut chosen);
+                    break;
+                }
+                continue;
+            }
             if serves_nothing && !self.is_hard(step) {
                 later.push(group);
                 continue;
@@ -92,6 +102,10 @@
         starts
     }
 
+    fn has_waited(&self, now: Now, group: GroupKey) -> bool {
+        self.ready.since(group).is_some_and(|since| now.at.since(since) > ALIKE_WAIT)
+    }
+
     /// Whether a step's tasks disturb most that serve, or are to serve themselves: the
     /// others find room beside serving tasks as well.
     fn is_hard(&self, step: &StepInfo) -> bool {
@@ -223,7 +237,7 @@
         match step.kind {
             Kind::Filling => {
                 let spare = !step.opportunistic || neighbours.has_spare(step);
-                let waited = now.at.since(since) > PATIENCE && neighbours.is_half_idle();
+                let waited = now.at.since(since) > PATIENCE && self.is_idle(&neighbours.pool);
                 spare && (waited || neighbours.bears(step, &self.interference))
             }
             Kind::Serving => {
@@ -238,6 +252,23 @@
         }
     }
 
+    /// Whether at least half of a pool's processors are not even reserved.
+    fn is_idle(&self, pool: &str) -> bool {
+        self.idle_pools.contains(pool)
+    }
+
+    /// Finds the pools of which half is idle.
+    pub(super) fn find_idle_pools(&mut self) {
+        let mut sums: BTreeMap<Box<str>, (u64, u64)> = BTreeMap::new();
+        for runner in self.runners.values() {
+            let (free, all) = sums.entry(runner.pool.clone()).or_default();
+            *free += runner.free.millicores;
+            *all += runner.capacity.millicores;
+        }
+        let idle = sums.into_iter().filter(|(_, (free, all))| free * 2 >= *all);
+        self.idle_pools = idle.map(|(pool, _)| pool).collect();
+    }
+
     /// Whether a runner that already serves this image has room for one more: then
     /// runners that serve nothing stay free for work that disturbs.
     fn room_beside_alike(&self, now: Now, step: &StepInfo) -> bool {
