Runners are kept free for large tasks that last and have waited

Test first: one runner, short jobs all the time, a task of three quarters of it; red without the change. Change: for up to 16 such tasks that have waited 1 s a runner takes no short work for 2.5 s.

--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -113,6 +113,8 @@
     next_call: u64,
     pub(super) advice: Advice,
     pub(super) waves: Waves,
+    /// Runners on which no short work starts until then.
+    pub(super) kept_free: BTreeMap<LifeKey, Moment>,
     /// Pools of which half is idle, as of the last ranking.
     pub(super) idle_pools: BTreeSet<Box<str>>,
     /// Returns of machines that are under way to the log.
@@ -160,6 +162,7 @@
             next_call: 0,
             advice: Advice::default(),
             waves: Waves::default(),
+            kept_free: BTreeMap::new(),
             idle_pools: BTreeSet::new(),
             noting: BTreeSet::new(),
             cfg_name: Box::default(),
@@ -407,6 +410,7 @@
             self.ranked = now.at;
             self.ready.rank_all(&self.jobs, now.at);
             self.find_idle_pools();
+            self.keep_room(now);
             self.place_gangs(now);
             self.ask_advice(now);
             self.keep_waves(now);
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -28,8 +28,12 @@
 /// runner with room, at the pace that its neighbours bear: without it, the tasks of an
 /// image that disturbs all that serve would wait for ever while processors are idle.
 const PATIENCE: Duration = Duration::from_millis(1_800);
+/// How long a runner is kept free for a task that lasts: its short tasks end by then.
+const KEPT_FOR: Duration = Duration::from_millis(2_500);
+/// Runners kept free at once.
+const KEPT_MAX: usize = 16;
 /// How long a serving task waits for a runner whose serving tasks are of its image.
-const ALIKE_WAIT: Duration = Duration::from_millis(1_500);
+const ALIKE_WAIT: Duration = Duration::from_millis(1_000);
 
 impl Leader {
     /// What a runner has left: its capacity less all that may be running there.
@@ -62,6 +66,7 @@
             most: starts_allowed(trust, runner),
             neighbours,
         };
+        let kept_free = self.kept_free.get(&key).is_some_and(|until| now.at < *until);
         let mut later = Vec::new();
         let serves_nothing = chosen.neighbours.serving.is_empty();
         for group in self.ready.order().take(GROUPS_MAX) {
@@ -79,6 +84,9 @@
                 }
                 continue;
             }
+            if kept_free && !step.long_running && step.committed.millicores > 0 {
+                continue;
+            }
             if serves_nothing && !self.is_hard(step) {
                 later.push(group);
                 continue;
@@ -102,6 +110,51 @@
         starts
     }
 
+    /// Keeps runners free for large tasks that last and have waited: short work would
+    /// fill each hole before it is large enough, for ever. A runner is chosen where
+    /// enough is free once its short tasks have ended, which takes about a second.
+    pub(super) fn keep_room(&mut self, now: Now) {
+        self.kept_free.retain(|_, until| now.at < *until);
+        let waits = |group: &GroupKey| {
+            let step = self.ready.step(group.job, group.step);
+            step.is_some_and(|step| step.long_running) && self.has_waited(now, *group)
+        };
+        let groups: Vec<GroupKey> = self.ready.order().filter(waits).take(KEPT_MAX).collect();
+        for group in groups {
+            if self.kept_free.len() >= KEPT_MAX {
+                return;
+            }
+            let Some(need) = self.ready.step(group.job, group.step).map(|step| step.committed)
+            else {
+                continue;
+            };
+            let Some(job) = self.jobs.job(group.job) else { continue };
+            let Some(step) = job.spec.steps.get(usize::from(group.step)) else { continue };
+            let fits = |runner: &&Runner| {
+                runner.takes_tasks()
+                    && &*runner.pool == self.pool_of(job)
+                    && label_fits(step, runner)
+                    && !self.kept_free.contains_key(&runner.key)
+                    && now.at.since(runner.heard) < HEARD_LATELY
+                    && (step.per_runner_max == 0
+                        || self.count_here(runner.key, group) < step.per_runner_max)
+                    && self.free_without_short(runner).holds(need)
+            };
+            let Some(key) = self.runners.values().find(fits).map(|runner| runner.key) else {
+                continue;
+            };
+            self.kept_free.insert(key, now.at + KEPT_FOR);
+        }
+    }
+
+    /// What is free on a runner once its short tasks have ended.
+    fn free_without_short(&self, runner: &Runner) -> Resources {
+        let short = self.jobs.held(runner.key).filter_map(|(task, _)| {
+            self.ready.step_of(task).filter(|step| !step.long_running).map(|step| step.committed)
+        });
+        short.fold(runner.free, |sum, need| sum.plus(need).unwrap_or(sum))
+    }
+
     fn has_waited(&self, now: Now, group: GroupKey) -> bool {
         self.ready.since(group).is_some_and(|since| now.at.since(since) > ALIKE_WAIT)
     }
--- a/crates/coordination/tests/cell.rs
+++ b/crates/coordination/tests/cell.rs
@@ -154,6 +154,31 @@
     assert_kept(&mut world);
 }
 
+/// A long-running task needs most of a runner, and short work comes all the time. Each
+/// hole is filled before it is large enough, and the task would never start again.
+#[test]
+fn short_work_does_not_keep_a_large_lasting_task_waiting() {
+    let mut world = World::new(11, 1, Rough::CALM);
+    let submit_short = |world: &mut World, id: u64| {
+        let (spec, truths) = job(vec![step(1, 5, 600)]);
+        world.submit(JobId(id), spec, truths);
+    };
+    for id in 100..110 {
+        submit_short(&mut world, id);
+        world.run_for(Duration::from_millis(150));
+    }
+    let (mut spec, truths) = job(vec![step(1, 12, 60_000)]);
+    spec.steps[0].long_running = true;
+    let truths = truths.into_iter().map(|t| Truth { lasts: true, ..t }).collect();
+    world.submit(JobId(1), spec, truths);
+    for id in 110..140 {
+        submit_short(&mut world, id);
+        world.run_for(Duration::from_millis(150));
+    }
+    assert_eq!(world.starts_of(key(1, 0, 0)), 1);
+    assert_kept(&mut world);
+}
+
 /// The tasks of a gang work only together. With one runner too small for all of them
 /// they start on several within the same second, under one run number, or not at all.
 #[test]
