--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -6,6 +6,7 @@
 mod advice;
 pub mod ask;
 mod asks;
+mod copies;
 mod estimate;
 mod gangs;
 mod heartbeat;
--- /dev/null
+++ b/crates/coordination/src/jobs/copies.rs
@@ -0,0 +1,113 @@
+//! Second copies of tasks that lag behind, for steps that allow them: the first copy to
+//! finish counts.
+//!
+//! The pattern answered here: a sixth of the runners turn four to six times as slow for
+//! some seconds, or their tasks stand still, while they report as ever. A short task
+//! there takes as long as its job may take in all. A copy elsewhere ends within one
+//! usual length; it costs its own work once more, so only tasks that lag get one, only
+//! in room that nobody waits for, and only so many at once.
+
+use super::leader::{Leader, Now};
+use super::place::{Chosen, HEARD_LATELY, label_fits, less};
+use super::ready::GroupKey;
+use super::runner::{RunView, Runner, Trust};
+use std::time::Duration;
+use yuccalink_state::jobs::{Start, TaskKey};
+
+/// A run lags that is expected to take this many times as long as the guess. Guesses
+/// are half off in the usual case, and a sound run beside busy ones takes 1.6 times as
+/// long as guessed in nine cases of ten.
+const LAGS_BY: u32 = 2;
+/// Least time that a copy must be expected to save: ordering it takes a third of that.
+const GAIN_MIN: Duration = Duration::from_millis(400);
+/// A run whose figure has not moved for this long may stand still; two reports come in
+/// that time.
+const UNMOVED: Duration = Duration::from_millis(900);
+/// One task in this many that run may have a copy, and always this many: the last tasks
+/// of a job are few, and all of them may lag.
+const ONE_IN: usize = 10;
+const COPIES_MIN: usize = 8;
+
+impl Leader {
+    /// Finds the tasks that lag behind, the worst first.
+    pub(super) fn find_laggards(&mut self, now: Now) {
+        let mut found = Vec::new();
+        let (mut running, mut copies) = (0, 0);
+        for runner in self.runners.values() {
+            for (task, view) in &runner.running {
+                let Some(step) = self.ready.step_of(*task).filter(|step| step.speculative) else {
+                    continue;
+                };
+                running += 1;
+                let twice = self.jobs.task(*task).is_some_and(|state| state.holds.len() > 1);
+                if twice {
+                    copies += 1;
+                } else if let Some(left) = lag(now, runner, view, step.estimate_ms) {
+                    found.push((left, *task));
+                }
+            }
+        }
+        // Both runs of a task that has a copy were counted.
+        let budget = (running / ONE_IN).max(COPIES_MIN);
+        found.sort_unstable_by(|a, b| b.cmp(a));
+        found.truncate(budget.saturating_sub(copies / 2));
+        self.laggards = found.into_iter().map(|(_, task)| task).collect();
+    }
+
+    /// Starts copies in what room is left on a runner.
+    pub(super) fn pick_copies(&self, runner: &Runner, trust: Trust, chosen: &mut Chosen) {
+        if trust != Trust::Full {
+            return;
+        }
+        for task in &self.laggards {
+            if chosen.starts.len() >= chosen.most {
+                return;
+            }
+            if let Some(start) = self.copy_of(*task, runner, chosen) {
+                let Some(step) = self.ready.step_of(*task) else { continue };
+                chosen.free = less(chosen.free, step.committed);
+                chosen.starts.push(start);
+            }
+        }
+    }
+
+    fn copy_of(&self, task: TaskKey, runner: &Runner, chosen: &Chosen) -> Option<Start> {
+        let job = self.jobs.job(task.job)?;
+        let step = job.spec.steps.get(usize::from(task.step))?;
+        let state = self.jobs.task(task)?;
+        let [original] = state.holds.as_slice() else { return None };
+        let group = GroupKey::of(task);
+        let chosen_here =
+            chosen.starts.iter().filter(|start| GroupKey::of(start.task) == group).count();
+        let here = self.count_here(runner.key, group) as usize + chosen_here;
+        let fits = !state.done
+            && original.life != runner.key
+            && !self.starting.contains_key(&task)
+            // A failure of the copy beside one of the original would end the job.
+            && state.failures == 0
+            && !step.gang
+            && !step.opportunistic
+            && chosen.free.holds(step.committed())
+            && self.pool_of(job) == &*runner.pool
+            && label_fits(step, runner)
+            && step.data_rack.as_ref().is_none_or(|rack| *rack == runner.rack)
+            && (step.per_runner_max == 0 || here < step.per_runner_max as usize);
+        fits.then(|| Start { task, run: state.last_run + 1, life: runner.key })
+    }
+}
+
+/// How long a run is expected to take still, where that is much more than a copy would.
+fn lag(now: Now, runner: &Runner, view: &RunView, estimate_ms: u64) -> Option<Duration> {
+    if view.stopping || now.at.since(runner.heard) > HEARD_LATELY {
+        return None;
+    }
+    let usual = Duration::from_millis(estimate_ms);
+    let stands = view.percent < 100 && now.at.since(view.moved) > UNMOVED;
+    let left = match stands {
+        true => usual * LAGS_BY + GAIN_MIN,
+        false => view.time_left(now.at, estimate_ms),
+    };
+    let ran = now.at.since(view.first_seen);
+    let lags = ran > usual / 2 && ran + left > usual * LAGS_BY && left > usual + GAIN_MIN;
+    lags.then_some(left)
+}
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -117,6 +117,8 @@
     pub(super) waves: Waves,
     /// Runners on which no short work starts until then.
     pub(super) kept_free: BTreeMap<LifeKey, Moment>,
+    /// Tasks that lag and may have a copy, as of the last ranking, the worst first.
+    pub(super) laggards: Vec<TaskKey>,
     /// Pools of which half is idle, as of the last ranking.
     pub(super) idle_pools: BTreeSet<Box<str>>,
     /// Returns of machines that are under way to the log.
@@ -166,6 +168,7 @@
             advice: Advice::default(),
             waves: Waves::default(),
             kept_free: BTreeMap::new(),
+            laggards: Vec::new(),
             idle_pools: BTreeSet::new(),
             noting: BTreeSet::new(),
             cfg_name: Box::default(),
@@ -413,6 +416,7 @@
             self.ranked = now.at;
             self.ready.rank_all(&self.jobs, now.at);
             self.find_idle_pools();
+            self.find_laggards(now);
             self.keep_room(now);
             self.place_gangs(now);
             self.ask_advice(now);
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -20,7 +20,7 @@
 /// take twice as long, so a wait of a fraction of the usual task pays.
 const RACK_WAIT: Duration = Duration::from_millis(500);
 /// A runner heard within this time is expected to report again soon.
-const HEARD_LATELY: Duration = Duration::from_millis(1_500);
+pub(super) const HEARD_LATELY: Duration = Duration::from_millis(1_500);
 /// Mean weight of a filling image, against all that serve, from which it is given
 /// the runners that serve nothing before others are.
 const HARD: f64 = 5.0;
@@ -58,7 +58,7 @@
     pub(super) fn pick(&mut self, now: Now, key: LifeKey, neighbours: Neighbours) -> Vec<Start> {
         let Some(runner) = self.runners.get(&key) else { return Vec::new() };
         let trust = runner.health.trust(now.at);
-        if !runner.takes_tasks() || self.ready.is_empty() {
+        if !runner.takes_tasks() || (self.ready.is_empty() && self.laggards.is_empty()) {
             return Vec::new();
         }
         let mut chosen = Chosen {
@@ -103,6 +103,7 @@
             }
             self.pick_of(now, runner, trust, group, &mut chosen);
         }
+        self.pick_copies(runner, trust, &mut chosen);
         let Chosen { starts, free, neighbours, .. } = chosen;
         if let Some(runner) = self.runners.get_mut(&key) {
             runner.free = free;
@@ -253,7 +254,7 @@
         !self.needs_ticket(group) || self.advice.ticket(group, runner.key, now.at).is_some()
     }
 
-    fn count_here(&self, life: LifeKey, group: GroupKey) -> u32 {
+    pub(super) fn count_here(&self, life: LifeKey, group: GroupKey) -> u32 {
         let same = |task: TaskKey| {
             (task.job, task.occurrence, task.step) == (group.job, group.occurrence, group.step)
         };
@@ -358,10 +359,11 @@
     }
 }
 
-struct Chosen {
-    starts: Vec<Start>,
-    free: Resources,
-    most: usize,
+/// What a report's answer will start, and what that leaves.
+pub(super) struct Chosen {
+    pub(super) starts: Vec<Start>,
+    pub(super) free: Resources,
+    pub(super) most: usize,
     neighbours: Neighbours,
 }
 
@@ -374,12 +376,12 @@
     }
 }
 
-fn label_fits(step: &StepSpec, runner: &Runner) -> bool {
+pub(super) fn label_fits(step: &StepSpec, runner: &Runner) -> bool {
     step.required_label.as_ref().is_none_or(|label| runner.has_label(label))
 }
 
 /// What is left, never below nothing.
-fn less(free: Resources, need: Resources) -> Resources {
+pub(super) fn less(free: Resources, need: Resources) -> Resources {
     Resources {
         millicores: free.millicores.saturating_sub(need.millicores),
         memory_mib: free.memory_mib.saturating_sub(need.memory_mib),
--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -80,6 +80,7 @@
     pub(super) opportunistic: bool,
     pub(super) long_running: bool,
     pub(super) checkpointing: bool,
+    pub(super) speculative: bool,
     pub(super) target_ms: u64,
     pub(super) estimate_ms: u64,
 }
@@ -94,6 +95,7 @@
             opportunistic: step.opportunistic,
             long_running: step.long_running,
             checkpointing: step.checkpointing,
+            speculative: step.speculative,
             target_ms: step.target_ms,
             estimate_ms: step.estimate_ms,
         }
--- a/crates/coordination/tests/cell.rs
+++ b/crates/coordination/tests/cell.rs
@@ -119,6 +119,27 @@
     assert_kept(&mut world);
 }
 
+/// Three runners of four are sound, one takes five times as long and reports as ever.
+/// The caller of a job of short tasks waits for those few. A copy elsewhere ends first,
+/// and the slow run is stopped; where the step does not allow copies there is none.
+#[test]
+fn tasks_that_lag_have_a_copy_where_the_step_allows_it() {
+    for allowed in [true, false] {
+        let mut world = World::new(9, 4, Rough::CALM);
+        world.set_fault(0, Fault::Slow);
+        world.run_for(SECOND);
+        let (mut spec, truths) = job(vec![step(16, 4, 1_000)]);
+        spec.steps[0].speculative = allowed;
+        world.submit(JobId(1), spec, truths);
+        world.run_for(Duration::from_millis(3_800));
+        let done = world.state(JobId(1)) == Some(JobState::Completed);
+        assert_eq!(done, allowed, "copies allowed: {allowed}");
+        world.run_for(SECOND * 3);
+        assert!(world.running_on(0).is_empty(), "the slow runs are over");
+        assert_kept(&mut world);
+    }
+}
+
 /// A job is cancelled while its tasks run: they are gone within seconds, and none
 /// starts again.
 #[test]
@@ -251,6 +272,8 @@
         spec.checkpointing = world.draw(2) == 0;
         spec.gang = world.draw(6) == 0;
         spec.per_runner_max = if world.draw(4) == 0 { 2 } else { 0 };
+        // By a figure drawn already, so that the seeds keep their histories.
+        spec.speculative = work.is_multiple_of(3) && !spec.gang;
         truth.fails = world.draw(20) == 0;
         steps.push((spec, truth));
     }
--- a/crates/fakes/src/emulator.rs
+++ b/crates/fakes/src/emulator.rs
@@ -16,6 +16,9 @@
 /// A response later than this is dropped.
 const DROP_AFTER: Duration = Duration::from_secs(1);
 
+/// How many times as long a slow runner takes.
+const SLOW_FACTOR: u32 = 5;
+
 /// What is true of one task, whatever was declared.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Truth {
@@ -77,6 +80,8 @@
     FailsAll,
     /// Its tasks stand still.
     Stands,
+    /// It takes five times as long.
+    Slow,
 }
 
 /// One life of an emulated runner.
@@ -183,8 +188,9 @@
             match self.fault {
                 Fault::FailsAll => ends.push((*task, How::Failed)),
                 Fault::Stands => {}
-                Fault::None => {
-                    run.done += passed * u32::from(run.rate) / 100;
+                Fault::None | Fault::Slow => {
+                    let slowdown = if self.fault == Fault::Slow { SLOW_FACTOR } else { 1 };
+                    run.done += passed * u32::from(run.rate) / 100 / slowdown;
                     if run.done >= run.truth.work && !run.truth.lasts {
                         ends.push((*task, if run.truth.fails { How::Failed } else { How::Done }));
                     }
