A job's decisions from logs in order; a line when a job ends; what a heartbeat costs the leader; long files split

Cause: on call one greps and sorts by hand, and no line said that a job was over, how late, or that it had failed. No behaviour changed by the splits.

--- /dev/null
+++ b/crates/coordination/benches/leader.rs
@@ -0,0 +1,157 @@
+//! What a heartbeat and a start cost the leader of a job cell, as the pool grows.
+//!
+//! `cargo bench -p yuccalink-coordination --bench leader`
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use yuccalink_coordination::Moment;
+use yuccalink_coordination::jobs::ask::Place;
+use yuccalink_coordination::jobs::{Answer, Ask, Leader, LeaderConfig, Now, Token};
+use yuccalink_fakes::emulator::{EmulatedRunner, Truth};
+use yuccalink_state::Resources;
+use yuccalink_state::jobs::{ChangeSet, JobCommand, JobId, JobSpec, Jobs, Pool, Queue, StepSpec};
+
+/// Simulated time that is played.
+const PLAYED: Duration = Duration::from_secs(20);
+const REPORT_EVERY: Duration = Duration::from_millis(500);
+const WORK: Duration = Duration::from_millis(2_000);
+const CAPACITY: Resources = Resources { millicores: 32_000, memory_mib: 125_000, accelerators: 0 };
+const NEED: Resources = Resources { millicores: 3_000, memory_mib: 6_000, accelerators: 0 };
+/// Tasks of a job, and jobs that come for each runner in a second: more than the pool
+/// takes, so that steps wait.
+const TASKS: u32 = 8;
+const JOBS_A_RUNNER: f64 = 0.75;
+
+#[derive(Default)]
+struct Spent {
+    heartbeats: u32,
+    starts: usize,
+    time: Duration,
+}
+
+struct Cell {
+    now: Moment,
+    leader: Leader,
+    index: u64,
+    tokens: u64,
+    runners: Vec<EmulatedRunner>,
+    spent: Spent,
+}
+
+fn change() -> ChangeSet {
+    let queue = Queue {
+        name: "q".into(),
+        host: "h".into(),
+        prefix: "/q/".into(),
+        pool: "pool".into(),
+        timeout_ms: 3_000,
+        objective_ms: 1_000,
+        slack: 2.0,
+        attempts: 2,
+        ..Queue::default()
+    };
+    let pool = Pool { name: "pool".into(), ..Pool::default() };
+    ChangeSet { version: 1, queues: vec![queue], pools: vec![pool], ..ChangeSet::default() }
+}
+
+impl Cell {
+    fn new(runners: usize) -> Self {
+        let mut jobs = Jobs::new();
+        jobs.apply(JobCommand::Change(Box::new(change())));
+        let now = Moment::from_millis(1_000);
+        let leader = Leader::new(LeaderConfig::default(), 1, jobs, at(now));
+        let runner = |number: usize| {
+            let rack = format!("r{}", number / 8);
+            EmulatedRunner::new(&format!("w{number}"), &rack, 5, CAPACITY, now)
+        };
+        let runners = (0..runners).map(runner).collect();
+        Self { now, leader, index: 0, tokens: 0, runners, spent: Spent::default() }
+    }
+
+    /// Gives the leader work and counts the time that it takes.
+    fn ask(&mut self, ask: Ask) -> Vec<Answer> {
+        self.tokens += 1;
+        let begun = Instant::now();
+        self.leader.ask(at(self.now), Token(self.tokens), ask);
+        loop {
+            let commands = self.leader.next_batch(512);
+            if commands.is_empty() {
+                break;
+            }
+            self.leader.proposed(self.index + 1);
+            for command in commands {
+                self.index += 1;
+                self.leader.committed(at(self.now), self.index, command);
+            }
+        }
+        let answers = self.leader.take_answers();
+        self.spent.time += begun.elapsed();
+        answers.into_iter().map(|(_, answer)| answer).collect()
+    }
+
+    fn submit(&mut self, number: u64) {
+        let step = StepSpec {
+            count: TASKS,
+            need: NEED,
+            estimate_ms: u64::try_from(WORK.as_millis()).unwrap_or(0),
+            ..StepSpec::default()
+        };
+        let spec = Arc::new(JobSpec { payload: "p".into(), steps: vec![step], schedule: None });
+        let at = Place { host: "h".into(), path: "/q/".into() };
+        self.ask(Ask::Submit { at, id: JobId(number), spec });
+    }
+
+    fn report(&mut self, number: usize) {
+        let now = self.now;
+        self.runners[number].advance(now);
+        let report = Box::new(self.runners[number].report(now));
+        let truth = Truth { work: WORK, need: NEED, ..Truth::default() };
+        for answer in self.ask(Ask::Heartbeat(report)) {
+            let Answer::Orders(orders) = answer else { continue };
+            self.spent.heartbeats += 1;
+            self.spent.starts += orders.start.len();
+            self.runners[number].obey(now, now, &orders, |_| Some(truth));
+        }
+    }
+
+    fn play(mut self) -> Spent {
+        let count = self.runners.len();
+        let gap = REPORT_EVERY / u32::try_from(count).unwrap_or(1);
+        let until = self.now + PLAYED;
+        let (mut next, mut jobs, mut due) = (0, 0_u64, 0.0);
+        while self.now < until {
+            self.now = self.now + gap;
+            due += gap.as_secs_f64() * count as f64 * JOBS_A_RUNNER;
+            while due >= 1.0 {
+                due -= 1.0;
+                jobs += 1;
+                self.submit(jobs);
+            }
+            self.report(next % count);
+            next += 1;
+            let begun = Instant::now();
+            self.leader.tick(at(self.now));
+            self.spent.time += begun.elapsed();
+        }
+        self.spent
+    }
+}
+
+fn at(now: Moment) -> Now {
+    Now { at: now, unix_ms: 1_800_000_000_000 + now.0 / 1_000 }
+}
+
+fn main() {
+    println!("runners  heartbeats/s  starts/s  us a heartbeat  of a core at that rate");
+    for runners in [48, 350, 1_000] {
+        let spent = Cell::new(runners).play();
+        let seconds = PLAYED.as_secs_f64();
+        println!(
+            "{runners:7}  {:12.0}  {:8.0}  {:14.1}  {:22.3}",
+            f64::from(spent.heartbeats) / seconds,
+            spent.starts as f64 / seconds,
+            spent.time.as_secs_f64() * 1e6 / f64::from(spent.heartbeats.max(1)),
+            spent.time.as_secs_f64() / seconds
+        );
+    }
+}
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -290,8 +290,13 @@
     pub fn committed(&mut self, now: Now, index: u64, command: JobCommand) {
         let touched = touched(&command);
         let detail = command.clone();
+        let open: Vec<JobId> =
+            touched.iter().copied().filter(|id| self.jobs.is_active(*id)).collect();
         let outcome = self.jobs.apply(command);
         self.after(now, &detail, &outcome);
+        for id in open {
+            self.log_ended(id, now);
+        }
         for id in touched {
             self.refresh(id, now.at);
         }
@@ -520,8 +525,7 @@
 
     fn forget_loads(&mut self) {
         let jobs = &self.jobs;
-        let active = |id| jobs.job(id).is_some_and(|job| job.phase == JobPhase::Active);
-        self.loads.keep(|group| active(group.job));
+        self.loads.keep(|group| jobs.is_active(group.job));
     }
 
     pub(super) fn empty_orders(&self) -> Answer {
--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -167,6 +167,11 @@
         self.metas.insert(id, meta);
     }
 
+    /// How long ago a job came in, and within what time it was to end.
+    pub(super) fn age_and_objective(&self, id: JobId, now: Moment) -> Option<(Duration, Duration)> {
+        self.metas.get(&id).map(|meta| (now.since(meta.came), meta.objective))
+    }
+
     /// Another change set is in force.
     pub(super) fn changed(&mut self, jobs: &Jobs, routes: &Routes) {
         for (id, meta) in &mut self.metas {
--- a/crates/coordination/src/jobs/report.rs
+++ b/crates/coordination/src/jobs/report.rs
@@ -3,7 +3,7 @@
 
 use super::leader::{Leader, Now};
 use super::neighbours::Neighbours;
-use yuccalink_state::jobs::{JobId, StepSpec};
+use yuccalink_state::jobs::{JobId, JobPhase, StepSpec};
 
 /// What happened since the leader began, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -70,6 +70,29 @@
         let steps: Vec<Box<str>> = job.spec.steps.iter().map(shown_step).collect();
         log::info!("job={id} accepted queue={} steps=[{}]", job.queue, steps.join(" "));
     }
+
+    /// One line when a job is over, with what its caller was to expect.
+    pub(super) fn log_ended(&self, id: JobId, now: Now) {
+        let Some(job) = self.jobs.job(id).filter(|job| job.phase != JobPhase::Active) else {
+            return;
+        };
+        if job.phase == JobPhase::Cancelled {
+            // Said where it was asked for.
+            return;
+        }
+        let (age, objective) = self.ready.age_and_objective(id, now.at).unwrap_or_default();
+        let failures: u32 = job
+            .occurrences
+            .iter()
+            .flat_map(|occurrence| &occurrence.steps)
+            .flat_map(|step| &step.tasks)
+            .map(|task| task.failures)
+            .sum();
+        log::info!(
+            "job={id} ended state={:?} after={age:?} objective={objective:?} failures={failures}",
+            job.phase
+        );
+    }
 }
 
 /// A step in one word: tasks, millicores, MiB, estimate, and what is special.
--- a/crates/coordination/tests/cell/desk.rs
+++ b/crates/coordination/tests/cell/desk.rs
@@ -52,6 +52,10 @@
         Now { at, unix_ms: 1_800_000_000_000 + at.0 / 1_000 }
     }
 
+    pub fn clock(&self) -> Now {
+        Self::at(self.now)
+    }
+
     pub fn ask(&mut self, ask: Ask) -> Answer {
         self.tokens += 1;
         let token = Token(self.tokens);
--- a/crates/coordination/tests/cell/world.rs
+++ b/crates/coordination/tests/cell/world.rs
@@ -1,6 +1,9 @@
 //! A job cell played without a network: one leader at a time, a log that commits
 //! after a while, emulated runners, and messages that are late, lost or doubled.
 
+#[path = "checks.rs"]
+mod checks;
+
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -364,21 +367,6 @@
         self.observe(slot);
     }
 
-    fn check_order(&mut self, _: usize, task: TaskKey, checkpoint: &str) {
-        if !self.accepted.contains(&task.job) {
-            self.broken.push(format!("{task} was never handed in"));
-        }
-        // A checkpoint of any member is good for its whole gang.
-        let gang = self.specs[&task.job].steps[usize::from(task.step)].gang;
-        let own = match gang {
-            true => format!("{}.{}.{}.", task.job, task.occurrence, task.step),
-            false => format!("{task}/"),
-        };
-        if !checkpoint.is_empty() && !checkpoint.starts_with(&own) {
-            self.broken.push(format!("{task} resumes from another's {checkpoint}"));
-        }
-    }
-
     fn runners(&mut self) {
         for at in 0..self.slots.len() {
             if self.slots[at].runner.is_none() {
@@ -451,153 +439,6 @@
         ended
     }
 
-    fn noted(&mut self, at: usize, upto: u64) {
-        let rest = self.slots[at].listed.split_off(&(upto + 1));
-        let noted = std::mem::replace(&mut self.slots[at].listed, rest);
-        for (task, run, how) in noted.into_values() {
-            let past = self.past.entry(task).or_default();
-            match how {
-                How::Done => {
-                    if let Some(done) = past.dones.iter_mut().find(|done| done.run == run) {
-                        done.noted = Some(self.now);
-                    }
-                }
-                How::Failed => past.failures_noted.push(self.now),
-                _ => {}
-            }
-        }
-    }
-
-    /// Ends that were listed before a lease ran out and are noted after it do not
-    /// count: the cell had to give up those runs, and said so to nobody.
-    fn lapsed(&mut self, at: usize) {
-        let listed: Vec<(TaskKey, u32, How)> = self.slots[at].listed.values().copied().collect();
-        self.slots[at].listed.retain(|_, (_, _, how)| *how != How::Failed);
-        for (task, run, how) in listed {
-            if how == How::Done
-                && let Some(past) = self.past.get_mut(&task)
-                && let Some(found) = past.dones.iter().position(|done| done.run == run)
-            {
-                past.lapsed_dones.push(past.dones.remove(found).at);
-            }
-        }
-    }
-
-    fn started(&mut self, at: usize, task: TaskKey, run: u32, when: Moment) {
-        let Some(spec) = self.specs.get(&task.job).cloned() else { return };
-        let step = &spec.steps[usize::from(task.step)];
-        let elsewhere = self.slots.iter().enumerate().any(|(other, slot)| {
-            other != at && slot.runner.as_ref().is_some_and(|runner| runner.runs(task))
-        });
-        if elsewhere && !step.speculative {
-            self.broken.push(format!("{task} runs in two places"));
-        }
-        let past = self.past.entry(task).or_default();
-        if !past.runs.insert(run) {
-            self.broken.push(format!("{task} run {run} starts twice"));
-        }
-        past.starts.push((when, run));
-        // A copy may be on its way while the other run ends; an order is dropped after a
-        // second.
-        let grace = if step.speculative { Duration::from_secs(1) } else { Duration::ZERO };
-        let known = |noted: Moment| when.since(noted) >= grace;
-        let failures = past.failures_noted.iter().filter(|noted| known(**noted)).count();
-        if failures >= ATTEMPTS as usize && !step.long_running {
-            self.broken.push(format!("{task} starts after {ATTEMPTS} failures"));
-        }
-        if past.dones.iter().filter_map(|done| done.noted).any(known) {
-            self.broken.push(format!("{task} starts after its end was noted"));
-        }
-        for before in &step.after {
-            let count = spec.steps[usize::from(*before)].count;
-            for index in 0..count {
-                let index = u16::try_from(index).unwrap_or(u16::MAX);
-                let key = TaskKey { step: *before, index, ..task };
-                if !self.is_done(&spec, key) {
-                    self.broken.push(format!("{task} starts before {key} is done"));
-                }
-            }
-        }
-        let per_runner = usize::try_from(step.per_runner_max).unwrap_or(0);
-        if per_runner > 0 {
-            let here = self.slots[at].runner.as_ref().map_or(0, |runner| {
-                let same = |key: &TaskKey| (key.job, key.step) == (task.job, task.step);
-                runner.running().filter(same).count()
-            });
-            if here > per_runner {
-                self.broken.push(format!("{here} of {task}'s step on one runner"));
-            }
-        }
-    }
-
-    /// Whether a task has ever ended as done; any member's end stands for its gang.
-    fn is_done(&self, spec: &JobSpec, key: TaskKey) -> bool {
-        let ended = |key: TaskKey| self.past.get(&key).is_some_and(Past::ever_done);
-        let step = &spec.steps[usize::from(key.step)];
-        let members = 0..u16::try_from(step.count).unwrap_or(u16::MAX);
-        ended(key) || step.gang && members.into_iter().any(|i| ended(TaskKey { index: i, ..key }))
-    }
-
-    /// What can only be judged once all is over.
-    pub fn close(&mut self) {
-        for (task, past) in &self.past {
-            // Copies may start while another ends; see `started`.
-            if self.specs[&task.job].steps[usize::from(task.step)].speculative {
-                continue;
-            }
-            for done in &past.dones {
-                let again = past.starts.iter().any(|(at, _)| *at > done.at);
-                if done.noted.is_some() && again {
-                    self.broken.push(format!("{task} starts after an end noted later"));
-                }
-            }
-        }
-    }
-
-    /// Jobs of the committed state that are completed though a task is not done.
-    pub fn check_completed(&mut self) {
-        let mut wrong = Vec::new();
-        for (id, job) in self.committed.all() {
-            if job.phase != yuccalink_state::jobs::JobPhase::Completed {
-                continue;
-            }
-            for (s, step) in job.spec.steps.iter().enumerate() {
-                for index in 0..step.count {
-                    let key = TaskKey {
-                        job: id,
-                        occurrence: 0,
-                        step: u16::try_from(s).unwrap_or(u16::MAX),
-                        index: u16::try_from(index).unwrap_or(u16::MAX),
-                    };
-                    if !self.is_done(&job.spec, key) {
-                        wrong.push(format!("{id} is completed and {key} is not done"));
-                    }
-                }
-            }
-        }
-        self.broken.extend(wrong);
-    }
-
-    /// Jobs that are neither ended nor cancelled.
-    pub fn open_jobs(&self) -> usize {
-        let open =
-            |job: &yuccalink_state::jobs::Job| job.phase == yuccalink_state::jobs::JobPhase::Active;
-        self.committed.all().filter(|(_, job)| open(job)).count()
-    }
-
-    /// Cancelled jobs that still run somewhere, `grace` after the cancelling.
-    pub fn check_cancelled(&mut self, grace: Duration) {
-        for slot in &self.slots {
-            let Some(runner) = &slot.runner else { continue };
-            for task in runner.running() {
-                let late = |at: &Moment| self.now.since(*at) > grace;
-                if self.cancelled.get(&task.job).is_some_and(late) {
-                    self.broken.push(format!("{task} runs long after its cancelling"));
-                }
-            }
-        }
-    }
-
     /// Ends all roughness, so that the rest must come to its end.
     pub fn calm_down(&mut self) {
         self.rough = Rough::CALM;
--- /dev/null
+++ b/crates/coordination/tests/explain.rs
@@ -0,0 +1,159 @@
+//! From a failed request to its cause by the leader's log lines alone, as the operators'
+//! page describes it.
+
+#[path = "cell/desk.rs"]
+#[allow(dead_code)]
+mod desk;
+#[path = "cell/world.rs"]
+#[allow(dead_code)]
+mod world;
+
+use desk::Desk;
+use log::{LevelFilter, Log, Metadata, Record};
+use std::cell::RefCell;
+use std::sync::Arc;
+use std::time::Duration;
+use world::{place, step};
+use yuccalink_coordination::jobs::{Answer, Ask, Token};
+use yuccalink_fakes::emulator::{Fault, Truth};
+use yuccalink_state::jobs::{JobId, JobSpec};
+
+thread_local! {
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Keeps what the test's own thread logs; the leader runs on it.
+struct Keeper;
+
+impl Log for Keeper {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        LINES.with_borrow_mut(|lines| lines.push(record.args().to_string()));
+    }
+
+    fn flush(&self) {}
+}
+
+fn keep_lines() {
+    // Another test of this program may have set it; they all set the same.
+    let _ = log::set_logger(&Keeper);
+    log::set_max_level(LevelFilter::Info);
+}
+
+/// Lines that name a job, in order.
+fn lines_of(id: JobId) -> Vec<String> {
+    LINES.with_borrow(|lines| {
+        lines.iter().filter(|line| line.contains(&id.to_string())).cloned().collect()
+    })
+}
+
+fn assert_in_order(lines: &[String], wanted: &[&str]) {
+    let mut rest = lines.iter();
+    for part in wanted {
+        assert!(rest.any(|line| line.contains(part)), "no `{part}` in its place: {lines:#?}");
+    }
+}
+
+fn truth(work_ms: u64, fails: bool) -> Truth {
+    Truth { work: Duration::from_millis(work_ms), fails, ..Truth::default() }
+}
+
+fn rounds(desk: &mut Desk, count: u32) {
+    for _ in 0..count {
+        desk.pass(Duration::from_millis(200));
+        desk.round();
+    }
+}
+
+/// A caller is told to come back later. Its job's only line names the queue and the
+/// time: the log had more to write than it could take.
+#[test]
+fn a_refused_job_has_a_line_with_the_time_to_come_back() {
+    keep_lines();
+    let mut desk = Desk::new(1, None, truth(500, false));
+    let (spec, _) = step(1, 1, 500);
+    let spec = Arc::new(JobSpec { payload: "p".into(), steps: vec![spec], schedule: None });
+    // Nothing is committed in between: the log stands still.
+    let mut refused = None;
+    for number in 1..20_000 {
+        let (now, id) = (desk.clock(), JobId(number));
+        desk.leader.ask(now, Token(number), Ask::Submit { at: place(), id, spec: spec.clone() });
+        if let Some((_, Answer::Refused { after_ms })) = desk.leader.take_answers().pop() {
+            refused = Some((id, after_ms));
+            break;
+        }
+    }
+    let (id, after_ms) = refused.expect("a refusal");
+    let lines = lines_of(id);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert_in_order(&lines, &[&format!("queue=q refused after-ms={after_ms}")]);
+}
+
+/// A quote comes late. Its lines show one run that stood still on a runner, with its
+/// figure and for how long, the stop, the second run elsewhere, and at the end how late
+/// it was.
+#[test]
+fn a_late_job_leads_to_the_run_that_stood_still() {
+    keep_lines();
+    let mut desk = Desk::new(2, None, truth(1_000, false));
+    desk.round();
+    desk.runners[0].fault = Fault::Stands;
+    desk.runners[1].fault = Fault::Stands;
+    let (spec, _) = step(1, 2, 1_000);
+    desk.submit(vec![spec]);
+    rounds(&mut desk, 2);
+    let on = usize::from(desk.runners[0].running().next().is_none());
+    desk.runners[1 - on].fault = Fault::None;
+    rounds(&mut desk, 30);
+    let runner = &desk.runners[on].id;
+    let lines = lines_of(JobId(1));
+    assert_in_order(
+        &lines,
+        &[
+            "accepted queue=q",
+            &format!("run=1 runner={runner}"),
+            "why=standing percent=0",
+            "run=1",
+            "start task=0000000000000001.0.0.0 run=2",
+            "how=Done",
+            "ended state=Completed after=",
+        ],
+    );
+}
+
+/// A caller is told that its job has failed. Its lines show as many failed runs as the
+/// queue has attempts, each on another runner; other jobs ended well there: the job is at
+/// fault, not the runners.
+#[test]
+fn a_failed_job_leads_to_its_own_fault() {
+    keep_lines();
+    let mut desk = Desk::new(4, None, truth(300, true));
+    desk.round();
+    let (spec, _) = step(1, 2, 300);
+    desk.submit(vec![spec]);
+    rounds(&mut desk, 60);
+    let lines = lines_of(JobId(1));
+    assert_in_order(
+        &lines,
+        &[
+            "accepted queue=q",
+            "run=1 runner=w",
+            "how=Failed",
+            "run=2 runner=w",
+            "how=Failed",
+            "run=3 runner=w",
+            "how=Failed",
+            "ended state=Failed",
+        ],
+    );
+    assert!(lines.last().is_some_and(|line| line.ends_with("failures=3")), "{lines:#?}");
+    let runners: std::collections::BTreeSet<&str> = lines
+        .iter()
+        .filter(|line| line.starts_with("end "))
+        .filter_map(|line| line.split("runner=").nth(1)?.split(' ').next())
+        .collect();
+    assert_eq!(runners.len(), 3, "{lines:#?}");
+}
--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -6,6 +6,7 @@
 use crate::error::{Error, Result};
 use crate::render;
 use crate::saved;
+use crate::why;
 use serde_json::{Value, json};
 use similar::TextDiff;
 use std::fs;
@@ -74,6 +75,13 @@
         /// Wait until it has ended.
         wait: bool,
     },
+    /// Put a job's decisions in order, from logs.
+    Why {
+        /// The job's 16 digits.
+        id: Box<str>,
+        /// Log files; `-` is standard input.
+        files: Vec<Box<str>>,
+    },
     /// Show the state of the system.
     Status,
     /// List targets.
@@ -166,6 +174,7 @@
         Command::SnapshotRestore { file, data, name, address } => {
             saved::restore(&file, &data, &name, address)
         }
+        Command::Why { id, files } => why::explain(&id, &files),
         Command::Cell(command) => cell::run(client, command).await,
         Command::Decisions => {
             let all = client.decisions().await?;
--- a/crates/operator/src/completions.rs
+++ b/crates/operator/src/completions.rs
@@ -32,7 +32,7 @@
 }
 
 /// Commands, and what each does in a few words.
-pub const COMMANDS: [(&str, &str); 15] = [
+pub const COMMANDS: [(&str, &str); 16] = [
     ("check", "check documents without sending them"),
     ("apply", "put a document in force"),
     ("get", "print the document in force"),
@@ -42,6 +42,7 @@
     ("job", "submit, get and cancel jobs of a job cell, count those pending"),
     ("change", "apply or get the change set of a job cell"),
     ("wave", "start or get a wave of upkeep of a job cell"),
+    ("why", "put a job's decisions in order, from logs"),
     ("status", "show the state of the system"),
     ("targets", "list runners and workers"),
     ("decisions", "list the last decisions"),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 pub mod render;
 mod saved;
+mod why;
 
 pub use client::{Client, ClientBuilder};
 pub use error::{Error, Result};
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -98,6 +98,11 @@
         self.jobs.get(&id)
     }
 
+    /// Whether a job is known and has not ended.
+    pub fn is_active(&self, id: JobId) -> bool {
+        self.job(id).is_some_and(|job| job.phase == JobPhase::Active)
+    }
+
     /// All jobs, in order of their numbers.
     pub fn all(&self) -> impl Iterator<Item = (JobId, &Job)> {
         self.jobs.iter().map(|(id, job)| (*id, job))
--- /dev/null
+++ b/crates/state/src/machine/queries.rs
@@ -0,0 +1,167 @@
+//! What can be read of the state.
+
+use super::*;
+impl Machine {
+    /// The revision of the last accepted document.
+    ///
+    /// ```
+    /// # use yuccalink_state::{Machine, id::Revision};
+    /// assert_eq!(Machine::new().revision(), Revision(0));
+    /// ```
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// All services, in the order of their first document.
+    ///
+    /// ```
+    /// # use yuccalink_state::Machine;
+    /// assert_eq!(Machine::new().services().count(), 0);
+    /// ```
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.iter()
+    }
+
+    /// The service called `name`.
+    ///
+    /// ```
+    /// # use yuccalink_state::{Machine, id::Name};
+    /// assert!(Machine::new().service(&Name::new("quotes")?).is_none());
+    /// # Ok::<(), yuccalink_state::id::BadName>(())
+    /// ```
+    pub fn service(&self, name: &Name) -> Option<&Service> {
+        self.service_keys.get(name).map(|key| self.service_at(*key))
+    }
+
+    /// The service with `key`, which came from this machine.
+    ///
+    /// # Panics
+    /// With a key of another machine.
+    pub fn service_at(&self, key: ServiceKey) -> &Service {
+        &self.services[key.0 as usize]
+    }
+
+    /// The document of a task's service.
+    ///
+    /// # Panics
+    /// With a task of another machine.
+    pub fn document_of(&self, task: &Task) -> &Document {
+        &self.service_at(task.service).accepted.document
+    }
+
+    /// A task's kind, unless the document in force has none of that name any more.
+    ///
+    /// # Panics
+    /// With a task of another machine.
+    pub fn kind_of(&self, task: &Task) -> Option<&TaskKind> {
+        self.document_of(task).task_kind(&task.kind)
+    }
+
+    /// A task's class; batch when its kind is gone from the document.
+    ///
+    /// # Panics
+    /// With a task of another machine.
+    pub fn class_of(&self, task: &Task) -> TaskClass {
+        self.kind_of(task).map_or(TaskClass::Batch, |kind| kind.class)
+    }
+
+    /// All worker records, gone ones included.
+    ///
+    /// ```
+    /// # use yuccalink_state::Machine;
+    /// assert_eq!(Machine::new().workers().count(), 0);
+    /// ```
+    pub fn workers(&self) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+        self.workers.iter().enumerate().map(|(at, worker)| (worker_key(at), worker))
+    }
+
+    /// The worker with `key`, which came from this machine.
+    ///
+    /// # Panics
+    /// With a key of another machine.
+    pub fn worker_at(&self, key: WorkerKey) -> &Worker {
+        &self.workers[key.0 as usize]
+    }
+
+    /// The worker called `name`.
+    ///
+    /// ```
+    /// # use yuccalink_state::{Machine, id::Name};
+    /// assert!(Machine::new().worker(&Name::new("w1")?).is_none());
+    /// # Ok::<(), yuccalink_state::id::BadName>(())
+    /// ```
+    pub fn worker(&self, name: &Name) -> Option<(WorkerKey, &Worker)> {
+        let key = *self.worker_keys.get(name)?;
+        Some((key, self.worker_at(key)))
+    }
+
+    /// The tasks committed to a worker, in order of their numbers.
+    ///
+    /// ```
+    /// # use yuccalink_state::{Machine, id::WorkerKey};
+    /// assert_eq!(Machine::new().held_by(WorkerKey(0)).count(), 0);
+    /// ```
+    pub fn held_by(&self, key: WorkerKey) -> impl Iterator<Item = &Task> {
+        self.held.get(key.0 as usize).into_iter().flatten().filter_map(|id| self.tasks.get(id))
+    }
+
+    /// All remembered tasks, in order of their numbers.
+    ///
+    /// ```
+    /// # use yuccalink_state::Machine;
+    /// assert!(Machine::new().tasks().next().is_none());
+    /// ```
+    pub fn tasks(&self) -> impl Iterator<Item = &Task> {
+        self.tasks.values()
+    }
+
+    /// Remembered tasks numbered above `after`, in order of their numbers.
+    ///
+    /// ```
+    /// # use yuccalink_state::{Machine, id::TaskId};
+    /// assert!(Machine::new().tasks_after(TaskId(0)).next().is_none());
+    /// ```
+    pub fn tasks_after(&self, after: TaskId) -> impl Iterator<Item = &Task> {
+        self.tasks.range(TaskId(after.0.saturating_add(1))..).map(|(_, task)| task)
+    }
+
+    /// The task numbered `id`.
+    ///
+    /// ```
+    /// # use yuccalink_state::{Machine, id::TaskId};
+    /// assert!(Machine::new().task(TaskId(1)).is_none());
+    /// ```
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        self.tasks.get(&id)
+    }
+
+    /// Waiting tasks, the first to be placed first.
+    ///
+    /// ```
+    /// # use yuccalink_state::Machine;
+    /// assert!(Machine::new().waiting().next().is_none());
+    /// ```
+    pub fn waiting(&self) -> impl Iterator<Item = &Task> {
+        self.waiting.iter().filter_map(|(_, id)| self.tasks.get(id))
+    }
+
+    /// How many tasks wait.
+    ///
+    /// ```
+    /// # use yuccalink_state::Machine;
+    /// assert_eq!(Machine::new().waiting_len(), 0);
+    /// ```
+    pub fn waiting_len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// The request ledger.
+    ///
+    /// ```
+    /// # use yuccalink_state::Machine;
+    /// assert!(Machine::new().ledger().is_empty());
+    /// ```
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+}
--- /dev/null
+++ b/crates/state/src/machine/tasks.rs
@@ -0,0 +1,161 @@
+//! Commands on tasks: submitted, placed, reported, evicted, cancelled.
+
+use super::*;
+impl Machine {
+    pub(super) fn submit(&mut self, submit: Submit) -> Outcome {
+        if let Some(done) = self.submissions.get(&submit.key) {
+            return Outcome::Submitted { first: done.first, count: done.count, resent: true };
+        }
+        let Some(service) = self.service_keys.get(&submit.service).copied() else {
+            return Outcome::Unknown(Missing::Service(submit.service));
+        };
+        let document = &self.service_at(service).accepted.document;
+        let Some(kind) = document.task_kind(&submit.kind) else {
+            return Outcome::Unknown(Missing::Kind(submit.kind));
+        };
+        let need = kind.need;
+        let first = TaskId(self.last_task + 1);
+        for _ in 0..submit.count {
+            self.last_task += 1;
+            let id = TaskId(self.last_task);
+            let task = Task {
+                id,
+                service,
+                kind: submit.kind.clone(),
+                need,
+                urgent: submit.urgent,
+                payload: submit.payload.clone(),
+                phase: TaskPhase::Waiting,
+                epoch: Epoch(0),
+                checkpoint: None,
+                evictions: 0,
+                failures: 0,
+                submitted_ms: submit.at_ms,
+            };
+            self.tasks.insert(id, task);
+            self.index(id);
+        }
+        self.remember_submission(submit.key, Submission { first, count: submit.count });
+        Outcome::Submitted { first, count: submit.count, resent: false }
+    }
+
+    pub(super) fn remember_submission(&mut self, key: Box<str>, submission: Submission) {
+        if self.submission_order.len() == PAST_SUBMISSIONS
+            && let Some(oldest) = self.submission_order.pop_front()
+        {
+            self.submissions.remove(&oldest);
+        }
+        self.submission_order.push_back(key.clone());
+        self.submissions.insert(key, submission);
+    }
+
+    pub(super) fn cancel(&mut self, id: TaskId) -> CancelOutcome {
+        let Some(task) = self.tasks.get(&id) else { return CancelOutcome::Unknown };
+        match task.phase.clone() {
+            TaskPhase::Ended(ending) => CancelOutcome::Ended(ending),
+            TaskPhase::Waiting => {
+                // Only a task that never ran may be called "not run".
+                let ran = task.epoch > Epoch(0);
+                self.end(id, Ending::Cancelled);
+                if ran { CancelOutcome::Ended(Ending::Cancelled) } else { CancelOutcome::NotRun }
+            }
+            TaskPhase::Placed(key) | TaskPhase::Running(key) | TaskPhase::Stopping(key, _) => {
+                self.set_phase(id, TaskPhase::Stopping(key, StopReason::Cancel));
+                CancelOutcome::Stopping
+            }
+        }
+    }
+
+    pub(super) fn place(&mut self, placement: Placement) -> Option<Committed> {
+        let task = self.tasks.get(&placement.task)?;
+        if task.phase != TaskPhase::Waiting {
+            return None;
+        }
+        let worker = self.workers.get_mut(placement.worker.0 as usize)?;
+        let committed = worker.committed.plus(task.need)?;
+        // The last guard of "never committed beyond what it holds": whatever a
+        // leader proposed from older knowledge is checked against exact sums here.
+        if worker.phase != WorkerPhase::Live || !worker.spec.capacity.holds(committed) {
+            return None;
+        }
+        worker.committed = committed;
+        worker.tasks += 1;
+        let rank = (self.rank(task), placement.task);
+        self.waiting.remove(&rank);
+        let task = self.tasks.get_mut(&placement.task)?;
+        task.epoch = task.epoch.next();
+        task.phase = TaskPhase::Placed(placement.worker);
+        let epoch = task.epoch;
+        self.index(placement.task);
+        Some(Committed { task: placement.task, worker: placement.worker, epoch })
+    }
+
+    pub(super) fn evict(&mut self, id: TaskId) -> bool {
+        match self.tasks.get(&id).map(|task| task.phase.clone()) {
+            Some(TaskPhase::Placed(key) | TaskPhase::Running(key)) => {
+                self.set_phase(id, TaskPhase::Stopping(key, StopReason::Evict));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the task if it left its worker.
+    pub(super) fn report(&mut self, report: &TaskReport) -> Option<TaskId> {
+        let id = report.task;
+        let task = self.tasks.get_mut(&id)?;
+        let worker = task.worker()?;
+        // A report of an earlier placement comes late or from a worker that was cut
+        // off: acting on it would free or end work that runs elsewhere now.
+        if task.epoch != report.epoch {
+            return None;
+        }
+        let phase = task.phase.clone();
+        match &report.event {
+            TaskEvent::Started => {
+                if phase == TaskPhase::Placed(worker) {
+                    task.phase = TaskPhase::Running(worker);
+                }
+                None
+            }
+            TaskEvent::Checkpointed { done_ms } => {
+                let before = task.checkpoint.map_or(0, |saved| saved.done_ms);
+                if *done_ms >= before {
+                    task.checkpoint = Some(Checkpoint { epoch: report.epoch, done_ms: *done_ms });
+                }
+                None
+            }
+            TaskEvent::Finished => {
+                self.end(id, Ending::Finished);
+                Some(id)
+            }
+            TaskEvent::Failed { reason } => {
+                task.failures += 1;
+                let give_up = task.failures >= FAILURES_MAX;
+                match phase {
+                    TaskPhase::Stopping(_, StopReason::Cancel) => self.end(id, Ending::Cancelled),
+                    _ if give_up => self.end(id, Ending::Failed(reason.clone())),
+                    _ => self.requeue(id),
+                }
+                Some(id)
+            }
+            TaskEvent::Stopped | TaskEvent::Refused { .. } => {
+                self.leave_worker(id, &phase);
+                Some(id)
+            }
+        }
+    }
+
+    pub(super) fn leave_worker(&mut self, id: TaskId, phase: &TaskPhase) {
+        match phase {
+            TaskPhase::Stopping(_, StopReason::Cancel) => self.end(id, Ending::Cancelled),
+            TaskPhase::Stopping(_, StopReason::Evict) => {
+                if let Some(task) = self.tasks.get_mut(&id) {
+                    task.evictions += 1;
+                }
+                self.requeue(id);
+            }
+            _ => self.requeue(id),
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/machine/workers.rs
@@ -0,0 +1,72 @@
+//! Commands on workers: up, leaving, gone.
+
+use super::*;
+impl Machine {
+    pub(super) fn worker_up(&mut self, spec: WorkerSpec) -> Outcome {
+        if let Some(key) = self.worker_keys.get(&spec.name).copied() {
+            let worker = &mut self.workers[key.0 as usize];
+            let same_run = worker.spec.incarnation == spec.incarnation;
+            if worker.tasks > 0 && !same_run {
+                return Outcome::WorkerBusy;
+            }
+            if worker.tasks > 0 && !spec.capacity.holds(worker.committed) {
+                return Outcome::WorkerBusy;
+            }
+            worker.spec = spec;
+            worker.phase = WorkerPhase::Live;
+            return Outcome::WorkerUp(key);
+        }
+        let worker =
+            Worker { spec, phase: WorkerPhase::Live, committed: Resources::ZERO, tasks: 0 };
+        let name = worker.spec.name.clone();
+        let key = self.free_slot();
+        match self.workers.get_mut(key.0 as usize) {
+            Some(old) => {
+                self.worker_keys.remove(&old.spec.name);
+                *old = worker;
+            }
+            None => {
+                self.workers.push(worker);
+                self.held.push(BTreeSet::new());
+            }
+        }
+        self.worker_keys.insert(name, key);
+        Outcome::WorkerUp(key)
+    }
+
+    pub(super) fn free_slot(&self) -> WorkerKey {
+        let gone = self.workers.iter().position(|worker| worker.phase == WorkerPhase::Gone);
+        worker_key(gone.unwrap_or(self.workers.len()))
+    }
+
+    pub(super) fn worker_leaving(&mut self, name: &Name, run: Incarnation) -> Outcome {
+        match self.run_of(name, run) {
+            Some(key) => {
+                self.workers[key.0 as usize].phase = WorkerPhase::Leaving;
+                Outcome::Done
+            }
+            None => Outcome::Unknown(Missing::Worker(name.clone())),
+        }
+    }
+
+    pub(super) fn worker_gone(&mut self, name: &Name, run: Incarnation) -> Outcome {
+        let Some(key) = self.run_of(name, run) else {
+            return Outcome::Unknown(Missing::Worker(name.clone()));
+        };
+        let held: Box<[TaskId]> = self.held[key.0 as usize].iter().copied().collect();
+        for id in &held {
+            let phase = self.tasks.get(id).map(|task| task.phase.clone());
+            if let Some(phase) = phase {
+                self.leave_worker(*id, &phase);
+            }
+        }
+        self.workers[key.0 as usize].phase = WorkerPhase::Gone;
+        Outcome::Freed(held)
+    }
+
+    pub(super) fn run_of(&self, name: &Name, run: Incarnation) -> Option<WorkerKey> {
+        let key = *self.worker_keys.get(name)?;
+        let worker = self.worker_at(key);
+        (worker.spec.incarnation == run && worker.phase != WorkerPhase::Gone).then_some(key)
+    }
+}
--- a/crates/yuccalink/src/args.rs
+++ b/crates/yuccalink/src/args.rs
@@ -91,6 +91,10 @@
             Command::Cell(CellCommand::WaveStart { id: wave(id)?, file: (*file).into() })
         }
         ["wave", "get", id] => Command::Cell(CellCommand::WaveGet { id: wave(id)? }),
+        ["why", job, files @ ..] if !files.is_empty() => Command::Why {
+            id: job_id(job)?,
+            files: files.iter().map(|file| (*file).into()).collect(),
+        },
         ["snapshot", rest @ ..] => snapshot(rest, &given)?,
         ["status"] => Command::Status,
         ["targets"] => Command::Targets,
@@ -148,22 +152,23 @@
 
 fn job(words: &[&str], given: &Given) -> Result<CellCommand> {
     let queue = given.queue.clone().ok_or_else(|| usage("a job needs --queue HOST/PATH/"))?;
-    let id = |word: &str| {
-        let wrong = || usage(format!("`{word}` is no job's number: write 16 of 0-9 and a-f"));
-        JobId::parse(word).map(|id| id.to_string().into()).ok_or_else(wrong)
-    };
     match words {
         ["submit", file] => {
             let given = given.id.as_deref().ok_or_else(|| usage("job submit needs --id"))?;
-            Ok(CellCommand::JobSubmit { queue, id: id(given)?, file: (*file).into() })
+            Ok(CellCommand::JobSubmit { queue, id: job_id(given)?, file: (*file).into() })
         }
-        ["get", job] => Ok(CellCommand::JobGet { queue, id: id(job)? }),
-        ["cancel", job] => Ok(CellCommand::JobCancel { queue, id: id(job)? }),
+        ["get", job] => Ok(CellCommand::JobGet { queue, id: job_id(job)? }),
+        ["cancel", job] => Ok(CellCommand::JobCancel { queue, id: job_id(job)? }),
         ["pending"] => Ok(CellCommand::JobPending { queue }),
         _ => Err(usage("write job submit FILE, job get JOB, job cancel JOB or job pending")),
     }
 }
 
+fn job_id(word: &str) -> Result<Box<str>> {
+    let wrong = || usage(format!("`{word}` is no job's number: write 16 of 0-9 and a-f"));
+    JobId::parse(word).map(|id| id.to_string().into()).ok_or_else(wrong)
+}
+
 fn wave(text: &str) -> Result<u64> {
     text.parse().map_err(|_| usage(format!("`{text}` is no wave's number")))
 }
@@ -329,6 +334,8 @@
   change get                print what is in force
   wave start N FILE         take machines down for upkeep, a few at a time
   wave get N                whether all are up again
+  why JOB FILE...           a job's lines of the processes' logs, in order of time, and
+                            what they come to
 
 The system:
   status                    who leads, which revision each entry has in force
--- a/crates/yuccalink/tests/cell.rs
+++ b/crates/yuccalink/tests/cell.rs
@@ -118,3 +118,43 @@
     let (_, told) = cell.bad(cell.control, &["change", "apply", &broken]);
     assert!(told.contains("names pool x, which is not among the pools"), "{told}");
 }
+
+/// On call, the lines of one job are put in order from the logs of two VMs; a job that no
+/// log names is said to be unknown, with what to do.
+#[test]
+fn a_jobs_decisions_are_put_in_order_from_logs() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (first, second) = (folder.path().join("e1.log"), folder.path().join("e2.log"));
+    let id = "5c0e7a21d94b36f8";
+    std::fs::write(
+        &first,
+        format!(
+            "[2026-01-02T03:04:06.5Z INFO  cell] end task={id}.0.0.0 run=1 runner=w1 how=Failed\n\
+             [2026-01-02T03:04:05.0Z INFO  cell] job={id} accepted queue=q steps=[1x1m]\n\
+             [2026-01-02T03:04:05.1Z INFO  cell] job=0000000000000007 accepted queue=q\n"
+        ),
+    )
+    .expect("a log");
+    std::fs::write(
+        &second,
+        format!("[2026-01-02T03:04:09.0Z INFO  cell] job={id} ended state=Failed after=4s\n"),
+    )
+    .expect("a log");
+    let why = |id: &str| {
+        Command::new(env!("CARGO_BIN_EXE_yuccalink"))
+            .args(["why", id])
+            .args([&first, &second])
+            .output()
+            .expect("the command")
+    };
+    let output = why(id);
+    let text = String::from_utf8_lossy(&output.stdout);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 4, "{text}");
+    assert!(lines[0].contains("accepted") && lines[1].contains("how=Failed"), "{text}");
+    assert!(lines[3].contains("ended state=Failed") && lines[3].contains("Failed 1"), "{text}");
+    let unknown = why("00000000000000ff");
+    assert_eq!(unknown.status.code(), Some(1));
+    let shown = String::from_utf8_lossy(&unknown.stderr);
+    assert!(shown.contains("give the logs of all VMs"), "{shown}");
+}
