--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod pressure;
 pub mod raft;
 pub mod retry;
+pub mod roster;
 pub mod router;
 pub mod scenario;
 pub mod voters;
--- a/crates/daemon/src/cell/roster.rs
+++ b/crates/coordination/src/roster.rs
@@ -1,19 +1,51 @@
-//! Whom a process knows: seeds, disks, and who leads. No input or output.
+//! Whom a process of a job cell knows: seeds, disks, and who leads. Sans-IO: tell it what
+//! other processes say, with the current [`Moment`], and ask it.
 
-use crate::cell::frame::{Lead, NodeInfo};
+use crate::moment::Moment;
+use crate::raft::{Member, ReplicaId};
+use crate::voters::Disk;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
-use yuccalink_coordination::Moment;
-use yuccalink_coordination::raft::{Member, ReplicaId};
-use yuccalink_coordination::voters::Disk;
 use yuccalink_state::id::Name;
 
 /// Silence after which a leader is no longer believed in: three missed answers.
-pub(crate) const LEAD_FRESH: Duration = Duration::from_millis(1_300);
+pub const LEAD_FRESH: Duration = Duration::from_millis(1_300);
 /// Silence after which a disk that is no member is forgotten.
 const DISK_FORGET: Duration = Duration::from_secs(30);
 
+/// What a process says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeInfo {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its availability zone.
+    pub zone: Box<str>,
+    /// Where other processes of the cell reach it.
+    pub peer: SocketAddr,
+    /// Where runners and operators reach it.
+    pub control: Option<SocketAddr>,
+    /// Its disk, where it has one.
+    pub replica: Option<ReplicaId>,
+    /// It has a disk with nothing on it and may found a new cell.
+    pub may_found: bool,
+}
+
+/// Who leads, as far as the sender knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lead {
+    /// Its term.
+    pub term: u64,
+    /// Where other processes of the cell reach it.
+    pub peer: SocketAddr,
+    /// Where runners and operators reach it.
+    pub control: Option<SocketAddr>,
+    /// Said by the leader of itself: it holds its lease and a change set.
+    pub serving: bool,
+}
+
+#[derive(Debug)]
 struct Known {
     info: NodeInfo,
     /// When it was heard itself; never for one that others told of.
@@ -21,9 +53,30 @@
     told: Moment,
 }
 
-pub(crate) struct Roster {
-    pub(crate) me: NodeInfo,
-    pub(crate) seeds: Vec<SocketAddr>,
+/// What one process knows of the others.
+///
+/// ```
+/// use yuccalink_coordination::Moment;
+/// use yuccalink_coordination::raft::ReplicaId;
+/// use yuccalink_coordination::roster::{NodeInfo, Roster};
+/// let me = NodeInfo {
+///     name: "e1".into(),
+///     zone: "brno".into(),
+///     peer: "10.0.0.1:8082".parse().unwrap(),
+///     control: None,
+///     replica: Some(ReplicaId(7)),
+///     may_found: true,
+/// };
+/// let alone = Roster::new(me.clone(), vec![me.peer], true);
+/// assert!(alone.should_found(true), "the first seed, with an empty disk");
+/// assert!(!alone.should_found(false), "its disk holds a cell already");
+/// ```
+#[derive(Debug)]
+pub struct Roster {
+    /// This process.
+    pub me: NodeInfo,
+    /// Processes to ask first, in an order that all share at the first start.
+    pub seeds: Vec<SocketAddr>,
     bootstrap: bool,
     known: BTreeMap<SocketAddr, Known>,
     lead: Option<(Lead, Moment)>,
@@ -36,7 +89,8 @@
 }
 
 impl Roster {
-    pub(crate) fn new(me: NodeInfo, seeds: Vec<SocketAddr>, bootstrap: bool) -> Self {
+    /// One that knows its seeds only; `bootstrap` at the very first start of a cell.
+    pub fn new(me: NodeInfo, seeds: Vec<SocketAddr>, bootstrap: bool) -> Self {
         let known = BTreeMap::new();
         Self {
             me,
@@ -51,7 +105,7 @@
     }
 
     /// Another process says who it is.
-    pub(crate) fn heard(&mut self, info: NodeInfo, now: Moment) {
+    pub fn heard(&mut self, info: NodeInfo, now: Moment) {
         if info.peer == self.me.peer {
             return;
         }
@@ -63,7 +117,7 @@
     }
 
     /// Another process tells of a disk that it has heard.
-    pub(crate) fn told(&mut self, info: &NodeInfo, now: Moment) {
+    pub fn told(&mut self, info: &NodeInfo, now: Moment) {
         if info.peer == self.me.peer {
             return;
         }
@@ -79,7 +133,7 @@
     }
 
     /// Another process tells who leads.
-    pub(crate) fn lead_told(&mut self, lead: Lead, from: SocketAddr, now: Moment) {
+    pub fn lead_told(&mut self, lead: Lead, from: SocketAddr, now: Moment) {
         self.founded = true;
         // Whether this process leads its own replica knows best.
         if lead.peer == self.me.peer {
@@ -104,7 +158,7 @@
     }
 
     /// The process believed to lead does not, or does not answer.
-    pub(crate) fn lead_lost(&mut self, peer: SocketAddr, why: &str) {
+    pub fn lead_lost(&mut self, peer: SocketAddr, why: &str) {
         if self.lead.is_some_and(|(lead, _)| lead.peer == peer) {
             log::warn!("leader={peer} lost why={why}");
             self.lead = None;
@@ -112,7 +166,7 @@
     }
 
     /// Drops a leader that has not been heard for long.
-    pub(crate) fn tick(&mut self, now: Moment) {
+    pub fn tick(&mut self, now: Moment) {
         if let Some((lead, at)) = self.lead
             && now.since(at) > LEAD_FRESH
         {
@@ -122,29 +176,31 @@
     }
 
     /// Who leads, as far as is known.
-    pub(crate) fn lead(&self) -> Option<Lead> {
+    pub fn lead(&self) -> Option<Lead> {
         self.lead.map(|(lead, _)| lead)
     }
 
-    pub(crate) fn founder_told(&mut self, founder: Option<ReplicaId>, from: SocketAddr) {
+    /// Another process tells whom the first seed lets found; only that one's word counts.
+    pub fn founder_told(&mut self, founder: Option<ReplicaId>, from: SocketAddr) {
         if self.seeds.first() == Some(&from) && founder.is_some() {
             self.founder = founder;
         }
     }
 
-    pub(crate) fn designated(&self) -> Option<ReplicaId> {
+    /// Whom this process, as the first seed and without a disk, lets found.
+    pub fn designated(&self) -> Option<ReplicaId> {
         self.designated
     }
 
     /// Disks that this process has heard itself lately, for others to know.
-    pub(crate) fn disks(&self, now: Moment) -> Vec<NodeInfo> {
+    pub fn disks(&self, now: Moment) -> Vec<NodeInfo> {
         let fresh = |known: &&Known| known.heard.is_some_and(|at| now.since(at) < DISK_FORGET);
         let disks = self.known.values().filter(fresh).map(|known| &known.info);
         disks.filter(|info| info.replica.is_some()).cloned().collect()
     }
 
     /// The same, as candidates for a vote.
-    pub(crate) fn candidates(&self, now: Moment) -> Vec<Disk> {
+    pub fn candidates(&self, now: Moment) -> Vec<Disk> {
         let candidate = |known: &Known| {
             let info = &known.info;
             let silent = now.since(known.heard?);
@@ -155,19 +211,19 @@
     }
 
     /// Where a replica's daemon is, by its own word.
-    pub(crate) fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
+    pub fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
         let is = |known: &&Known| known.info.replica == Some(id);
         self.known.values().find(is).map(|known| known.info.peer)
     }
 
     /// Where runners and operators reach a daemon.
-    pub(crate) fn control_of(&self, peer: SocketAddr) -> Option<SocketAddr> {
+    pub fn control_of(&self, peer: SocketAddr) -> Option<SocketAddr> {
         self.known.get(&peer).and_then(|known| known.info.control)
     }
 
     /// Whom this process keeps a connection to. Without a leader: whoever may know
     /// one. With one: the leader, and from a disk every other disk.
-    pub(crate) fn wanted_links(&self, members: &[SocketAddr]) -> BTreeSet<SocketAddr> {
+    pub fn wanted_links(&self, members: &[SocketAddr]) -> BTreeSet<SocketAddr> {
         let mut wanted = BTreeSet::new();
         let has_disk = self.me.replica.is_some();
         if let Some((lead, _)) = &self.lead {
@@ -189,7 +245,7 @@
     /// new, and it is the first seed with a disk. Exactly one may: two founders
     /// would make two cells that both believe to be the only one. A seed that does
     /// not answer may have a disk, so nobody founds before it does.
-    pub(crate) fn should_found(&self, empty: bool) -> bool {
+    pub fn should_found(&self, empty: bool) -> bool {
         if !self.bootstrap || !empty || self.founded || self.lead.is_some() {
             return false;
         }
@@ -210,7 +266,7 @@
 }
 
 /// A process with a disk as a member of the consensus.
-pub(crate) fn member_of(info: &NodeInfo) -> Option<Member> {
+pub fn member_of(info: &NodeInfo) -> Option<Member> {
     let name = Name::new(&info.name).ok()?;
     Some(Member { id: info.replica?, name, address: info.peer.to_string().into() })
 }
--- a/crates/daemon/src/cell.rs
+++ b/crates/daemon/src/cell.rs
@@ -17,7 +17,6 @@
 mod outside;
 mod peers;
 mod replica;
-mod roster;
 mod run;
 mod seats;
 
--- a/crates/daemon/src/cell/frame.rs
+++ b/crates/daemon/src/cell/frame.rs
@@ -2,38 +2,15 @@
 
 use serde::{Deserialize, Serialize};
 use std::io;
-use std::net::SocketAddr;
 use tokio::io::{AsyncRead, AsyncReadExt};
 use yuccalink_coordination::jobs::{Answer, Ask};
 use yuccalink_coordination::raft::{Envelope, ReplicaId};
+use yuccalink_coordination::roster::{Lead, NodeInfo};
 
 /// Largest frame in bytes: a chunk of a snapshot or a batch of entries, with room.
 pub(crate) const FRAME_MAX: usize = 16 * 1024 * 1024;
 const HEAD: usize = 4;
 
-/// What a process says of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct NodeInfo {
-    pub(crate) name: Box<str>,
-    pub(crate) zone: Box<str>,
-    pub(crate) peer: SocketAddr,
-    pub(crate) control: Option<SocketAddr>,
-    /// Its disk, where it has one.
-    pub(crate) replica: Option<ReplicaId>,
-    /// It has a disk with nothing on it and may found a new cell.
-    pub(crate) may_found: bool,
-}
-
-/// Who leads, as far as the sender knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Lead {
-    pub(crate) term: u64,
-    pub(crate) peer: SocketAddr,
-    pub(crate) control: Option<SocketAddr>,
-    /// Said by the leader of itself: it holds its lease and a change set.
-    pub(crate) serving: bool,
-}
-
 /// One message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum Frame {
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -2,12 +2,11 @@
 
 use crate::cell::config::CellConfig;
 use crate::cell::dialect::Dialect;
-use crate::cell::frame::{Frame, Lead, NodeInfo};
+use crate::cell::frame::Frame;
 use crate::cell::link::Link;
 use crate::cell::metrics::Metrics;
 use crate::cell::outside;
 use crate::cell::replica::Replica;
-use crate::cell::roster::Roster;
 use crate::clock::{BootClock, unix_ms};
 use crate::journal::Done;
 use std::cell::{Cell, RefCell};
@@ -22,6 +21,7 @@
 use yuccalink_coordination::jobs::outside::{CallId, Told};
 use yuccalink_coordination::jobs::{Answer, Ask, Now, Token};
 use yuccalink_coordination::raft::{Envelope, ReplicaId};
+use yuccalink_coordination::roster::{Lead, NodeInfo, Roster};
 
 /// Pause before a process asks again who leads.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
--- a/crates/daemon/src/cell/run.rs
+++ b/crates/daemon/src/cell/run.rs
@@ -2,7 +2,6 @@
 
 use crate::cell::config::CellConfig;
 use crate::cell::dialect::{Dialect, Settings};
-use crate::cell::frame::NodeInfo;
 use crate::cell::http::{self, Port, Site};
 use crate::cell::node::Shared;
 use crate::cell::replica::Replica;
@@ -24,6 +23,7 @@
 use tokio::time::Instant;
 use yuccalink_coordination::Moment;
 use yuccalink_coordination::raft::ReplicaId;
+use yuccalink_coordination::roster::NodeInfo;
 use yuccalink_state::jobs::Jobs;
 
 /// How often time is looked at where there is a replica: a quarter of the
--- a/crates/daemon/src/cell/seats.rs
+++ b/crates/daemon/src/cell/seats.rs
@@ -2,9 +2,9 @@
 //! while it leads.
 
 use crate::cell::node::{Node, Shared};
-use crate::cell::roster::member_of;
 use std::time::Duration;
 use yuccalink_coordination::raft::{Members, ReplicaId};
+use yuccalink_coordination::roster::member_of;
 use yuccalink_coordination::voters::{self, View};
 
 /// How often the voters are looked at.
