The soak does not take a stop that was asked for as a fall; seed 2034 stays as test

Cause of the one red seed of 54 (2034, '[2] ended by themselves', three plays of four): its plan asks process 2 to stop at 6.324 s and strikes again at 7.488 s; the process drains for 1 s, and its log has 'stopped in-flight=0' 0.14 s before that strike and its next start 0.01 s after. The check before each fault counted any ended process, before the one that waits for the stop had looked. Ruled out: a panic or a silent death (no line of either, last line is that of the run's end). Change: processes that were asked to stop are judged by the check of stops alone, which still asks for exit code 0.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -166,7 +166,7 @@
 /// Asks a process to stop; it must do so in time and with success, unless another
 /// fault takes it meanwhile.
 async fn restart(node: usize, system: &SharedSystem, watch: &SharedWatch) -> io::Result<()> {
-    system.borrow().signal(node, "-TERM")?;
+    system.borrow_mut().stop(node)?;
     let until = Instant::now() + STOP_MAX;
     loop {
         let ended = system.borrow_mut().has_ended(node)?;
--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -22,6 +22,8 @@
     nodes: usize,
     disks: usize,
     children: Vec<Option<Child>>,
+    /// Processes that were asked to stop: they end by our word, not by themselves.
+    stopping: Vec<bool>,
     pub(crate) moods: Vec<Rc<Mood>>,
 }
 
@@ -39,6 +41,7 @@
             nodes,
             disks,
             children: (0..nodes).map(|_| None).collect(),
+            stopping: vec![false; nodes],
             moods: (0..nodes).map(|_| Rc::default()).collect(),
         };
         for at in 0..nodes {
@@ -104,6 +107,7 @@
             command.arg("--data").arg(self.data(at));
         }
         self.children[at] = Some(command.spawn()?);
+        self.stopping[at] = false;
         Ok(())
     }
 
@@ -132,6 +136,12 @@
         Command::new("kill").args([signal, &child.id().to_string()]).status().map(drop)
     }
 
+    /// Asks a process to stop.
+    pub(crate) fn stop(&mut self, at: usize) -> io::Result<()> {
+        self.stopping[at] = true;
+        self.signal(at, "-TERM")
+    }
+
     /// Whether a process that was asked to stop has; its exit code must be 0.
     pub(crate) fn has_ended(&mut self, at: usize) -> io::Result<Option<bool>> {
         let Some(child) = &mut self.children[at] else { return Ok(Some(true)) };
@@ -140,12 +150,13 @@
         Ok(Some(status.success()))
     }
 
-    /// Processes that have ended by themselves.
+    /// Processes that have ended by themselves. One that was asked to stop is judged by
+    /// [`Self::has_ended`], which looks a moment later.
     pub(crate) fn fallen(&mut self) -> Vec<usize> {
         let ended = |child: &mut Option<Child>| {
             child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
         };
-        let nodes = self.children.iter_mut().enumerate();
+        let nodes = self.children.iter_mut().enumerate().filter(|(at, _)| !self.stopping[*at]);
         nodes.filter_map(|(at, child)| ended(child).then_some(at)).collect()
     }
 }
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -15,15 +15,15 @@
     path
 }
 
-fn soak(seed: u64, seconds: u64) -> Report {
+fn soak(seed: u64, seconds: u64, nodes: usize, runners: usize) -> Report {
     let folder = tempfile::tempdir().expect("a folder");
     let settings = Settings {
         program: program(),
         folder: folder.path().into(),
         seed,
-        nodes: 4,
+        nodes,
         disks: 3,
-        runners: 4,
+        runners,
         span: Duration::from_secs(seconds),
     };
     let report = run(&settings).expect("it runs");
@@ -36,6 +36,14 @@
 
 #[test]
 fn a_short_soak_breaks_no_promise() {
-    let report = soak(1, 10);
+    let report = soak(1, 10, 4, 4);
     assert!(report.accepted > 0 && report.completed == report.accepted, "{report:?}");
 }
+
+/// A process that was asked to stop has just ended when the next fault strikes, 1.16 s
+/// later. The soak took its end for one of its own, in three plays of four: the check of
+/// processes that fall looked before the check of those that stop.
+#[test]
+fn a_stop_that_was_asked_for_is_no_fall() {
+    soak(2034, 12, 5, 8);
+}
