One check of a runner heard lately; a step's wait is looked up where it is used

Read again: the same comparison stood in three places of place.rs and once in copies.rs (there with the other sense at exactly 1.5 s, to the microsecond); rack_fits was handed what it can look up; a filter was written as its double negation. No behaviour changed otherwise.

--- a/crates/coordination/src/jobs/copies.rs
+++ b/crates/coordination/src/jobs/copies.rs
@@ -8,7 +8,7 @@
 //! in room that nobody waits for, and only so many at once.
 
 use super::leader::{Leader, Now};
-use super::place::{Chosen, HEARD_LATELY, label_fits, less};
+use super::place::{Chosen, label_fits, less};
 use super::ready::GroupKey;
 use super::runner::{RunView, Runner, Trust};
 use std::time::Duration;
@@ -98,7 +98,7 @@
 
 /// How long a run is expected to take still, where that is much more than a copy would.
 fn lag(now: Now, runner: &Runner, view: &RunView, estimate_ms: u64) -> Option<Duration> {
-    if view.stopping || now.at.since(runner.heard) > HEARD_LATELY {
+    if view.stopping || !runner.is_heard_lately(now.at) {
         return None;
     }
     let usual = Duration::from_millis(estimate_ms);
--- a/crates/coordination/src/jobs/pace.rs
+++ b/crates/coordination/src/jobs/pace.rs
@@ -249,8 +249,7 @@
     fn set_paces(&mut self, now: Moment, allowances: &[Allowance]) -> bool {
         let settled = now.since(self.paced_at) >= SETTLE;
         let mut changed = false;
-        let gone = |image: &ImageKey| allowances.iter().all(|allowed| allowed.image != *image);
-        self.paces.retain(|image, _| !gone(image));
+        self.paces.retain(|image, _| allowances.iter().any(|allowed| allowed.image == *image));
         for allowed in allowances {
             let steps = (allowed.pace * 100.0 / PACE_STEP).floor();
             let pace = (steps * PACE_STEP).clamp(0.0, 100.0) as u8;
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -19,8 +19,6 @@
 /// How long a task waits for the rack of its data, or of its step: tasks elsewhere
 /// take twice as long, so a wait of a fraction of the usual task pays.
 const RACK_WAIT: Duration = Duration::from_millis(500);
-/// A runner heard within this time is expected to report again soon.
-pub(super) const HEARD_LATELY: Duration = Duration::from_millis(1_500);
 /// Mean weight of a filling image, against all that serve, from which it is given
 /// the runners that serve nothing before others are.
 const HARD: f64 = 5.0;
@@ -137,7 +135,7 @@
                     && &*runner.pool == self.pool_of(job)
                     && label_fits(step, runner)
                     && !self.kept_free.contains_key(&runner.key)
-                    && now.at.since(runner.heard) < HEARD_LATELY
+                    && runner.is_heard_lately(now.at)
                     && (step.per_runner_max == 0
                         || self.count_here(runner.key, group) < step.per_runner_max)
                     && self.free_without_short(runner).holds(need)
@@ -186,14 +184,7 @@
             && label_fits(step, runner)
             && !step.gang
             && self.ticket_fits(now, group, runner)
-            && self.rack_fits(
-                now.at,
-                self.ready.since(group).unwrap_or(now.at),
-                job,
-                step,
-                group,
-                runner,
-            );
+            && self.rack_fits(now.at, job, step, group, runner);
         if !fits {
             return;
         }
@@ -266,12 +257,12 @@
     fn rack_fits(
         &self,
         now: Moment,
-        since: Moment,
         job: &Job,
         step: &StepSpec,
         group: GroupKey,
         runner: &Runner,
     ) -> bool {
+        let since = self.ready.since(group).unwrap_or(now);
         if now.since(since) > RACK_WAIT {
             return true;
         }
@@ -322,9 +313,7 @@
         let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
         let holds = steps.flat_map(|step| &step.tasks).flat_map(|task| &task.holds);
         let sound = holds.filter(|hold| {
-            self.runners
-                .get(&hold.life)
-                .is_some_and(|runner| now.at.since(runner.heard) < HEARD_LATELY)
+            self.runners.get(&hold.life).is_some_and(|runner| runner.is_heard_lately(now.at))
         });
         sound.count() + self.starting.keys().filter(|task| task.job == id).count()
     }
@@ -353,7 +342,7 @@
             && self.runners.values().any(|runner| {
                 runner.serves == step.image
                     && runner.takes_tasks()
-                    && now.at.since(runner.heard) < HEARD_LATELY
+                    && runner.is_heard_lately(now.at)
                     && runner.free.holds(step.committed)
             })
     }
--- a/crates/coordination/src/jobs/runner.rs
+++ b/crates/coordination/src/jobs/runner.rs
@@ -26,6 +26,8 @@
 /// After this long without a bad end a runner is trusted as before: the longest of
 /// the usual faults is over by then.
 const FORGIVEN_AFTER: Duration = Duration::from_secs(8);
+/// A runner heard within this time is expected to report again soon.
+const HEARD_LATELY: Duration = Duration::from_millis(1_500);
 /// Bad ends in a row after which a runner is set aside. One is common: two to
 /// five tasks in a hundred fail by their own fault.
 const BAD_ENDS_MAX: u32 = 2;
@@ -204,6 +206,11 @@
         self.state == RunnerState::Ready && !self.closing
     }
 
+    /// Whether it reported lately, and so is expected to report again soon.
+    pub(super) fn is_heard_lately(&self, now: Moment) -> bool {
+        now.since(self.heard) < HEARD_LATELY
+    }
+
     /// Whether it carries a label.
     pub(super) fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|own| &**own == label)
