--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -13,6 +13,9 @@
 const BYTES_PER_SECOND: usize = 512 * 1024;
 /// How long lines gather before they are written with one call.
 const PERIOD: Duration = Duration::from_millis(100);
+/// Bytes written with one call at most: a pipe takes that many whole, so that a reader
+/// that is slow or shared finds no line cut in two.
+const WRITE_MAX: usize = 4096;
 /// Longest wait for the last lines at the end of a program.
 const FINISH: Duration = Duration::from_millis(400);
 
@@ -118,11 +121,31 @@
             batch.extend_from_slice(note.as_bytes());
         }
         // A closed standard output is no reason to stop serving.
-        let _ = io::stdout().write_all(&batch).and_then(|()| io::stdout().flush());
+        let _ = write_whole_lines(&batch);
         source.lock().writing = false;
     }
 }
 
+fn write_whole_lines(mut batch: &[u8]) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    while !batch.is_empty() {
+        let (now, later) = batch.split_at(whole_lines(batch, WRITE_MAX));
+        // Whole lines pass its buffer and leave with one call.
+        out.write_all(now)?;
+        batch = later;
+    }
+    out.flush()
+}
+
+/// How many bytes of whole lines there are up to `most`, or of the one line that is
+/// longer than that.
+fn whole_lines(batch: &[u8], most: usize) -> usize {
+    let end_of = |part: &[u8]| part.iter().rposition(|byte| *byte == b'\n');
+    let within = end_of(&batch[..batch.len().min(most)]);
+    let first = || batch.iter().position(|byte| *byte == b'\n');
+    within.or_else(first).map_or(batch.len(), |at| at + 1)
+}
+
 /// An idle program is not woken up.
 fn wait_for_some(source: &Lines) {
     let mut waiting = source.lock();
