--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -16,6 +16,7 @@
 pub mod outside;
 mod pace;
 mod place;
+pub mod policy;
 mod ready;
 mod report;
 mod routes;
--- a/crates/coordination/src/jobs/copies.rs
+++ b/crates/coordination/src/jobs/copies.rs
@@ -9,28 +9,56 @@
 
 use super::leader::{Leader, Now};
 use super::place::{Chosen, label_fits, less};
+use super::policy::{Millis, Switch};
 use super::ready::GroupKey;
 use super::runner::{RunView, Runner, Trust};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use yuccalink_state::jobs::{Start, TaskKey};
 
-/// A run lags that is expected to take this many times as long as the guess. Guesses
-/// are half off in the usual case, and a sound run beside busy ones takes 1.6 times as
-/// long as guessed in nine cases of ten.
-const LAGS_BY: u32 = 2;
-/// Least time that a copy must be expected to save: ordering it takes a third of that.
-const GAIN_MIN: Duration = Duration::from_millis(400);
-/// A run whose figure has not moved for this long may stand still; two reports come in
-/// that time.
-const UNMOVED: Duration = Duration::from_millis(900);
-/// One task in this many that run may have a copy, and always this many: the last tasks
-/// of a job are few, and all of them may lag.
-const ONE_IN: usize = 10;
-const COPIES_MIN: usize = 8;
+/// Tasks that lag get second copies, where their step allows it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct CopiesPolicy {
+    /// Whether they do.
+    pub mode: Switch,
+    /// A run lags that is expected to take this many times as long as the guess. Guesses
+    /// are half off in the usual case, and a sound run beside busy ones takes more than
+    /// half as long again as guessed.
+    pub lags_by: u32,
+    /// Least time that a copy must be expected to save: ordering it takes a third of that.
+    #[serde(rename = "gain-ms")]
+    pub gain: Millis,
+    /// A run whose figure has not moved for this long may stand still; two reports come
+    /// in that time.
+    #[serde(rename = "unmoved-ms")]
+    pub unmoved: Millis,
+    /// One task in this many that run may have a copy,
+    pub one_in: usize,
+    /// and always this many: the last tasks of a job are few, and all of them may lag.
+    pub at_least: usize,
+}
+
+impl Default for CopiesPolicy {
+    fn default() -> Self {
+        Self {
+            mode: Switch::On,
+            lags_by: 2,
+            gain: Millis(400),
+            unmoved: Millis(900),
+            one_in: 10,
+            at_least: 8,
+        }
+    }
+}
 
 impl Leader {
     /// Finds the tasks that lag behind, the worst first.
     pub(super) fn find_laggards(&mut self, now: Now) {
+        let policy = self.cfg.policy.copies;
+        if policy.mode == Switch::Off {
+            return;
+        }
         let mut found = Vec::new();
         let (mut running, mut copies) = (0, 0);
         for runner in self.runners.values() {
@@ -42,13 +70,13 @@
                 let twice = self.jobs.task(*task).is_some_and(|state| state.holds.len() > 1);
                 if twice {
                     copies += 1;
-                } else if let Some(left) = lag(now, runner, view, step.estimate_ms) {
+                } else if let Some(left) = policy.lag(now, runner, view, step.estimate_ms) {
                     found.push((left, *task));
                 }
             }
         }
         // Both runs of a task that has a copy were counted.
-        let budget = (running / ONE_IN).max(COPIES_MIN);
+        let budget = (running / policy.one_in).max(policy.at_least);
         found.sort_unstable_by(|a, b| b.cmp(a));
         found.truncate(budget.saturating_sub(copies / 2));
         self.laggards = found.into_iter().map(|(_, task)| task).collect();
@@ -96,18 +124,21 @@
     }
 }
 
-/// How long a run is expected to take still, where that is much more than a copy would.
-fn lag(now: Now, runner: &Runner, view: &RunView, estimate_ms: u64) -> Option<Duration> {
-    if view.stopping || !runner.is_heard_lately(now.at) {
-        return None;
+impl CopiesPolicy {
+    /// How long a run is expected to take still, where that is much more than a copy would.
+    fn lag(&self, now: Now, runner: &Runner, view: &RunView, estimate_ms: u64) -> Option<Duration> {
+        if view.stopping || !runner.is_heard_lately(now.at) {
+            return None;
+        }
+        let usual = Duration::from_millis(estimate_ms);
+        let gain = self.gain.span();
+        let stands = view.percent < 100 && now.at.since(view.moved) > self.unmoved.span();
+        let left = match stands {
+            true => usual * self.lags_by + gain,
+            false => view.time_left(now.at, estimate_ms),
+        };
+        let ran = now.at.since(view.first_seen);
+        let lags = ran > usual / 2 && ran + left > usual * self.lags_by && left > usual + gain;
+        lags.then_some(left)
     }
-    let usual = Duration::from_millis(estimate_ms);
-    let stands = view.percent < 100 && now.at.since(view.moved) > UNMOVED;
-    let left = match stands {
-        true => usual * LAGS_BY + GAIN_MIN,
-        false => view.time_left(now.at, estimate_ms),
-    };
-    let ran = now.at.since(view.first_seen);
-    let lags = ran > usual / 2 && ran + left > usual * LAGS_BY && left > usual + GAIN_MIN;
-    lags.then_some(left)
 }
--- a/crates/coordination/src/jobs/estimate.rs
+++ b/crates/coordination/src/jobs/estimate.rs
@@ -7,20 +7,15 @@
 use yuccalink_state::jobs::{Job, JobSpec, Queue};
 
 /// Least time a task is taken to need, so that a guess of nothing orders no job
-/// before all others. A tenth of the shortest mean of the two users' sheets.
+/// before all others.
 const TASK_MIN: Duration = Duration::from_millis(60);
 /// A job that took up to this many times its objective still counts a little.
 const LATE_FACTOR: u32 = 3;
-/// Part of a job's worth that does not depend on its work; from the users' sheets.
+/// Part of a job's worth that does not depend on its work.
 const WORTH_FIXED: f64 = 0.3;
-/// Part of a job's worth that grows with its work; from the users' sheets.
+/// Part of a job's worth that grows with its work.
 const WORTH_PER_WORK: f64 = 0.7;
 
-/// How much a job's size counts against it. With 1, the worth for each core-second, the
-/// largest tenth of a kind was served 0.28 times where all were 0.68; their callers
-/// wait as well.
-const SIZE_WEIGHT: f64 = 0.85;
-
 /// Where a job stands against its objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Lateness {
@@ -101,9 +96,10 @@
 
     /// Worth for each core-second that is left, against other jobs of its queue
     /// whose mean work is `mean`. A job that is nearly done comes before one
-    /// that has just begun: it frees its caller for the least room.
-    pub(super) fn density(&self, left: f64, mean: f64) -> f64 {
+    /// that has just begun: it frees its caller for the least room. The size left
+    /// counts by `size_weight`.
+    pub(super) fn density(&self, left: f64, mean: f64, size_weight: f64) -> f64 {
         let mean = if mean > 0.0 { mean } else { self.work.max(1e-3) };
-        (WORTH_FIXED + WORTH_PER_WORK * self.work / mean) / left.max(1e-3).powf(SIZE_WEIGHT)
+        (WORTH_FIXED + WORTH_PER_WORK * self.work / mean) / left.max(1e-3).powf(size_weight)
     }
 }
--- a/crates/coordination/src/jobs/gangs.rs
+++ b/crates/coordination/src/jobs/gangs.rs
@@ -3,8 +3,10 @@
 //! which comes within a second; the members wait for each other that long.
 
 use super::leader::{Leader, Now, Then};
+use super::policy::Switch;
 use super::ready::GroupKey;
 use super::runner::{Runner, Trust};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use yuccalink_state::Resources;
@@ -15,6 +17,20 @@
 /// Gangs tried at once, so that a tick stays short.
 const TRIED_MAX: usize = 8;
 
+/// Members of a gang share a rack where one has room for all.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct GangsPolicy {
+    /// Whether they do; otherwise they go wherever there is room.
+    pub one_rack: Switch,
+}
+
+impl Default for GangsPolicy {
+    fn default() -> Self {
+        Self { one_rack: Switch::On }
+    }
+}
+
 impl Leader {
     /// Starts gangs for which there is room.
     pub(super) fn place_gangs(&mut self, now: Now) {
@@ -64,7 +80,10 @@
         }
         let run = step.tasks.iter().map(|task| task.last_run).max().unwrap_or(0) + 1;
         let candidates = self.gang_candidates(now, job, spec, step);
-        let lives = seats(spec, &candidates)?;
+        let lives = match self.cfg.policy.gangs.one_rack {
+            Switch::On => seats(spec, &candidates)?,
+            Switch::Off => seats_among(spec, &candidates)?,
+        };
         let starts = lives.into_iter().enumerate();
         Some(starts.map(|(index, life)| Start { task: key(index), run, life }).collect())
     }
@@ -76,7 +95,7 @@
             runner.takes_tasks()
                 && &*runner.pool == pool
                 && now.at.since(runner.heard) < HEARD_LATELY
-                && runner.health.trust(now.at) == Trust::Full
+                && runner.health.trust(now.at, &self.cfg.policy.distrust) == Trust::Full
                 && spec.required_label.as_ref().is_none_or(|label| runner.has_label(label))
                 && !failed_on(runner.key)
         };
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -186,6 +186,7 @@
     /// Finds runs that stand still, and those that will not end before their
     /// runner leaves.
     fn judge_runs(&mut self, now: Now, key: LifeKey) {
+        let standing_after = self.cfg.policy.distrust.standing;
         let Some(runner) = self.runners.get_mut(&key) else { return };
         let leaving = runner.state == RunnerState::Draining;
         let mut standing = 0;
@@ -199,7 +200,7 @@
                 view.stopping = leaving;
                 continue;
             }
-            let stands = !step.opportunistic && view.stands_still(now.at);
+            let stands = !step.opportunistic && view.stands_still(now.at, standing_after);
             let too_long = leaving
                 && runner.leaves_at.is_some_and(|at| {
                     let left = at.since(now.at + LEAVE_MARGIN);
--- a/crates/coordination/src/jobs/interference.rs
+++ b/crates/coordination/src/jobs/interference.rs
@@ -12,18 +12,40 @@
 //! straight line with its load and with whatever presses on it:
 //! `margin = own - sum(weight * share of the runner in use)`. The serving job's own
 //! margin is a wave (see [`super::swing`]), a pair's weight is constant; one filter with
-//! a variance for each splits what is seen among them. Replayed on 15,000
-//! recorded heartbeats with 45 pairs, its mean error is 0.28; weights of harmful
-//! pairs come out at 6 to 18 and of the others at 0 to 3.
+//! a variance for each splits what is seen among them.
 
+use super::policy::Switch;
 use super::swing::{OwnFigure, Swing};
 use crate::moment::Moment;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use yuccalink_state::jobs::PairWeight;
 
-/// Weight of a pair that was never seen together, and its variance: most pairs are
-/// harmless, and some are three times as bad as this.
-const WEIGHT_START: Guess = Guess { mean: 6.0, variance: 100.0 };
+/// What is learnt of pairs of images.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct InterferencePolicy {
+    /// Whether anything is learnt; otherwise each pair stays as it starts.
+    pub mode: Switch,
+    /// Weight of a pair that was never seen together: margin that a filling task on the
+    /// whole runner would take. Most pairs are harmless, and some are three times as bad.
+    pub start_mean: f64,
+    /// Its variance.
+    pub start_variance: f64,
+}
+
+impl Default for InterferencePolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, start_mean: 6.0, start_variance: 100.0 }
+    }
+}
+
+impl InterferencePolicy {
+    fn start(self) -> Guess {
+        Guess { mean: self.start_mean, variance: self.start_variance }
+    }
+}
+
 /// Variance of a weight that has often been seen: pairs change.
 const WEIGHT_VARIANCE_MIN: f64 = 0.3;
 /// A recalled weight's variance is taken this many times as large.
@@ -61,11 +83,17 @@
 /// What was learnt of pairs so far.
 #[derive(Debug, Default)]
 pub struct Interference {
+    policy: InterferencePolicy,
     images: HashMap<Box<str>, ImageKey>,
     weights: HashMap<(ImageKey, ImageKey), Guess>,
 }
 
 impl Interference {
+    /// Nothing learnt yet.
+    pub fn new(policy: InterferencePolicy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
     /// Begins with what an earlier leader learnt, a little less sure of it.
     pub fn recall(&mut self, learnt: &[PairWeight]) {
         for pair in learnt {
@@ -156,8 +184,10 @@
         let total = expected.variance + noise + of_weights;
         let error = margin - (expected.margin - taken);
         own.correct(&expected, error, total);
-        for fill in fills {
-            let weight = self.weights.entry((serving, fill.image)).or_insert(WEIGHT_START);
+        let learns = self.policy.mode.is_on();
+        for fill in fills.into_iter().filter(|_| learns) {
+            let start = self.policy.start();
+            let weight = self.weights.entry((serving, fill.image)).or_insert(start);
             let gain = weight.variance * fill.share / total;
             weight.mean = (weight.mean - gain * error).max(0.0);
             weight.variance *= 1.0 - gain * fill.share;
@@ -176,10 +206,10 @@
                 count += 1.0;
             }
         }
-        if count > 0.0 { sum / count } else { WEIGHT_START.mean }
+        if count > 0.0 { sum / count } else { self.policy.start_mean }
     }
 
     fn weight(&self, serving: ImageKey, filling: ImageKey) -> Guess {
-        self.weights.get(&(serving, filling)).copied().unwrap_or(WEIGHT_START)
+        self.weights.get(&(serving, filling)).copied().unwrap_or(self.policy.start())
     }
 }
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -4,6 +4,7 @@
 use super::ask::{Answer, Ask, Orders, Report};
 use super::interference::Interference;
 use super::outside::{Call, CallId, Told};
+use super::policy::Policy;
 use super::ready::{GroupKey, Ready};
 use super::report::Counts;
 use super::routes::Routes;
@@ -43,7 +44,7 @@
 pub struct Token(pub u64);
 
 /// What the leader is told at its start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LeaderConfig {
     /// Lease on runs, the same in all processes.
     pub lease: Duration,
@@ -53,6 +54,8 @@
     pub heartbeat: Duration,
     /// Whether a start may come before its due time, and by how much.
     pub early: Duration,
+    /// What it decides by.
+    pub policy: Policy,
 }
 
 impl Default for LeaderConfig {
@@ -62,6 +65,7 @@
             remember: Duration::from_secs(130),
             heartbeat: Duration::from_millis(1_500),
             early: Duration::ZERO,
+            policy: Policy::default(),
         }
     }
 }
@@ -152,9 +156,9 @@
             runners: BTreeMap::new(),
             by_id: HashMap::new(),
             routes: Routes::default(),
-            ready: Ready::default(),
-            interference: Interference::default(),
-            loads: Loads::default(),
+            ready: Ready::new(cfg.policy.order),
+            interference: Interference::new(cfg.policy.interference),
+            loads: Loads::new(cfg.policy.forecast),
             starting: BTreeMap::new(),
             ending: BTreeSet::new(),
             heartbeats: BTreeMap::new(),
--- a/crates/coordination/src/jobs/neighbours.rs
+++ b/crates/coordination/src/jobs/neighbours.rs
@@ -1,32 +1,41 @@
 //! Who shares a runner: what serves, what fills, and the room that is really left.
 
 use super::interference::{Filling, ImageKey, Interference};
+use super::policy::Switch;
 use super::ready::{GroupKey, Kind, Ready, StepInfo};
 use super::runner::{RunView, Runner};
-use super::swing::{Loads, Swing};
+use super::swing::Loads;
 use crate::moment::Moment;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use yuccalink_state::jobs::Jobs;
 
-/// Part of its reserved processors that a serving task is taken to use: the mean load of
-/// the users' sheets is 0.48. With 0.55 the days of the user with the larger runners were
-/// worth 0.025 less in the mean, with 0.36 those of the other 0.02 less.
-const SERVING_USE: f64 = 0.46;
+/// What may start beside serving tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct SharingPolicy {
+    /// Whether margins are minded at a start; otherwise only processors are.
+    pub mode: Switch,
+    /// Margin that every serving task must keep, as expected, beside one more filling
+    /// task: above its bound, since its own load may grow before the next figure.
+    pub margin_min: f64,
+    /// Part of its reserved processors that a serving task is taken to use.
+    pub serving_use: f64,
+}
+
+impl Default for SharingPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, margin_min: 1.1, serving_use: 0.46 }
+    }
+}
+
 /// A runner whose filling tasks get less than this share of what they could use is
 /// full.
 const STARVED: f64 = 0.5;
 /// Age from which a task's figure, of the last half second, is all its own.
 const SETTLED_AFTER: Duration = Duration::from_millis(800);
-/// Margin that every serving task must keep, as expected, beside one more filling
-/// task: a tenth above its bound, since its own load may grow before the next figure.
-const MARGIN_MIN: f64 = 1.1;
 /// Margin of a serving task that has told no figure yet: as at half load.
 const MARGIN_UNSEEN: f64 = 3.0;
-/// What is ordered now has its effect until then: the runner's next report, and the time
-/// that a pace takes.
-const EFFECT: Duration = Duration::from_millis(500);
-/// How long a filling task runs, as far as margins ahead are concerned.
-const AHEAD: Duration = Duration::from_millis(2_000);
 
 /// A serving image on a runner, by its task with the least margin of its own.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -41,6 +50,7 @@
 /// The tasks on one runner, as far as they matter to each other.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Neighbours {
+    policy: SharingPolicy,
     /// Images that serve there, each once.
     pub(super) serving: Vec<Serving>,
     /// Images that fill there, each once, with what they use now.
@@ -73,25 +83,32 @@
         jobs: &Jobs,
         ready: &Ready,
         loads: &Loads<GroupKey>,
+        policy: SharingPolicy,
     ) -> Self {
         let capacity = (runner.capacity.millicores as f64).max(1.0);
-        let mut found = Self { capacity, pool: runner.pool.clone(), ..Self::default() };
+        let mut found = Self { policy, capacity, pool: runner.pool.clone(), ..Self::default() };
         for (task, run) in jobs.held(runner.key) {
             let Some(step) = ready.step_of(task) else { continue };
             let view = runner.running.get(&task).filter(|view| view.run == run);
             match step.kind {
-                Kind::Serving => found.add_serving(step, loads.get(GroupKey::of(task)), now),
+                Kind::Serving => found.add_serving(step, loads, GroupKey::of(task), now),
                 Kind::Filling => found.add_filling(step, view),
             }
         }
         found
     }
 
-    fn add_serving(&mut self, step: &StepInfo, load: Option<&Swing>, now: Moment) {
-        self.used += step.need.millicores as f64 * SERVING_USE;
+    fn add_serving(
+        &mut self,
+        step: &StepInfo,
+        loads: &Loads<GroupKey>,
+        group: GroupKey,
+        now: Moment,
+    ) {
+        self.used += step.need.millicores as f64 * self.policy.serving_use;
         let Some(image) = step.image else { return };
-        let own = load.map_or(MARGIN_UNSEEN, |load| load.least(now, EFFECT));
-        let ahead = load.map_or(MARGIN_UNSEEN, |load| load.least(now, AHEAD));
+        let own = loads.soon(group, now).unwrap_or(MARGIN_UNSEEN);
+        let ahead = loads.ahead(group, now).unwrap_or(MARGIN_UNSEEN);
         match self.serving.iter_mut().find(|serving| serving.image == image) {
             Some(serving) => {
                 serving.own = serving.own.min(own);
@@ -135,10 +152,16 @@
     }
 
     /// Counts a task that is about to start.
-    pub(super) fn started(&mut self, now: Moment, step: &StepInfo, load: Option<&Swing>) {
+    pub(super) fn started(
+        &mut self,
+        now: Moment,
+        step: &StepInfo,
+        loads: &Loads<GroupKey>,
+        group: GroupKey,
+    ) {
         self.allowed.clear();
         match step.kind {
-            Kind::Serving => self.add_serving(step, load, now),
+            Kind::Serving => self.add_serving(step, loads, group, now),
             Kind::Filling => self.add_filling(step, None),
         }
     }
@@ -153,7 +176,7 @@
     /// Whether all that serve there are expected to keep their margin beside one
     /// more task of a step, with all that fill at full pace.
     pub(super) fn bears(&mut self, step: &StepInfo, learnt: &Interference) -> bool {
-        let Some(image) = step.image else { return true };
+        let Some(image) = step.image.filter(|_| self.policy.mode.is_on()) else { return true };
         if self.over {
             return false;
         }
@@ -169,7 +192,8 @@
 
     fn allowed_share(&self, image: ImageKey, learnt: &Interference) -> f64 {
         let allowed = self.serving.iter().map(|serving| {
-            let left = serving.ahead - learnt.taken(serving.image, &self.at_full_pace) - MARGIN_MIN;
+            let taken = learnt.taken(serving.image, &self.at_full_pace);
+            let left = serving.ahead - taken - self.policy.margin_min;
             let weight = learnt.taken(serving.image, &[Filling { image, share: 1.0 }]);
             match left < 0.0 {
                 true => 0.0,
--- a/crates/coordination/src/jobs/pace.rs
+++ b/crates/coordination/src/jobs/pace.rs
@@ -4,38 +4,80 @@
 use super::interference::{Filling, ImageKey, Interference};
 use super::leader::{Leader, Now};
 use super::neighbours::Neighbours;
+use super::policy::{Millis, Switch};
 use super::ready::{GroupKey, Kind, Ready};
 use super::runner::Runner;
 use super::swing::Loads;
 use crate::moment::Moment;
-use std::time::Duration;
+use serde::{Deserialize, Serialize};
 use yuccalink_state::jobs::{LifeKey, TaskKey};
 
-/// Margin that pacing aims at, of the least that is forecast: what is left covers the
-/// forecast's error. With 1.12 both users' days were worth 0.01 less in the mean, with
-/// 1.0 the same.
-const MARGIN_AIM: f64 = 1.03;
 /// Pressure, in margin, that is not worth an order.
 const PRESSURE_MIN: f64 = 0.1;
-/// Below this pace, tasks with checkpoints are moved: elsewhere they do more.
-const MOVE_BELOW: f64 = 0.3;
-/// Pressure, in margin, from which an image is moved: half a usual margin. Less than
-/// that is borne again as soon as the serving task's own load has swung back.
-const HARD_PRESSURE: f64 = 0.8;
-/// A task in this run or a later one is not moved any more: it seems to disturb
-/// wherever it goes, and only its pace is left.
-const RUNS_MOVED_MAX: u32 = 4;
 /// Steps in which paces are given, in percent, so that few orders are needed.
 const PACE_STEP: f64 = 5.0;
-/// Least time before a pace is raised again: one report. Forecasts know when a load
-/// falls; with 700 ms, which pacing by the last figure needed, both users' days were
-/// worth 0.01 less in the mean.
-const SETTLE: Duration = Duration::from_millis(200);
 
-/// How long a serving task is over its bound before everything that may disturb it
-/// stands still, whatever is believed of it: a wrong belief must not cost its users more
-/// than a few seconds. Figures are half a second old, and an order takes as long.
-const OVER_MAX: Duration = Duration::from_millis(2_000);
+/// Filling tasks are slowed where a serving task's margin runs out.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct PacingPolicy {
+    /// Whether they are.
+    pub mode: Switch,
+    /// Margin that is aimed at, of the least that is forecast: what is left covers the
+    /// forecast's error.
+    pub margin_aim: f64,
+    /// Least time before a pace is raised again: one report. Forecasts know when a load
+    /// falls.
+    #[serde(rename = "settle-ms")]
+    pub settle: Millis,
+}
+
+impl Default for PacingPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, margin_aim: 1.03, settle: Millis(200) }
+    }
+}
+
+/// Filling tasks with checkpoints that would be slowed to little go elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct MovingPolicy {
+    /// Whether they do.
+    pub mode: Switch,
+    /// Share of full pace below which they are moved: elsewhere they do more.
+    pub below: f64,
+    /// Pressure, in margin, from which an image is moved: half a usual margin. Less than
+    /// that is borne again as soon as the serving task's own load has swung back.
+    pub pressure: f64,
+    /// A task in this run or a later one is not moved any more: it seems to disturb
+    /// wherever it goes, and only its pace is left.
+    pub runs_max: u32,
+}
+
+impl Default for MovingPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, below: 0.3, pressure: 0.8, runs_max: 4 }
+    }
+}
+
+/// Everything that may disturb stands still beside a serving task that is over its bound.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct StandstillPolicy {
+    /// Whether it does.
+    pub mode: Switch,
+    /// How long the task is over its bound before, whatever is believed of it: a wrong
+    /// belief must not cost its users more than a few seconds. Figures are half a second
+    /// old, and an order takes as long.
+    #[serde(rename = "after-ms")]
+    pub after: Millis,
+}
+
+impl Default for StandstillPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, after: Millis(2_000) }
+    }
+}
 
 /// What a runner's margins allow an image that fills there.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -51,29 +93,40 @@
     /// Learns from a report, and acts on margins that run out. Returns who shares the
     /// runner.
     pub(super) fn pace(&mut self, now: Now, key: LifeKey) -> Neighbours {
-        let Some(runner) = self.runners.get_mut(&key) else { return Neighbours::default() };
-        let mut neighbours = Neighbours::of(now.at, runner, &self.jobs, &self.ready, &self.loads);
+        let policy = &self.cfg.policy;
+        let Some(runner) = self.runners.get(&key) else { return Neighbours::default() };
         let figures = figures(runner, &self.ready);
+        let mut neighbours = self.neighbours(now, runner);
         if !figures.is_empty() {
             learn(now, &figures, &mut self.interference, &mut self.loads, &neighbours.filling);
-            neighbours = Neighbours::of(now.at, runner, &self.jobs, &self.ready, &self.loads);
+            neighbours = self.neighbours(now, runner);
         }
+        let Some(runner) = self.runners.get_mut(&key) else { return Neighbours::default() };
         runner.serves = neighbours.only_serving();
-        neighbours.over = runner.is_over(now.at, &figures);
-        let allowances = match neighbours.over {
-            true => stand_still(&neighbours),
-            false => allowances(&neighbours, &self.interference),
+        neighbours.over = runner.is_over(now.at, &figures, policy.standstill);
+        let allowances = match (neighbours.over, policy.pacing.mode) {
+            (true, _) => stand_still(&neighbours),
+            (false, Switch::On) => {
+                allowances(&neighbours, &self.interference, &policy.pacing, &policy.moving)
+            }
+            (false, Switch::Off) => at_full_pace(&neighbours),
         };
         self.hold_back(now, key, &allowances, neighbours.least_own());
         neighbours
     }
 
+    /// Who shares a runner, by its last report and by what is on its way there.
+    pub(super) fn neighbours(&self, now: Now, runner: &Runner) -> Neighbours {
+        let sharing = self.cfg.policy.sharing;
+        Neighbours::of(now.at, runner, &self.jobs, &self.ready, &self.loads, sharing)
+    }
+
     /// Slows each image to what the margins allow, and gives the pace back; where little
     /// is left, tasks with checkpoints stop, which saves their work, and go elsewhere.
     fn hold_back(&mut self, now: Now, key: LifeKey, allowances: &[Allowance], least: f64) {
         let moving = self.tasks_to_move(now, key, allowances);
         let Some(runner) = self.runners.get_mut(&key) else { return };
-        let mut changed = runner.set_paces(now.at, allowances);
+        let mut changed = runner.set_paces(now.at, allowances, self.cfg.policy.pacing.settle);
         for task in &moving {
             if let Some(view) = runner.running.get_mut(task) {
                 view.stopping = true;
@@ -95,9 +148,11 @@
     /// beside idle processors a job with nothing running would wait for room that its
     /// image finds nowhere.
     fn tasks_to_move(&self, now: Now, key: LifeKey, allowances: &[Allowance]) -> Vec<TaskKey> {
+        let policy = &self.cfg.policy.moving;
         let hard: Vec<ImageKey> = allowances
             .iter()
-            .filter(|allowance| allowance.hard && allowance.pace < MOVE_BELOW)
+            .filter(|allowance| policy.mode.is_on() && allowance.hard)
+            .filter(|allowance| allowance.pace < policy.below)
             .map(|allowance| allowance.image)
             .collect();
         let Some(runner) = self.runners.get(&key).filter(|_| !hard.is_empty()) else {
@@ -112,7 +167,7 @@
                 && !view.stopping
                 && step.checkpointing
                 && step.disturbs()
-                && moves < RUNS_MOVED_MAX
+                && moves < policy.runs_max
                 && !(self.is_idle(&runner.pool) && self.runs_of(now, task.job) <= 1)
             {
                 moving.push(*task);
@@ -128,10 +183,19 @@
     neighbours.at_full_pace.iter().map(still).collect()
 }
 
-/// What all margins together allow each image.
-fn allowances(neighbours: &Neighbours, learnt: &Interference) -> Vec<Allowance> {
+fn at_full_pace(neighbours: &Neighbours) -> Vec<Allowance> {
     let full = |fill: &Filling| Allowance { image: fill.image, pace: 1.0, hard: false };
-    let mut all: Vec<Allowance> = neighbours.at_full_pace.iter().map(full).collect();
+    neighbours.at_full_pace.iter().map(full).collect()
+}
+
+/// What all margins together allow each image.
+fn allowances(
+    neighbours: &Neighbours,
+    learnt: &Interference,
+    pacing: &PacingPolicy,
+    moving: &MovingPolicy,
+) -> Vec<Allowance> {
+    let mut all = at_full_pace(neighbours);
     for serving in &neighbours.serving {
         let pressures: Vec<Pressure> = neighbours
             .at_full_pace
@@ -142,13 +206,13 @@
                 taken: learnt.taken(serving.image, &[*fill]),
             })
             .collect();
-        for (image, pace) in share_out(serving.own - MARGIN_AIM, pressures.clone()) {
+        for (image, pace) in share_out(serving.own - pacing.margin_aim, pressures.clone()) {
             let Some(allowance) = all.iter_mut().find(|known| known.image == image) else {
                 continue;
             };
             let pressure = pressures.iter().find(|pressure| pressure.image == image);
             allowance.pace = allowance.pace.min(pace);
-            allowance.hard |= pressure.is_some_and(|pressure| pressure.taken >= HARD_PRESSURE);
+            allowance.hard |= pressure.is_some_and(|pressure| pressure.taken >= moving.pressure);
         }
     }
     all
@@ -236,18 +300,18 @@
 
 impl Runner {
     /// Whether a task that serves has been over its bound for too long.
-    fn is_over(&mut self, now: Moment, figures: &[Figure]) -> bool {
+    fn is_over(&mut self, now: Moment, figures: &[Figure], policy: StandstillPolicy) -> bool {
         if figures.iter().all(|figure| figure.margin >= 1.0) {
             self.over_since = None;
             return false;
         }
         let since = *self.over_since.get_or_insert(now);
-        now.since(since) >= OVER_MAX
+        policy.mode.is_on() && now.since(since) >= policy.after.span()
     }
 
     /// Sets the paces; true if any changed. A lower one counts at once.
-    fn set_paces(&mut self, now: Moment, allowances: &[Allowance]) -> bool {
-        let settled = now.since(self.paced_at) >= SETTLE;
+    fn set_paces(&mut self, now: Moment, allowances: &[Allowance], settle: Millis) -> bool {
+        let settled = now.since(self.paced_at) >= settle.span();
         let mut changed = false;
         self.paces.retain(|image, _| allowances.iter().any(|allowed| allowed.image == *image));
         for allowed in allowances {
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -3,11 +3,12 @@
 
 use super::leader::{Leader, Now};
 use super::neighbours::Neighbours;
+use super::policy::{Millis, Switch};
 use super::ready::{GroupKey, Kind, StepInfo};
 use super::runner::{Runner, Trust};
 use crate::moment::Moment;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 use yuccalink_state::Resources;
 use yuccalink_state::jobs::{Job, JobId, LifeKey, Start, StepSpec, TaskKey};
 
@@ -16,23 +17,88 @@
 const GROUPS_MAX: usize = 1_024;
 /// Starts ordered with one answer, so that it stays a small message.
 const STARTS_MAX: usize = 64;
-/// How long a task waits for the rack of its data, or of its step: tasks elsewhere
-/// take twice as long, so a wait of a fraction of the usual task pays.
-const RACK_WAIT: Duration = Duration::from_millis(500);
-/// Mean weight of a filling image, against all that serve, from which it is given
-/// the runners that serve nothing before others are.
-const HARD: f64 = 5.0;
-/// After this long, and while half of the pool is idle, one task of a job that has
-/// nothing running starts on any runner, at the pace that its neighbours bear: without
-/// it, a job whose image disturbs all that serve would wait for ever while processors
-/// are idle. One only: runners full of slowed tasks take nothing that suits them.
-const PATIENCE: Duration = Duration::from_millis(1_800);
-/// How long a runner is kept free for a task that lasts: its short tasks end by then.
-const KEPT_FOR: Duration = Duration::from_millis(2_500);
-/// Runners kept free at once.
-const KEPT_MAX: usize = 16;
-/// How long a serving task waits for a runner whose serving tasks are of its image.
-const ALIKE_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Tasks wait for the rack of their data, or of their step.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct RacksPolicy {
+    /// Whether they do.
+    pub mode: Switch,
+    /// How long: tasks elsewhere take twice as long, so a wait of a fraction of the usual
+    /// task pays.
+    #[serde(rename = "wait-ms")]
+    pub wait: Millis,
+}
+
+impl Default for RacksPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, wait: Millis(500) }
+    }
+}
+
+/// Serving tasks of one image gather, so that for each filling image there are runners
+/// where it disturbs nobody.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct GatheringPolicy {
+    /// Whether they do.
+    pub mode: Switch,
+    /// How long a serving task waits for a runner whose serving tasks are of its image.
+    #[serde(rename = "wait-ms")]
+    pub wait: Millis,
+    /// Mean weight of a filling image, against all that serve, from which it is given
+    /// the runners that serve nothing before others are.
+    pub hard_weight: f64,
+}
+
+impl Default for GatheringPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, wait: Millis(1_000), hard_weight: 5.0 }
+    }
+}
+
+/// One task of a job that has nothing running starts on any runner, at the pace that its
+/// neighbours bear, while half of the pool is idle: without it, a job whose image
+/// disturbs all that serve would wait for ever while processors are idle. One only:
+/// runners full of slowed tasks take nothing that suits them.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct PatiencePolicy {
+    /// Whether it does.
+    pub mode: Switch,
+    /// How long the job waits before.
+    #[serde(rename = "after-ms")]
+    pub after: Millis,
+}
+
+impl Default for PatiencePolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, after: Millis(1_800) }
+    }
+}
+
+/// Runners are kept free for large tasks that last.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct KeptFreePolicy {
+    /// Whether they are.
+    pub mode: Switch,
+    /// How long such a task waits before.
+    #[serde(rename = "after-ms")]
+    pub after: Millis,
+    /// How long a runner is kept free: its short tasks end by then.
+    #[serde(rename = "span-ms")]
+    pub span: Millis,
+    /// Runners kept free at once.
+    pub runners_max: usize,
+}
+
+impl Default for KeptFreePolicy {
+    fn default() -> Self {
+        let (after, span) = (Millis(1_000), Millis(2_500));
+        Self { mode: Switch::On, after, span, runners_max: 16 }
+    }
+}
 
 impl Leader {
     /// What a runner has left: its capacity less all that may be running there.
@@ -55,7 +121,7 @@
     /// Chooses tasks for a runner, in the order of the waiting steps.
     pub(super) fn pick(&mut self, now: Now, key: LifeKey, neighbours: Neighbours) -> Vec<Start> {
         let Some(runner) = self.runners.get(&key) else { return Vec::new() };
-        let trust = runner.health.trust(now.at);
+        let trust = runner.health.trust(now.at, &self.cfg.policy.distrust);
         if !runner.takes_tasks() || (self.ready.is_empty() && self.laggards.is_empty()) {
             return Vec::new();
         }
@@ -114,14 +180,19 @@
     /// fill each hole before it is large enough, for ever. A runner is chosen where
     /// enough is free once its short tasks have ended, which takes about a second.
     pub(super) fn keep_room(&mut self, now: Now) {
+        let policy = self.cfg.policy.kept_free;
+        if policy.mode == Switch::Off {
+            return;
+        }
         self.kept_free.retain(|_, until| now.at < *until);
         let waits = |group: &GroupKey| {
             let step = self.ready.step(group.job, group.step);
             step.is_some_and(|step| step.long_running) && self.has_waited(now, *group)
         };
-        let groups: Vec<GroupKey> = self.ready.order().filter(waits).take(KEPT_MAX).collect();
+        let groups: Vec<GroupKey> =
+            self.ready.order().filter(waits).take(policy.runners_max).collect();
         for group in groups {
-            if self.kept_free.len() >= KEPT_MAX {
+            if self.kept_free.len() >= policy.runners_max {
                 return;
             }
             let Some(need) = self.ready.step(group.job, group.step).map(|step| step.committed)
@@ -143,7 +214,7 @@
             let Some(key) = self.runners.values().find(fits).map(|runner| runner.key) else {
                 continue;
             };
-            self.kept_free.insert(key, now.at + KEPT_FOR);
+            self.kept_free.insert(key, now.at + policy.span.span());
         }
     }
 
@@ -156,13 +227,15 @@
     }
 
     fn has_waited(&self, now: Now, group: GroupKey) -> bool {
-        self.ready.since(group).is_some_and(|since| now.at.since(since) > ALIKE_WAIT)
+        let wait = self.cfg.policy.kept_free.after.span();
+        self.ready.since(group).is_some_and(|since| now.at.since(since) > wait)
     }
 
     /// Whether a step's tasks disturb most that serve, or are to serve themselves: the
     /// others find room beside serving tasks as well.
     fn is_hard(&self, step: &StepInfo) -> bool {
-        let hard = |image| self.interference.hardness(image) >= HARD;
+        let hard_weight = self.cfg.policy.gathering.hard_weight;
+        let hard = |image| self.interference.hardness(image) >= hard_weight;
         step.long_running || step.image.is_some_and(hard)
     }
 
@@ -202,7 +275,7 @@
                 return;
             }
             chosen.free = less(chosen.free, info.committed);
-            chosen.neighbours.started(now.at, info, self.loads.get(group));
+            chosen.neighbours.started(now.at, info, &self.loads, group);
             chosen.starts.push(Start { task, run, life: runner.key });
             here += 1;
         }
@@ -263,7 +336,8 @@
         runner: &Runner,
     ) -> bool {
         let since = self.ready.since(group).unwrap_or(now);
-        if now.since(since) > RACK_WAIT {
+        let policy = &self.cfg.policy.racks;
+        if policy.mode == Switch::Off || now.since(since) > policy.wait.span() {
             return true;
         }
         if let Some(rack) = &step.data_rack {
@@ -290,7 +364,9 @@
                 if spare && neighbours.bears(step, &self.interference) {
                     return true;
                 }
-                now.at.since(since) > PATIENCE
+                let policy = &self.cfg.policy.patience;
+                policy.mode.is_on()
+                    && now.at.since(since) > policy.after.span()
                     && self.is_idle(&neighbours.pool)
                     && chosen.starts.iter().all(|start| start.task.job != group.job)
                     && self.runs_of(now, group.job) == 0
@@ -298,7 +374,9 @@
             Kind::Serving => {
                 let own = step.image;
                 let alike = neighbours.serving.iter().all(|serving| Some(serving.image) == own);
-                let settled = now.at.since(since) > ALIKE_WAIT;
+                let policy = &self.cfg.policy.gathering;
+                let waited = now.at.since(since) > policy.wait.span();
+                let settled = waited || policy.mode == Switch::Off;
                 match neighbours.serving.is_empty() {
                     true => settled || !self.room_beside_alike(now, step),
                     false => alike || settled,
--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -8,8 +8,10 @@
 
 use super::estimate::{Lateness, Shape};
 use super::interference::{ImageKey, Interference};
+use super::policy::Switch;
 use super::routes::Routes;
 use crate::moment::Moment;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use yuccalink_state::Resources;
@@ -20,6 +22,39 @@
 /// Worth for each core-second is compared in steps of a millionth.
 const DENSITY_SCALE: f64 = 1e6;
 
+/// What the order of waiting steps follows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OrderBy {
+    /// Jobs that can still be prompt, then their queue's priority, then worth for each
+    /// core-second left.
+    #[default]
+    Worth,
+    /// The time by which a job is to end, the earliest first.
+    Deadline,
+    /// The time at which a job came.
+    Arrival,
+}
+
+/// Whose turn it is when room comes free.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct OrderPolicy {
+    /// What it follows.
+    pub by: OrderBy,
+    /// How much the size that is left counts against a job. With 1 it is the worth for
+    /// each core-second, and the largest jobs hardly ever get their turn.
+    pub size_weight: f64,
+    /// Whether short work that can still be prompt comes before tasks that last.
+    pub short_first: Switch,
+}
+
+impl Default for OrderPolicy {
+    fn default() -> Self {
+        Self { by: OrderBy::Worth, size_weight: 0.85, short_first: Switch::On }
+    }
+}
+
 /// A step of one occurrence of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct GroupKey {
@@ -130,6 +165,7 @@
 /// All of them.
 #[derive(Debug, Default)]
 pub(super) struct Ready {
+    policy: OrderPolicy,
     groups: BTreeMap<GroupKey, Group>,
     order: BTreeSet<(Rank, GroupKey)>,
     metas: HashMap<JobId, Meta>,
@@ -138,6 +174,10 @@
 }
 
 impl Ready {
+    pub(super) fn new(policy: OrderPolicy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
     /// Keeps what is needed of a job that came in at `came`.
     pub(super) fn meet(
         &mut self,
@@ -296,15 +336,22 @@
             return Rank { turn, lateness: Lateness::Prompt, priority, density, since };
         }
         let mean = self.means.get(&job.queue).copied().unwrap_or(0.0);
-        let density = meta.shape.density(meta.shape.work_left(job), mean);
+        let left = meta.shape.work_left(job);
+        let density = meta.shape.density(left, mean, self.policy.size_weight);
         let lateness = meta.lateness(key.step, now);
         let short = lateness == Lateness::Prompt && !step.opportunistic;
-        Rank {
-            turn: if short { Turn::Short } else { Turn::Other },
-            lateness,
-            priority,
-            density: -((density * DENSITY_SCALE) as i64),
-            since,
+        let turn = match short && self.policy.short_first.is_on() {
+            true => Turn::Short,
+            false => Turn::Other,
+        };
+        let alike = Rank { turn, lateness: Lateness::Prompt, priority: 0, density: 0, since };
+        match self.policy.by {
+            OrderBy::Worth => {
+                let density = -((density * DENSITY_SCALE) as i64);
+                Rank { lateness, priority, density, ..alike }
+            }
+            OrderBy::Deadline => Rank { since: meta.came + meta.objective, ..alike },
+            OrderBy::Arrival => Rank { since: meta.came, ..alike },
         }
     }
 }
--- a/crates/coordination/src/jobs/report.rs
+++ b/crates/coordination/src/jobs/report.rs
@@ -2,7 +2,6 @@
 //! cell is and what was taken in.
 
 use super::leader::{Leader, Now};
-use super::neighbours::Neighbours;
 use yuccalink_state::jobs::{JobId, JobPhase, StepSpec};
 
 /// What happened since the leader began, for metrics.
@@ -42,7 +41,7 @@
     pub(super) fn log_load(&self, now: Now) {
         let mut load = Load::default();
         for runner in self.runners.values() {
-            let beside = Neighbours::of(now.at, runner, &self.jobs, &self.ready, &self.loads);
+            let beside = self.neighbours(now, runner);
             load.mixed += usize::from(beside.serving.len() > 1);
             load.serving += usize::from(!beside.serving.is_empty());
             load.paced += usize::from(runner.paces.values().any(|pace| *pace < 100));
--- a/crates/coordination/src/jobs/runner.rs
+++ b/crates/coordination/src/jobs/runner.rs
@@ -3,7 +3,9 @@
 
 use super::ask::{Report, RunnerState, Running};
 use super::interference::ImageKey;
+use super::policy::{Millis, Switch};
 use crate::moment::Moment;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use yuccalink_state::Resources;
@@ -17,20 +19,43 @@
 /// Added to every lease where it is counted as ended: the runner may look at its
 /// clock this much late.
 const LEASE_SLACK: Duration = Duration::from_millis(100);
-/// A run whose figure has not moved for this long stands still. Heartbeats come
-/// at least once a second and a run of the longest task sheet moves by a percent
-/// in 70 ms, so two silent heartbeats in a row are no coincidence.
-const STANDING_AFTER: Duration = Duration::from_millis(1_800);
-/// How long a runner with several bad ends in a row gets nothing new.
-const QUARANTINE: Duration = Duration::from_millis(2_500);
-/// After this long without a bad end a runner is trusted as before: the longest of
-/// the usual faults is over by then.
-const FORGIVEN_AFTER: Duration = Duration::from_secs(8);
 /// A runner heard within this time is expected to report again soon.
 const HEARD_LATELY: Duration = Duration::from_millis(1_500);
-/// Bad ends in a row after which a runner is set aside. One is common: two to
-/// five tasks in a hundred fail by their own fault.
-const BAD_ENDS_MAX: u32 = 2;
+
+/// Runners whose runs end badly get less work.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct DistrustPolicy {
+    /// Whether they do.
+    pub mode: Switch,
+    /// Bad ends in a row after which a runner is set aside. One is common: two to five
+    /// tasks in a hundred fail by their own fault.
+    pub bad_ends_max: u32,
+    /// How long a runner that is set aside gets nothing new.
+    #[serde(rename = "quarantine-ms")]
+    pub quarantine: Millis,
+    /// After this long without a bad end a runner is trusted as before: the longest of
+    /// the usual faults is over by then.
+    #[serde(rename = "forgiven-ms")]
+    pub forgiven: Millis,
+    /// A run whose figure has not moved for this long stands still. Heartbeats come at
+    /// least once a second and a long run moves by a percent in much less, so two
+    /// heartbeats without a move are no coincidence.
+    #[serde(rename = "standing-ms")]
+    pub standing: Millis,
+}
+
+impl Default for DistrustPolicy {
+    fn default() -> Self {
+        Self {
+            mode: Switch::On,
+            bad_ends_max: 2,
+            quarantine: Millis(2_500),
+            forgiven: Millis(8_000),
+            standing: Millis(1_800),
+        }
+    }
+}
 
 /// Bound on when a lease of `span`, granted now, has ended on the runner's clock.
 pub fn lease_surely_ended_after(span: Duration) -> Duration {
@@ -68,16 +93,17 @@
         self.last_bad = now;
     }
 
-    pub(super) fn trust(self, now: Moment) -> Trust {
+    pub(super) fn trust(self, now: Moment, policy: &DistrustPolicy) -> Trust {
         // Without a limit in time, a task's last try would wait for ever where every
         // runner had a bad end and nothing else is left to run that could end well.
-        if self.bad == 0 || now.since(self.last_bad) > FORGIVEN_AFTER {
+        let forgiven = now.since(self.last_bad) > policy.forgiven.span();
+        if self.bad == 0 || forgiven || policy.mode == Switch::Off {
             return Trust::Full;
         }
-        if self.bad < BAD_ENDS_MAX {
+        if self.bad < policy.bad_ends_max {
             return Trust::SecondTryOnly;
         }
-        match now.since(self.last_bad) < QUARANTINE {
+        match now.since(self.last_bad) < policy.quarantine.span() {
             true => Trust::None,
             false => Trust::Probe,
         }
@@ -112,8 +138,8 @@
         }
     }
 
-    pub(super) fn stands_still(&self, now: Moment) -> bool {
-        self.rate == Some(100) && self.percent < 100 && now.since(self.moved) > STANDING_AFTER
+    pub(super) fn stands_still(&self, now: Moment, after: Millis) -> bool {
+        self.rate == Some(100) && self.percent < 100 && now.since(self.moved) > after.span()
     }
 }
 
--- a/crates/coordination/src/jobs/swing.rs
+++ b/crates/coordination/src/jobs/swing.rs
@@ -4,17 +4,39 @@
 //! The pattern answered here: every serving job's load goes up and down by half within
 //! ten to twenty seconds, all its tasks together, each job in a phase of its own. A task
 //! that fills beside it lives two to three seconds, so what counts is the margin ahead,
-//! not the one that is seen. On 22,000 recorded figures of 26 jobs a mean, a sine and a
-//! cosine explain all but 0.3 of a margin of 3; the last figure alone leaves 1.0.
+//! not the one that is seen; a mean, a sine and a cosine explain most of it.
 //!
 //! One filter for each job follows the three; the period is common to all and is found
 //! by the periods' errors in forecasts of some seconds.
 
+use super::policy::{Millis, Switch};
 use crate::moment::Moment;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::hash::Hash;
 use std::time::Duration;
 
+/// What is foreseen of the loads of serving tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct ForecastPolicy {
+    /// Whether waves are followed; otherwise a load is taken to stay as it is.
+    pub mode: Switch,
+    /// How far ahead a pace looks: what is ordered now has its effect until then, with
+    /// the runner's next report and the time that a pace takes.
+    #[serde(rename = "effect-ms")]
+    pub effect: Millis,
+    /// How far ahead a start looks: a filling task runs about that long.
+    #[serde(rename = "ahead-ms")]
+    pub ahead: Millis,
+}
+
+impl Default for ForecastPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, effect: Millis(500), ahead: Millis(2_000) }
+    }
+}
+
 /// Mean margin of a job nothing is known of, at half load on a server whose bound is
 /// six times its shortest answer, and its variance.
 const MEAN_START: f64 = 3.0;
@@ -71,6 +93,11 @@
         Self::with_period(PERIODS[PERIOD_FIRST], now)
     }
 
+    /// A load that is taken to stay as it is: a wave that takes for ever.
+    fn steady(now: Moment) -> Self {
+        Self::with_period(f64::INFINITY, now)
+    }
+
     fn with_period(period_s: f64, now: Moment) -> Self {
         let mut variance = [[0.0; 3]; 3];
         variance[0][0] = MEAN_VARIANCE;
@@ -168,6 +195,7 @@
 /// All serving jobs' loads, by a key for each job.
 #[derive(Debug)]
 pub struct Loads<K> {
+    policy: ForecastPolicy,
     swings: HashMap<K, Swing>,
     period: usize,
     witnesses: Vec<Witness<K>>,
@@ -193,6 +221,7 @@
 impl<K> Default for Loads<K> {
     fn default() -> Self {
         Self {
+            policy: ForecastPolicy::default(),
             swings: HashMap::new(),
             period: PERIOD_FIRST,
             witnesses: Vec::new(),
@@ -205,6 +234,21 @@
 where
     K: Copy + Eq + Hash,
 {
+    /// Nothing seen yet.
+    pub fn new(policy: ForecastPolicy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
+    /// The least margin of a job until an order has its effect, if anything is known.
+    pub(super) fn soon(&self, job: K, now: Moment) -> Option<f64> {
+        self.get(job).map(|load| load.least(now, self.policy.effect.span()))
+    }
+
+    /// The least margin of a job while a task that starts now runs, if anything is known.
+    pub(super) fn ahead(&self, job: K, now: Moment) -> Option<f64> {
+        self.get(job).map(|load| load.least(now, self.policy.ahead.span()))
+    }
+
     /// What is known of a job's load, if anything.
     pub fn get(&self, job: K) -> Option<&Swing> {
         self.swings.get(&job)
@@ -222,7 +266,11 @@
     /// ```
     pub fn entry(&mut self, job: K, now: Moment) -> &mut Swing {
         let period = PERIODS[self.period];
-        self.swings.entry(job).or_insert_with(|| Swing::with_period(period, now))
+        let mode = self.policy.mode;
+        self.swings.entry(job).or_insert_with(|| match mode {
+            Switch::On => Swing::with_period(period, now),
+            Switch::Off => Swing::steady(now),
+        })
     }
 
     /// The period that is believed, in seconds.
@@ -241,6 +289,9 @@
 
     /// Judges the periods by one figure; true when another is believed from now on.
     pub fn judge(&mut self, job: K, figure: OwnFigure, now: Moment) -> bool {
+        if self.policy.mode == Switch::Off {
+            return false;
+        }
         let Some(at) = self.witness(job, now) else { return false };
         let witness = &mut self.witnesses[at];
         if let Some(former) = &witness.former {
--- a/crates/daemon/src/cell.rs
+++ b/crates/daemon/src/cell.rs
@@ -16,6 +16,7 @@
 mod node;
 mod outside;
 mod peers;
+pub mod policy;
 mod replica;
 mod run;
 mod seats;
--- a/crates/daemon/src/cell/config.rs
+++ b/crates/daemon/src/cell/config.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use yuccalink_coordination::jobs::LeaderConfig;
+use yuccalink_coordination::jobs::policy::Policy;
 
 /// What one process needs to know; made by [`CellConfigBuilder`].
 #[derive(Clone, Debug)]
@@ -162,6 +163,13 @@
         self
     }
 
+    /// What the leader decides by.
+    #[must_use]
+    pub fn policy(mut self, policy: Policy) -> Self {
+        self.0.leader.policy = policy;
+        self
+    }
+
     /// How long a stopping process goes on serving, for the balancer to notice.
     #[must_use]
     pub fn drain(mut self, drain: Duration) -> Self {
--- /dev/null
+++ b/crates/daemon/src/cell/policy.rs
@@ -0,0 +1,67 @@
+//! The policy file of a cell, and how a policy is shown.
+
+use crate::error::{Error, Result};
+use serde_json::{Map, Value};
+use std::path::Path;
+use yuccalink_coordination::jobs::policy::Policy;
+
+/// Variable that names the file.
+pub const VARIABLE: &str = "YUCCALINK_POLICY";
+
+/// Reads a policy file: TOML with a section a mechanism; what it does not name stays as
+/// it ships.
+///
+/// # Errors
+/// [`Error::Setting`] naming the file, the place in it and the remedy.
+///
+/// ```
+/// let folder = tempfile::tempdir()?;
+/// let file = folder.path().join("policy.toml");
+/// std::fs::write(&file, "[copies]\nmode = \"off\"\n")?;
+/// let policy = yuccalink_daemon::cell::policy::read(&file)?;
+/// assert!(!policy.copies.mode.is_on() && policy.pacing.mode.is_on());
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+pub fn read(path: &Path) -> Result<Policy> {
+    let bad = |what: String| Error::Setting { flag: "policy", what: what.into() };
+    let shown = path.display();
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        bad(format!("cannot read {shown}: {error}; check the path and its permissions"))
+    })?;
+    let policy: Policy = toml::from_str(&text)
+        .map_err(|error| bad(format!("{shown} is not understood; correct it: {error}")))?;
+    policy.check().map_err(|error| bad(format!("{shown}: {error}")))?;
+    Ok(policy)
+}
+
+/// The figures that differ from what ships, as `section.name=value`.
+///
+/// ```
+/// use yuccalink_coordination::jobs::policy::{Policy, Switch};
+/// let mut policy = Policy::default();
+/// policy.moving.mode = Switch::Off;
+/// assert_eq!(yuccalink_daemon::cell::policy::changed(&policy), ["moving.mode=off".into()]);
+/// ```
+pub fn changed(policy: &Policy) -> Vec<Box<str>> {
+    let (shipped, used) = (sections(&Policy::default()), sections(policy));
+    let mut changed = Vec::new();
+    for (section, figures) in &used {
+        for (name, value) in figures.as_object().into_iter().flatten() {
+            if shipped.get(section).and_then(|section| section.get(name)) != Some(value) {
+                let value = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+                changed.push(format!("{section}.{name}={value}").into());
+            }
+        }
+    }
+    changed
+}
+
+fn sections(policy: &Policy) -> Map<String, Value> {
+    match serde_json::to_value(policy) {
+        Ok(Value::Object(sections)) => sections,
+        other => {
+            log::error!("a policy cannot be shown: {other:?}");
+            Map::new()
+        }
+    }
+}
--- a/crates/daemon/src/cell/run.rs
+++ b/crates/daemon/src/cell/run.rs
@@ -4,6 +4,7 @@
 use crate::cell::dialect::{Dialect, Settings};
 use crate::cell::http::{self, Port, Site};
 use crate::cell::node::Shared;
+use crate::cell::policy;
 use crate::cell::replica::Replica;
 use crate::cell::{disk, peers, seats};
 use crate::clock::BootClock;
@@ -75,12 +76,13 @@
     }
     tokio::task::spawn_local(seats::keep(node.clone()));
     log::info!(
-        "started name={} zone={} peer={} disk={} seeds={:?}",
+        "started name={} zone={} peer={} disk={} seeds={:?} policy=shipped{:?}",
         config.name,
         config.zone,
         config.peer,
         config.data.is_some(),
-        config.seeds
+        config.seeds,
+        policy::changed(&config.leader.policy)
     );
     let mut failure = node.failure();
     let mut reload = tokio::time::interval(RELOAD);
--- a/crates/yuccalinkd/src/cell.rs
+++ b/crates/yuccalinkd/src/cell.rs
@@ -4,11 +4,11 @@
 use lexopt::Parser;
 use std::ffi::OsString;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use yuccalink_daemon::cell::{CellConfig, CellConfigBuilder, Settings};
+use std::path::{Path, PathBuf};
+use yuccalink_daemon::cell::{CellConfig, CellConfigBuilder, Settings, policy};
 
 /// All settings, in the order of the help.
-pub(crate) const SETTINGS: [Setting<CellConfigBuilder>; 13] = [
+pub(crate) const SETTINGS: [Setting<CellConfigBuilder>; 14] = [
     Setting {
         flag: "name",
         value: "NAME",
@@ -93,6 +93,17 @@
         long: "As text, one figure a line.",
         set: |config, text| Ok(config.metrics(args::address(text)?)),
     },
+    Setting {
+        flag: "policy",
+        value: "FILE",
+        short: "what the leader decides by [as shipped]",
+        long: "TOML, a section a mechanism; what it does not name stays as shipped. The same \
+               file on every VM, since any may lead.",
+        set: |config, text| {
+            let policy = policy::read(Path::new(text)).map_err(|error| error.to_string())?;
+            Ok(config.policy(policy))
+        },
+    },
     Setting {
         flag: "drain",
         value: "TIME",
