Room in a full pool: tasks that are down first, short work not shut out, images matched

Change: tasks that last and are down come first of all; a new life is offered nothing until its former runs' ends are in the log; room is kept for tasks that never ran on one runner at a time, after 3 s; tasks that last stay on a leaving runner while there is no room elsewhere; each runner is offered the images that press less there than on most first.

Tests: lasting.rs, each failed before.

--- a/crates/coordination/src/jobs/gangs.rs
+++ b/crates/coordination/src/jobs/gangs.rs
@@ -95,7 +95,7 @@
             runner.takes_tasks()
                 && &*runner.pool == pool
                 && now.at.since(runner.heard) < HEARD_LATELY
-                && runner.health.trust(now.at, &self.cfg.policy.distrust) == Trust::Full
+                && self.trust(now, runner) == Trust::Full
                 && spec.required_label.as_ref().is_none_or(|label| runner.has_label(label))
                 && !failed_on(runner.key)
         };
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -3,8 +3,10 @@
 
 use super::ask::{Answer, Finished, Orders, Report, RunnerState, StartOrder};
 use super::leader::{Leader, Now, Then, Token, Waiting};
-use super::ready::GroupKey;
+use super::policy::{Millis, Switch};
+use super::ready::{GroupKey, StepInfo};
 use super::runner::{Runner, lease_surely_ended_after};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use yuccalink_state::jobs::{
@@ -22,6 +24,31 @@
 /// A runner leaves a little after it said, and what ends then is lost work.
 const LEAVE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Tasks that last leave a runner that leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct LeavingPolicy {
+    /// Whether they stay while there is no room elsewhere; otherwise they are stopped at
+    /// once, and serve nobody until there is.
+    pub mode: Switch,
+    /// How long before the runner's end they are stopped all the same.
+    #[serde(rename = "margin-ms")]
+    pub margin: Millis,
+}
+
+impl Default for LeavingPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, margin: Millis(1_200) }
+    }
+}
+
+/// What a report's answer may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Offer {
+    Work,
+    Nothing,
+}
+
 impl Leader {
     /// Finds the newest life of each runner.
     pub(super) fn index_lives(&mut self) {
@@ -69,7 +96,7 @@
         let born = known.and_then(|key| self.jobs.life(key)).map(|life| life.born_ms);
         match (known, born) {
             (Some(key), Some(born)) if born == report.born_ms => {
-                self.take_report(now, token, key, &report);
+                self.take_report(now, token, key, &report, Offer::Work);
             }
             (_, Some(born)) if report.born_ms < born => {
                 log::info!(
@@ -104,11 +131,14 @@
         }
         let over = &self.over;
         self.runners.retain(|key, _| !over.contains(key));
+        // What it ran before is not waiting yet, and comes before what never ran: it must
+        // not find its room taken by the time it is.
+        let offer = if ends.is_empty() { Offer::Work } else { Offer::Nothing };
         self.propose_ends(now, ends, Then::Nothing);
-        self.take_report(now, token, key, report);
+        self.take_report(now, token, key, report, offer);
     }
 
-    fn take_report(&mut self, now: Now, token: Token, key: LifeKey, report: &Report) {
+    fn take_report(&mut self, now: Now, token: Token, key: LifeKey, report: &Report, offer: Offer) {
         let runner = self.runners.entry(key).or_insert_with(|| Runner::new(key, report, now.at));
         let late = report.sequence <= runner.sequence && runner.sequence > 0;
         if late || self.over.contains(&key) {
@@ -131,7 +161,10 @@
         if let Some(runner) = self.runners.get_mut(&key) {
             runner.free = free;
         }
-        let starts = self.pick(now, key, neighbours);
+        let starts = match offer {
+            Offer::Work => self.pick(now, key, neighbours),
+            Offer::Nothing => Vec::new(),
+        };
         self.commit_report(now, token, key, report, all_ends, starts);
     }
 
@@ -187,6 +220,7 @@
     /// runner leaves.
     fn judge_runs(&mut self, now: Now, key: LifeKey) {
         let standing_after = self.cfg.policy.distrust.standing;
+        let staying = self.staying(now, key);
         let Some(runner) = self.runners.get_mut(&key) else { return };
         let leaving = runner.state == RunnerState::Draining;
         let mut standing = 0;
@@ -196,8 +230,8 @@
                 continue;
             }
             if step.long_running {
-                // It is to serve elsewhere as soon as may be.
-                view.stopping = leaving;
+                // It is to serve elsewhere as soon as there is room.
+                view.stopping = leaving && !staying.contains(task);
                 continue;
             }
             let stands = !step.opportunistic && view.stands_still(now.at, standing_after);
@@ -231,6 +265,51 @@
         self.counts.standing += standing;
     }
 
+    /// Tasks that last on a leaving runner and that would find no room elsewhere: each
+    /// one that leaves takes room that is free now, so not all leave for the same.
+    fn staying(&mut self, now: Now, key: LifeKey) -> BTreeSet<TaskKey> {
+        let policy = self.cfg.policy.leaving;
+        let mut staying = BTreeSet::new();
+        let Some(runner) = self.runners.get(&key) else { return staying };
+        let soon = now.at + policy.margin.span();
+        let leaves_later = runner.leaves_at.is_some_and(|at| at > soon);
+        if policy.mode == Switch::Off || runner.state == RunnerState::Ready || !leaves_later {
+            return staying;
+        }
+        let mut moving = self.moving_out;
+        for (task, view) in &runner.running {
+            let Some(step) = self.ready.step_of(*task).filter(|step| step.long_running) else {
+                continue;
+            };
+            if view.stopping || self.seats_elsewhere(now, runner, *task, step) > moving {
+                moving += u32::from(!view.stopping);
+            } else {
+                staying.insert(*task);
+            }
+        }
+        self.moving_out = moving;
+        staying
+    }
+
+    /// How many tasks of a step find room on other runners.
+    fn seats_elsewhere(&self, now: Now, leaving: &Runner, task: TaskKey, step: &StepInfo) -> u32 {
+        let group = GroupKey::of(task);
+        let mut seats = 0;
+        for runner in self.runners.values() {
+            let may = runner.key != leaving.key
+                && runner.takes_tasks()
+                && runner.is_heard_lately(now.at)
+                && runner.free.holds(step.committed);
+            let Some((_, spec)) = self.may_host(now, runner, group).filter(|_| may) else {
+                continue;
+            };
+            let room = runner.free.millicores / step.committed.millicores.max(1);
+            let room = u32::try_from(room).unwrap_or(u32::MAX);
+            seats += room.min(self.seats(runner, group, spec));
+        }
+        seats
+    }
+
     fn commit_report(
         &mut self,
         now: Now,
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -4,6 +4,7 @@
 use super::ask::{Answer, Ask, Orders, Report};
 use super::interference::Interference;
 use super::outside::{Call, CallId, Told};
+use super::place::KeptFree;
 use super::policy::Policy;
 use super::ready::{GroupKey, Ready};
 use super::report::Counts;
@@ -120,9 +121,12 @@
     pub(super) advice: Advice,
     pub(super) waves: Waves,
     /// Runners on which no short work starts until then.
-    pub(super) kept_free: BTreeMap<LifeKey, Moment>,
+    pub(super) kept_free: BTreeMap<LifeKey, KeptFree>,
     /// Tasks that lag and may have a copy, as of the last ranking, the worst first.
     pub(super) laggards: Vec<TaskKey>,
+    /// Tasks that last and are to leave their runner or wait for another, as of the last
+    /// ranking and since.
+    pub(super) moving_out: u32,
     /// Pools of which half is idle, as of the last ranking.
     pub(super) idle_pools: BTreeSet<Box<str>>,
     /// Returns of machines that are under way to the log.
@@ -173,6 +177,7 @@
             waves: Waves::default(),
             kept_free: BTreeMap::new(),
             laggards: Vec::new(),
+            moving_out: 0,
             idle_pools: BTreeSet::new(),
             noting: BTreeSet::new(),
             cfg_name: Box::default(),
@@ -425,6 +430,7 @@
             self.ranked = now.at;
             self.ready.rank_all(&self.jobs, now.at);
             self.find_idle_pools();
+            self.count_moving_out();
             self.find_laggards(now);
             self.keep_room(now);
             self.place_gangs(now);
--- a/crates/coordination/src/jobs/neighbours.rs
+++ b/crates/coordination/src/jobs/neighbours.rs
@@ -34,6 +34,8 @@
 const STARVED: f64 = 0.5;
 /// Age from which a task's figure, of the last half second, is all its own.
 const SETTLED_AFTER: Duration = Duration::from_millis(800);
+/// Added to weights that are compared: below this they are all harmless.
+const WEIGHT_FLOOR: f64 = 1.0;
 /// Margin of a serving task that has told no figure yet: as at half load.
 const MARGIN_UNSEEN: f64 = 3.0;
 
@@ -138,6 +140,14 @@
         }
     }
 
+    /// How much less an image presses on those that serve here than on most, as a factor.
+    pub(super) fn advantage(&self, image: ImageKey, learnt: &Interference) -> f64 {
+        let whole = [Filling { image, share: 1.0 }];
+        let here = self.serving.iter().map(|serving| learnt.taken(serving.image, &whole));
+        let here = here.fold(0.0, f64::max);
+        (learnt.hardness(image) + WEIGHT_FLOOR) / (here + WEIGHT_FLOOR)
+    }
+
     /// The image that serves there, where it is only one.
     pub(super) fn only_serving(&self) -> Option<ImageKey> {
         match self.serving.as_slice() {
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -1,6 +1,7 @@
 //! Which waiting tasks start on a runner that has just reported: its word is then
 //! fresh, and the order reaches it with the answer.
 
+use super::interference::ImageKey;
 use super::leader::{Leader, Now};
 use super::neighbours::Neighbours;
 use super::policy::{Millis, Switch};
@@ -83,7 +84,7 @@
 pub struct KeptFreePolicy {
     /// Whether they are.
     pub mode: Switch,
-    /// How long such a task waits before.
+    /// How long a task that has run and is down waits before.
     #[serde(rename = "after-ms")]
     pub after: Millis,
     /// How long a runner is kept free: its short tasks end by then.
@@ -91,12 +92,46 @@
     pub span: Millis,
     /// Runners kept free at once.
     pub runners_max: usize,
+    /// How long a task that has never run waits before.
+    #[serde(rename = "first-after-ms")]
+    pub first_after: Millis,
+    /// Runners kept free at once for such tasks: with more of them a full pool would
+    /// shut short work out, which earns more on the same processors.
+    pub first_runners_max: usize,
 }
 
 impl Default for KeptFreePolicy {
     fn default() -> Self {
-        let (after, span) = (Millis(1_000), Millis(2_500));
-        Self { mode: Switch::On, after, span, runners_max: 16 }
+        Self {
+            mode: Switch::On,
+            after: Millis(1_000),
+            span: Millis(2_500),
+            runners_max: 16,
+            first_after: Millis(3_000),
+            first_runners_max: 1,
+        }
+    }
+}
+
+/// A runner that is kept free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct KeptFree {
+    until: Moment,
+    /// For tasks that have never run.
+    first: bool,
+}
+
+/// Filling images go where they press less than elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct MatchingPolicy {
+    /// Whether they do; otherwise each runner takes them in the common order.
+    pub mode: Switch,
+}
+
+impl Default for MatchingPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On }
     }
 }
 
@@ -121,7 +156,7 @@
     /// Chooses tasks for a runner, in the order of the waiting steps.
     pub(super) fn pick(&mut self, now: Now, key: LifeKey, neighbours: Neighbours) -> Vec<Start> {
         let Some(runner) = self.runners.get(&key) else { return Vec::new() };
-        let trust = runner.health.trust(now.at, &self.cfg.policy.distrust);
+        let trust = self.trust(now, runner);
         if !runner.takes_tasks() || (self.ready.is_empty() && self.laggards.is_empty()) {
             return Vec::new();
         }
@@ -131,10 +166,10 @@
             most: starts_allowed(trust, runner),
             neighbours,
         };
-        let kept_free = self.kept_free.get(&key).is_some_and(|until| now.at < *until);
+        let kept_free = self.kept_free.get(&key).is_some_and(|kept| now.at < kept.until);
         let mut later = Vec::new();
         let serves_nothing = chosen.neighbours.serving.is_empty();
-        for group in self.ready.order().take(GROUPS_MAX) {
+        for group in self.order_for(&chosen.neighbours) {
             let Some(step) = self.ready.step(group.job, group.step) else { continue };
             if !chosen.free.holds(step.committed) {
                 continue;
@@ -176,6 +211,41 @@
         starts
     }
 
+    /// What may be started on a runner, by how its runs end.
+    pub(super) fn trust(&self, now: Now, runner: &Runner) -> Trust {
+        runner.health.trust(now.at, &self.cfg.policy.distrust)
+    }
+
+    /// The waiting steps as they are offered one runner. Steps that fill keep their places
+    /// among the others, and go by how much less their image presses here than on most:
+    /// the margin here is best spent by those who find it nowhere else.
+    fn order_for(&self, beside: &Neighbours) -> Vec<GroupKey> {
+        let mut order: Vec<GroupKey> = self.ready.order().take(GROUPS_MAX).collect();
+        if self.cfg.policy.matching.mode == Switch::Off || beside.serving.is_empty() {
+            return order;
+        }
+        let mut advantages: BTreeMap<ImageKey, f64> = BTreeMap::new();
+        let mut fills = Vec::new();
+        for (at, group) in order.iter().enumerate() {
+            let step = self.ready.step(group.job, group.step);
+            let Some(image) = step.filter(|step| step.disturbs()).and_then(|step| step.image)
+            else {
+                continue;
+            };
+            let Some((class, density)) = self.ready.class_and_density(*group) else { continue };
+            let advantage = *advantages
+                .entry(image)
+                .or_insert_with(|| beside.advantage(image, &self.interference));
+            fills.push((at, class, density * advantage, *group));
+        }
+        let places: Vec<usize> = fills.iter().map(|(at, ..)| *at).collect();
+        fills.sort_by(|a, b| a.1.cmp(&b.1).then(b.2.total_cmp(&a.2)));
+        for (at, (_, _, _, group)) in places.into_iter().zip(fills) {
+            order[at] = group;
+        }
+        order
+    }
+
     /// Keeps runners free for large tasks that last and have waited: short work would
     /// fill each hole before it is large enough, for ever. A runner is chosen where
     /// enough is free once its short tasks have ended, which takes about a second.
@@ -184,7 +254,7 @@
         if policy.mode == Switch::Off {
             return;
         }
-        self.kept_free.retain(|_, until| now.at < *until);
+        self.kept_free.retain(|_, kept| now.at < kept.until);
         let waits = |group: &GroupKey| {
             let step = self.ready.step(group.job, group.step);
             step.is_some_and(|step| step.long_running) && self.has_waited(now, *group)
@@ -192,9 +262,14 @@
         let groups: Vec<GroupKey> =
             self.ready.order().filter(waits).take(policy.runners_max).collect();
         for group in groups {
+            let first = !self.ready.is_down(group);
+            let firsts = self.kept_free.values().filter(|kept| kept.first).count();
             if self.kept_free.len() >= policy.runners_max {
                 return;
             }
+            if first && firsts >= policy.first_runners_max {
+                continue;
+            }
             let Some(need) = self.ready.step(group.job, group.step).map(|step| step.committed)
             else {
                 continue;
@@ -214,7 +289,7 @@
             let Some(key) = self.runners.values().find(fits).map(|runner| runner.key) else {
                 continue;
             };
-            self.kept_free.insert(key, now.at + policy.span.span());
+            self.kept_free.insert(key, KeptFree { until: now.at + policy.span.span(), first });
         }
     }
 
@@ -226,8 +301,10 @@
         short.fold(runner.free, |sum, need| sum.plus(need).unwrap_or(sum))
     }
 
-    fn has_waited(&self, now: Now, group: GroupKey) -> bool {
-        let wait = self.cfg.policy.kept_free.after.span();
+    pub(super) fn has_waited(&self, now: Now, group: GroupKey) -> bool {
+        let policy = &self.cfg.policy.kept_free;
+        let wait = if self.ready.is_down(group) { policy.after } else { policy.first_after };
+        let wait = wait.span();
         self.ready.since(group).is_some_and(|since| now.at.since(since) > wait)
     }
 
@@ -251,20 +328,10 @@
         if !chosen.free.holds(info.committed) || !self.suits(now, group, info, chosen) {
             return;
         }
-        let Some(job) = self.jobs.job(group.job) else { return };
-        let Some(step) = job.spec.steps.get(usize::from(group.step)) else { return };
-        let fits = self.pool_of(job) == &*runner.pool
-            && label_fits(step, runner)
-            && !step.gang
-            && self.ticket_fits(now, group, runner)
-            && self.rack_fits(now.at, job, step, group, runner);
-        if !fits {
-            return;
-        }
-        let mut here = self.count_here(runner.key, group);
+        let Some((job, step)) = self.may_host(now, runner, group) else { return };
+        let mut seats = self.seats(runner, group, step);
         for index in 0..step.count {
-            let per_runner = step.per_runner_max;
-            if chosen.starts.len() >= chosen.most || (per_runner > 0 && here >= per_runner) {
+            if chosen.starts.len() >= chosen.most || seats == 0 {
                 return;
             }
             let index = u16::try_from(index).unwrap_or(u16::MAX);
@@ -277,7 +344,32 @@
             chosen.free = less(chosen.free, info.committed);
             chosen.neighbours.started(now.at, info, &self.loads, group);
             chosen.starts.push(Start { task, run, life: runner.key });
-            here += 1;
+            seats -= 1;
+        }
+    }
+
+    /// A step and its job, if its tasks may run on a runner at all.
+    pub(super) fn may_host(
+        &self,
+        now: Now,
+        runner: &Runner,
+        group: GroupKey,
+    ) -> Option<(&Job, &StepSpec)> {
+        let job = self.jobs.job(group.job)?;
+        let step = job.spec.steps.get(usize::from(group.step))?;
+        let may = self.pool_of(job) == &*runner.pool
+            && label_fits(step, runner)
+            && !step.gang
+            && self.ticket_fits(now, group, runner)
+            && self.rack_fits(now.at, job, step, group, runner);
+        may.then_some((job, step))
+    }
+
+    /// How many more tasks of a step a runner may have beside those that it has.
+    pub(super) fn seats(&self, runner: &Runner, group: GroupKey, step: &StepSpec) -> u32 {
+        match step.per_runner_max {
+            0 => step.count,
+            most => most.saturating_sub(self.count_here(runner.key, group)),
         }
     }
 
@@ -374,9 +466,7 @@
             Kind::Serving => {
                 let own = step.image;
                 let alike = neighbours.serving.iter().all(|serving| Some(serving.image) == own);
-                let policy = &self.cfg.policy.gathering;
-                let waited = now.at.since(since) > policy.wait.span();
-                let settled = waited || policy.mode == Switch::Off;
+                let settled = self.has_waited_alike(now, group);
                 match neighbours.serving.is_empty() {
                     true => settled || !self.room_beside_alike(now, step),
                     false => alike || settled,
@@ -385,6 +475,13 @@
         }
     }
 
+    /// Whether a serving step need not wait any longer for a runner of its image.
+    pub(super) fn has_waited_alike(&self, now: Now, group: GroupKey) -> bool {
+        let policy = &self.cfg.policy.gathering;
+        let since = self.ready.since(group).unwrap_or(now.at);
+        now.at.since(since) > policy.wait.span() || policy.mode == Switch::Off
+    }
+
     /// How many runs of a job are under way or about to be.
     pub(super) fn runs_of(&self, now: Now, id: JobId) -> usize {
         let Some(job) = self.jobs.job(id) else { return 0 };
@@ -413,6 +510,22 @@
         self.idle_pools = idle.map(|(pool, _)| pool).collect();
     }
 
+    /// Counts the tasks that last and wait for room, or are on their way to.
+    pub(super) fn count_moving_out(&mut self) {
+        let is_lasting = |task: TaskKey| self.ready.step_of(task).is_some_and(|s| s.long_running);
+        let leaving = self.runners.values().filter(|runner| !runner.takes_tasks());
+        let stopping = leaving
+            .flat_map(|runner| &runner.running)
+            .filter(|(task, view)| view.stopping && is_lasting(**task));
+        let waiting: u32 = self
+            .ready
+            .order()
+            .filter(|group| self.ready.step(group.job, group.step).is_some_and(|s| s.long_running))
+            .filter_map(|group| self.jobs.job(group.job).map(|job| waiting_tasks(job, group)))
+            .sum();
+        self.moving_out = waiting + u32::try_from(stopping.count()).unwrap_or(u32::MAX);
+    }
+
     /// Whether a runner that already serves this image has room for one more: then
     /// runners that serve nothing stay free for work that disturbs.
     fn room_beside_alike(&self, now: Now, step: &StepInfo) -> bool {
@@ -431,7 +544,7 @@
     pub(super) starts: Vec<Start>,
     pub(super) free: Resources,
     pub(super) most: usize,
-    neighbours: Neighbours,
+    pub(super) neighbours: Neighbours,
 }
 
 /// A runner that is only being tried gets one task at a time.
@@ -443,6 +556,15 @@
     }
 }
 
+/// How many tasks of a step wait.
+pub(super) fn waiting_tasks(job: &Job, group: GroupKey) -> u32 {
+    let occurrence = job.occurrences.get(group.occurrence as usize);
+    let step = occurrence.and_then(|found| found.steps.get(usize::from(group.step)));
+    let tasks = step.into_iter().flat_map(|step| &step.tasks);
+    let count = tasks.filter(|task| !task.done && task.holds.is_empty()).count();
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
 pub(super) fn label_fits(step: &StepSpec, runner: &Runner) -> bool {
     step.required_label.as_ref().is_none_or(|label| runner.has_label(label))
 }
--- a/crates/coordination/src/jobs/policy.rs
+++ b/crates/coordination/src/jobs/policy.rs
@@ -6,10 +6,13 @@
 
 pub use super::copies::CopiesPolicy;
 pub use super::gangs::GangsPolicy;
+pub use super::heartbeat::LeavingPolicy;
 pub use super::interference::InterferencePolicy;
 pub use super::neighbours::SharingPolicy;
 pub use super::pace::{MovingPolicy, PacingPolicy, StandstillPolicy};
-pub use super::place::{GatheringPolicy, KeptFreePolicy, PatiencePolicy, RacksPolicy};
+pub use super::place::{
+    GatheringPolicy, KeptFreePolicy, MatchingPolicy, PatiencePolicy, RacksPolicy,
+};
 pub use super::ready::{OrderBy, OrderPolicy};
 pub use super::runner::DistrustPolicy;
 pub use super::swing::ForecastPolicy;
@@ -75,6 +78,8 @@
 pub struct Policy {
     /// Whose turn it is when room comes free.
     pub order: OrderPolicy,
+    /// Filling images go where they press less than elsewhere.
+    pub matching: MatchingPolicy,
     /// Runners kept free for large tasks that last.
     pub kept_free: KeptFreePolicy,
     /// Serving tasks gather by image.
@@ -95,6 +100,8 @@
     pub patience: PatiencePolicy,
     /// Tasks wait for their rack.
     pub racks: RacksPolicy,
+    /// Tasks that last leave a runner that leaves.
+    pub leaving: LeavingPolicy,
     /// Second copies of tasks that lag.
     pub copies: CopiesPolicy,
     /// Runners with bad ends get less.
@@ -161,10 +168,11 @@
         Ok(())
     }
 
-    fn figures(&self) -> [Bound; 14] {
+    fn figures(&self) -> [Bound; 15] {
         let runs_max = f64::from(self.moving.runs_max);
         [
             ("order", "size-weight", self.order.size_weight, 0.0, 2.0),
+            ("kept-free", "first-runners-max", self.kept_free.first_runners_max as f64, 0.0, 1e4),
             ("kept-free", "runners-max", self.kept_free.runners_max as f64, 0.0, 1e4),
             ("gathering", "hard-weight", self.gathering.hard_weight, 0.0, 1e3),
             ("interference", "start-mean", self.interference.start_mean, 0.0, 1e3),
@@ -204,6 +212,8 @@
 sections! {
     /// Sets whose turn it is.
     order: OrderPolicy,
+    /// Sets how filling images are matched with those that serve.
+    matching: MatchingPolicy,
     /// Sets which runners are kept free.
     kept_free: KeptFreePolicy,
     /// Sets how serving tasks gather.
@@ -224,6 +234,8 @@
     patience: PatiencePolicy,
     /// Sets how long tasks wait for their rack.
     racks: RacksPolicy,
+    /// Sets when tasks that last leave a leaving runner.
+    leaving: LeavingPolicy,
     /// Sets which tasks get second copies.
     copies: CopiesPolicy,
     /// Sets which runners get less.
--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -45,13 +45,20 @@
     /// How much the size that is left counts against a job. With 1 it is the worth for
     /// each core-second, and the largest jobs hardly ever get their turn.
     pub size_weight: f64,
+    /// Whether tasks that last and are down come first of all.
+    pub again_first: Switch,
     /// Whether short work that can still be prompt comes before tasks that last.
     pub short_first: Switch,
 }
 
 impl Default for OrderPolicy {
     fn default() -> Self {
-        Self { by: OrderBy::Worth, size_weight: 0.85, short_first: Switch::On }
+        Self {
+            by: OrderBy::Worth,
+            size_weight: 0.85,
+            again_first: Switch::On,
+            short_first: Switch::On,
+        }
     }
 }
 
@@ -73,6 +80,10 @@
 /// Whose turn it is when room comes free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Turn {
+    /// Tasks that last, have run and are down: their users are without them. Room for one
+    /// of these sizes comes free now and then, and short work or another job's larger
+    /// task would take it each time, for ever.
+    Again,
     /// Short work on processors of its own that can still be prompt: it gives the
     /// room back within a second, where a task that lasts keeps it for minutes.
     Short,
@@ -93,6 +104,10 @@
     since: Moment,
 }
 
+/// The part of a rank that goes before density.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct RankClass(Turn, Lateness, u32);
+
 /// What a step's tasks are to their neighbours.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Kind {
@@ -160,6 +175,8 @@
     /// When it first had tasks to start.
     since: Moment,
     rank: Rank,
+    /// It lasts and has a task that has run.
+    down: bool,
 }
 
 /// All of them.
@@ -178,6 +195,18 @@
         Self { policy, ..Self::default() }
     }
 
+    /// What two steps must have in common to be compared by density, and the density.
+    pub(super) fn class_and_density(&self, key: GroupKey) -> Option<(RankClass, f64)> {
+        let rank = self.groups.get(&key)?.rank;
+        let class = RankClass(rank.turn, rank.lateness, rank.priority);
+        Some((class, -(rank.density as f64)))
+    }
+
+    /// Whether a step has a task that has run and is down.
+    pub(super) fn is_down(&self, key: GroupKey) -> bool {
+        self.groups.get(&key).is_some_and(|group| group.down)
+    }
+
     /// Keeps what is needed of a job that came in at `came`.
     pub(super) fn meet(
         &mut self,
@@ -255,7 +284,8 @@
         for key in keys {
             if !self.groups.contains_key(key) {
                 let rank = self.rank(jobs, *key, now, now);
-                self.groups.insert(*key, Group { since: now, rank });
+                let down = self.has_down(jobs, *key);
+                self.groups.insert(*key, Group { since: now, rank, down });
                 self.order.insert((rank, *key));
             }
         }
@@ -266,6 +296,7 @@
         let mut groups = std::mem::take(&mut self.groups);
         for (key, group) in &mut groups {
             group.rank = self.rank(jobs, *key, now, group.since);
+            group.down = self.has_down(jobs, *key);
         }
         self.order = groups.iter().map(|(key, group)| (group.rank, *key)).collect();
         self.groups = groups;
@@ -316,6 +347,11 @@
         self.scheduled.iter().copied().collect()
     }
 
+    fn has_down(&self, jobs: &Jobs, key: GroupKey) -> bool {
+        let lasts = self.step(key.job, key.step).is_some_and(|step| step.long_running);
+        lasts && jobs.job(key.job).is_some_and(|job| has_run_before(job, key))
+    }
+
     fn rank(&self, jobs: &Jobs, key: GroupKey, now: Moment, since: Moment) -> Rank {
         let last = Rank {
             turn: Turn::Other,
@@ -332,7 +368,8 @@
         if step.long_running {
             // The largest first, so that the small ones fill what is left.
             let density = -i64::try_from(step.need.millicores).unwrap_or(i64::MAX);
-            let turn = Turn::Lasting;
+            let again = self.policy.again_first.is_on() && has_run_before(job, key);
+            let turn = if again { Turn::Again } else { Turn::Lasting };
             return Rank { turn, lateness: Lateness::Prompt, priority, density, since };
         }
         let mean = self.means.get(&job.queue).copied().unwrap_or(0.0);
@@ -356,6 +393,14 @@
     }
 }
 
+/// Whether a step has a task that ran once and waits.
+fn has_run_before(job: &Job, key: GroupKey) -> bool {
+    let occurrence = job.occurrences.get(key.occurrence as usize);
+    let step = occurrence.and_then(|found| found.steps.get(usize::from(key.step)));
+    let mut tasks = step.into_iter().flat_map(|step| &step.tasks);
+    tasks.any(|task| !task.done && task.holds.is_empty() && task.last_run > 0)
+}
+
 impl Meta {
     fn lateness(&self, step: u16, now: Moment) -> Lateness {
         if self.lasts || self.scheduled {
--- a/crates/coordination/tests/cell/world.rs
+++ b/crates/coordination/tests/cell/world.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use yuccalink_coordination::Moment;
 use yuccalink_coordination::jobs::ask::Place;
+use yuccalink_coordination::jobs::policy::Policy;
 use yuccalink_coordination::jobs::{
     Answer, Ask, JobState, Leader, LeaderConfig, Now, Orders, Report, RunnerState, Token,
 };
@@ -94,6 +95,7 @@
     pub now: Moment,
     rng: Pcg64Mcg,
     rough: Rough,
+    policy: Policy,
     committed: Jobs,
     index: u64,
     term: u64,
@@ -114,10 +116,15 @@
 
 impl World {
     pub fn new(seed: u64, runners: usize, rough: Rough) -> Self {
+        Self::with_policy(seed, runners, rough, Policy::default())
+    }
+
+    pub fn with_policy(seed: u64, runners: usize, rough: Rough, policy: Policy) -> Self {
         let mut world = Self {
             now: Moment::from_millis(1_000),
             rng: Pcg64Mcg::seed_from_u64(seed),
             rough,
+            policy,
             committed: Jobs::new(),
             index: 0,
             term: 1,
@@ -243,7 +250,7 @@
         }
         if self.leader.is_none() && self.now >= self.next_leader {
             self.term += 1;
-            let cfg = LeaderConfig::default();
+            let cfg = LeaderConfig { policy: self.policy, ..LeaderConfig::default() };
             let jobs = self.committed.clone();
             self.leader = Some(Leader::new(cfg, self.term, jobs, self.now()));
         }
@@ -455,6 +462,14 @@
         }
     }
 
+    /// The runner says that it leaves after a span.
+    pub fn drain_within(&mut self, at: usize, span: Duration) {
+        self.drain(at);
+        if let Some(runner) = &mut self.slots[at].runner {
+            runner.leaves_at = Some(self.now + span);
+        }
+    }
+
     pub fn crash(&mut self, at: usize, away: Duration) {
         self.slots[at].runner = None;
         self.slots[at].back_at = self.now + away;
--- /dev/null
+++ b/crates/coordination/tests/lasting.rs
@@ -0,0 +1,104 @@
+//! Tasks that last in a pool that is full: which of them gets room first, and what short
+//! work beside them waits for.
+//!
+//! The load played here: tasks that last reserve nearly all of a small pool, some of them
+//! lose their runner, others have never run, and short work fills each hole that is left.
+
+#[path = "cell/world.rs"]
+#[allow(dead_code)]
+mod world;
+
+use std::time::Duration;
+use world::{Rough, World, step};
+use yuccalink_coordination::jobs::JobState;
+use yuccalink_fakes::emulator::Truth;
+use yuccalink_state::jobs::{JobId, JobSpec, TaskKey};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn submit_lasting(world: &mut World, id: u64, count: u32, cores: u64) {
+    let (mut step, truth) = step(count, cores, 60_000);
+    step.long_running = true;
+    let spec = JobSpec { payload: "serve".into(), steps: vec![step], schedule: None };
+    world.submit(JobId(id), spec, vec![Truth { lasts: true, ..truth }]);
+}
+
+fn submit_short(world: &mut World, id: u64, count: u32, cores: u64, work_ms: u64) {
+    let (step, truth) = step(count, cores, work_ms);
+    let spec = JobSpec { payload: "work".into(), steps: vec![step], schedule: None };
+    world.submit(JobId(id), spec, vec![truth]);
+}
+
+/// Short tasks, one on each runner.
+fn submit_apart(world: &mut World, id: u64, count: u32, cores: u64, work_ms: u64) {
+    let (mut step, truth) = step(count, cores, work_ms);
+    step.per_runner_max = 1;
+    let spec = JobSpec { payload: "work".into(), steps: vec![step], schedule: None };
+    world.submit(JobId(id), spec, vec![truth]);
+}
+
+fn first_task(id: u64) -> TaskKey {
+    TaskKey { job: JobId(id), occurrence: 0, step: 0, index: 0 }
+}
+
+fn assert_kept(world: &mut World) {
+    world.close();
+    assert!(world.broken.is_empty(), "{:#?}", world.broken);
+}
+
+/// A log that a customer keeps stops being written, and stays so for half a minute though
+/// room for its task comes free again and again. Its runner was lost while a larger job
+/// that never ran waited for room; the larger one came first, each time.
+#[test]
+fn a_task_that_is_down_comes_before_one_that_has_never_run() {
+    let mut world = World::new(21, 1, Rough::CALM);
+    submit_lasting(&mut world, 1, 1, 6);
+    world.run_for(SECOND * 2);
+    submit_lasting(&mut world, 2, 1, 12);
+    world.run_for(SECOND);
+    assert_eq!(world.starts_of(first_task(1)), 1);
+    world.crash(0, Duration::from_millis(100));
+    world.run_for(SECOND * 3);
+    assert_eq!(world.starts_of(first_task(1)), 2, "it is down");
+    assert_eq!(world.starts_of(first_task(2)), 0, "there is no room for both");
+    assert_kept(&mut world);
+}
+
+/// A short job takes seconds though each runner has room for it: new tasks that last wait
+/// for what runs there to end, and the room is kept for them on every runner. It is kept
+/// on one at a time, so the short job runs at once on the others.
+#[test]
+fn room_is_kept_on_one_runner_at_a_time_for_new_tasks_that_last() {
+    let mut world = World::new(22, 4, Rough::CALM);
+    submit_apart(&mut world, 1, 4, 4, 8_000);
+    world.run_for(SECOND);
+    submit_lasting(&mut world, 2, 4, 13);
+    world.run_for(Duration::from_millis(3_300));
+    submit_apart(&mut world, 3, 3, 4, 300);
+    world.run_for(SECOND);
+    assert_eq!(world.state(JobId(3)), Some(JobState::Completed));
+    world.run_for(SECOND * 8);
+    assert_eq!(world.starts_of(first_task(2)), 1, "they have their turn");
+    assert_kept(&mut world);
+}
+
+/// A runner says that it leaves in some seconds, and every other one is full. Its tasks
+/// that last used to be stopped at once, and served nobody for the seconds in which the
+/// runner still would have kept them. They stay until there is room, or until it leaves.
+#[test]
+fn tasks_that_last_stay_on_a_leaving_runner_while_there_is_no_room() {
+    let mut world = World::new(23, 2, Rough::CALM);
+    submit_lasting(&mut world, 1, 2, 12);
+    world.run_for(SECOND * 2);
+    submit_short(&mut world, 50, 1, 4, 1_500);
+    world.run_for(Duration::from_millis(500));
+    world.drain_within(0, SECOND * 4);
+    world.run_for(SECOND);
+    let lasting_on = |world: &World, at: usize| {
+        world.running_on(at).into_iter().filter(|task| task.job == JobId(1)).count()
+    };
+    assert_eq!(lasting_on(&world, 0), 1, "it still serves there");
+    world.run_for(Duration::from_millis(2_600));
+    assert_eq!(lasting_on(&world, 0), 0, "it is stopped before the runner is gone");
+    assert_kept(&mut world);
+}
--- /dev/null
+++ b/crates/coordination/tests/policy.rs
@@ -0,0 +1,100 @@
+//! Policies: what they may say, and that no promise rests on a mechanism being on.
+
+#[path = "cell/world.rs"]
+#[allow(dead_code)]
+mod world;
+
+use std::time::Duration;
+use world::{Rough, World, step};
+use yuccalink_coordination::jobs::policy::{
+    BadPolicy, GangsPolicy, OrderBy, OrderPolicy, Policy, Switch,
+};
+use yuccalink_state::jobs::{JobId, JobSpec};
+
+const OFF: Switch = Switch::Off;
+const JOBS: u64 = 12;
+const SEEDS: u64 = 6;
+
+/// The policy that ships, with one mechanism off or another way.
+fn variants() -> Vec<(&'static str, Policy)> {
+    let with = |name, change: fn(&mut Policy)| {
+        let mut policy = Policy::default();
+        change(&mut policy);
+        (name, policy)
+    };
+    vec![
+        with("order by deadline", |p| p.order.by = OrderBy::Deadline),
+        with("order by arrival", |p| p.order.by = OrderBy::Arrival),
+        with("short first", |p| p.order.short_first = OFF),
+        with("again first", |p| p.order.again_first = OFF),
+        with("matching", |p| p.matching.mode = OFF),
+        with("kept free", |p| p.kept_free.mode = OFF),
+        with("gathering", |p| p.gathering.mode = OFF),
+        with("interference", |p| p.interference.mode = OFF),
+        with("forecast", |p| p.forecast.mode = OFF),
+        with("sharing", |p| p.sharing.mode = OFF),
+        with("pacing", |p| p.pacing.mode = OFF),
+        with("moving", |p| p.moving.mode = OFF),
+        with("standstill", |p| p.standstill.mode = OFF),
+        with("patience", |p| p.patience.mode = OFF),
+        with("racks", |p| p.racks.mode = OFF),
+        with("leaving", |p| p.leaving.mode = OFF),
+        with("copies", |p| p.copies.mode = OFF),
+        with("distrust", |p| p.distrust.mode = OFF),
+        with("one rack for a gang", |p| p.gangs = GangsPolicy { one_rack: OFF }),
+    ]
+}
+
+/// Jobs of all kinds under lost messages, crashes and changes of leader.
+fn play(seed: u64, policy: Policy) -> Vec<String> {
+    let mut world = World::with_policy(seed, 5, Rough::HARD, policy);
+    for id in 1..=JOBS {
+        let count = 1 + u32::try_from(world.draw(5)).unwrap_or(0);
+        let (cores, work_ms) = (1 + world.draw(6), 100 + world.draw(2_000));
+        let (mut spec, truth) = step(count, cores, work_ms);
+        spec.checkpointing = id.is_multiple_of(2);
+        spec.speculative = id.is_multiple_of(3);
+        spec.gang = id.is_multiple_of(5);
+        spec.per_runner_max = u32::from(id.is_multiple_of(4)) * 2;
+        let spec = JobSpec { payload: "work".into(), steps: vec![spec], schedule: None };
+        world.submit(JobId(id), spec, vec![truth]);
+        let pause = 100 + world.draw(900);
+        world.run_for(Duration::from_millis(pause));
+    }
+    world.calm_down();
+    world.run_for(Duration::from_secs(40));
+    world.close();
+    world.check_completed();
+    if world.open_jobs() > 0 {
+        world.broken.push(format!("{} jobs never ended", world.open_jobs()));
+    }
+    world.broken.clone()
+}
+
+/// An operator switches a mechanism off to find out what it is worth. Its jobs may take
+/// longer; none may run twice, be forgotten or start too early for that.
+#[test]
+fn no_promise_rests_on_a_mechanism() {
+    for (name, policy) in variants() {
+        policy.check().expect("a sound policy");
+        for seed in 0..SEEDS {
+            let broken = play(seed, policy);
+            assert!(broken.is_empty(), "without {name}, seed {seed}: {broken:#?}");
+        }
+    }
+}
+
+#[test]
+fn a_figure_out_of_range_is_named_with_its_bounds() {
+    let order = OrderPolicy { size_weight: -1.0, ..OrderPolicy::default() };
+    let bad = Policy::builder().order(order).build().expect_err("no size counts for a job");
+    assert!(matches!(bad, BadPolicy::OutOfRange { section: "order", name: "size-weight", .. }));
+    let text = bad.to_string();
+    assert_eq!(text, "[order] size-weight is -1; write a figure from 0 to 2");
+}
+
+#[test]
+fn what_ships_is_sound() {
+    assert_eq!(Policy::default().check(), Ok(()));
+    assert_eq!(Policy::builder().build(), Ok(Policy::default()));
+}
--- a/crates/fakes/src/emulator.rs
+++ b/crates/fakes/src/emulator.rs
@@ -95,6 +95,8 @@
     pub fault: Fault,
     /// Whether it takes new tasks.
     pub state: RunnerState,
+    /// When it leaves, where it says so.
+    pub leaves_at: Option<Moment>,
     /// All that it has.
     pub capacity: Resources,
     /// Its clock runs this much slow, in parts per million.
@@ -128,6 +130,7 @@
             born_ms,
             fault: Fault::None,
             state: RunnerState::Ready,
+            leaves_at: None,
             capacity,
             slow_ppm: 0,
             rack: rack.into(),
@@ -232,7 +235,7 @@
             address: self.id.clone(),
             zone: "zone".into(),
             state: self.state,
-            remaining_ms: None,
+            remaining_ms: self.leaves_at.map(|at| remaining_ms(at, now)),
             capacity: self.capacity,
             labels: vec!["a".into(), self.rack.clone()],
             rack: self.rack.clone(),
@@ -320,3 +323,7 @@
     let work = run.truth.work.as_micros().max(1);
     u8::try_from((run.done.as_micros() * 100 / work).min(99)).unwrap_or(99)
 }
+
+fn remaining_ms(leaves_at: Moment, now: Moment) -> u64 {
+    u64::try_from(leaves_at.since(now).as_millis()).unwrap_or(u64::MAX)
+}
