What holds jobs up, told in the log; yuccalink losses adds it up

Cause: logs told when a job ended and not what it had waited for; where the worth goes could only be guessed from tasks' lines.

Change: the leader keeps an account for each job that is to end (room, margin, distrust, order under way, pace, runs again, lag; what was before this leader), looked at four times a second, told when the job ends or is overdue. yuccalink losses FILE... divides what late, failed and lost jobs were worth by cause, queue and second, as a table, JSON and an SVG (plotters).

--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -2,6 +2,7 @@
 //! and ticks with the current [`Now`]; take its commands for the log and its
 //! answers. It never reads a clock and draws no random numbers.
 
+pub mod account;
 mod admission;
 mod advice;
 pub mod ask;
--- /dev/null
+++ b/crates/coordination/src/jobs/account.rs
@@ -0,0 +1,207 @@
+//! What holds jobs up: for each job that is to end, for how long and by what.
+//!
+//! Kept beside the decisions and told in the line that ends a job, so that lost time can
+//! be added up by cause from logs alone.
+
+use super::leader::{Leader, Now};
+use super::ready::GroupKey;
+use super::runner::{RunView, Trust};
+use std::collections::HashMap;
+use std::fmt;
+use std::time::Duration;
+use yuccalink_state::jobs::{Job, JobId, JobPhase, TaskKey};
+
+/// How often jobs are looked at; a look counts for as long.
+pub(super) const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// A run that takes this many times as long as guessed lags.
+const LAGS_BY: u32 = 2;
+
+/// What holds a job up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub enum HeldUp {
+    /// No runner has room for its next task.
+    #[display("room")]
+    Room,
+    /// There is room, but tasks that serve there would not keep their bounds.
+    #[display("margin")]
+    Margin,
+    /// There is room only on runners that are not trusted.
+    #[display("trust")]
+    Trust,
+    /// There is room, and the order is under way.
+    #[display("order")]
+    Order,
+    /// It is slowed for a task that serves beside it.
+    #[display("pace")]
+    Pace,
+    /// A task runs once more: it failed, was moved, or lost its runner.
+    #[display("again")]
+    Again,
+    /// A task takes much longer than guessed.
+    #[display("lag")]
+    Lag,
+}
+
+const CAUSES: [HeldUp; 7] = [
+    HeldUp::Room,
+    HeldUp::Margin,
+    HeldUp::Trust,
+    HeldUp::Order,
+    HeldUp::Pace,
+    HeldUp::Again,
+    HeldUp::Lag,
+];
+
+/// What held one job up so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Account {
+    spans: [Duration; CAUSES.len()],
+    /// Age of the job when this leader first saw it.
+    former: Duration,
+    /// It was told that the job is overdue.
+    told: bool,
+}
+
+impl fmt::Display for Account {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "former:{}", self.former.as_millis())?;
+        for (cause, span) in CAUSES.iter().zip(&self.spans) {
+            if !span.is_zero() {
+                write!(f, ",{cause}:{}", span.as_millis())?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The accounts of all jobs that are to end.
+#[derive(Debug, Default)]
+pub(super) struct Accounts(HashMap<JobId, Account>);
+
+impl Accounts {
+    /// Opens that of a job of some age.
+    pub(super) fn open(&mut self, id: JobId, age: Duration) {
+        self.0.entry(id).or_insert(Account { former: age, ..Account::default() });
+    }
+
+    /// What held a job up.
+    pub(super) fn get(&self, id: JobId) -> Account {
+        self.0.get(&id).copied().unwrap_or_default()
+    }
+
+    pub(super) fn close(&mut self, id: JobId) {
+        self.0.remove(&id);
+    }
+
+    fn add(&mut self, id: JobId, cause: HeldUp) {
+        let account = self.0.entry(id).or_default();
+        if let Some(at) = CAUSES.iter().position(|known| *known == cause) {
+            account.spans[at] += LOOK_EVERY;
+        }
+    }
+
+    /// Whether it is first asked now for a job that is overdue.
+    fn is_news(&mut self, id: JobId) -> bool {
+        let account = self.0.entry(id).or_default();
+        !std::mem::replace(&mut account.told, true)
+    }
+}
+
+impl Leader {
+    /// Looks at every job that is to end.
+    pub(super) fn keep_accounts(&mut self, now: Now) {
+        let mut held_up = Vec::new();
+        let mut overdue = Vec::new();
+        for (id, job) in self.jobs.all() {
+            if job.phase != JobPhase::Active || self.ready.lasts_or_comes_later(id) {
+                continue;
+            }
+            if let Some(cause) = self.what_holds_up(now, id, job) {
+                held_up.push((id, cause));
+            }
+            if self.ready.is_overdue(id, now.at) {
+                overdue.push(id);
+            }
+        }
+        for (id, cause) in held_up {
+            self.accounts.add(id, cause);
+        }
+        for id in overdue {
+            if self.accounts.is_news(id) {
+                self.log_overdue(id, now);
+            }
+        }
+    }
+
+    fn what_holds_up(&self, now: Now, id: JobId, job: &Job) -> Option<HeldUp> {
+        if let Some(group) = self.ready.first_waiting(id) {
+            return Some(self.why_waits(now, group));
+        }
+        let mut worst = None;
+        for (task, last_run, view) in self.running_of(id, job) {
+            let cause = self.why_runs_long(now, task, last_run, view);
+            worst = worst.max(cause);
+        }
+        worst
+    }
+
+    /// Why a step's next task has not started.
+    fn why_waits(&self, now: Now, group: GroupKey) -> HeldUp {
+        let Some(step) = self.ready.step(group.job, group.step) else { return HeldUp::Order };
+        let mut cause = HeldUp::Room;
+        for runner in self.runners.values() {
+            let room = runner.takes_tasks()
+                && runner.is_heard_lately(now.at)
+                && runner.free.holds(step.committed);
+            if !room || self.may_host(now, runner, group).is_none() {
+                continue;
+            }
+            match self.trust(now, runner) {
+                Trust::Full if step.disturbs() => return HeldUp::Margin,
+                Trust::Full => return HeldUp::Order,
+                Trust::SecondTryOnly | Trust::Probe | Trust::None => cause = HeldUp::Trust,
+            }
+        }
+        cause
+    }
+
+    /// The runs of a job that their runners have listed.
+    fn running_of<'a>(
+        &'a self,
+        id: JobId,
+        job: &'a Job,
+    ) -> impl Iterator<Item = (TaskKey, u32, &'a RunView)> {
+        let steps = job.occurrences.iter().enumerate().flat_map(move |(k, occurrence)| {
+            let at = u32::try_from(k).unwrap_or(u32::MAX);
+            occurrence.steps.iter().enumerate().map(move |(s, step)| (at, s, step))
+        });
+        steps.flat_map(move |(occurrence, s, step)| {
+            step.tasks.iter().enumerate().filter_map(move |(index, task)| {
+                let step = u16::try_from(s).unwrap_or(u16::MAX);
+                let index = u16::try_from(index).unwrap_or(u16::MAX);
+                let key = TaskKey { job: id, occurrence, step, index };
+                let hold = task.holds.last()?;
+                let view = self.runners.get(&hold.life)?.running.get(&key)?;
+                Some((key, task.last_run, view))
+            })
+        })
+    }
+
+    fn why_runs_long(
+        &self,
+        now: Now,
+        task: TaskKey,
+        last_run: u32,
+        view: &RunView,
+    ) -> Option<HeldUp> {
+        let step = self.ready.step_of(task)?;
+        let guessed = Duration::from_millis(step.estimate_ms);
+        if view.rate.is_some_and(|rate| rate < 100) {
+            Some(HeldUp::Pace)
+        } else if last_run > 1 {
+            Some(HeldUp::Again)
+        } else {
+            (now.at.since(view.first_seen) > guessed * LAGS_BY).then_some(HeldUp::Lag)
+        }
+    }
+}
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -1,5 +1,6 @@
 //! The leader's part: what is under way to the log, what waits for it, and time.
 
+use super::account::{Accounts, LOOK_EVERY};
 use super::advice::Advice;
 use super::ask::{Answer, Ask, Orders, Report};
 use super::interference::Interference;
@@ -135,7 +136,9 @@
     pub(super) cfg_name: Box<str>,
     /// Lives that are over, though a late report of theirs may still come.
     pub(super) over: BTreeSet<LifeKey>,
+    pub(super) accounts: Accounts,
     ranked: Moment,
+    looked: Moment,
     forgot: Moment,
     pub(super) counts: Counts,
 }
@@ -182,7 +185,9 @@
             noting: BTreeSet::new(),
             cfg_name: Box::default(),
             over: BTreeSet::new(),
+            accounts: Accounts::default(),
             ranked: now.at,
+            looked: now.at,
             forgot: now.at,
             counts: Counts::default(),
         };
@@ -305,6 +310,9 @@
         self.after(now, &detail, &outcome);
         for id in open {
             self.log_ended(id, now);
+            if !self.jobs.is_active(id) {
+                self.accounts.close(id);
+            }
         }
         for id in touched {
             self.refresh(id, now.at);
@@ -411,6 +419,7 @@
         let age = now.unix_ms.saturating_sub(job.at_ms).min(AGE_MAX_MS);
         let came = now.at - Duration::from_millis(age);
         self.ready.meet(id, job, came, &self.routes, &mut self.interference);
+        self.accounts.open(id, Duration::from_millis(age));
     }
 
     /// Finds the steps of a job that have tasks to start.
@@ -437,6 +446,10 @@
             self.ask_advice(now);
             self.keep_waves(now);
         }
+        if now.at.since(self.looked) >= LOOK_EVERY {
+            self.looked = now.at;
+            self.keep_accounts(now);
+        }
         self.give_up_late_heartbeats(now);
         self.end_lapsed(now);
         self.open_due(now);
--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -307,6 +307,24 @@
         self.order.iter().map(|(_, key)| *key)
     }
 
+    /// The first step of a job, in the order of its steps, that has tasks to start.
+    pub(super) fn first_waiting(&self, id: JobId) -> Option<GroupKey> {
+        self.keys_of(id).into_iter().next()
+    }
+
+    /// Whether a job has tasks that last or occurrences to come: it has no time by which
+    /// it is to end.
+    pub(super) fn lasts_or_comes_later(&self, id: JobId) -> bool {
+        self.metas.get(&id).is_none_or(|meta| meta.lasts || meta.scheduled)
+    }
+
+    /// Whether nobody waits for a job any more.
+    pub(super) fn is_overdue(&self, id: JobId, now: Moment) -> bool {
+        let Some(meta) = self.metas.get(&id) else { return false };
+        let age = now.since(meta.came);
+        Shape::lateness(meta.objective, age, Duration::ZERO) == Lateness::Overdue
+    }
+
     /// When a step first had tasks to start.
     pub(super) fn since(&self, key: GroupKey) -> Option<Moment> {
         self.groups.get(&key).map(|group| group.since)
--- a/crates/coordination/src/jobs/report.rs
+++ b/crates/coordination/src/jobs/report.rs
@@ -34,6 +34,8 @@
     runs: usize,
     filling: f64,
     free: u64,
+    /// Runners with a serving task over its bound.
+    over: usize,
 }
 
 impl Leader {
@@ -48,10 +50,11 @@
             load.filling += beside.filling.iter().map(|fill| fill.share).sum::<f64>();
             load.runs += runner.running.len();
             load.free += runner.free.millicores;
+            load.over += usize::from(runner.over_since.is_some());
         }
         log::info!(
             "load runners={} serving={} mixed={} paced={} runs={} filling-runners={:.1} \
-             free-cores={} waiting-steps={} waiting-tasks={}",
+             free-cores={} over={} down={} waiting-steps={} waiting-tasks={}",
             self.runners.len(),
             load.serving,
             load.mixed,
@@ -59,6 +62,8 @@
             load.runs,
             load.filling,
             load.free / 1000,
+            load.over,
+            self.moving_out,
             self.ready.len(),
             self.ready.waiting_tasks(&self.jobs)
         );
@@ -88,10 +93,19 @@
             .map(|task| task.failures)
             .sum();
         log::info!(
-            "job={id} ended state={:?} after={age:?} objective={objective:?} failures={failures}",
-            job.phase
+            "job={id} ended state={:?} after={age:?} objective={objective:?} failures={failures} \
+             held-up={}",
+            job.phase,
+            self.accounts.get(id)
         );
     }
+
+    /// One line when nobody waits for a job any more, which may never end.
+    pub(super) fn log_overdue(&self, id: JobId, now: Now) {
+        let (age, objective) = self.ready.age_and_objective(id, now.at).unwrap_or_default();
+        let held_up = self.accounts.get(id);
+        log::info!("job={id} overdue after={age:?} objective={objective:?} held-up={held_up}");
+    }
 }
 
 /// A step in one word: tasks, millicores, MiB, estimate, and what is special.
--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -4,6 +4,7 @@
 use crate::cell::{self, CellCommand};
 use crate::client::Client;
 use crate::error::{Error, Result};
+use crate::losses;
 use crate::render;
 use crate::saved;
 use crate::why;
@@ -82,6 +83,13 @@
         /// Log files; `-` is standard input.
         files: Vec<Box<str>>,
     },
+    /// Add up what a cell's jobs lost, by cause, from logs.
+    Losses {
+        /// Log files; `-` is standard input.
+        files: Vec<Box<str>>,
+        /// Where to draw it.
+        plot: Option<Box<str>>,
+    },
     /// Show the state of the system.
     Status,
     /// List targets.
@@ -175,6 +183,7 @@
             saved::restore(&file, &data, &name, address)
         }
         Command::Why { id, files } => why::explain(&id, &files),
+        Command::Losses { files, plot } => losses::run(&files, plot.as_deref()),
         Command::Cell(command) => cell::run(client, command).await,
         Command::Decisions => {
             let all = client.decisions().await?;
--- a/crates/operator/src/completions.rs
+++ b/crates/operator/src/completions.rs
@@ -32,7 +32,7 @@
 }
 
 /// Commands, and what each does in a few words.
-pub const COMMANDS: [(&str, &str); 16] = [
+pub const COMMANDS: [(&str, &str); 17] = [
     ("check", "check documents without sending them"),
     ("apply", "put a document in force"),
     ("get", "print the document in force"),
@@ -43,6 +43,7 @@
     ("change", "apply or get the change set of a job cell"),
     ("wave", "start or get a wave of upkeep of a job cell"),
     ("why", "put a job's decisions in order, from logs"),
+    ("losses", "add up what a cell's jobs lost, by cause, from logs"),
     ("status", "show the state of the system"),
     ("targets", "list runners and workers"),
     ("decisions", "list the last decisions"),
@@ -53,7 +54,7 @@
 /// Commands below `task`.
 pub const TASK_COMMANDS: [&str; 4] = ["submit", "cancel", "list", "show"];
 /// Flags of any command.
-pub const FLAGS: [&str; 19] = [
+pub const FLAGS: [&str; 20] = [
     "--server",
     "--json",
     "--author",
@@ -63,6 +64,7 @@
     "--urgent",
     "--payload",
     "--key",
+    "--plot",
     "--wait",
     "--service",
     "--phase",
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod command;
 pub mod completions;
 mod error;
+pub mod losses;
+mod plot;
 pub mod render;
 mod saved;
 mod why;
--- /dev/null
+++ b/crates/operator/src/losses.rs
@@ -0,0 +1,303 @@
+//! Where worth is lost in a cell, from the logs of its processes: what held up the jobs
+//! that ended late or not at all, by cause, by queue and by the second they came in.
+//!
+//! A job counts by its work against the mean of its queue. What it lost is divided among
+//! the causes that its leader told, by how long each held it up; what they leave of its
+//! lateness is its own length.
+
+use crate::command::{Output, read_text};
+use crate::error::{Error, Result};
+use crate::plot;
+use crate::render;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Part of a job's worth that does not depend on its work, part that grows with it, and
+/// the most that one job counts.
+const WORTH_FIXED: f64 = 0.3;
+const WORTH_PER_WORK: f64 = 0.7;
+const WORTH_MAX: f64 = 4.0;
+/// Jobs that came in within this time are added up together, in seconds.
+pub(crate) const WINDOW_S: u64 = 2;
+/// Windows shown to people.
+const WINDOWS_SHOWN: usize = 8;
+/// Causes beside those that a leader tells.
+const OWN_LENGTH: &str = "own-length";
+const FAILED: &str = "failed";
+const UNTOLD: &str = "untold";
+
+/// What is known of one job.
+#[derive(Clone, Debug, Default)]
+struct Job {
+    queue: Box<str>,
+    /// When it came in, in seconds of the first day of the logs.
+    came_s: f64,
+    work: f64,
+    lasts: bool,
+    end: End,
+}
+
+#[derive(Clone, Debug, Default)]
+enum End {
+    /// No line tells of its end.
+    #[default]
+    Open,
+    /// It is not wanted any more.
+    Cancelled,
+    /// A task failed too often.
+    Failed,
+    /// It took so long against that objective, held up so long by each cause.
+    Took { took: Duration, objective: Duration, held_up: Vec<(Box<str>, Duration)> },
+}
+
+/// Worth that was to be had and worth that is missing, by cause.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Sum {
+    /// Jobs counted.
+    pub jobs: u32,
+    /// What they were worth.
+    pub worth: f64,
+    /// What is missing of it, by cause.
+    pub missing: BTreeMap<Box<str>, f64>,
+}
+
+/// All sums.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Losses {
+    /// Of all jobs.
+    pub all: Sum,
+    /// By queue.
+    pub queues: BTreeMap<Box<str>, Sum>,
+    /// By the second of the first job in the logs, for windows of some seconds.
+    pub windows: BTreeMap<u64, Sum>,
+    /// Jobs that the logs do not tell enough of, as young ones at their end.
+    pub open: u32,
+}
+
+impl Sum {
+    /// What is missing of all causes.
+    pub fn lost(&self) -> f64 {
+        self.missing.values().sum()
+    }
+
+    fn add(&mut self, worth: f64, missing: &[(Box<str>, f64)]) {
+        self.jobs += 1;
+        self.worth += worth;
+        for (cause, part) in missing {
+            *self.missing.entry(cause.clone()).or_default() += part;
+        }
+    }
+}
+
+/// Adds up what the jobs in these files lost, and draws it where asked to.
+///
+/// # Errors
+/// [`Error::Read`] for a file that cannot be read or written, [`Error::Cell`] where no
+/// line tells of a job.
+pub(crate) fn run(files: &[Box<str>], picture: Option<&str>) -> Result<Output> {
+    let mut text = String::new();
+    for file in files {
+        text.push_str(&read_text(file)?);
+    }
+    let losses = add_up(&text);
+    if losses.all.jobs == 0 {
+        let what = "no line tells of a job that ended; give the logs of all VMs of that time";
+        return Err(Error::Cell(what.into()));
+    }
+    if let Some(path) = picture {
+        plot::losses(&losses, path)?;
+    }
+    let json = serde_json::to_value(&losses).map_err(|e| Error::Answer(e.to_string().into()))?;
+    Ok(Output { text: shown(&losses), json })
+}
+
+/// Adds up the jobs that log lines tell of.
+///
+/// ```
+/// let lines = "[2030-01-01T00:00:01.0Z INFO a] job=05 accepted queue=q steps=[2x1000m/1M/500ms]\n\
+///     [2030-01-01T00:00:05.0Z INFO a] job=05 ended state=Completed after=4s objective=2s \
+///     failures=0 held-up=former:0,room:1500\n";
+/// let losses = yuccalink_operator::losses::add_up(lines);
+/// assert_eq!(losses.all.missing["room"], 0.75);
+/// assert_eq!(losses.all.missing["own-length"], 0.25);
+/// ```
+pub fn add_up(text: &str) -> Losses {
+    let jobs = read(text);
+    let means = means(&jobs);
+    let last_s = jobs.values().map(|job| job.came_s).fold(0.0, f64::max);
+    let first_s = jobs.values().map(|job| job.came_s).fold(f64::INFINITY, f64::min);
+    let mut losses = Losses::default();
+    for job in jobs.values().filter(|job| !job.lasts) {
+        let mean = means.get(&job.queue).copied().unwrap_or(job.work).max(1e-9);
+        let worth = (WORTH_FIXED + WORTH_PER_WORK * job.work / mean).min(WORTH_MAX);
+        let Some(missing) = missing(job, worth, last_s) else {
+            losses.open += u32::from(!matches!(job.end, End::Cancelled));
+            continue;
+        };
+        let window = (job.came_s - first_s).max(0.0) as u64 / WINDOW_S * WINDOW_S;
+        losses.all.add(worth, &missing);
+        losses.queues.entry(job.queue.clone()).or_default().add(worth, &missing);
+        losses.windows.entry(window).or_default().add(worth, &missing);
+    }
+    losses
+}
+
+/// What a job lost to each cause; nothing where it is not known or not owed.
+fn missing(job: &Job, worth: f64, last_s: f64) -> Option<Vec<(Box<str>, f64)>> {
+    /// An open job that came in this long before the last one should have ended.
+    const SETTLED_S: f64 = 30.0;
+    match &job.end {
+        End::Cancelled => None,
+        End::Open if job.came_s + SETTLED_S > last_s => None,
+        End::Open => Some(vec![(UNTOLD.into(), worth)]),
+        End::Failed => Some(vec![(FAILED.into(), worth)]),
+        End::Took { took, objective, .. } if took <= objective => Some(Vec::new()),
+        End::Took { took, objective, held_up } => {
+            let late = (*took - *objective).as_secs_f64();
+            let held: f64 = held_up.iter().map(|(_, span)| span.as_secs_f64()).sum();
+            let own = (late - held).max(0.0);
+            let whole = (own + held).max(1e-9);
+            let part = |(cause, span): &(Box<str>, Duration)| {
+                (cause.clone(), worth * span.as_secs_f64() / whole)
+            };
+            let mut parts: Vec<(Box<str>, f64)> = held_up.iter().map(part).collect();
+            parts.push((OWN_LENGTH.into(), worth * own / whole));
+            Some(parts)
+        }
+    }
+}
+
+/// Mean work of each queue's jobs.
+fn means(jobs: &BTreeMap<Box<str>, Job>) -> BTreeMap<Box<str>, f64> {
+    let mut sums: BTreeMap<Box<str>, (f64, f64)> = BTreeMap::new();
+    for job in jobs.values().filter(|job| !job.lasts) {
+        let (work, count) = sums.entry(job.queue.clone()).or_default();
+        *work += job.work;
+        *count += 1.0;
+    }
+    sums.into_iter().map(|(queue, (work, count))| (queue, work / count)).collect()
+}
+
+fn read(text: &str) -> BTreeMap<Box<str>, Job> {
+    let mut jobs: BTreeMap<Box<str>, Job> = BTreeMap::new();
+    for line in text.lines() {
+        let Some((head, rest)) = line.split_once("job=") else { continue };
+        let Some((id, told)) = rest.split_once(' ') else { continue };
+        if let Some(told) = told.strip_prefix("accepted ") {
+            let Some(job) = accepted(head, told) else { continue };
+            jobs.entry(id.into()).or_insert(job);
+        } else if let Some(job) = jobs.get_mut(id)
+            && let Some(end) = end(told)
+        {
+            job.end = end;
+        }
+    }
+    jobs
+}
+
+fn accepted(head: &str, told: &str) -> Option<Job> {
+    let steps = told.split_once("steps=[")?.1.split(']').next()?;
+    let mut work = 0.0;
+    for step in steps.split_whitespace() {
+        work += step_work(step)?;
+    }
+    Some(Job {
+        queue: value(told, "queue")?.into(),
+        came_s: second_of_day(head)?,
+        work,
+        lasts: steps.contains("+lasts"),
+        end: End::Open,
+    })
+}
+
+/// Core-seconds of a step as the log shows it: `COUNTxMILLICORESm/MEMORYM/GUESSms+MARKS`.
+fn step_work(step: &str) -> Option<f64> {
+    let (count, rest) = step.split_once('x')?;
+    let (millicores, rest) = rest.split_once("m/")?;
+    let guess = rest.split_once("M/")?.1.split_once("ms")?.0;
+    let figure = |text: &str| text.parse::<f64>().ok();
+    Some(figure(count)? * figure(millicores)? / 1e3 * figure(guess)? / 1e3)
+}
+
+fn end(told: &str) -> Option<End> {
+    if told.starts_with("cancelled") {
+        return Some(End::Cancelled);
+    }
+    if told.starts_with("ended") && value(told, "state")? == "Failed" {
+        return Some(End::Failed);
+    }
+    if !told.starts_with("ended") && !told.starts_with("overdue") {
+        return None;
+    }
+    let held_up = value(told, "held-up").unwrap_or_default().split(',').filter_map(held_up);
+    Some(End::Took {
+        took: span(value(told, "after")?)?,
+        objective: span(value(told, "objective")?)?,
+        held_up: held_up.filter(|(_, span)| !span.is_zero()).collect(),
+    })
+}
+
+fn held_up(text: &str) -> Option<(Box<str>, Duration)> {
+    let (cause, ms) = text.split_once(':')?;
+    Some((cause.into(), Duration::from_millis(ms.parse().ok()?)))
+}
+
+/// The word after `name=`.
+fn value<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    let word = |word: &'a str| word.strip_prefix(name)?.strip_prefix('=');
+    text.split_whitespace().find_map(word)
+}
+
+/// A span as logs show it: `1.5s`, `20ms`, `3µs`.
+fn span(text: &str) -> Option<Duration> {
+    const UNITS: [(&str, f64); 4] = [("ms", 1e-3), ("µs", 1e-6), ("ns", 1e-9), ("s", 1.0)];
+    let (figure, unit) =
+        UNITS.iter().find_map(|(unit, size)| Some((text.strip_suffix(unit)?, size)))?;
+    Duration::try_from_secs_f64(figure.parse::<f64>().ok()? * unit).ok()
+}
+
+/// The second of the day in a line's `[DATETTIMEZ`.
+fn second_of_day(head: &str) -> Option<f64> {
+    let time = head.split_once('[')?.1.split_once('T')?.1.split_once('Z')?.0;
+    let mut seconds = 0.0;
+    for part in time.split(':') {
+        seconds = seconds * 60.0 + part.parse::<f64>().ok()?;
+    }
+    Some(seconds)
+}
+
+fn shown(losses: &Losses) -> String {
+    let mut queues: Vec<(&str, &Sum)> =
+        losses.queues.iter().map(|(name, sum)| (&**name, sum)).collect();
+    queues.push(("all", &losses.all));
+    let mut causes: Vec<&str> = losses.all.missing.keys().map(|cause| &**cause).collect();
+    causes.sort_by(|a, b| losses.all.missing[*b].total_cmp(&losses.all.missing[*a]));
+    let mut head = vec!["QUEUE", "JOBS", "WORTH", "LOST"];
+    head.extend(&causes);
+    let rows: Vec<Vec<String>> =
+        queues.iter().map(|(name, sum)| row((*name).into(), sum, &causes)).collect();
+    let mut text = render::table(&head, &rows);
+    let mut worst: Vec<(&u64, &Sum)> =
+        losses.windows.iter().filter(|(_, sum)| sum.lost() > 0.0).collect();
+    worst.sort_by(|a, b| (b.1.lost() / b.1.worth).total_cmp(&(a.1.lost() / a.1.worth)));
+    worst.truncate(WINDOWS_SHOWN);
+    head[0] = "SECOND";
+    let rows: Vec<Vec<String>> =
+        worst.iter().map(|(second, sum)| row(second.to_string(), sum, &causes)).collect();
+    text.push('\n');
+    text.push_str(&render::table(&head, &rows));
+    if losses.open > 0 {
+        text.push_str(&format!("\n{} jobs had not ended and were not due\n", losses.open));
+    }
+    text
+}
+
+fn row(name: String, sum: &Sum, causes: &[&str]) -> Vec<String> {
+    let percent = |part: f64| format!("{:.1}%", 100.0 * part / sum.worth.max(1e-9));
+    let mut cells =
+        vec![name, sum.jobs.to_string(), format!("{:.1}", sum.worth), percent(sum.lost())];
+    let part = |cause: &&str| percent(sum.missing.get(*cause).copied().unwrap_or(0.0));
+    cells.extend(causes.iter().map(part));
+    cells
+}
--- /dev/null
+++ b/crates/operator/src/plot.rs
@@ -0,0 +1,62 @@
+//! Pictures of what was added up, as SVG.
+
+use crate::error::{Error, Result};
+use crate::losses::{Losses, WINDOW_S};
+use plotters::prelude::*;
+
+const SIZE: (u32, u32) = (1_000, 420);
+/// Room for a label beside the axes, in pixels.
+const LABELS: u32 = 44;
+
+/// Draws the lost share of each window's worth, by cause, one on top of the other.
+///
+/// # Errors
+/// [`Error::Cell`] naming the file when it cannot be drawn there.
+pub(crate) fn losses(losses: &Losses, path: &str) -> Result<()> {
+    let bad = |why: String| {
+        let what = format!("cannot draw {path}: {why}; name a file that may be written");
+        Error::Cell(what.into())
+    };
+    draw(losses, path).map_err(|error| bad(error.to_string()))
+}
+
+fn draw(losses: &Losses, path: &str) -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let end = losses.windows.keys().max().map_or(0, |last| last + WINDOW_S);
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .margin(10)
+        .caption("worth lost, by cause and by when jobs came", ("sans-serif", 18))
+        .x_label_area_size(LABELS)
+        .y_label_area_size(LABELS)
+        .build_cartesian_2d(0..end.max(1), 0.0..1.0)?;
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .x_desc("seconds from the first job")
+        .y_desc("share of the worth")
+        .draw()?;
+    for (at, cause) in losses.all.missing.keys().enumerate() {
+        let colour = Palette99::pick(at).to_rgba();
+        let bars = losses.windows.iter().map(|(second, sum)| {
+            let upto = |last: bool| -> f64 {
+                let before = sum
+                    .missing
+                    .iter()
+                    .filter(|(name, _)| if last { *name <= cause } else { *name < cause });
+                before.map(|(_, part)| part).sum::<f64>() / sum.worth.max(1e-9)
+            };
+            Rectangle::new(
+                [(*second, upto(false)), (*second + WINDOW_S, upto(true))],
+                colour.filled(),
+            )
+        });
+        chart
+            .draw_series(bars)?
+            .label(&**cause)
+            .legend(move |(x, y)| Rectangle::new([(x, y - 5), (x + 12, y + 5)], colour.filled()));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    root.present()?;
+    Ok(())
+}
--- a/crates/yuccalink/src/args.rs
+++ b/crates/yuccalink/src/args.rs
@@ -52,6 +52,7 @@
     address: Option<Box<str>>,
     queue: Option<Box<str>>,
     id: Option<Box<str>>,
+    plot: Option<Box<str>>,
 }
 
 fn usage(what: impl Into<Box<str>>) -> Error {
@@ -95,6 +96,10 @@
             id: job_id(job)?,
             files: files.iter().map(|file| (*file).into()).collect(),
         },
+        ["losses", files @ ..] if !files.is_empty() => Command::Losses {
+            files: files.iter().map(|file| (*file).into()).collect(),
+            plot: given.plot.clone(),
+        },
         ["snapshot", rest @ ..] => snapshot(rest, &given)?,
         ["status"] => Command::Status,
         ["targets"] => Command::Targets,
@@ -235,6 +240,7 @@
             Arg::Long("name") => given.name = Some(text(&mut parser)?),
             Arg::Long("address") => given.address = Some(text(&mut parser)?),
             Arg::Long("queue") => given.queue = Some(text(&mut parser)?),
+            Arg::Long("plot") => given.plot = Some(text(&mut parser)?),
             Arg::Long("id") => given.id = Some(text(&mut parser)?),
             Arg::Long("limit") => given.limit = Some(number(&mut parser)?),
             other => return Err(bad(other.unexpected())),
@@ -336,6 +342,9 @@
   wave get N                whether all are up again
   why JOB FILE...           a job's lines of the processes' logs, in order of time, and
                             what they come to
+  losses [--plot FILE.svg] FILE...
+                            what jobs lost, by cause, by queue and by when they came, from
+                            the processes' logs; --json has every window
 
 The system:
   status                    who leads, which revision each entry has in force
