--- a/crates/coordination/src/jobs/account.rs
+++ b/crates/coordination/src/jobs/account.rs
@@ -5,11 +5,11 @@
 
 use super::leader::{Leader, Now};
 use super::ready::GroupKey;
-use super::runner::{RunView, Trust};
+use super::runner::{RunView, Runner, Trust};
 use std::collections::HashMap;
 use std::fmt;
 use std::time::Duration;
-use yuccalink_state::jobs::{Job, JobId, JobPhase, TaskKey};
+use yuccalink_state::jobs::{Job, JobId, JobPhase, StepSpec, TaskKey};
 
 /// How often jobs are looked at; a look counts for as long.
 pub(super) const LOOK_EVERY: Duration = Duration::from_millis(250);
@@ -153,18 +153,39 @@
             let room = runner.takes_tasks()
                 && runner.is_heard_lately(now.at)
                 && runner.free.holds(step.committed);
-            if !room || self.may_host(now, runner, group).is_none() {
+            let Some((job, spec)) = self.may_host(now, runner, group).filter(|_| room) else {
                 continue;
-            }
-            match self.trust(now, runner) {
-                Trust::Full if step.disturbs() => return HeldUp::Margin,
-                Trust::Full => return HeldUp::Order,
-                Trust::SecondTryOnly | Trust::Probe | Trust::None => cause = HeldUp::Trust,
+            };
+            let trust = self.trust(now, runner);
+            let takes_more = matches!(trust, Trust::Full | Trust::SecondTryOnly);
+            if !takes_more || !self.has_task_for(job, spec, group, runner, trust) {
+                cause = HeldUp::Trust;
+            } else if step.disturbs() {
+                return HeldUp::Margin;
+            } else {
+                return HeldUp::Order;
             }
         }
         cause
     }
 
+    /// Whether some waiting task of a step may run on a runner, by where it failed before.
+    fn has_task_for(
+        &self,
+        job: &Job,
+        step: &StepSpec,
+        group: GroupKey,
+        runner: &Runner,
+        trust: Trust,
+    ) -> bool {
+        let GroupKey { job: id, occurrence, step: at } = group;
+        (0..step.count).any(|index| {
+            let index = u16::try_from(index).unwrap_or(u16::MAX);
+            let task = TaskKey { job: id, occurrence, step: at, index };
+            self.next_run(job, step, task, runner.key, trust).is_some()
+        })
+    }
+
     /// The runs of a job that their runners have listed.
     fn running_of<'a>(
         &'a self,
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -374,7 +374,7 @@
     }
 
     /// The number of a task's next run on a runner, if it may run there.
-    fn next_run(
+    pub(super) fn next_run(
         &self,
         job: &Job,
         step: &StepSpec,
--- a/crates/coordination/src/jobs/report.rs
+++ b/crates/coordination/src/jobs/report.rs
@@ -93,8 +93,8 @@
             .map(|task| task.failures)
             .sum();
         log::info!(
-            "job={id} ended state={:?} after={age:?} objective={objective:?} failures={failures} \
-             held-up={}",
+            "job={id} ended state={:?} after={age:?} objective={objective:?} held-up={} \
+             failures={failures}",
             job.phase,
             self.accounts.get(id)
         );
--- a/crates/coordination/tests/explain.rs
+++ b/crates/coordination/tests/explain.rs
@@ -157,3 +157,23 @@
         .collect();
     assert_eq!(runners.len(), 3, "{lines:#?}");
 }
+
+/// A job comes late though every run of it was quick. Its last line says for how long no
+/// runner had room for its next task.
+#[test]
+fn a_late_job_says_that_it_waited_for_room() {
+    keep_lines();
+    let mut desk = Desk::new(1, None, truth(2_000, false));
+    desk.round();
+    let (spec, _) = step(1, 12, 2_000);
+    desk.submit_as(JobId(1), vec![spec.clone()]);
+    rounds(&mut desk, 1);
+    desk.submit_as(JobId(2), vec![spec]);
+    rounds(&mut desk, 30);
+    let lines = lines_of(JobId(2));
+    let ended = lines.last().expect("a line");
+    assert!(ended.contains("ended state=Completed"), "{lines:#?}");
+    let waited_ms = ended.split("room:").nth(1).and_then(|rest| rest.split([',', ' ']).next());
+    let waited_ms: u64 = waited_ms.and_then(|ms| ms.parse().ok()).unwrap_or(0);
+    assert!((1_250..=2_500).contains(&waited_ms), "{ended}");
+}
--- a/crates/operator/src/losses.rs
+++ b/crates/operator/src/losses.rs
@@ -117,7 +117,7 @@
 /// ```
 /// let lines = "[2030-01-01T00:00:01.0Z INFO a] job=05 accepted queue=q steps=[2x1000m/1M/500ms]\n\
 ///     [2030-01-01T00:00:05.0Z INFO a] job=05 ended state=Completed after=4s objective=2s \
-///     failures=0 held-up=former:0,room:1500\n";
+///     held-up=former:0,room:1500 failures=0\n";
 /// let losses = yuccalink_operator::losses::add_up(lines);
 /// assert_eq!(losses.all.missing["room"], 0.75);
 /// assert_eq!(losses.all.missing["own-length"], 0.25);
--- /dev/null
+++ b/crates/operator/tests/losses.rs
@@ -0,0 +1,123 @@
+//! What jobs lost, added up from log lines, some of them recorded from a cell's leader.
+
+use yuccalink_operator::losses::{Losses, Sum, add_up};
+
+/// Lines of a leader on a day on which its pool was nearly full and its process was killed.
+const RECORDED: &str = include_str!("logs/nearly-full-pool.log");
+
+fn line(second: u32, text: &str) -> String {
+    format!("[2030-01-01T10:00:{second:02}.000Z INFO  leader] {text}\n")
+}
+
+fn accepted(second: u32, id: &str, queue: &str, cores: u32) -> String {
+    let steps = format!("1x{cores}000m/100M/1000ms");
+    line(second, &format!("job={id} accepted queue={queue} steps=[{steps}]"))
+}
+
+fn ended(second: u32, id: &str, after: &str, held_up: &str) -> String {
+    let text = format!("objective=2s held-up={held_up} failures=0");
+    line(second, &format!("job={id} ended state=Completed after={after} {text}"))
+}
+
+fn missing(sum: &Sum, cause: &str) -> f64 {
+    sum.missing.get(cause).copied().unwrap_or(0.0)
+}
+
+fn assert_near(seen: f64, wanted: f64) {
+    assert!((seen - wanted).abs() < 1e-9, "{seen} is not {wanted}");
+}
+
+/// What the causes of a sum come to must be what its late jobs were worth.
+fn assert_adds_up(sum: &Sum) {
+    assert!(sum.lost() <= sum.worth * (1.0 + 1e-9), "{sum:?}");
+}
+
+#[test]
+fn a_job_in_time_loses_nothing_and_a_late_one_all_of_it() {
+    let text = accepted(1, "0a", "q", 1)
+        + &accepted(1, "0b", "q", 1)
+        + &ended(2, "0a", "1.5s", "former:0,room:250")
+        + &ended(4, "0b", "3s", "former:0,room:1000,margin:1000");
+    let Losses { all, .. } = add_up(&text);
+    assert_eq!(all.jobs, 2);
+    assert_near(all.worth, 2.0);
+    assert_near(missing(&all, "room"), 0.5);
+    assert_near(missing(&all, "margin"), 0.5);
+    assert_near(all.lost(), 1.0);
+}
+
+#[test]
+fn lateness_that_nothing_explains_is_the_jobs_own_length() {
+    let text = accepted(1, "0a", "q", 1) + &ended(9, "0a", "6s", "former:0,pace:1000");
+    let Losses { all, .. } = add_up(&text);
+    assert_near(missing(&all, "pace"), 0.25);
+    assert_near(missing(&all, "own-length"), 0.75);
+}
+
+#[test]
+fn jobs_count_by_their_work_against_their_queue() {
+    let text = accepted(1, "0a", "q", 1)
+        + &accepted(1, "0b", "q", 3)
+        + &accepted(1, "0c", "other", 9)
+        + &ended(4, "0a", "1s", "former:0")
+        + &ended(4, "0b", "9s", "former:0,room:7000")
+        + &ended(4, "0c", "1s", "former:0");
+    let losses = add_up(&text);
+    assert_near(losses.queues["q"].lost(), 0.3 + 0.7 * 1.5);
+    assert_near(losses.queues["other"].worth, 1.0);
+    assert_near(losses.queues["other"].lost(), 0.0);
+}
+
+#[test]
+fn cancelled_and_lasting_jobs_are_not_owed_and_failed_ones_are_lost() {
+    let lasting = line(1, "job=0c accepted queue=q steps=[6x5000m/100M/0ms+lasts]");
+    let text = accepted(1, "0a", "q", 1)
+        + &accepted(1, "0b", "q", 1)
+        + &lasting
+        + &line(3, "job=0a cancelled")
+        + &line(4, "job=0b ended state=Failed after=1s objective=2s held-up=former:0 failures=2");
+    let Losses { all, open, .. } = add_up(&text);
+    assert_eq!((all.jobs, open), (1, 0));
+    assert_near(missing(&all, "failed"), 1.0);
+}
+
+/// A job is overdue and the logs end before it does: its account was told when nobody
+/// waited for it any more. One that nothing tells of is shown as such, a young one is not
+/// counted.
+#[test]
+fn jobs_that_never_ended_count_by_what_the_logs_tell() {
+    let overdue = "job=0a overdue after=7s objective=2s held-up=former:0,trust:5000";
+    let text = accepted(1, "0a", "q", 1)
+        + &line(8, overdue)
+        + &accepted(2, "0b", "q", 1)
+        + &accepted(40, "0c", "q", 1);
+    let Losses { all, open, .. } = add_up(&text);
+    assert_eq!((all.jobs, open), (2, 1));
+    assert_near(missing(&all, "trust"), 1.0);
+    assert_near(missing(&all, "untold"), 1.0);
+}
+
+/// On the recorded day each queue's causes come to no more than its jobs were worth, all
+/// queues together and all windows together to the same, and room and margins are what
+/// binds.
+#[test]
+fn a_recorded_day_adds_up() {
+    let losses = add_up(RECORDED);
+    assert!(losses.all.jobs > 50, "{losses:?}");
+    losses.queues.values().chain(losses.windows.values()).for_each(assert_adds_up);
+    let lost = losses.all.lost();
+    assert!(lost > 5.0, "many came late: {lost}");
+    let by_queue: f64 = losses.queues.values().map(Sum::lost).sum();
+    let by_window: f64 = losses.windows.values().map(Sum::lost).sum();
+    assert!((by_queue - lost).abs() < 0.05 * lost && (by_window - lost).abs() < 0.05 * lost);
+    let short = &losses.queues["short"];
+    let long = &losses.queues["long"];
+    assert!(missing(short, "room") > missing(short, "margin"), "{short:?}");
+    assert!(missing(long, "margin") > missing(long, "room"), "{long:?}");
+}
+
+#[test]
+fn lines_that_are_cut_or_strange_are_passed_over() {
+    let text = "job= accepted\n[2030 job=zz ended state=\njob=0a accepted queue=q steps=[x]\n";
+    assert_eq!(add_up(text), Losses::default());
+}
--- a/crates/yuccalink/tests/program.rs
+++ b/crates/yuccalink/tests/program.rs
@@ -144,3 +144,26 @@
     assert!(run(server, &["decisions"]).status.success());
     daemon.kill();
 }
+
+/// From log files to a table, JSON and a picture, without a daemon.
+#[test]
+fn losses_are_added_up_and_drawn() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let at = |name: &str| folder.path().join(name).display().to_string();
+    let log = "[2030-01-01T10:00:01.0Z INFO a] job=0a accepted queue=q steps=[1x1000m/1M/900ms]\n\
+               [2030-01-01T10:00:09.0Z INFO a] job=0a ended state=Completed after=8s objective=2s \
+               held-up=former:0,room:6000 failures=0\n";
+    std::fs::write(at("e1.log"), log).expect("written");
+    let shown = run(None, &["losses", "--plot", &at("lost.svg"), &at("e1.log")]);
+    assert!(shown.status.success(), "{}", err(&shown));
+    assert!(out(&shown).contains("room") && out(&shown).contains("100.0%"), "{}", out(&shown));
+    let picture = std::fs::read_to_string(at("lost.svg")).expect("a picture");
+    assert!(picture.starts_with("<svg") && picture.contains("room"));
+    let json = run(None, &["losses", "--json", &at("e1.log")]);
+    assert!(out(&json).contains("\"windows\""), "{}", out(&json));
+    let unknown = run(None, &["losses", &at("none.log")]);
+    assert!(!unknown.status.success() && err(&unknown).contains("none.log"), "{}", err(&unknown));
+    std::fs::write(at("empty.log"), "nothing\n").expect("written");
+    let empty = run(None, &["losses", &at("empty.log")]);
+    assert!(err(&empty).contains("give the logs of all VMs"), "{}", err(&empty));
+}
