--- a/crates/daemon/src/cell/http.rs
+++ b/crates/daemon/src/cell/http.rs
@@ -1,13 +1,14 @@
 //! HTTP for callers, runners, operators and the balancer.
 
 use crate::cell::dialect::{Dialect, Incoming, Reply, ReplyContext};
+use crate::cell::native;
 use crate::cell::node::Shared;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming as Body;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, LOCATION, RETRY_AFTER};
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -39,6 +40,9 @@
 /// Pause after a failed accept, as when no descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Where operators ask a process of itself, whatever dialect its cell speaks.
+const STATUS: &str = "/v1/status";
+
 /// What a listener serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Port {
@@ -106,6 +110,9 @@
     let mut response = match port {
         Port::Ready => plain(if site.node.is_ready() { 200 } else { 503 }),
         Port::Metrics => metrics(&site),
+        Port::Control if req.method() == Method::GET && req.uri().path() == STATUS => {
+            render(native::json(200, &site.node.with(|node| node.status())))
+        }
         Port::Callers | Port::Control => exchange(&site, port, req).await,
     };
     if site.node.is_draining() {
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -6,9 +6,11 @@
 use crate::cell::link::Link;
 use crate::cell::metrics::Metrics;
 use crate::cell::outside;
+use crate::cell::policy;
 use crate::cell::replica::Replica;
 use crate::clock::{BootClock, unix_ms};
 use crate::journal::Done;
+use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -19,6 +21,7 @@
 use tokio::time::{Instant, timeout_at};
 use yuccalink_coordination::Moment;
 use yuccalink_coordination::jobs::outside::{CallId, Told};
+use yuccalink_coordination::jobs::policy::Policy;
 use yuccalink_coordination::jobs::{Answer, Ask, Now, Token};
 use yuccalink_coordination::raft::{Envelope, ReplicaId};
 use yuccalink_coordination::roster::{Lead, NodeInfo, Roster};
@@ -34,6 +37,23 @@
 /// When to come back then, in milliseconds.
 const COME_BACK_MS: u64 = 2_000;
 
+/// What one process of a cell tells operators.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct CellStatus {
+    /// The process's name.
+    cell: Box<str>,
+    zone: Box<str>,
+    leads: bool,
+    term: u64,
+    /// Where the leader's peers connect, if one is known.
+    leader: Option<SocketAddr>,
+    /// What this process decides by while it leads.
+    policy: Policy,
+    /// Figures of it that differ from what ships.
+    changed: Vec<Box<str>>,
+}
+
 pub(crate) struct Node {
     pub(crate) cfg: CellConfig,
     clock: BootClock,
@@ -288,6 +308,21 @@
         NodeInfo { may_found: empty && self.cfg.found, ..self.roster.me.clone() }
     }
 
+    /// What this process tells operators of itself.
+    pub(crate) fn status(&mut self) -> CellStatus {
+        let lead = self.known_lead();
+        let policy = self.cfg.leader.policy;
+        CellStatus {
+            cell: self.cfg.name.clone(),
+            zone: self.cfg.zone.clone(),
+            leads: lead.is_some_and(|lead| lead.peer == self.roster.me.peer),
+            term: lead.map_or(0, |lead| lead.term),
+            leader: lead.map(|lead| lead.peer),
+            policy,
+            changed: policy::changed(&policy),
+        }
+    }
+
     fn is_serving(&mut self) -> bool {
         let now = self.clock.now();
         if let Some(leader) = self.replica.as_mut().and_then(|replica| replica.leader(now)) {
--- a/crates/operator/src/cell.rs
+++ b/crates/operator/src/cell.rs
@@ -3,6 +3,7 @@
 use crate::client::Client;
 use crate::command::{Output, read_text};
 use crate::error::{Error, Result};
+use crate::render;
 use serde_json::{Value, json};
 use yuccalink_transport::http::Method;
 
@@ -92,6 +93,43 @@
     }
 }
 
+/// What a process of a job cell tells of itself; `None` where another daemon answers.
+///
+/// # Errors
+/// [`Error::Unreachable`].
+pub(crate) async fn status(client: &Client) -> Result<Option<Output>> {
+    let (_, body) = client.cell(Method::GET, None, "/v1/status", Vec::new()).await?;
+    let told: Value =
+        serde_json::from_slice(&body).map_err(|e| Error::Answer(e.to_string().into()))?;
+    if told.get("cell").is_none() {
+        return Ok(None);
+    }
+    let text = shown_status(&told);
+    Ok(Some(Output { text, json: told }))
+}
+
+fn shown_status(told: &Value) -> String {
+    let word = |name: &str| told.get(name).and_then(Value::as_str).unwrap_or("unknown");
+    let leads = told.get("leads").and_then(Value::as_bool).unwrap_or(false);
+    let leader = if leads { "leads" } else { word("leader") };
+    let changed: Vec<&str> = told
+        .get("changed")
+        .and_then(Value::as_array)
+        .into_iter()
+        .flatten()
+        .filter_map(Value::as_str)
+        .collect();
+    let policy = if changed.is_empty() { "as shipped".into() } else { changed.join(" ") };
+    let row = vec![
+        word("cell").to_owned(),
+        word("zone").to_owned(),
+        leader.to_owned(),
+        told.get("term").map_or_else(String::new, Value::to_string),
+        policy,
+    ];
+    render::table(&["CELL", "ZONE", "LEADER", "TERM", "POLICY"], &[row])
+}
+
 async fn job(
     client: &Client,
     method: Method,
--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -169,10 +169,13 @@
             let view = if wait { ended(client, task).await? } else { client.task(task).await? };
             output(&view, render::tasks(std::slice::from_ref(&view)))
         }
-        Command::Status => {
-            let status = client.status().await?;
-            output(&status, render::status(&status))
-        }
+        Command::Status => match cell::status(client).await? {
+            Some(output) => Ok(output),
+            None => {
+                let status = client.status().await?;
+                output(&status, render::status(&status))
+            }
+        },
         Command::Targets => {
             let all = client.targets().await?;
             output(&all, render::targets(&all))
--- a/crates/yuccalink/tests/cell.rs
+++ b/crates/yuccalink/tests/cell.rs
@@ -26,8 +26,12 @@
 impl Cell {
     /// On a loopback address of its own, so that fixed ports are free.
     fn start() -> Self {
+        Self::start_with(77, &[])
+    }
+
+    fn start_with(last: u8, more: &[&str]) -> Self {
         let number = std::process::id();
-        let host = Ipv4Addr::new(127, (number >> 8) as u8 | 1, number as u8, 77);
+        let host = Ipv4Addr::new(127, (number >> 8) as u8 | 1, number as u8, last);
         let at = |port| SocketAddr::new(IpAddr::V4(host), port);
         let folder = tempfile::tempdir().expect("a folder");
         let child = Command::new(daemon())
@@ -36,6 +40,7 @@
             .args(["--peer", &at(8_082).to_string()])
             .args(["--callers", &at(8_080).to_string()])
             .args(["--control", &at(8_081).to_string()])
+            .args(more)
             .stdout(Stdio::null())
             .spawn()
             .expect("the daemon");
@@ -158,3 +163,20 @@
     let shown = String::from_utf8_lossy(&unknown.stderr);
     assert!(shown.contains("give the logs of all VMs"), "{shown}");
 }
+
+/// An operator asks a process what it decides by: what its policy file changes is shown,
+/// and the whole policy as JSON.
+#[test]
+fn status_shows_the_policy_of_a_cell() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("policy.toml");
+    std::fs::write(&path, "[copies]\nmode = \"off\"\n").expect("written");
+    let cell = Cell::start_with(78, &["--policy", &path.display().to_string()]);
+    std::thread::sleep(Duration::from_millis(200));
+    let shown = cell.good(cell.control, &["status"]);
+    assert!(shown.contains("copies.mode=off") && shown.contains("e1"), "{shown}");
+    let json = cell.good(cell.control, &["status", "--json"]);
+    let told: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+    assert_eq!(told["policy"]["copies"]["mode"], "off");
+    assert_eq!(told["policy"]["pacing"]["mode"], "on");
+}
