--- /dev/null
+++ b/crates/coordination/src/jobs/commits.rs
@@ -0,0 +1,166 @@
+//! What the log is given, and what follows once it has it.
+
+use super::ask::Answer;
+use super::leader::{Leader, Now, Then};
+use super::routes::Routes;
+use std::collections::BTreeSet;
+use yuccalink_state::jobs::{End, How, JobCommand, JobId, JobOutcome};
+
+/// Commands waiting for the log; more are refused as "not run".
+const QUEUE_MAX: usize = 8 * 1024;
+
+impl Leader {
+    /// Whether the log has so much to write that more must be refused.
+    pub(super) fn is_full(&self) -> bool {
+        self.proposed.len() >= QUEUE_MAX
+    }
+
+    pub(super) fn propose(&mut self, command: JobCommand, then: Then) {
+        self.proposed.push_back((command, then));
+    }
+
+    /// The next batch for the log, if none is under way: what comes meanwhile
+    /// shares the next sync.
+    pub fn next_batch(&mut self, most: usize) -> Vec<JobCommand> {
+        if !self.committing.is_empty() || !self.batch.is_empty() {
+            return Vec::new();
+        }
+        let count = self.proposed.len().min(most);
+        let mut commands = Vec::with_capacity(count);
+        for (command, then) in self.proposed.drain(..count) {
+            commands.push(command);
+            self.batch.push(then);
+        }
+        commands
+    }
+
+    /// The batch stands in the log from index `first` on.
+    pub fn proposed(&mut self, first: u64) {
+        self.committing.extend((first..).zip(self.batch.drain(..)));
+    }
+
+    /// A command is agreed on: applies it and answers.
+    pub fn committed(&mut self, now: Now, index: u64, command: JobCommand) {
+        let touched = touched(&command);
+        let detail = command.clone();
+        let open: Vec<JobId> =
+            touched.iter().copied().filter(|id| self.jobs.is_active(*id)).collect();
+        let outcome = self.jobs.apply(command);
+        self.after(now, &detail, &outcome);
+        for id in open {
+            self.log_ended(id, now);
+            if !self.jobs.is_active(id) {
+                self.accounts.close(id);
+            }
+        }
+        for id in touched {
+            self.refresh(id, now.at);
+        }
+        if self.committing.front().is_some_and(|(at, _)| *at == index)
+            && let Some((_, then)) = self.committing.pop_front()
+        {
+            self.finish(now, then, &outcome);
+        }
+    }
+
+    /// What follows from a command, whoever proposed it.
+    fn after(&mut self, now: Now, command: &JobCommand, outcome: &JobOutcome) {
+        match command {
+            JobCommand::Submit(submit) => {
+                if *outcome == (JobOutcome::Accepted { new: true }) {
+                    self.meet_job(submit.id, now);
+                }
+            }
+            JobCommand::Start(starts) => {
+                for start in starts {
+                    self.starting.remove(&start.task);
+                }
+            }
+            JobCommand::End { ends, .. } => {
+                for end in ends {
+                    self.ending.remove(&(end.task, end.run));
+                    self.note_end(now, end);
+                }
+            }
+            JobCommand::Forget(ids) => {
+                for id in ids {
+                    self.ready.drop_job(*id);
+                }
+            }
+            JobCommand::Change(_) => {
+                self.routes = Routes::new(self.jobs.change());
+                self.ready.changed(&self.jobs, &self.routes);
+            }
+            JobCommand::UpkeepDone { wave, machine } => {
+                self.noting.remove(&(*wave, machine.clone()));
+            }
+            JobCommand::Cancel { .. }
+            | JobCommand::Meet(_)
+            | JobCommand::Learn(_)
+            | JobCommand::Wave(_)
+            | JobCommand::UpkeepBegun { .. } => {}
+        }
+    }
+
+    fn note_end(&mut self, now: Now, end: &End) {
+        let runner = self.runners.get_mut(&end.life);
+        let name: &str = runner.as_ref().map_or("unheard", |runner| &runner.id);
+        log::info!("end task={} run={} runner={name} how={:?}", end.task, end.run, end.how);
+        let lasts = self.jobs.step_spec(end.task).is_some_and(|step| step.long_running);
+        match end.how {
+            How::Done => self.counts.done += 1,
+            How::Failed => self.counts.failed += 1,
+            How::Gone | How::Lapsed => self.counts.lost += 1,
+            How::Stopped | How::Broken | How::Alone | How::Refused => {}
+        }
+        if let Some(runner) = runner {
+            match end.how {
+                How::Done => runner.health.went_well(),
+                How::Failed if !lasts => runner.health.went_badly(now.at),
+                _ => {}
+            }
+        }
+    }
+
+    fn finish(&mut self, now: Now, then: Then, outcome: &JobOutcome) {
+        match then {
+            Then::Submitted { id, token } => {
+                if *outcome == (JobOutcome::Accepted { new: true }) {
+                    self.counts.accepted += 1;
+                    self.log_accepted(id);
+                }
+                self.answer(token, Answer::Accepted);
+            }
+            Then::Cancelled { id, token } => {
+                log::info!("job={id} cancelled");
+                let known = *outcome == JobOutcome::Cancelled(true);
+                self.answer(token, if known { Answer::Ok } else { Answer::Gone });
+            }
+            Then::Changed { version, token } => {
+                let now_in_force = *outcome == JobOutcome::Changed(true);
+                log::info!("change version={version} in-force={now_in_force}");
+                self.answer(token, Answer::Ok);
+            }
+            Then::Met { token, report } => self.met(now, token, &report, outcome),
+            Then::Heartbeat(at) => self.heartbeat_committed(now, at),
+            Then::Acknowledged(token) => self.answer(token, Answer::Ok),
+            Then::Nothing => {}
+        }
+    }
+}
+
+fn touched(command: &JobCommand) -> BTreeSet<JobId> {
+    match command {
+        JobCommand::Submit(submit) => BTreeSet::from([submit.id]),
+        JobCommand::Cancel { id, .. } => BTreeSet::from([*id]),
+        JobCommand::Start(starts) => starts.iter().map(|start| start.task.job).collect(),
+        JobCommand::End { ends, .. } => ends.iter().map(|end| end.task.job).collect(),
+        JobCommand::Change(_)
+        | JobCommand::Meet(_)
+        | JobCommand::Forget(_)
+        | JobCommand::Learn(_)
+        | JobCommand::Wave(_)
+        | JobCommand::UpkeepBegun { .. }
+        | JobCommand::UpkeepDone { .. } => BTreeSet::new(),
+    }
+}
--- a/crates/coordination/src/jobs/copies.rs
+++ b/crates/coordination/src/jobs/copies.rs
@@ -8,9 +8,10 @@
 //! in room that nobody waits for, and only so many at once.
 
 use super::leader::{Leader, Now};
-use super::place::{Chosen, label_fits, less};
+use super::place::{Chosen, label_fits};
 use super::policy::{Millis, Switch};
 use super::ready::GroupKey;
+use super::room::less;
 use super::runner::{RunView, Runner, Trust};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- /dev/null
+++ b/crates/coordination/src/jobs/due.rs
@@ -0,0 +1,163 @@
+//! What is due as time passes: ranking, leases that have ended, occurrences, forgetting.
+
+use super::account::LOOK_EVERY;
+use super::ask::{Answer, Orders};
+use super::leader::{Leader, Now, Then, startable};
+use super::ready::GroupKey;
+use super::runner::lease_surely_ended_after;
+use std::time::Duration;
+use yuccalink_state::jobs::{End, How, JobCommand, JobId, JobPhase, LifeKey};
+
+/// Longest wait of a heartbeat for the log: a runner drops what comes later than
+/// a second, and the way back takes time as well.
+const HEARTBEAT_WAIT: Duration = Duration::from_millis(600);
+/// How often waiting steps are ranked anew: well under the shortest objective.
+const RANK_EVERY: Duration = Duration::from_millis(100);
+/// Jobs forgotten at once, so that no batch for the log grows large.
+const FORGET_MAX: usize = 256;
+/// How often ended jobs are looked through.
+const FORGET_EVERY: Duration = Duration::from_secs(2);
+
+impl Leader {
+    /// Does what is due.
+    pub fn tick(&mut self, now: Now) {
+        if now.at.since(self.ranked) >= RANK_EVERY {
+            self.ranked = now.at;
+            self.ready.rank_all(&self.jobs, now.at);
+            self.find_idle_pools();
+            self.count_moving_out();
+            self.find_laggards(now);
+            self.keep_room(now);
+            self.place_gangs(now);
+            self.ask_advice(now);
+            self.keep_waves(now);
+        }
+        if now.at.since(self.looked) >= LOOK_EVERY {
+            self.looked = now.at;
+            self.keep_accounts(now);
+        }
+        self.give_up_late_heartbeats(now);
+        self.end_lapsed(now);
+        self.open_due(now);
+        if now.at.since(self.forgot) >= FORGET_EVERY {
+            self.forgot = now.at;
+            self.forget(now);
+            self.forget_loads();
+            self.log_load(now);
+            self.remember();
+        }
+    }
+
+    fn give_up_late_heartbeats(&mut self, now: Now) {
+        let mut late = Vec::new();
+        for waiting in self.heartbeats.values_mut() {
+            if !waiting.answered && now.at.since(waiting.since) > HEARTBEAT_WAIT {
+                waiting.answered = true;
+                late.push((waiting.token, waiting.life));
+            }
+        }
+        for (token, life) in late {
+            // The log is slow: the lease is renewed all the same, since this process
+            // still leads; what was decided comes with the next heartbeat.
+            self.send_orders(now, token, life);
+        }
+    }
+
+    /// Gives up runs whose lease has surely ended. Starting them elsewhere any
+    /// earlier could run a task twice.
+    fn end_lapsed(&mut self, now: Now) {
+        let inherited = self.started + lease_surely_ended_after(self.cfg.lease);
+        let mut ends = Vec::new();
+        for life in self.jobs.lives_with_holds() {
+            let granted = self.runners.get(&life).map_or(inherited, |runner| runner.lease_end);
+            let until = granted.max(inherited);
+            if now.at > until {
+                self.collect_ends(life, How::Lapsed, &mut ends);
+            }
+        }
+        self.propose_ends(now, ends, Then::Nothing);
+    }
+
+    /// All runs that may be running in a life.
+    pub(super) fn collect_ends(&self, life: LifeKey, how: How, ends: &mut Vec<End>) {
+        let runner = self.runners.get(&life);
+        for (task, run) in self.jobs.held(life) {
+            if self.ending.contains(&(task, run)) {
+                continue;
+            }
+            let view = runner.and_then(|r| r.running.get(&task)).filter(|view| view.run == run);
+            let saved = view.map_or_else(Box::default, |view| view.saved.clone());
+            ends.push(End { task, run, life, how, saved });
+        }
+    }
+
+    pub(super) fn propose_ends(&mut self, now: Now, ends: Vec<End>, then: Then) {
+        if ends.is_empty() {
+            return;
+        }
+        self.ending.extend(ends.iter().map(|end| (end.task, end.run)));
+        self.propose(JobCommand::End { ends, at_ms: now.unix_ms }, then);
+    }
+
+    /// Occurrences of scheduled jobs whose time has come.
+    fn open_due(&mut self, now: Now) {
+        let due: Vec<JobId> = self.ready.scheduled();
+        for id in due {
+            let Some(job) = self.jobs.job(id) else { continue };
+            let keys = if job.phase == JobPhase::Active {
+                let mut keys = startable(id, job);
+                keys.extend(due_occurrences(id, job, now.unix_ms));
+                keys
+            } else {
+                Vec::new()
+            };
+            self.ready.set_groups(id, &keys, &self.jobs, now.at);
+        }
+    }
+
+    /// Leaves what was learnt to a later leader: relearning costs serving tasks their
+    /// bounds for some ten seconds, with each change of leader.
+    fn remember(&mut self) {
+        let learnt = self.interference.remember();
+        if !learnt.is_empty() && learnt != self.jobs.learnt() {
+            self.propose(JobCommand::Learn(learnt), Then::Nothing);
+        }
+    }
+
+    fn forget(&mut self, now: Now) {
+        let keep = u64::try_from(self.cfg.remember.as_millis()).unwrap_or(u64::MAX);
+        let ids = self.jobs.forgettable(now.unix_ms.saturating_sub(keep), FORGET_MAX);
+        if !ids.is_empty() {
+            self.propose(JobCommand::Forget(ids), Then::Nothing);
+        }
+    }
+
+    fn forget_loads(&mut self) {
+        let jobs = &self.jobs;
+        self.loads.keep(|group| jobs.is_active(group.job));
+    }
+
+    pub(super) fn empty_orders(&self) -> Answer {
+        Answer::Orders(Box::new(Orders { token: self.term, ..Orders::default() }))
+    }
+}
+
+/// First steps of occurrences that are due and have not begun.
+fn due_occurrences(id: JobId, job: &yuccalink_state::jobs::Job, unix_ms: u64) -> Vec<GroupKey> {
+    let Some(schedule) = job.spec.schedule else { return Vec::new() };
+    let begun = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
+    let mut keys = Vec::new();
+    for k in begun..schedule.count {
+        let due = schedule.first_ms + u64::from(k) * schedule.interval_ms;
+        if due > unix_ms {
+            break;
+        }
+        for (s, step) in job.spec.steps.iter().enumerate() {
+            if step.after.is_empty() {
+                let s = u16::try_from(s).unwrap_or(u16::MAX);
+                keys.push(GroupKey { job: id, occurrence: k, step: s });
+            }
+        }
+    }
+    keys
+}
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -1,36 +1,22 @@
 //! The leader's part: what is under way to the log, what waits for it, and time.
 
-use super::account::{Accounts, LOOK_EVERY};
+use super::account::Accounts;
 use super::advice::Advice;
-use super::ask::{Answer, Ask, Orders, Report};
+use super::ask::{Answer, Ask, Report};
 use super::interference::Interference;
 use super::outside::{Call, CallId, Told};
-use super::place::KeptFree;
 use super::policy::Policy;
 use super::ready::{GroupKey, Ready};
 use super::report::Counts;
+use super::room::KeptFree;
 use super::routes::Routes;
-use super::runner::{Runner, lease_surely_ended_after};
+use super::runner::Runner;
 use super::swing::Loads;
 use super::waves::Waves;
 use crate::moment::Moment;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
-use yuccalink_state::jobs::{
-    End, How, JobCommand, JobId, JobOutcome, JobPhase, Jobs, LifeKey, Start, TaskKey,
-};
-
-/// Commands waiting for the log; more are refused as "not run".
-const QUEUE_MAX: usize = 8 * 1024;
-/// Longest wait of a heartbeat for the log: a runner drops what comes later than
-/// a second, and the way back takes time as well.
-const HEARTBEAT_WAIT: Duration = Duration::from_millis(600);
-/// How often waiting steps are ranked anew: well under the shortest objective.
-const RANK_EVERY: Duration = Duration::from_millis(100);
-/// Jobs forgotten at once, so that no batch for the log grows large.
-const FORGET_MAX: usize = 256;
-/// How often ended jobs are looked through.
-const FORGET_EVERY: Duration = Duration::from_secs(2);
+use yuccalink_state::jobs::{JobCommand, JobId, JobPhase, Jobs, LifeKey, Start, TaskKey};
 
 /// The present, on the clock of leases and on the wall.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -113,9 +99,9 @@
     pub(super) ending: BTreeSet<(TaskKey, u32)>,
     pub(super) heartbeats: BTreeMap<u64, Waiting>,
     pub(super) next_heartbeat: u64,
-    proposed: VecDeque<(JobCommand, Then)>,
-    batch: Vec<Then>,
-    committing: VecDeque<(u64, Then)>,
+    pub(super) proposed: VecDeque<(JobCommand, Then)>,
+    pub(super) batch: Vec<Then>,
+    pub(super) committing: VecDeque<(u64, Then)>,
     pub(super) answers: Vec<(Token, Answer)>,
     calls: Vec<(CallId, Call)>,
     next_call: u64,
@@ -137,9 +123,9 @@
     /// Lives that are over, though a late report of theirs may still come.
     pub(super) over: BTreeSet<LifeKey>,
     pub(super) accounts: Accounts,
-    ranked: Moment,
-    looked: Moment,
-    forgot: Moment,
+    pub(super) ranked: Moment,
+    pub(super) looked: Moment,
+    pub(super) forgot: Moment,
     pub(super) counts: Counts,
 }
 
@@ -269,149 +255,7 @@
         self.answers.push((token, answer));
     }
 
-    // ---- the log ----
-
-    /// Whether the log has so much to write that more must be refused.
-    pub(super) fn is_full(&self) -> bool {
-        self.proposed.len() >= QUEUE_MAX
-    }
-
-    pub(super) fn propose(&mut self, command: JobCommand, then: Then) {
-        self.proposed.push_back((command, then));
-    }
-
-    /// The next batch for the log, if none is under way: what comes meanwhile
-    /// shares the next sync.
-    pub fn next_batch(&mut self, most: usize) -> Vec<JobCommand> {
-        if !self.committing.is_empty() || !self.batch.is_empty() {
-            return Vec::new();
-        }
-        let count = self.proposed.len().min(most);
-        let mut commands = Vec::with_capacity(count);
-        for (command, then) in self.proposed.drain(..count) {
-            commands.push(command);
-            self.batch.push(then);
-        }
-        commands
-    }
-
-    /// The batch stands in the log from index `first` on.
-    pub fn proposed(&mut self, first: u64) {
-        self.committing.extend((first..).zip(self.batch.drain(..)));
-    }
-
-    /// A command is agreed on: applies it and answers.
-    pub fn committed(&mut self, now: Now, index: u64, command: JobCommand) {
-        let touched = touched(&command);
-        let detail = command.clone();
-        let open: Vec<JobId> =
-            touched.iter().copied().filter(|id| self.jobs.is_active(*id)).collect();
-        let outcome = self.jobs.apply(command);
-        self.after(now, &detail, &outcome);
-        for id in open {
-            self.log_ended(id, now);
-            if !self.jobs.is_active(id) {
-                self.accounts.close(id);
-            }
-        }
-        for id in touched {
-            self.refresh(id, now.at);
-        }
-        if self.committing.front().is_some_and(|(at, _)| *at == index)
-            && let Some((_, then)) = self.committing.pop_front()
-        {
-            self.finish(now, then, &outcome);
-        }
-    }
-
-    /// What follows from a command, whoever proposed it.
-    fn after(&mut self, now: Now, command: &JobCommand, outcome: &JobOutcome) {
-        match command {
-            JobCommand::Submit(submit) => {
-                if *outcome == (JobOutcome::Accepted { new: true }) {
-                    self.meet_job(submit.id, now);
-                }
-            }
-            JobCommand::Start(starts) => {
-                for start in starts {
-                    self.starting.remove(&start.task);
-                }
-            }
-            JobCommand::End { ends, .. } => {
-                for end in ends {
-                    self.ending.remove(&(end.task, end.run));
-                    self.note_end(now, end);
-                }
-            }
-            JobCommand::Forget(ids) => {
-                for id in ids {
-                    self.ready.drop_job(*id);
-                }
-            }
-            JobCommand::Change(_) => {
-                self.routes = Routes::new(self.jobs.change());
-                self.ready.changed(&self.jobs, &self.routes);
-            }
-            JobCommand::UpkeepDone { wave, machine } => {
-                self.noting.remove(&(*wave, machine.clone()));
-            }
-            JobCommand::Cancel { .. }
-            | JobCommand::Meet(_)
-            | JobCommand::Learn(_)
-            | JobCommand::Wave(_)
-            | JobCommand::UpkeepBegun { .. } => {}
-        }
-    }
-
-    fn note_end(&mut self, now: Now, end: &End) {
-        let runner = self.runners.get_mut(&end.life);
-        let name: &str = runner.as_ref().map_or("unheard", |runner| &runner.id);
-        log::info!("end task={} run={} runner={name} how={:?}", end.task, end.run, end.how);
-        let lasts = self.jobs.step_spec(end.task).is_some_and(|step| step.long_running);
-        match end.how {
-            How::Done => self.counts.done += 1,
-            How::Failed => self.counts.failed += 1,
-            How::Gone | How::Lapsed => self.counts.lost += 1,
-            How::Stopped | How::Broken | How::Alone | How::Refused => {}
-        }
-        if let Some(runner) = runner {
-            match end.how {
-                How::Done => runner.health.went_well(),
-                How::Failed if !lasts => runner.health.went_badly(now.at),
-                _ => {}
-            }
-        }
-    }
-
-    fn finish(&mut self, now: Now, then: Then, outcome: &JobOutcome) {
-        match then {
-            Then::Submitted { id, token } => {
-                if *outcome == (JobOutcome::Accepted { new: true }) {
-                    self.counts.accepted += 1;
-                    self.log_accepted(id);
-                }
-                self.answer(token, Answer::Accepted);
-            }
-            Then::Cancelled { id, token } => {
-                log::info!("job={id} cancelled");
-                let known = *outcome == JobOutcome::Cancelled(true);
-                self.answer(token, if known { Answer::Ok } else { Answer::Gone });
-            }
-            Then::Changed { version, token } => {
-                let now_in_force = *outcome == JobOutcome::Changed(true);
-                log::info!("change version={version} in-force={now_in_force}");
-                self.answer(token, Answer::Ok);
-            }
-            Then::Met { token, report } => self.met(now, token, &report, outcome),
-            Then::Heartbeat(at) => self.heartbeat_committed(now, at),
-            Then::Acknowledged(token) => self.answer(token, Answer::Ok),
-            Then::Nothing => {}
-        }
-    }
-
-    // ---- jobs ----
-
-    fn meet_job(&mut self, id: JobId, now: Now) {
+    pub(super) fn meet_job(&mut self, id: JobId, now: Now) {
         let Some(job) = self.jobs.job(id) else { return };
         // The wall clock may have jumped since; a job is never taken to be from
         // the future, or older than any objective.
@@ -430,134 +274,10 @@
         };
         self.ready.set_groups(id, &keys, &self.jobs, now);
     }
-
-    // ---- time ----
-
-    /// Does what is due.
-    pub fn tick(&mut self, now: Now) {
-        if now.at.since(self.ranked) >= RANK_EVERY {
-            self.ranked = now.at;
-            self.ready.rank_all(&self.jobs, now.at);
-            self.find_idle_pools();
-            self.count_moving_out();
-            self.find_laggards(now);
-            self.keep_room(now);
-            self.place_gangs(now);
-            self.ask_advice(now);
-            self.keep_waves(now);
-        }
-        if now.at.since(self.looked) >= LOOK_EVERY {
-            self.looked = now.at;
-            self.keep_accounts(now);
-        }
-        self.give_up_late_heartbeats(now);
-        self.end_lapsed(now);
-        self.open_due(now);
-        if now.at.since(self.forgot) >= FORGET_EVERY {
-            self.forgot = now.at;
-            self.forget(now);
-            self.forget_loads();
-            self.log_load(now);
-            self.remember();
-        }
-    }
-
-    fn give_up_late_heartbeats(&mut self, now: Now) {
-        let mut late = Vec::new();
-        for waiting in self.heartbeats.values_mut() {
-            if !waiting.answered && now.at.since(waiting.since) > HEARTBEAT_WAIT {
-                waiting.answered = true;
-                late.push((waiting.token, waiting.life));
-            }
-        }
-        for (token, life) in late {
-            // The log is slow: the lease is renewed all the same, since this process
-            // still leads; what was decided comes with the next heartbeat.
-            self.send_orders(now, token, life);
-        }
-    }
-
-    /// Gives up runs whose lease has surely ended. Starting them elsewhere any
-    /// earlier could run a task twice.
-    fn end_lapsed(&mut self, now: Now) {
-        let inherited = self.started + lease_surely_ended_after(self.cfg.lease);
-        let mut ends = Vec::new();
-        for life in self.jobs.lives_with_holds() {
-            let granted = self.runners.get(&life).map_or(inherited, |runner| runner.lease_end);
-            let until = granted.max(inherited);
-            if now.at > until {
-                self.collect_ends(life, How::Lapsed, &mut ends);
-            }
-        }
-        self.propose_ends(now, ends, Then::Nothing);
-    }
-
-    /// All runs that may be running in a life.
-    pub(super) fn collect_ends(&self, life: LifeKey, how: How, ends: &mut Vec<End>) {
-        let runner = self.runners.get(&life);
-        for (task, run) in self.jobs.held(life) {
-            if self.ending.contains(&(task, run)) {
-                continue;
-            }
-            let view = runner.and_then(|r| r.running.get(&task)).filter(|view| view.run == run);
-            let saved = view.map_or_else(Box::default, |view| view.saved.clone());
-            ends.push(End { task, run, life, how, saved });
-        }
-    }
-
-    pub(super) fn propose_ends(&mut self, now: Now, ends: Vec<End>, then: Then) {
-        if ends.is_empty() {
-            return;
-        }
-        self.ending.extend(ends.iter().map(|end| (end.task, end.run)));
-        self.propose(JobCommand::End { ends, at_ms: now.unix_ms }, then);
-    }
-
-    /// Occurrences of scheduled jobs whose time has come.
-    fn open_due(&mut self, now: Now) {
-        let due: Vec<JobId> = self.ready.scheduled();
-        for id in due {
-            let Some(job) = self.jobs.job(id) else { continue };
-            let keys = if job.phase == JobPhase::Active {
-                let mut keys = startable(id, job);
-                keys.extend(due_occurrences(id, job, now.unix_ms));
-                keys
-            } else {
-                Vec::new()
-            };
-            self.ready.set_groups(id, &keys, &self.jobs, now.at);
-        }
-    }
-
-    /// Leaves what was learnt to a later leader: relearning costs serving tasks their
-    /// bounds for some ten seconds, with each change of leader.
-    fn remember(&mut self) {
-        let learnt = self.interference.remember();
-        if !learnt.is_empty() && learnt != self.jobs.learnt() {
-            self.propose(JobCommand::Learn(learnt), Then::Nothing);
-        }
-    }
-
-    fn forget(&mut self, now: Now) {
-        let keep = u64::try_from(self.cfg.remember.as_millis()).unwrap_or(u64::MAX);
-        let ids = self.jobs.forgettable(now.unix_ms.saturating_sub(keep), FORGET_MAX);
-        if !ids.is_empty() {
-            self.propose(JobCommand::Forget(ids), Then::Nothing);
-        }
-    }
-
-    fn forget_loads(&mut self) {
-        let jobs = &self.jobs;
-        self.loads.keep(|group| jobs.is_active(group.job));
-    }
-
-    pub(super) fn empty_orders(&self) -> Answer {
-        Answer::Orders(Box::new(Orders { token: self.term, ..Orders::default() }))
-    }
 }
 
 /// Steps of begun occurrences with tasks that neither run nor are done.
-fn startable(id: JobId, job: &yuccalink_state::jobs::Job) -> Vec<GroupKey> {
+pub(super) fn startable(id: JobId, job: &yuccalink_state::jobs::Job) -> Vec<GroupKey> {
     let mut keys = Vec::new();
     for (k, occurrence) in job.occurrences.iter().enumerate() {
         let k = u32::try_from(k).unwrap_or(u32::MAX);
@@ -573,39 +293,3 @@
     }
     keys
 }
-
-/// First steps of occurrences that are due and have not begun.
-fn due_occurrences(id: JobId, job: &yuccalink_state::jobs::Job, unix_ms: u64) -> Vec<GroupKey> {
-    let Some(schedule) = job.spec.schedule else { return Vec::new() };
-    let begun = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
-    let mut keys = Vec::new();
-    for k in begun..schedule.count {
-        let due = schedule.first_ms + u64::from(k) * schedule.interval_ms;
-        if due > unix_ms {
-            break;
-        }
-        for (s, step) in job.spec.steps.iter().enumerate() {
-            if step.after.is_empty() {
-                let s = u16::try_from(s).unwrap_or(u16::MAX);
-                keys.push(GroupKey { job: id, occurrence: k, step: s });
-            }
-        }
-    }
-    keys
-}
-
-fn touched(command: &JobCommand) -> BTreeSet<JobId> {
-    match command {
-        JobCommand::Submit(submit) => BTreeSet::from([submit.id]),
-        JobCommand::Cancel { id, .. } => BTreeSet::from([*id]),
-        JobCommand::Start(starts) => starts.iter().map(|start| start.task.job).collect(),
-        JobCommand::End { ends, .. } => ends.iter().map(|end| end.task.job).collect(),
-        JobCommand::Change(_)
-        | JobCommand::Meet(_)
-        | JobCommand::Forget(_)
-        | JobCommand::Learn(_)
-        | JobCommand::Wave(_)
-        | JobCommand::UpkeepBegun { .. }
-        | JobCommand::UpkeepDone { .. } => BTreeSet::new(),
-    }
-}
--- a/crates/coordination/src/jobs/policy.rs
+++ b/crates/coordination/src/jobs/policy.rs
@@ -10,11 +10,10 @@
 pub use super::interference::InterferencePolicy;
 pub use super::neighbours::SharingPolicy;
 pub use super::pace::{MovingPolicy, PacingPolicy, StandstillPolicy};
-pub use super::place::{
-    GatheringPolicy, KeptFreePolicy, MatchingPolicy, PatiencePolicy, RacksPolicy,
-};
 pub use super::ready::{OrderBy, OrderPolicy};
+pub use super::room::KeptFreePolicy;
 pub use super::runner::DistrustPolicy;
+pub use super::suits::{GatheringPolicy, MatchingPolicy, PatiencePolicy, RacksPolicy};
 pub use super::swing::ForecastPolicy;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- /dev/null
+++ b/crates/coordination/src/jobs/room.rs
@@ -0,0 +1,188 @@
+//! The room that runners have: what is free, where it is kept for tasks that last, and
+//! which pools are idle.
+
+use super::leader::{Leader, Now};
+use super::place::label_fits;
+use super::policy::{Millis, Switch};
+use super::ready::GroupKey;
+use super::runner::Runner;
+use crate::moment::Moment;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use yuccalink_state::Resources;
+use yuccalink_state::jobs::{Job, LifeKey, TaskKey};
+
+/// Runners are kept free for large tasks that last.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct KeptFreePolicy {
+    /// Whether they are.
+    pub mode: Switch,
+    /// How long a task that has run and is down waits before.
+    #[serde(rename = "after-ms")]
+    pub after: Millis,
+    /// How long a runner is kept free: its short tasks end by then.
+    #[serde(rename = "span-ms")]
+    pub span: Millis,
+    /// Runners kept free at once.
+    pub runners_max: usize,
+    /// How long a task that has never run waits before.
+    #[serde(rename = "first-after-ms")]
+    pub first_after: Millis,
+    /// Runners kept free at once for such tasks: with more of them a full pool would
+    /// shut short work out, which earns more on the same processors.
+    pub first_runners_max: usize,
+}
+
+impl Default for KeptFreePolicy {
+    fn default() -> Self {
+        Self {
+            mode: Switch::On,
+            after: Millis(1_000),
+            span: Millis(2_500),
+            runners_max: 16,
+            first_after: Millis(3_000),
+            first_runners_max: 1,
+        }
+    }
+}
+
+/// A runner that is kept free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct KeptFree {
+    pub(super) until: Moment,
+    /// For tasks that have never run.
+    first: bool,
+}
+
+impl Leader {
+    /// What a runner has left: its capacity less all that may be running there.
+    /// Ends that it lists have freed their room, whether they are noted or not.
+    pub(super) fn free_room(&self, key: LifeKey, ended: &BTreeSet<(TaskKey, u32)>) -> Resources {
+        let Some(runner) = self.runners.get(&key) else { return Resources::ZERO };
+        let mut taken: BTreeSet<(TaskKey, u32)> =
+            self.jobs.held(key).filter(|run| !ended.contains(run)).collect();
+        taken.extend(runner.running.iter().map(|(task, view)| (*task, view.run)));
+        let starting = self.starting.values().filter(|start| start.life == key);
+        taken.extend(starting.map(|start| (start.task, start.run)));
+        let mut free = runner.capacity;
+        for (task, _) in taken {
+            let Some(step) = self.ready.step_of(task) else { continue };
+            free = less(free, step.committed);
+        }
+        free
+    }
+
+    /// Keeps runners free for large tasks that last and have waited: short work would
+    /// fill each hole before it is large enough, for ever. A runner is chosen where
+    /// enough is free once its short tasks have ended, which takes about a second.
+    pub(super) fn keep_room(&mut self, now: Now) {
+        let policy = self.cfg.policy.kept_free;
+        if policy.mode == Switch::Off {
+            return;
+        }
+        self.kept_free.retain(|_, kept| now.at < kept.until);
+        let waits = |group: &GroupKey| {
+            let step = self.ready.step(group.job, group.step);
+            step.is_some_and(|step| step.long_running) && self.has_waited(now, *group)
+        };
+        let groups: Vec<GroupKey> =
+            self.ready.order().filter(waits).take(policy.runners_max).collect();
+        for group in groups {
+            let first = !self.ready.is_down(group);
+            let firsts = self.kept_free.values().filter(|kept| kept.first).count();
+            if self.kept_free.len() >= policy.runners_max {
+                return;
+            }
+            if first && firsts >= policy.first_runners_max {
+                continue;
+            }
+            let Some(need) = self.ready.step(group.job, group.step).map(|step| step.committed)
+            else {
+                continue;
+            };
+            let Some(job) = self.jobs.job(group.job) else { continue };
+            let Some(step) = job.spec.steps.get(usize::from(group.step)) else { continue };
+            let fits = |runner: &&Runner| {
+                runner.takes_tasks()
+                    && &*runner.pool == self.pool_of(job)
+                    && label_fits(step, runner)
+                    && !self.kept_free.contains_key(&runner.key)
+                    && runner.is_heard_lately(now.at)
+                    && (step.per_runner_max == 0
+                        || self.count_here(runner.key, group) < step.per_runner_max)
+                    && self.free_without_short(runner).holds(need)
+            };
+            let Some(key) = self.runners.values().find(fits).map(|runner| runner.key) else {
+                continue;
+            };
+            self.kept_free.insert(key, KeptFree { until: now.at + policy.span.span(), first });
+        }
+    }
+
+    /// What is free on a runner once its short tasks have ended.
+    fn free_without_short(&self, runner: &Runner) -> Resources {
+        let short = self.jobs.held(runner.key).filter_map(|(task, _)| {
+            self.ready.step_of(task).filter(|step| !step.long_running).map(|step| step.committed)
+        });
+        short.fold(runner.free, |sum, need| sum.plus(need).unwrap_or(sum))
+    }
+
+    pub(super) fn has_waited(&self, now: Now, group: GroupKey) -> bool {
+        let policy = &self.cfg.policy.kept_free;
+        let wait = if self.ready.is_down(group) { policy.after } else { policy.first_after };
+        let wait = wait.span();
+        self.ready.since(group).is_some_and(|since| now.at.since(since) > wait)
+    }
+
+    /// Whether at least half of a pool's processors are not even reserved.
+    pub(super) fn is_idle(&self, pool: &str) -> bool {
+        self.idle_pools.contains(pool)
+    }
+
+    /// Finds the pools of which half is idle.
+    pub(super) fn find_idle_pools(&mut self) {
+        let mut sums: BTreeMap<Box<str>, (u64, u64)> = BTreeMap::new();
+        for runner in self.runners.values() {
+            let (free, all) = sums.entry(runner.pool.clone()).or_default();
+            *free += runner.free.millicores;
+            *all += runner.capacity.millicores;
+        }
+        let idle = sums.into_iter().filter(|(_, (free, all))| free * 2 >= *all);
+        self.idle_pools = idle.map(|(pool, _)| pool).collect();
+    }
+
+    /// Counts the tasks that last and wait for room, or are on their way to.
+    pub(super) fn count_moving_out(&mut self) {
+        let is_lasting = |task: TaskKey| self.ready.step_of(task).is_some_and(|s| s.long_running);
+        let leaving = self.runners.values().filter(|runner| !runner.takes_tasks());
+        let stopping = leaving
+            .flat_map(|runner| &runner.running)
+            .filter(|(task, view)| view.stopping && is_lasting(**task));
+        let waiting: u32 = self
+            .ready
+            .order()
+            .filter(|group| self.ready.step(group.job, group.step).is_some_and(|s| s.long_running))
+            .filter_map(|group| self.jobs.job(group.job).map(|job| waiting_tasks(job, group)))
+            .sum();
+        self.moving_out = waiting + u32::try_from(stopping.count()).unwrap_or(u32::MAX);
+    }
+}
+
+/// How many tasks of a step wait.
+pub(super) fn waiting_tasks(job: &Job, group: GroupKey) -> u32 {
+    let occurrence = job.occurrences.get(group.occurrence as usize);
+    let step = occurrence.and_then(|found| found.steps.get(usize::from(group.step)));
+    let tasks = step.into_iter().flat_map(|step| &step.tasks);
+    let count = tasks.filter(|task| !task.done && task.holds.is_empty()).count();
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+/// What is left, never below nothing.
+pub(super) fn less(free: Resources, need: Resources) -> Resources {
+    Resources {
+        millicores: free.millicores.saturating_sub(need.millicores),
+        memory_mib: free.memory_mib.saturating_sub(need.memory_mib),
+        accelerators: free.accelerators.saturating_sub(need.accelerators),
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/jobs/suits.rs
@@ -0,0 +1,223 @@
+//! Which runners suit a step's tasks: racks, neighbours, and what a runner is offered
+//! first.
+
+use super::interference::ImageKey;
+use super::leader::{Leader, Now};
+use super::neighbours::Neighbours;
+use super::place::Chosen;
+use super::policy::{Millis, Switch};
+use super::ready::{GroupKey, Kind, StepInfo};
+use super::runner::Runner;
+use crate::moment::Moment;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use yuccalink_state::jobs::{Job, JobId, StepSpec};
+
+/// Waiting steps looked at for one report; the first in order matter most. A step
+/// beyond them is not looked at, so this is more than an hour of bursts leaves.
+const GROUPS_MAX: usize = 1_024;
+
+/// Tasks wait for the rack of their data, or of their step.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct RacksPolicy {
+    /// Whether they do.
+    pub mode: Switch,
+    /// How long: tasks elsewhere take twice as long, so a wait of a fraction of the usual
+    /// task pays.
+    #[serde(rename = "wait-ms")]
+    pub wait: Millis,
+}
+
+impl Default for RacksPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, wait: Millis(500) }
+    }
+}
+
+/// Serving tasks of one image gather, so that for each filling image there are runners
+/// where it disturbs nobody.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct GatheringPolicy {
+    /// Whether they do.
+    pub mode: Switch,
+    /// How long a serving task waits for a runner whose serving tasks are of its image.
+    #[serde(rename = "wait-ms")]
+    pub wait: Millis,
+    /// Mean weight of a filling image, against all that serve, from which it is given
+    /// the runners that serve nothing before others are.
+    pub hard_weight: f64,
+}
+
+impl Default for GatheringPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, wait: Millis(1_000), hard_weight: 5.0 }
+    }
+}
+
+/// One task of a job that has nothing running starts on any runner, at the pace that its
+/// neighbours bear, while half of the pool is idle: without it, a job whose image
+/// disturbs all that serve would wait for ever while processors are idle. One only:
+/// runners full of slowed tasks take nothing that suits them.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct PatiencePolicy {
+    /// Whether it does.
+    pub mode: Switch,
+    /// How long the job waits before.
+    #[serde(rename = "after-ms")]
+    pub after: Millis,
+}
+
+impl Default for PatiencePolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On, after: Millis(1_800) }
+    }
+}
+
+/// Filling images go where they press less than elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct MatchingPolicy {
+    /// Whether they do; otherwise each runner takes them in the common order.
+    pub mode: Switch,
+}
+
+impl Default for MatchingPolicy {
+    fn default() -> Self {
+        Self { mode: Switch::On }
+    }
+}
+
+impl Leader {
+    /// The waiting steps as they are offered one runner. Steps that fill keep their places
+    /// among the others, and go by how much less their image presses here than on most:
+    /// the margin here is best spent by those who find it nowhere else.
+    pub(super) fn order_for(&self, beside: &Neighbours) -> Vec<GroupKey> {
+        let mut order: Vec<GroupKey> = self.ready.order().take(GROUPS_MAX).collect();
+        if self.cfg.policy.matching.mode == Switch::Off || beside.serving.is_empty() {
+            return order;
+        }
+        let mut advantages: BTreeMap<ImageKey, f64> = BTreeMap::new();
+        let mut fills = Vec::new();
+        for (at, group) in order.iter().enumerate() {
+            let step = self.ready.step(group.job, group.step);
+            let Some(image) = step.filter(|step| step.disturbs()).and_then(|step| step.image)
+            else {
+                continue;
+            };
+            let Some((class, density)) = self.ready.class_and_density(*group) else { continue };
+            let advantage = *advantages
+                .entry(image)
+                .or_insert_with(|| beside.advantage(image, &self.interference));
+            fills.push((at, class, density * advantage, *group));
+        }
+        let places: Vec<usize> = fills.iter().map(|(at, ..)| *at).collect();
+        fills.sort_by(|a, b| a.1.cmp(&b.1).then(b.2.total_cmp(&a.2)));
+        for (at, (_, _, _, group)) in places.into_iter().zip(fills) {
+            order[at] = group;
+        }
+        order
+    }
+
+    /// Whether a step's tasks disturb most that serve, or are to serve themselves: the
+    /// others find room beside serving tasks as well.
+    pub(super) fn is_hard(&self, step: &StepInfo) -> bool {
+        let hard_weight = self.cfg.policy.gathering.hard_weight;
+        let hard = |image| self.interference.hardness(image) >= hard_weight;
+        step.long_running || step.image.is_some_and(hard)
+    }
+
+    pub(super) fn rack_fits(
+        &self,
+        now: Moment,
+        job: &Job,
+        step: &StepSpec,
+        group: GroupKey,
+        runner: &Runner,
+    ) -> bool {
+        let since = self.ready.since(group).unwrap_or(now);
+        let policy = &self.cfg.policy.racks;
+        if policy.mode == Switch::Off || now.since(since) > policy.wait.span() {
+            return true;
+        }
+        if let Some(rack) = &step.data_rack {
+            return *rack == runner.rack;
+        }
+        if !step.rack_affinity {
+            return true;
+        }
+        let occurrence = job.occurrences.get(group.occurrence as usize);
+        let tasks = occurrence.and_then(|found| found.steps.get(usize::from(group.step)));
+        let mut lives = tasks.into_iter().flat_map(|step| &step.tasks).flat_map(|t| &t.holds);
+        lives.all(|hold| self.runners.get(&hold.life).is_none_or(|r| r.rack == runner.rack))
+    }
+
+    /// Whether a task gets on with those on a runner. Serving tasks of one image
+    /// gather, so that for each filling image there are runners where it disturbs
+    /// nobody: among three images a filling one hardly ever suits all.
+    pub(super) fn suits(
+        &self,
+        now: Now,
+        group: GroupKey,
+        step: &StepInfo,
+        chosen: &mut Chosen,
+    ) -> bool {
+        let since = self.ready.since(group).unwrap_or(now.at);
+        let neighbours = &mut chosen.neighbours;
+        match step.kind {
+            Kind::Filling => {
+                let spare = !step.opportunistic || neighbours.has_spare(step);
+                if spare && neighbours.bears(step, &self.interference) {
+                    return true;
+                }
+                let policy = &self.cfg.policy.patience;
+                policy.mode.is_on()
+                    && now.at.since(since) > policy.after.span()
+                    && self.is_idle(&neighbours.pool)
+                    && chosen.starts.iter().all(|start| start.task.job != group.job)
+                    && self.runs_of(now, group.job) == 0
+            }
+            Kind::Serving => {
+                let own = step.image;
+                let alike = neighbours.serving.iter().all(|serving| Some(serving.image) == own);
+                let settled = self.has_waited_alike(now, group);
+                match neighbours.serving.is_empty() {
+                    true => settled || !self.room_beside_alike(now, step),
+                    false => alike || settled,
+                }
+            }
+        }
+    }
+
+    /// Whether a serving step need not wait any longer for a runner of its image.
+    pub(super) fn has_waited_alike(&self, now: Now, group: GroupKey) -> bool {
+        let policy = &self.cfg.policy.gathering;
+        let since = self.ready.since(group).unwrap_or(now.at);
+        now.at.since(since) > policy.wait.span() || policy.mode == Switch::Off
+    }
+
+    /// Whether a runner that already serves this image has room for one more: then
+    /// runners that serve nothing stay free for work that disturbs.
+    fn room_beside_alike(&self, now: Now, step: &StepInfo) -> bool {
+        step.image.is_some()
+            && self.runners.values().any(|runner| {
+                runner.serves == step.image
+                    && runner.takes_tasks()
+                    && runner.is_heard_lately(now.at)
+                    && runner.free.holds(step.committed)
+            })
+    }
+
+    /// How many runs of a job are under way or about to be.
+    pub(super) fn runs_of(&self, now: Now, id: JobId) -> usize {
+        let Some(job) = self.jobs.job(id) else { return 0 };
+        let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+        let holds = steps.flat_map(|step| &step.tasks).flat_map(|task| &task.holds);
+        let sound = holds.filter(|hold| {
+            self.runners.get(&hold.life).is_some_and(|runner| runner.is_heard_lately(now.at))
+        });
+        sound.count() + self.starting.keys().filter(|task| task.job == id).count()
+    }
+}
