Room is kept free on a share of the pool

Hypothesis: 16 runners kept free for tasks that are down are a third of a pool of 48 and all of a smaller one, which shuts short work out. Change: one runner in twelve, at least one.

--- a/crates/coordination/src/jobs/policy.rs
+++ b/crates/coordination/src/jobs/policy.rs
@@ -172,7 +172,7 @@
         [
             ("order", "size-weight", self.order.size_weight, 0.0, 2.0),
             ("kept-free", "first-runners-max", self.kept_free.first_runners_max as f64, 0.0, 1e4),
-            ("kept-free", "runners-max", self.kept_free.runners_max as f64, 0.0, 1e4),
+            ("kept-free", "one-in", self.kept_free.one_in as f64, 1.0, 1e6),
             ("gathering", "hard-weight", self.gathering.hard_weight, 0.0, 1e3),
             ("interference", "start-mean", self.interference.start_mean, 0.0, 1e3),
             ("interference", "start-variance", self.interference.start_variance, 0.0, 1e6),
--- a/crates/coordination/src/jobs/room.rs
+++ b/crates/coordination/src/jobs/room.rs
@@ -24,8 +24,9 @@
     /// How long a runner is kept free: its short tasks end by then.
     #[serde(rename = "span-ms")]
     pub span: Millis,
-    /// Runners kept free at once.
-    pub runners_max: usize,
+    /// One runner in this many is kept free at once, and always one: short work must find
+    /// room in small pools too.
+    pub one_in: usize,
     /// How long a task that has never run waits before.
     #[serde(rename = "first-after-ms")]
     pub first_after: Millis,
@@ -40,7 +41,7 @@
             mode: Switch::On,
             after: Millis(1_000),
             span: Millis(2_500),
-            runners_max: 16,
+            one_in: 12,
             first_after: Millis(3_000),
             first_runners_max: 1,
         }
@@ -81,17 +82,17 @@
         if policy.mode == Switch::Off {
             return;
         }
+        let runners_max = (self.runners.len() / policy.one_in.max(1)).max(1);
         self.kept_free.retain(|_, kept| now.at < kept.until);
         let waits = |group: &GroupKey| {
             let step = self.ready.step(group.job, group.step);
             step.is_some_and(|step| step.long_running) && self.has_waited(now, *group)
         };
-        let groups: Vec<GroupKey> =
-            self.ready.order().filter(waits).take(policy.runners_max).collect();
+        let groups: Vec<GroupKey> = self.ready.order().filter(waits).take(runners_max).collect();
         for group in groups {
             let first = !self.ready.is_down(group);
             let firsts = self.kept_free.values().filter(|kept| kept.first).count();
-            if self.kept_free.len() >= policy.runners_max {
+            if self.kept_free.len() >= runners_max {
                 return;
             }
             if first && firsts >= policy.first_runners_max {
--- a/crates/coordination/tests/lasting.rs
+++ b/crates/coordination/tests/lasting.rs
@@ -102,3 +102,30 @@
     assert_eq!(lasting_on(&world, 0), 0, "it is stopped before the runner is gone");
     assert_kept(&mut world);
 }
+
+/// Half of a small pool is lost, and with it tasks that last. Every other runner would have
+/// room for one of them once its short tasks have ended, and all of them were kept free for
+/// that: a short job found no room for seconds. One runner in twelve is kept, or one.
+#[test]
+fn a_small_pool_is_not_kept_free_as_a_whole() {
+    let mut world = World::new(24, 8, Rough::CALM);
+    submit_lasting(&mut world, 1, 4, 13);
+    world.run_for(SECOND * 2);
+    submit_apart(&mut world, 2, 4, 4, 20_000);
+    world.run_for(SECOND);
+    let hosts = |world: &World, job: u64| -> Vec<usize> {
+        let hosts = |at: &usize| world.running_on(*at).iter().any(|task| task.job == JobId(job));
+        (0..8).filter(hosts).collect()
+    };
+    let lost = hosts(&world, 1);
+    assert_eq!((lost.len(), hosts(&world, 2).len()), (4, 4));
+    for at in lost {
+        world.crash(at, SECOND * 100);
+    }
+    // Their leases end, and they wait for more than a second.
+    world.run_for(SECOND * 8);
+    submit_apart(&mut world, 3, 3, 4, 300);
+    world.run_for(SECOND);
+    assert_eq!(world.state(JobId(3)), Some(JobState::Completed));
+    assert_kept(&mut world);
+}
