--- a/tools/pairs.py
+++ b/tools/pairs.py
@@ -147,6 +147,8 @@
     days = [(day, seed) for day in args.days.split(",") for seed in seeds]
     folder = pathlib.Path(args.keep or tempfile.mkdtemp(prefix="pairs-"))
     folder.mkdir(parents=True, exist_ok=True)
+    if any(folder.iterdir()):
+        sys.exit(f"{folder} is not empty; name a new folder with --keep")
     copies = [scratch(folder, policy) for policy in args.policies]
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
         plays = {name: [pool.submit(play, args, name, copy, day, seed) for day, seed in days]
