--- a/crates/coordination/tests/cell/desk.rs
+++ b/crates/coordination/tests/cell/desk.rs
@@ -32,6 +32,17 @@
         policy: Option<Advisor>,
         truth: Truth,
         commands: Vec<JobCommand>,
+    ) -> Self {
+        Self::deciding_by(LeaderConfig::default(), runners, policy, truth, commands)
+    }
+
+    /// The same, with settings of its own.
+    pub fn deciding_by(
+        cfg: LeaderConfig,
+        runners: usize,
+        policy: Option<Advisor>,
+        truth: Truth,
+        commands: Vec<JobCommand>,
     ) -> Self {
         let mut jobs = Jobs::new();
         let mut set = change();
@@ -41,7 +52,7 @@
             jobs.apply(command);
         }
         let now = Moment::from_millis(1_000);
-        let mut leader = Leader::new(LeaderConfig::default(), 3, jobs, Self::at(now));
+        let mut leader = Leader::new(cfg, 3, jobs, Self::at(now));
         leader.set_name("e1");
         let runner = |at| EmulatedRunner::new(&format!("w{at}"), "r1", 5, CAPACITY, now);
         let runners = (0..runners).map(runner).collect();
--- a/crates/coordination/tests/neighbours.rs
+++ b/crates/coordination/tests/neighbours.rs
@@ -15,7 +15,8 @@
 use desk::Desk;
 use std::time::Duration;
 use world::step;
-use yuccalink_coordination::jobs::{Orders, Running};
+use yuccalink_coordination::jobs::policy::{MatchingPolicy, Policy, Switch};
+use yuccalink_coordination::jobs::{LeaderConfig, Orders, Running};
 use yuccalink_fakes::emulator::Truth;
 use yuccalink_state::jobs::{JobCommand, JobId, PairWeight, StepSpec};
 
@@ -44,8 +45,13 @@
 
 /// One runner and what an earlier leader has learnt.
 fn desk(learnt: Vec<PairWeight>) -> Desk {
+    desk_deciding_by(Policy::default(), learnt)
+}
+
+fn desk_deciding_by(policy: Policy, learnt: Vec<PairWeight>) -> Desk {
     let truth = Truth { work: Duration::from_secs(60), lasts: true, ..Truth::default() };
-    let mut desk = Desk::with(1, None, truth, vec![JobCommand::Learn(learnt)]);
+    let cfg = LeaderConfig { policy, ..LeaderConfig::default() };
+    let mut desk = Desk::deciding_by(cfg, 1, None, truth, vec![JobCommand::Learn(learnt)]);
     desk.round();
     desk.submit_as(SERVING, vec![serving()]);
     for _ in 0..4 {
@@ -121,3 +127,24 @@
         .collect();
     assert!(paces.iter().any(|pace| *pace < 100), "{paces:?}");
 }
+
+/// Long quotes of one image wait for half a minute beside runners with room and margin: on
+/// most it presses on those that serve, and the few where it does not are taken by an
+/// image that gets on everywhere, which came a moment before. Each runner is offered the
+/// image first that presses less there than elsewhere.
+#[test]
+fn a_runner_goes_to_the_image_that_finds_room_nowhere_else() {
+    for (mode, first) in [(Switch::On, FILLING), (Switch::Off, GENTLE)] {
+        let policy = Policy { matching: MatchingPolicy { mode }, ..Policy::default() };
+        let elsewhere = PairWeight { serving: "other".into(), ..weight("index", 20.0) };
+        let learnt = vec![weight("index", 0.0), elsewhere, weight("gentle", 0.0)];
+        let mut desk = desk_deciding_by(policy, learnt);
+        desk.submit_as(GENTLE, vec![filling(3, 4, "gentle")]);
+        desk.pass(Duration::from_millis(10));
+        desk.submit_as(FILLING, vec![filling(3, 4, "index")]);
+        let orders = watch(&mut desk, 1, CALM_MS);
+        let starts = |job| starts_of(&orders, job);
+        assert!(starts(first) > 0, "matching {mode}: {orders:?}");
+        assert_eq!(starts(FILLING) + starts(GENTLE), starts(first), "there is room for one job");
+    }
+}
