Logs and metrics tell reads and changes of the change set apart

On call nobody could tell whether a read that failed was never answered, was answered by an older state, or was answered and did not arrive: the logs told of refused changes only.

The leader now writes each read with version and bytes, each change that goes to the log, and each that changes nothing. An entry writes each such request with its status, duration and bytes. A lost connection says what timed out. Metrics: a histogram of such requests, connections and leaders lost, the version on each disk.

No logic is changed.

--- a/crates/coordination/src/jobs/asks.rs
+++ b/crates/coordination/src/jobs/asks.rs
@@ -26,10 +26,7 @@
                 None
             }
             Ask::Change(change) => self.change(token, &change),
-            Ask::Document => Some(match self.jobs.change() {
-                Some(change) => Answer::Document(Arc::from(&*change.text)),
-                None => Answer::NotServing { after_ms: NO_CHANGE_YET_MS },
-            }),
+            Ask::Document => Some(self.document()),
             Ask::WaveStart(wave) => self.wave_start(token, wave),
             Ask::WaveState(id) => Some(match self.jobs.wave(id) {
                 Some(wave) => Answer::Wave { done: wave.is_done() },
@@ -119,6 +116,14 @@
         self.jobs.all().filter(|(_, job)| waits(job)).count() as u64
     }
 
+    fn document(&self) -> Answer {
+        let Some(change) = self.jobs.change() else {
+            return Answer::NotServing { after_ms: NO_CHANGE_YET_MS };
+        };
+        log::info!("change version={} read bytes={}", change.version, change.text.len());
+        Answer::Document(Arc::from(&*change.text))
+    }
+
     fn change(&mut self, token: Token, change: &Arc<ChangeSet>) -> Option<Answer> {
         if let Err(bad) = change.check() {
             log::info!("change version={} refused: {bad}", change.version);
@@ -127,9 +132,13 @@
         let version = change.version;
         // An equal or lower one is acknowledged and changes nothing; the highest
         // is already agreed on.
-        if self.jobs.change().is_some_and(|current| current.version >= version) {
+        if let Some(current) = self.jobs.change()
+            && current.version >= version
+        {
+            log::info!("change version={version} in-force=false current={}", current.version);
             return Some(Answer::Ok);
         }
+        log::info!("change version={version} proposed queues={}", change.queues.len());
         let command = JobCommand::Change(Box::new(ChangeSet::clone(change)));
         self.propose(command, Then::Changed { version, token });
         None
--- a/crates/daemon/src/cell/http.rs
+++ b/crates/daemon/src/cell/http.rs
@@ -17,6 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
+use yuccalink_coordination::jobs::Ask;
 
 /// Longest wait for the leader on behalf of a caller: callers wait for 3 s, and
 /// another entry may do better.
@@ -142,6 +143,7 @@
         Port::Callers => site.dialect.caller(incoming),
         _ => site.dialect.control(incoming),
     };
+    let concerns_change = matches!(asked, Ok(Ask::Change(_) | Ask::Document));
     let reply = match asked {
         Err(reply) => {
             log::info!("method={} path={path} status={} by itself", head.method, reply.status);
@@ -169,13 +171,17 @@
             Port::Callers => node.metrics.callers.add(took),
             _ => node.metrics.control.add(took),
         }
+        if concerns_change {
+            node.metrics.changes.add(took);
+        }
     });
-    if reply.status >= 500 || reply.status == 429 {
+    if reply.status >= 500 || reply.status == 429 || concerns_change {
         log::info!(
-            "method={} path={path} status={} after-ms={} took={took:?}",
+            "method={} path={path} status={} after-ms={} took={took:?} bytes={}",
             head.method,
             reply.status,
-            reply.retry_after_ms.unwrap_or(0)
+            reply.retry_after_ms.unwrap_or(0),
+            reply.body.len()
         );
     }
     render(reply)
@@ -192,6 +198,7 @@
     if own == Some(leader) {
         return None;
     }
+    log::info!("path={path} status=307 leader={leader}");
     let mut response = plain(307);
     let at = HeaderValue::from_str(&format!("http://{leader}{path}")).ok()?;
     response.headers_mut().insert(LOCATION, at);
@@ -201,8 +208,9 @@
 fn metrics(site: &Site) -> Response<Full<Bytes>> {
     let text = site.node.with(|node| {
         let now = node.now();
+        let version = node.change_version();
         let leader = node.replica.as_mut().and_then(|replica| replica.leader(now.at));
-        node.metrics.text(leader.as_deref())
+        node.metrics.text(leader.as_deref(), version)
     });
     Response::new(Full::new(Bytes::from(text)))
 }
--- a/crates/daemon/src/cell/link.rs
+++ b/crates/daemon/src/cell/link.rs
@@ -81,7 +81,7 @@
                 run(&node, to, stream, &mut rx, &answers).await
             }
             Ok(Err(error)) => Err(error),
-            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+            Err(_) => Err(timed_out("it does not accept a connection")),
         };
         answers.borrow_mut().clear();
         match result {
@@ -91,7 +91,10 @@
                     log::warn!("peer={to} lost why={error}");
                 }
                 up = false;
-                node.with(|node| node.roster.lead_lost(to, "connection"));
+                node.with(|node| {
+                    node.metrics.links_lost += 1;
+                    node.lead_lost(to, "connection");
+                });
             }
         }
         // What waited was for a connection that is gone.
@@ -166,7 +169,7 @@
             },
             _ = greet.tick() => {
                 if heard.get().elapsed() > SILENT {
-                    return Err(io::ErrorKind::TimedOut.into());
+                    return Err(timed_out("it is silent"));
                 }
                 frame::encode(&Frame::Hello(node.info()), &mut buf);
             }
@@ -178,9 +181,13 @@
         }
         match timeout(STUCK, into.write_all(&buf)).await {
             Ok(result) => result?,
-            Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+            Err(_) => return Err(timed_out("it does not read")),
         }
         buf.clear();
         buf.shrink_to(BATCH_BYTES);
     }
 }
+
+fn timed_out(why: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::TimedOut, why)
+}
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -44,6 +44,12 @@
     pub(crate) callers: Histogram,
     /// Requests of runners and operators.
     pub(crate) control: Histogram,
+    /// Requests that read or change the change set.
+    pub(crate) changes: Histogram,
+    /// Connections to other processes that were lost, or could not be made.
+    pub(crate) links_lost: u64,
+    /// Leaders that were no longer believed in.
+    pub(crate) leaders_lost: u64,
     /// Responses by their hundreds: 2xx, 3xx, 4xx, 5xx.
     pub(crate) statuses: [u64; 4],
 }
@@ -57,7 +63,7 @@
     }
 
     /// The text that is served.
-    pub(crate) fn text(&self, leader: Option<&Leader>) -> String {
+    pub(crate) fn text(&self, leader: Option<&Leader>, change_version: Option<u64>) -> String {
         let mut f = String::new();
         for (class, count) in self.statuses.iter().enumerate() {
             let class = class + 2;
@@ -65,6 +71,12 @@
         }
         self.callers.write("yuccalink_callers", &mut f);
         self.control.write("yuccalink_control", &mut f);
+        self.changes.write("yuccalink_changes", &mut f);
+        let _ = writeln!(f, "yuccalink_links_lost {}", self.links_lost);
+        let _ = writeln!(f, "yuccalink_leaders_lost {}", self.leaders_lost);
+        if let Some(version) = change_version {
+            let _ = writeln!(f, "yuccalink_change_version {version}");
+        }
         let _ = writeln!(f, "yuccalink_leads {}", u8::from(leader.is_some()));
         if let Some(leader) = leader {
             let counts = leader.counts();
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -279,7 +279,7 @@
 
     fn lead_lost(&self, peer: Option<SocketAddr>, why: &str) {
         if let Some(peer) = peer {
-            self.with(|node| node.roster.lead_lost(peer, why));
+            self.with(|node| node.lead_lost(peer, why));
         }
     }
 
@@ -345,6 +345,20 @@
         self.roster.lead()
     }
 
+    /// The process believed to lead does not, or does not answer.
+    pub(crate) fn lead_lost(&mut self, peer: SocketAddr, why: &str) {
+        if self.roster.lead().is_some_and(|lead| lead.peer == peer) {
+            self.metrics.leaders_lost += 1;
+        }
+        self.roster.lead_lost(peer, why);
+    }
+
+    /// The newest change set that this process's replica has, while it is a voter or learner.
+    pub(crate) fn change_version(&self) -> Option<u64> {
+        let change = self.replica.as_ref()?.state()?.change()?;
+        Some(change.version)
+    }
+
     /// A follower of the consensus learns first who leads.
     fn learn_lead(&mut self) {
         let now = self.clock.now();
@@ -374,7 +388,11 @@
 
     fn tick(&mut self, shared: &Shared) {
         let now = self.clock.now();
+        let led = self.roster.lead().is_some();
         self.roster.tick(now);
+        if led && self.roster.lead().is_none() {
+            self.metrics.leaders_lost += 1;
+        }
         self.learn_lead();
         if self.known_lead().is_some() {
             self.led_at = now;
--- a/crates/daemon/src/cell/replica.rs
+++ b/crates/daemon/src/cell/replica.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// The state as far as this replica has applied it.
+    pub(crate) fn state(&self) -> Option<&Jobs> {
+        match &self.leader {
+            Some(leader) => Some(leader.jobs()),
+            None => self.jobs.as_ref(),
+        }
+    }
+
     pub(crate) fn leads(&self) -> bool {
         self.raft.role() == Role::Leader
     }
@@ -247,10 +255,7 @@
     }
 
     fn encode_snapshot(&self) -> Option<(SnapshotMeta, Vec<u8>)> {
-        let jobs = match &self.leader {
-            Some(leader) => leader.jobs(),
-            None => self.jobs.as_ref()?,
-        };
+        let jobs = self.state()?;
         let index = self.applied;
         let term = self.raft.term_at(index)?;
         let members = self.raft.members_at(index);
