The operator's command follows a cell's redirect to the leader

What operators saw: `yuccalink change apply` with a large change set, sent to an entry that does not lead, ended with "the cell answers 307".

Cause: an entry answers bodies from 32 KiB on with a redirect to the leader; only the platform's own operators follow it. The command took it for an answer.

Change: at most two redirects are followed for one request; one that names no address is an error that says so. Two, since the leader may change between the first answer and the second request.

--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -13,13 +13,15 @@
 use yuccalink_protocol::problem::Problem;
 use yuccalink_protocol::request::IDEMPOTENCY_KEY;
 use yuccalink_state::id::TaskId;
-use yuccalink_transport::http::{Method, Request, header};
+use yuccalink_transport::http::{Method, Request, Uri, header};
 use yuccalink_transport::pool::{Answer, Pool, PoolSettings};
 
 /// Largest answer, in bytes.
 const ANSWER_MAX: usize = 64 * 1024 * 1024;
 /// Pause between rounds over all servers.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Redirects followed for one request: the leader may change once meanwhile.
+const REDIRECTS_MAX: usize = 2;
 
 /// Sets up a [`Client`].
 #[derive(Clone, Debug)]
@@ -66,6 +68,13 @@
     }
 }
 
+/// What a process of a job cell answers.
+enum CellAnswer {
+    Here(u16, Vec<u8>),
+    /// Ask the process that leads, at this address.
+    Elsewhere(SocketAddr),
+}
+
 struct Call<'a> {
     method: Method,
     path: &'a str,
@@ -197,8 +206,7 @@
         let mut last: Box<str> = "none is set".into();
         loop {
             for server in &self.servers {
-                let sent = self.try_cell(*server, &method, host, path, &body, deadline).await;
-                match sent {
+                match self.follow_cell(*server, &method, host, path, &body, deadline).await {
                     Ok((503 | 504, _)) => last = "it cannot answer now".into(),
                     Ok(answer) => return Ok(answer),
                     Err(why) => last = why.into(),
@@ -212,7 +220,7 @@
         }
     }
 
-    async fn try_cell(
+    async fn follow_cell(
         &self,
         server: SocketAddr,
         method: &Method,
@@ -221,6 +229,25 @@
         body: &[u8],
         deadline: Instant,
     ) -> std::result::Result<(u16, Vec<u8>), String> {
+        let mut to = server;
+        for _ in 0..=REDIRECTS_MAX {
+            match self.try_cell(to, method, host, path, body, deadline).await? {
+                CellAnswer::Here(status, body) => return Ok((status, body)),
+                CellAnswer::Elsewhere(leader) => to = leader,
+            }
+        }
+        Err("it redirects too often".into())
+    }
+
+    async fn try_cell(
+        &self,
+        server: SocketAddr,
+        method: &Method,
+        host: Option<&str>,
+        path: &str,
+        body: &[u8],
+        deadline: Instant,
+    ) -> std::result::Result<CellAnswer, String> {
         let own = server.to_string();
         let req = Request::builder()
             .method(method.clone())
@@ -230,8 +257,12 @@
             .body(body.to_vec().into())
             .map_err(|e| e.to_string())?;
         let answer = self.pool.send(server, req, deadline).await.map_err(|e| e.to_string())?;
-        let status = answer.head.status.as_u16();
-        Ok((status, read_whole(answer, deadline).await?))
+        let status = answer.head.status;
+        if status.is_redirection() {
+            let leader = redirected(&answer).ok_or("it redirects to no address")?;
+            return Ok(CellAnswer::Elsewhere(leader));
+        }
+        Ok(CellAnswer::Here(status.as_u16(), read_whole(answer, deadline).await?))
     }
 
     async fn get<T>(&self, path: &str) -> Result<T>
@@ -313,6 +344,12 @@
     }
 }
 
+/// The address that a redirect names.
+fn redirected(answer: &Answer) -> Option<SocketAddr> {
+    let location = answer.head.headers.get(header::LOCATION)?.to_str().ok()?;
+    location.parse::<Uri>().ok()?.authority()?.as_str().parse().ok()
+}
+
 async fn read_whole(mut answer: Answer, deadline: Instant) -> std::result::Result<Vec<u8>, String> {
     let whole = tokio::time::timeout_at(deadline, answer.whole(ANSWER_MAX)).await;
     let body = whole
--- a/crates/yuccalink/tests/narrow_link.rs
+++ b/crates/yuccalink/tests/narrow_link.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, Command, Output};
 use std::thread;
 use std::time::Duration;
 
