A change set too large for an entry's link is fetched at the leader

Each such read also cost callers: the entry gave up its leader and its connection.

Cause: an entry relays the answer, 250 to 340 KB, over its own link. At 2 Mbit/s that takes 1.0 to 1.4 s; one try ends after 0.9 s, an operator's request after 0.9 s, a connection counts as silent after 1 s without a whole frame. No repetition helps. Class: fixed limits on time for a transfer whose length grows with the state.

Change: the leader answers another process's read of more than 32 KiB with its own address; the entry redirects the operator there, as it did for large bodies. Both go by one rule now: a large body waits for a leader to be known and is redirected then, where it was relayed if none was known when it came. Weighed: longer limits (the link stays full for a second, callers wait behind it), pieces (the same), reads answered by any disk (one more mechanism, and entries without a disk would redirect all the same).

--- a/crates/coordination/src/jobs/ask.rs
+++ b/crates/coordination/src/jobs/ask.rs
@@ -3,6 +3,7 @@
 use crate::raft::ReplicaId;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use yuccalink_state::Resources;
 use yuccalink_state::jobs::{ChangeSet, How, JobId, JobSpec, TaskKey, Wave};
@@ -252,4 +253,9 @@
         /// Who does, as far as it knows.
         leader: Option<ReplicaId>,
     },
+    /// Too large to be passed on between processes: ask the leader itself.
+    AskLeader {
+        /// Where runners and operators reach it.
+        control: SocketAddr,
+    },
 }
--- a/crates/daemon/src/cell/dialect.rs
+++ b/crates/daemon/src/cell/dialect.rs
@@ -27,6 +27,8 @@
     pub body: Bytes,
     /// When to come back, in milliseconds.
     pub retry_after_ms: Option<u64>,
+    /// Where to send the same request instead, as a URL.
+    pub location: Option<Box<str>>,
 }
 
 impl Reply {
@@ -37,7 +39,13 @@
 
     /// A response with a JSON body.
     pub fn json(status: u16, body: Vec<u8>) -> Self {
-        Self { status, body: body.into(), retry_after_ms: None }
+        Self { status, body: body.into(), ..Self::default() }
+    }
+
+    /// A redirect of a request for `path` to another process.
+    pub(crate) fn elsewhere(to: SocketAddr, path: &str) -> Self {
+        let location = format!("http://{to}{path}").into();
+        Self { status: 307, location: Some(location), ..Self::default() }
     }
 }
 
--- a/crates/daemon/src/cell/http.rs
+++ b/crates/daemon/src/cell/http.rs
@@ -2,7 +2,7 @@
 
 use crate::cell::dialect::{Dialect, Incoming, Reply, ReplyContext};
 use crate::cell::native;
-use crate::cell::node::Shared;
+use crate::cell::node::{PassOn, Shared};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming as Body;
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
-use yuccalink_coordination::jobs::Ask;
+use yuccalink_coordination::jobs::{Answer, Ask};
 
 /// Longest wait for the leader on behalf of a caller: callers wait for 3 s, and
 /// another entry may do better.
@@ -26,8 +26,6 @@
 const CONTROL_BUDGET: Duration = Duration::from_millis(900);
 /// A change set of 1,400 queues takes its time on a slow link.
 const LARGE_BUDGET: Duration = Duration::from_millis(2_500);
-/// Bodies from this size on are large, in bytes.
-const LARGE: usize = 32 * 1024;
 /// Largest body of a caller, in bytes.
 const CALLER_BODY_MAX: usize = 256 * 1024;
 /// Largest body of a runner or operator, in bytes: 10,000 queues.
@@ -150,18 +148,19 @@
             reply
         }
         Ok(ask) => {
-            let large = body.len() >= LARGE;
-            if large && let Some(elsewhere) = leader_elsewhere(site, port, path) {
-                return elsewhere;
-            }
-            let budget = match port {
-                Port::Callers => CALLER_BUDGET,
-                _ if large => LARGE_BUDGET,
-                _ => CONTROL_BUDGET,
+            // Callers do not follow redirects.
+            let (pass_on, budget) = match (port, PassOn::of_size(body.len())) {
+                (Port::Callers, _) => (PassOn::Yes, CALLER_BUDGET),
+                (_, PassOn::Yes) => (PassOn::Yes, CONTROL_BUDGET),
+                (_, PassOn::No) => (PassOn::No, LARGE_BUDGET),
             };
-            let answer = site.node.ask(ask, budget).await;
-            let cx = ReplyContext { leader: site.node.leader_control() };
-            site.dialect.reply(answer, cx)
+            match site.node.ask(ask, pass_on, budget).await {
+                Answer::AskLeader { control } => Reply::elsewhere(control, path),
+                answer => {
+                    let cx = ReplyContext { leader: site.node.leader_control() };
+                    site.dialect.reply(answer, cx)
+                }
+            }
         }
     };
     let took = began.elapsed();
@@ -177,34 +176,17 @@
     });
     if reply.status >= 500 || reply.status == 429 || concerns_change {
         log::info!(
-            "method={} path={path} status={} after-ms={} took={took:?} bytes={}",
+            "method={} path={path} status={} after-ms={} took={took:?} bytes={} location={}",
             head.method,
             reply.status,
             reply.retry_after_ms.unwrap_or(0),
-            reply.body.len()
+            reply.body.len(),
+            reply.location.as_deref().unwrap_or("here")
         );
     }
     render(reply)
 }
 
-/// Sends a large body to the leader itself: passing it on would take a slow link
-/// twice.
-fn leader_elsewhere(site: &Site, port: Port, path: &str) -> Option<Response<Full<Bytes>>> {
-    if port != Port::Control {
-        return None;
-    }
-    let leader = site.node.leader_control()?;
-    let own = site.node.with(|node| node.cfg.control);
-    if own == Some(leader) {
-        return None;
-    }
-    log::info!("path={path} status=307 leader={leader}");
-    let mut response = plain(307);
-    let at = HeaderValue::from_str(&format!("http://{leader}{path}")).ok()?;
-    response.headers_mut().insert(LOCATION, at);
-    Some(response)
-}
-
 fn metrics(site: &Site) -> Response<Full<Bytes>> {
     let text = site.node.with(|node| {
         let now = node.now();
@@ -228,6 +210,12 @@
     if has_body {
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     }
+    if let Some(location) = &reply.location {
+        match HeaderValue::from_str(location) {
+            Ok(location) => drop(headers.insert(LOCATION, location)),
+            Err(error) => log::error!("location {location} cannot be sent: {error}"),
+        }
+    }
     if let Some(ms) = reply.retry_after_ms {
         headers.insert(RETRY_AFTER, HeaderValue::from(ms.div_ceil(1_000)));
     }
--- a/crates/daemon/src/cell/native.rs
+++ b/crates/daemon/src/cell/native.rs
@@ -135,7 +135,7 @@
         Answer::NotTaken => Reply::empty(405),
         Answer::Refused { after_ms } => later(429, after_ms),
         Answer::NotServing { after_ms } => later(503, after_ms),
-        Answer::Unknown | Answer::NotLeader { .. } => Reply::empty(504),
+        Answer::Unknown | Answer::NotLeader { .. } | Answer::AskLeader { .. } => Reply::empty(504),
         Answer::Document(text) => Reply::json(200, text.to_vec()),
         Answer::Invalid(what) => problem(400, &what),
         Answer::Orders(orders) => json(200, &*orders),
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -37,6 +37,27 @@
 /// When to come back then, in milliseconds.
 const COME_BACK_MS: u64 = 2_000;
 
+/// Largest request or answer of an operator that is passed on between an entry and the
+/// leader, in bytes: 0.13 s of a link of 2 Mbit/s, on which everything else waits meanwhile.
+const PASSED_ON_MAX: usize = 32 * 1024;
+
+/// Whether a request may be passed on to the leader, or its sender is to go there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PassOn {
+    Yes,
+    No,
+}
+
+impl PassOn {
+    /// For a request with a body of `size` bytes.
+    pub(crate) fn of_size(size: usize) -> Self {
+        match size <= PASSED_ON_MAX {
+            true => Self::Yes,
+            false => Self::No,
+        }
+    }
+}
+
 /// What one process of a cell tells operators.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -236,12 +257,17 @@
     }
 
     /// Asks whichever process leads, for at most `budget`.
-    pub(crate) async fn ask(&self, ask: Ask, budget: Duration) -> Answer {
+    pub(crate) async fn ask(&self, ask: Ask, pass_on: PassOn, budget: Duration) -> Answer {
         let until = Instant::now() + budget;
         let mut sent = false;
         while Instant::now() < until {
             let way = match self.ask_here(ask.clone()) {
                 Some(rx) => Some((None, rx)),
+                None if pass_on == PassOn::No
+                    && let Some(control) = self.leader_control() =>
+                {
+                    return Answer::AskLeader { control };
+                }
                 None => self.ask_leader(&ask),
             };
             let Some((peer, rx)) = way else {
@@ -277,6 +303,18 @@
         })
     }
 
+    /// An answer as another process is told it: one that is too large for the link between
+    /// them is left for its caller to fetch here.
+    pub(crate) fn to_pass_on(&self, answer: Answer) -> Answer {
+        let control = self.with(|node| node.cfg.control);
+        match (&answer, control) {
+            (Answer::Document(text), Some(control)) if text.len() > PASSED_ON_MAX => {
+                Answer::AskLeader { control }
+            }
+            _ => answer,
+        }
+    }
+
     fn lead_lost(&self, peer: Option<SocketAddr>, why: &str) {
         if let Some(peer) = peer {
             self.with(|node| node.lead_lost(peer, why));
--- a/crates/daemon/src/cell/peers.rs
+++ b/crates/daemon/src/cell/peers.rs
@@ -75,7 +75,7 @@
 async fn answer(node: Shared, id: u64, ask: Ask, tx: mpsc::Sender<Frame>) {
     let answer = match node.ask_here(ask) {
         // The leader's part ends without an answer when it leads no more.
-        Some(rx) => rx.await.unwrap_or(Answer::NotLeader { leader: None }),
+        Some(rx) => node.to_pass_on(rx.await.unwrap_or(Answer::NotLeader { leader: None })),
         None => Answer::NotLeader { leader: None },
     };
     let _ = tx.send(Frame::Answer { id, answer }).await;
