The soak ends with a final fault and reads the change set back everywhere

Why the fault was missed: the soak's change set had one queue, its links carried as much as loopback does, and it ended with traffic, not with a fault. Now every second change set, and the last, has 2,400 queues (about 350 KB); connections of processes without a disk carry 2 Mbit/s; and at the end, right after one more change was acknowledged, all processes are killed, with or without the loss of a disk, or one disk is lost. Each process must then answer a read with that version within 12 s, the shortest recovery_s of the users' platform. Which end it is comes from the seed, apart from the series of faults.

a_change_is_read_back_at_every_process_after_the_final_fault keeps three seeds, one of each end.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -50,11 +50,14 @@
         };
         let report = run(&settings)?;
         println!(
-            "seed {seed}: {} jobs accepted, {} completed, {} starts, {} faults, {} broken",
+            "seed {seed}: {} jobs accepted, {} completed, {} starts, {} faults, read back first \
+             {:?} last {:?}, {} broken",
             report.accepted,
             report.completed,
             report.starts,
             report.faults,
+            report.read_back.first(),
+            report.read_back.last(),
             report.broken.len()
         );
         if !report.broken.is_empty() {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,20 +4,24 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 use yuccalink_coordination::jobs::JobState;
 use yuccalink_state::jobs::JobId;
-use yuccalink_transport::http::{Method, Request, header};
+use yuccalink_transport::http::{Method, Request, Uri, header};
 use yuccalink_transport::pool::{Pool, PoolSettings};
 
 const HOST: &str = "soak.example";
 const ANSWER_MAX: Duration = Duration::from_secs(3);
 const BODY_MAX: usize = 4 * 1024 * 1024;
 const AGAIN: Duration = Duration::from_millis(200);
+const REDIRECTS_MAX: usize = 2;
+const CHANGE: &str = "/v1/change";
+/// Queues of a large version: about 350 KB of text.
+const MANY_QUEUES: usize = 2_400;
 
 /// Who asks, and whom.
 pub(crate) struct Asker {
@@ -31,17 +35,34 @@
         Self { pool: Pool::new(PoolSettings::default()), nodes, next: first }
     }
 
-    /// One try, at the next process.
+    /// One try, at the next process and where it redirects to.
     async fn ask(&mut self, method: Method, path: &str, body: Vec<u8>) -> Option<(u16, Vec<u8>)> {
         self.next += 1;
-        let to = self.nodes[self.next % self.nodes.len()];
-        let req = Request::builder().method(method).uri(path).header(header::HOST, HOST);
-        let req = req.body(body.into()).ok()?;
+        let mut to = self.nodes[self.next % self.nodes.len()];
         let deadline = Instant::now() + ANSWER_MAX;
-        let mut answer = self.pool.send(to, req, deadline).await.ok()?;
-        let status = answer.head.status.as_u16();
-        let whole = tokio::time::timeout_at(deadline, answer.whole(BODY_MAX)).await;
-        Some((status, whole.ok()?.ok()??.to_vec()))
+        for _ in 0..=REDIRECTS_MAX {
+            let req =
+                Request::builder().method(method.clone()).uri(path).header(header::HOST, HOST);
+            let req = req.body(body.clone().into()).ok()?;
+            let mut answer = self.pool.send(to, req, deadline).await.ok()?;
+            let status = answer.head.status.as_u16();
+            if status == 307 {
+                let location = answer.head.headers.get(header::LOCATION)?.to_str().ok()?;
+                to = location.parse::<Uri>().ok()?.authority()?.as_str().parse().ok()?;
+                continue;
+            }
+            let whole = tokio::time::timeout_at(deadline, answer.whole(BODY_MAX)).await;
+            return Some((status, whole.ok()?.ok()??.to_vec()));
+        }
+        None
+    }
+
+    /// The version of the change set in force, as the next process tells it.
+    pub(crate) async fn read_version(&mut self) -> Option<u64> {
+        match self.ask(Method::GET, CHANGE, Vec::new()).await? {
+            (200, body) => serde_json::from_slice::<Value>(&body).ok()?["version"].as_u64(),
+            _ => None,
+        }
     }
 }
 
@@ -104,39 +125,51 @@
     }
 }
 
-/// Puts versions in force, each until it is acknowledged, and reads them back.
-pub(crate) async fn operate(mut asker: Asker, watch: Rc<RefCell<Watch>>, gap: Duration) {
-    let mut version = 0;
+/// Puts versions in force, each until it is acknowledged, and reads them back, until
+/// `closing` and the acknowledgement after it.
+pub(crate) async fn operate(
+    mut asker: Asker,
+    watch: Rc<RefCell<Watch>>,
+    gap: Duration,
+    closing: Rc<Cell<bool>>,
+) {
+    let mut version = 0_u64;
     loop {
         version += 1;
-        let change = json!({
-            "version": version,
-            "queues": [{
-                "name": "q", "host": HOST, "prefix": "/q/", "pool": "pool",
-                "timeout-ms": 3_000, "objective-ms": 1_000, "slack": 2.0, "attempts": 3,
-            }],
-            "pools": [{ "name": "pool" }],
-        });
-        let body = change.to_string().into_bytes();
+        let last = closing.get();
+        let is_large = last || version.is_multiple_of(2);
+        let body = change(version, is_large).to_string().into_bytes();
         loop {
-            let sent = asker.ask(Method::PUT, "/v1/change", body.clone()).await;
+            let sent = asker.ask(Method::PUT, CHANGE, body.clone()).await;
             if matches!(sent, Some((200, _))) {
                 watch.borrow_mut().version = Some((version, Instant::now()));
                 break;
             }
             tokio::time::sleep(AGAIN).await;
         }
+        if last {
+            return;
+        }
         let until = Instant::now() + gap;
-        while Instant::now() < until {
+        while Instant::now() < until && !closing.get() {
             let asked = Instant::now();
-            let read = asker.ask(Method::GET, "/v1/change", Vec::new()).await;
-            if let Some((200, body)) = read
-                && let Ok(view) = serde_json::from_slice::<Value>(&body)
-                && let Some(told) = view["version"].as_u64()
-            {
+            if let Some(told) = asker.read_version().await {
                 watch.borrow_mut().in_force(told, asked);
             }
             tokio::time::sleep(AGAIN).await;
         }
     }
 }
+
+fn change(version: u64, is_large: bool) -> Value {
+    let queue = |name: &str| {
+        json!({
+            "name": name, "host": HOST, "prefix": format!("/{name}/"), "pool": "pool",
+            "timeout-ms": 3_000, "objective-ms": 1_000, "slack": 2.0, "attempts": 3,
+        })
+    };
+    let more = if is_large { MANY_QUEUES } else { 0 };
+    let mut queues = vec![queue("q")];
+    queues.extend((0..more).map(|at| queue(&format!("more-{at}"))));
+    json!({ "version": version, "queues": queues, "pools": [{ "name": "pool" }] })
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -43,6 +43,37 @@
     pub fault: Fault,
 }
 
+/// What happens at the end, right after a change was acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closing {
+    /// All processes are killed at once.
+    KillAll,
+    /// The same, and one of them comes back without its disk.
+    KillAllAndWipe(usize),
+    /// One process with a disk is killed and loses it.
+    Wipe(usize),
+}
+
+impl Closing {
+    /// Draws the one for `seed`.
+    ///
+    /// ```
+    /// use yuccalink_soak::Closing;
+    /// assert_eq!(Closing::draw(7, 3), Closing::draw(7, 3));
+    /// ```
+    pub fn draw(seed: u64, disks: usize) -> Self {
+        // Apart from the series of faults, which stays as it is for a seed.
+        const STREAM: u64 = 0x636c_6f73;
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ STREAM);
+        let disk = rng.random_range(0..disks);
+        match rng.random_range(0..3) {
+            0 => Self::KillAll,
+            1 => Self::KillAllAndWipe(disk),
+            _ => Self::Wipe(disk),
+        }
+    }
+}
+
 /// A series of faults.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Plan(pub Vec<Step>);
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -12,6 +12,9 @@
 /// How often a held connection looks whether it may go on.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// What the link of a process without a disk carries, in bytes a second: 2 Mbit/s.
+const SLOW: u64 = 250_000;
+
 /// How a proxy treats its connections now.
 #[derive(Debug, Default)]
 pub(crate) struct Mood {
@@ -24,41 +27,74 @@
     pub(crate) resets: Cell<u64>,
 }
 
-/// Forwards connections at `at` to `to` until the soak ends.
-pub(crate) async fn serve(at: SocketAddr, to: SocketAddr, mood: Rc<Mood>) -> io::Result<()> {
-    let listener = TcpListener::bind(at).await?;
-    tokio::task::spawn_local(async move {
-        while let Ok((from, _)) = listener.accept().await {
-            tokio::task::spawn_local(forward(from, to, mood.clone()));
-        }
-    });
-    Ok(())
+/// One forwarder: where it listens, where to, and whose links are fast.
+#[derive(Clone)]
+pub(crate) struct Proxy {
+    pub(crate) at: SocketAddr,
+    pub(crate) to: SocketAddr,
+    pub(crate) mood: Rc<Mood>,
+    /// Names of processes whose connections are fast.
+    pub(crate) fast: Rc<[Box<str>]>,
+}
+
+impl Proxy {
+    /// Forwards connections until the soak ends.
+    pub(crate) async fn serve(self) -> io::Result<()> {
+        let listener = TcpListener::bind(self.at).await?;
+        tokio::task::spawn_local(async move {
+            while let Ok((from, _)) = listener.accept().await {
+                tokio::task::spawn_local(forward(from, self.clone()));
+            }
+        });
+        Ok(())
+    }
+
+    fn names_fast(&self, bytes: &[u8]) -> bool {
+        let names = |name: &[u8]| bytes.windows(name.len()).any(|part| part == name);
+        self.fast.iter().any(|name| names(name.as_bytes()))
+    }
 }
 
-async fn forward(from: TcpStream, to: SocketAddr, mood: Rc<Mood>) {
-    let Ok(into) = TcpStream::connect(to).await else { return };
+async fn forward(from: TcpStream, proxy: Proxy) {
+    let Ok(into) = TcpStream::connect(proxy.to).await else { return };
     let (from_rx, from_tx) = from.into_split();
     let (into_rx, into_tx) = into.into_split();
+    // A process says its name with each greeting; until then its connection is slow.
+    let fast = Cell::new(false);
     tokio::select! {
-        () = pump(from_rx, into_tx, &mood, false) => {}
-        () = pump(into_rx, from_tx, &mood, true) => {}
-        () = reset(&mood) => {}
+        () = pump(from_rx, into_tx, &proxy, &fast, Way::There) => {}
+        () = pump(into_rx, from_tx, &proxy, &fast, Way::Back) => {}
+        () = reset(&proxy.mood) => {}
     }
 }
 
-async fn pump<R, W>(mut rx: R, mut tx: W, mood: &Mood, back: bool)
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    There,
+    Back,
+}
+
+async fn pump<R, W>(mut rx: R, mut tx: W, proxy: &Proxy, fast: &Cell<bool>, way: Way)
 where
     R: tokio::io::AsyncRead + Unpin,
     W: tokio::io::AsyncWrite + Unpin,
 {
+    let mood = &proxy.mood;
     let mut buf = vec![0; BUF];
     loop {
         let Ok(count) = rx.read(&mut buf).await else { return };
         if count == 0 {
             return;
         }
-        tokio::time::sleep(mood.delay.get()).await;
-        while mood.silent.get() || (back && mood.one_way.get()) {
+        if way == Way::There && !fast.get() {
+            fast.set(proxy.names_fast(&buf[..count]));
+        }
+        let carried = match fast.get() {
+            true => Duration::ZERO,
+            false => Duration::from_micros(count as u64 * 1_000_000 / SLOW),
+        };
+        tokio::time::sleep(mood.delay.get() + carried).await;
+        while mood.silent.get() || (way == Way::Back && mood.one_way.get()) {
             tokio::time::sleep(LOOK).await;
         }
         if tx.write_all(&buf[..count]).await.is_err() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,16 +1,17 @@
-//! One soak: traffic, faults, calm, and what it came to.
+//! One soak: traffic, faults, calm, a final fault, and what it came to.
 
 use crate::callers::{self, Asker};
-use crate::plan::{Fault, Plan, Step};
+use crate::closing;
+use crate::plan::{Closing, Fault, Plan, Step};
 use crate::runners;
 use crate::system::System;
 use crate::watch::{Report, Watch};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::LocalSet;
+use tokio::task::{JoinSet, LocalSet};
 use tokio::time::Instant;
 
 /// How a soak is run.
@@ -36,6 +37,8 @@
 const START_MAX: Duration = Duration::from_secs(30);
 /// Longest wait, after the last fault, for all jobs to be completed.
 const CALM_MAX: Duration = Duration::from_secs(40);
+/// After the last fault, for a disk that was lost to be replaced.
+const CATCH_UP: Duration = Duration::from_secs(6);
 /// Between two jobs of the caller, and between two versions of the operator.
 const JOB_GAP: Duration = Duration::from_millis(150);
 const CHANGE_GAP: Duration = Duration::from_millis(1_500);
@@ -59,7 +62,9 @@
     let began = Instant::now();
     let asker = |first| Asker::new(system.callers(), first);
     let operator = Asker::new(system.control(), 0);
-    tokio::task::spawn_local(callers::operate(operator, watch.clone(), CHANGE_GAP));
+    let last_change = Rc::new(Cell::new(false));
+    let operator = callers::operate(operator, watch.clone(), CHANGE_GAP, last_change.clone());
+    let operator = tokio::task::spawn_local(operator);
     for at in 0..settings.runners {
         let control = system.control();
         tokio::task::spawn_local(runners::run(at, control, watch.clone(), began));
@@ -80,16 +85,22 @@
     tokio::task::spawn_local(callers::ask_states(asker(2), watch.clone()));
     let plan = Plan::draw(*seed, *nodes, *disks, settings.span);
     let system = Rc::new(RefCell::new(system));
-    inject(&plan, &system, &watch).await;
+    let strikes = inject(&plan, &system, &watch).await;
     tokio::time::sleep_until(until).await;
     settle(&system, &watch).await;
+    strikes.join_all().await;
+    tokio::time::sleep(CATCH_UP).await;
+    last_change.set(true);
+    operator.await.map_err(io::Error::other)?;
+    closing::close(Closing::draw(*seed, *disks), &system, &watch).await?;
     Ok(watch.borrow().report.clone())
 }
 
-type SharedSystem = Rc<RefCell<System>>;
-type SharedWatch = Rc<RefCell<Watch>>;
+pub(crate) type SharedSystem = Rc<RefCell<System>>;
+pub(crate) type SharedWatch = Rc<RefCell<Watch>>;
 
-async fn inject(plan: &Plan, system: &SharedSystem, watch: &SharedWatch) {
+async fn inject(plan: &Plan, system: &SharedSystem, watch: &SharedWatch) -> JoinSet<()> {
+    let mut strikes = JoinSet::new();
     let began = Instant::now();
     for step in &plan.0 {
         tokio::time::sleep_until(began + step.at).await;
@@ -98,8 +109,9 @@
             watch.borrow_mut().report.broken.push(format!("{fallen:?} ended by themselves"));
         }
         watch.borrow_mut().report.faults += 1;
-        tokio::task::spawn_local(strike(*step, system.clone(), watch.clone()));
+        strikes.spawn_local(strike(*step, system.clone(), watch.clone()));
     }
+    strikes
 }
 
 async fn strike(step: Step, system: SharedSystem, watch: SharedWatch) {
--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -1,6 +1,6 @@
 //! The processes of one cell.
 
-use crate::proxy::{self, Mood};
+use crate::proxy::{Mood, Proxy};
 use std::fs::OpenOptions;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -44,9 +44,11 @@
             stopping: vec![false; nodes],
             moods: (0..nodes).map(|_| Rc::default()).collect(),
         };
-        for at in 0..nodes {
-            let mood = system.moods[at].clone();
-            proxy::serve(system.address(at, PROXY), system.address(at, PEER), mood).await?;
+        let fast: Rc<[Box<str>]> = (0..disks).map(|at| name(at).into()).collect();
+        for node in 0..nodes {
+            let (at, to) = (system.address(node, PROXY), system.address(node, PEER));
+            let mood = system.moods[node].clone();
+            Proxy { at, to, mood, fast: fast.clone() }.serve().await?;
         }
         for at in 0..nodes {
             system.launch(at, true)?;
@@ -93,7 +95,7 @@
         command
             .env_clear()
             .arg("cell")
-            .args(["--name", &format!("e{at}"), "--zone", &format!("z{}", at % 3)])
+            .args(["--name", &name(at), "--zone", &format!("z{}", at % 3)])
             .args(["--peer", &self.address(at, PEER).to_string()])
             .args(["--peer-advertised", &self.address(at, PROXY).to_string()])
             .args(["--callers", &self.address(at, CALLERS).to_string()])
@@ -170,6 +172,10 @@
     }
 }
 
+fn name(node: usize) -> String {
+    format!("node-{node:03}")
+}
+
 /// Loopback addresses that no other soak of this machine uses, so that processes can
 /// be started again where they were.
 fn network() -> [u8; 2] {
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -23,6 +23,9 @@
     pub starts: usize,
     /// Faults that were injected.
     pub faults: usize,
+    /// From when all processes were started again at the end until each had answered a read
+    /// of the change set, shortest first.
+    pub read_back: Vec<Duration>,
 }
 
 #[derive(Default)]
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -47,3 +47,12 @@
 fn a_stop_that_was_asked_for_is_no_fall() {
     soak(2034, 12, 5, 8);
 }
+
+/// After the final fault a change set of 350 KB could never be read at a process behind a link of 2 Mbit/s.
+#[test]
+fn a_change_is_read_back_at_every_process_after_the_final_fault() {
+    for seed in [2, 3, 5] {
+        let report = soak(seed, 5, 5, 4);
+        assert_eq!(report.read_back.len(), 5, "seed {seed}");
+    }
+}
