An entry is told many documents and runners in pieces

What callers would see: an entry without a disk behind a link of 2 Mbit/s that starts, or finds a new leader, with more than some 375 KB of documents (300 teams have more) never comes into service.

Change: one answer tells at most 64 KiB of documents, the oldest revisions first and always one, and 400 runners; the entry acknowledges up to there and asks again at once. The table counts as settled for an entry only with the last piece, so that it serves no half of it. Weighed: a limit on silence instead of the whole call: the call is also begun anew whenever the entry has something to tell, so a long one might never end.

The slow link of the tests is a stand-in of its own now.

--- a/crates/coordination/src/directory.rs
+++ b/crates/coordination/src/directory.rs
@@ -70,6 +70,21 @@
     interval: Duration,
 }
 
+impl Target {
+    /// A runner as entries are told of it.
+    fn as_change(&self) -> Option<Change> {
+        match &self.spec {
+            TargetSpec::Worker(_) => None,
+            TargetSpec::Runner(spec) => Some(Change {
+                spec: spec.clone(),
+                usable: self.health == Health::Live,
+                busy: self.usage.busy,
+                owner: self.owner.clone(),
+            }),
+        }
+    }
+}
+
 /// What must happen before a runner gets its next owner. A request that the
 /// last owner sent may still be on its way: were the slots given out again at
 /// once, the runner would hold more than it has.
@@ -142,7 +157,8 @@
 /// assert_eq!(directory.announce(now, TargetSpec::Runner(spec), 0), Heard::Noted);
 /// assert_eq!(directory.tick(now, &entries), [name.clone()], "e1 owns it now");
 /// directory.leave(&name, run);
-/// assert!(!directory.changes(0)[0].usable);
+/// let (changes, version) = directory.changes(0, 10);
+/// assert!(!changes[0].usable && version == directory.version());
 /// # Ok::<(), yuccalink_state::id::BadName>(())
 /// ```
 #[derive(Debug, Default)]
@@ -379,20 +395,23 @@
         target.changed = changed;
     }
 
-    /// Runners that changed after `version`, for an entry that knows up to there.
-    pub fn changes(&self, version: u64) -> Vec<Change> {
-        let changed = self.targets.values().filter(|target| target.changed > version);
-        changed
-            .filter_map(|target| match &target.spec {
-                TargetSpec::Worker(_) => None,
-                TargetSpec::Runner(spec) => Some(Change {
-                    spec: spec.clone(),
-                    usable: target.health == Health::Live,
-                    busy: target.usage.busy,
-                    owner: target.owner.clone(),
-                }),
-            })
-            .collect()
+    /// Runners that changed after `version`, for an entry that knows up to there: the
+    /// oldest changes first, about `most` of them, and the version up to which they go.
+    pub fn changes(&self, version: u64, most: usize) -> (Vec<Change>, u64) {
+        let is_new = |target: &&Target| target.changed > version;
+        let mut changed: Vec<(u64, Change)> = self
+            .targets
+            .values()
+            .filter(is_new)
+            .filter_map(|target| Some((target.changed, target.as_change()?)))
+            .collect();
+        changed.sort_by_key(|(changed, _)| *changed);
+        let upto = match changed.len() > most {
+            true => changed[..most].last().map_or(version, |(last, _)| *last),
+            false => self.version,
+        };
+        let told = changed.into_iter().take_while(|(changed, _)| *changed <= upto);
+        (told.map(|(_, change)| change).collect(), upto)
     }
 
     /// Every target, by name.
--- a/crates/coordination/src/scenario/world/routing.rs
+++ b/crates/coordination/src/scenario/world/routing.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Changes that an entry is told at once: few, so that most are told in pieces.
+const CHANGES_MAX: usize = 8;
+
 impl World {
     pub(super) fn beat_runners(&mut self) {
         for runner in &mut self.runners {
@@ -60,8 +63,8 @@
             entry.router.disown(&name);
             self.directory.let_go(&name, &entry.name);
         }
-        let changes = self.directory.changes(entry.version);
-        entry.version = self.directory.version();
+        let (changes, version) = self.directory.changes(entry.version, CHANGES_MAX);
+        entry.version = version;
         let mut turns = Vec::new();
         for change in changes {
             let name = &change.spec.name;
--- a/crates/daemon/src/leader/entries.rs
+++ b/crates/daemon/src/leader/entries.rs
@@ -1,6 +1,13 @@
 //! Entry VMs: their word, their leases, and what is new for them.
 
 use super::*;
+use yuccalink_state::document::Accepted;
+
+/// Bytes of documents told at once, but always one document: a quarter of a second on a
+/// link of 2 Mbit/s. What took longer than a call may would never arrive.
+const DOCUMENTS_BYTES: usize = 64 * 1024;
+/// Runners told of at once, at about 150 bytes each.
+const RUNNERS_MAX: usize = 400;
 
 impl Leader {
     /// Takes in an entry's word; its lease is renewed by the answer.
@@ -46,17 +53,13 @@
     pub(crate) fn news_for(&self, state: &EntryState) -> (News, bool) {
         let same_term = state.term == self.term;
         let table_version = if same_term { state.table_version } else { 0 };
-        let documents: Vec<_> = self
-            .machine
-            .services()
-            .filter(|service| service.accepted.revision.0 > state.acked)
-            .map(|service| service.accepted.clone())
-            .collect();
-        let runners = self.directory.changes(table_version);
+        let (documents, revision) = self.documents_after(state.acked);
+        let (runners, upto) = self.directory.changes(table_version, RUNNERS_MAX);
         let any = !same_term
             || self.machine.revision().0 > state.acked
             || (self.settled && !state.settled)
             || self.directory.version() > table_version;
+        let complete = revision == self.machine.revision().0 && upto == self.directory.version();
         let runners = runners.into_iter().map(|change| RunnerChange {
             spec: change.spec,
             usable: change.usable,
@@ -65,16 +68,35 @@
         });
         let news = News {
             term: self.term,
-            revision: self.machine.revision().0,
+            revision,
             documents,
-            table_version: self.directory.version(),
+            table_version: upto,
             runners: runners.collect(),
             entries: self.neighbours(),
-            settled: self.settled,
+            settled: self.settled && complete,
         };
         (news, any)
     }
 
+    /// The documents accepted after `revision`, the oldest first and not more than a call
+    /// carries over a slow link, with the revision up to which they go.
+    fn documents_after(&self, revision: u64) -> (Vec<Accepted>, u64) {
+        let accepted = self.machine.services().map(|service| &service.accepted);
+        let mut new: Vec<&Accepted> = accepted.filter(|a| a.revision.0 > revision).collect();
+        new.sort_by_key(|accepted| accepted.revision);
+        let mut bytes = 0;
+        let fits = |accepted: &&&Accepted| {
+            bytes += accepted.text.len();
+            bytes <= DOCUMENTS_BYTES || bytes == accepted.text.len()
+        };
+        let told: Vec<Accepted> = new.iter().take_while(fits).map(|a| Accepted::clone(a)).collect();
+        let upto = match told.len() < new.len() {
+            true => told.last().map_or(revision, |last| last.revision.0),
+            false => self.machine.revision().0,
+        };
+        (told, upto)
+    }
+
     pub(super) fn neighbours(&self) -> Vec<Neighbour> {
         let now = self.clock.now();
         let alive = self.entries.iter().filter(|(_, entry)| entry.may_hold_lease(now));
--- /dev/null
+++ b/crates/fakes/src/slow_link.rs
@@ -0,0 +1,61 @@
+//! A link that carries little: a forwarder between two processes.
+
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+/// Bytes that pass at once.
+const PIECE: usize = 1_000;
+
+/// Forwards connections at `at` to `to`, each direction of each at `rate` bytes a second,
+/// until the process ends.
+///
+/// # Errors
+/// When `at` is taken.
+///
+/// ```
+/// use std::io::{Read, Write};
+/// use std::net::{SocketAddr, TcpListener, TcpStream};
+/// let far = TcpListener::bind("127.0.0.1:0")?;
+/// let any = SocketAddr::from(([127, 0, 0, 1], 0));
+/// let near = yuccalink_fakes::slow_link::forward(any, far.local_addr()?, 100_000)?;
+/// TcpStream::connect(near)?.write_all(b"slowly")?;
+/// let mut told = String::new();
+/// far.accept()?.0.read_to_string(&mut told)?;
+/// assert_eq!(told, "slowly");
+/// # Ok::<(), std::io::Error>(())
+/// ```
+pub fn forward(at: SocketAddr, to: SocketAddr, rate: u64) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(at)?;
+    let at = listener.local_addr()?;
+    thread::spawn(move || {
+        for from in listener.incoming().flatten() {
+            if let Ok(into) = TcpStream::connect(to) {
+                let _ = both_ways(&from, &into, rate);
+            }
+        }
+    });
+    Ok(at)
+}
+
+fn both_ways(from: &TcpStream, into: &TcpStream, rate: u64) -> io::Result<()> {
+    for (from, into) in [(from, into), (into, from)] {
+        let (from, into) = (from.try_clone()?, into.try_clone()?);
+        thread::spawn(move || pump(from, into, rate));
+    }
+    Ok(())
+}
+
+fn pump(mut from: TcpStream, mut into: TcpStream, rate: u64) {
+    let mut buf = [0; PIECE];
+    while let Ok(count) = from.read(&mut buf) {
+        thread::sleep(Duration::from_micros(count as u64 * 1_000_000 / rate));
+        if count == 0 || into.write_all(&buf[..count]).is_err() {
+            break;
+        }
+    }
+    // Either may be closed already.
+    let _ = into.shutdown(Shutdown::Both);
+    let _ = from.shutdown(Shutdown::Both);
+}
--- a/crates/yuccalink/tests/narrow_link.rs
+++ b/crates/yuccalink/tests/narrow_link.rs
@@ -1,11 +1,9 @@
 //! The operator's commands at an entry without a disk whose link to the leader is slow.
 
-use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output};
-use std::thread;
-use std::time::Duration;
+use yuccalink_fakes::slow_link;
 
 const CALLERS: u16 = 8_080;
 const CONTROL: u16 = 8_081;
@@ -15,32 +13,6 @@
 /// What the slow link carries, in bytes a second and direction: a fifth of 2 Mbit/s, so
 /// that no speed of the machine decides whether a large body passes within a second.
 const RATE: u64 = 50_000;
-const PIECE: usize = 1_000;
-
-/// Forwards connections at `at` to `to`, slowly, until the test's process ends.
-fn forward_slowly(at: SocketAddr, to: SocketAddr) {
-    let listener = TcpListener::bind(at).expect("the forwarder's address is free");
-    thread::spawn(move || {
-        for from in listener.incoming().flatten() {
-            let Ok(into) = TcpStream::connect(to) else { continue };
-            let back = (into.try_clone().expect("a handle"), from.try_clone().expect("a handle"));
-            thread::spawn(move || pump(from, into));
-            thread::spawn(move || pump(back.0, back.1));
-        }
-    });
-}
-
-fn pump(mut from: TcpStream, mut into: TcpStream) {
-    let mut buf = [0; PIECE];
-    while let Ok(count) = from.read(&mut buf) {
-        thread::sleep(Duration::from_micros(count as u64 * 1_000_000 / RATE));
-        if count == 0 || into.write_all(&buf[..count]).is_err() {
-            break;
-        }
-    }
-    let _ = into.shutdown(std::net::Shutdown::Both);
-}
-
 /// A leader with a disk, and an entry without one behind a slow link to it.
 struct Cell {
     children: Vec<Child>,
@@ -53,7 +25,7 @@
         let folder = tempfile::tempdir().expect("a folder");
         let mut cell = Self { children: Vec::new(), folder, number };
         let forwarder = cell.at(1, FORWARDER);
-        forward_slowly(forwarder, cell.at(1, PEER));
+        slow_link::forward(forwarder, cell.at(1, PEER), RATE).expect("its address is free");
         let data = cell.folder.path().join("data").display().to_string();
         let advertised = forwarder.to_string();
         cell.launch(1, &["--found", "yes", "--data", &data, "--peer-advertised", &advertised]);
--- /dev/null
+++ b/crates/yuccalinkd/tests/slow_link.rs
@@ -0,0 +1,37 @@
+//! A daemon without a disk whose links to the voters carry little.
+
+mod support;
+
+use std::net::SocketAddr;
+use support::{Daemons, VOTERS, until};
+use yuccalink_fakes::slow_link;
+
+/// Bytes a second: a fifth of 2 Mbit/s.
+const RATE: u64 = 50_000;
+/// With 40 KB each they take 9.6 s over the link, six times what one call may.
+const SERVICES: usize = 12;
+const TEXT: usize = 40_000;
+
+/// More documents than the link carries within one call kept an entry out of service for ever.
+#[test]
+fn an_entry_behind_a_slow_link_comes_into_service_with_any_number_of_documents() {
+    let mut daemons = Daemons::start(4);
+    for service in 0..SERVICES {
+        let comment = "#".repeat(TEXT);
+        let text = format!("service = 's{service}'\nteam = 't'\nversion = 1\n{comment}\n");
+        let reply = daemons.control(0).put(&format!("/v1/services/s{service}"), text.as_bytes());
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+    daemons.kill(3);
+    let slow = |voter| {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        slow_link::forward(any, daemons.address(voter, 8082), RATE).expect("a forwarder")
+    };
+    let voters: Vec<SocketAddr> = (0..VOTERS).map(slow).collect();
+    daemons.launch_with(3, &voters);
+    until("the entry behind the slow link", || daemons.is_ready(3).then_some(()));
+    for service in 0..SERVICES {
+        let reply = daemons.control(3).get(&format!("/v1/services/s{service}"));
+        assert_eq!(reply.expect("an answer").status, 200, "s{service}");
+    }
+}
--- a/crates/yuccalinkd/tests/support/mod.rs
+++ b/crates/yuccalinkd/tests/support/mod.rs
@@ -89,9 +89,14 @@
     }
 
     pub fn launch(&mut self, at: usize) {
-        let voters: Vec<String> = (0..VOTERS)
-            .map(|voter| format!("e{}={}", voter + 1, self.address(voter, 8082)))
-            .collect();
+        let voters: Vec<SocketAddr> = (0..VOTERS).map(|voter| self.address(voter, 8082)).collect();
+        self.launch_with(at, &voters);
+    }
+
+    /// Starts a daemon that reaches the voters at these addresses.
+    pub fn launch_with(&mut self, at: usize, voters: &[SocketAddr]) {
+        let voters = voters.iter().enumerate();
+        let voters: Vec<String> = voters.map(|(v, to)| format!("e{}={to}", v + 1)).collect();
         let log = self.folder.path().join(format!("e{}.log", at + 1));
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log).expect("a log");
         let mut command = Command::new(env!("CARGO_BIN_EXE_yuccalinkd"));
