Every order of lost disks and cuts during a repair of the voters, by enumeration

A question of the incident: is there an order of lost disks, cuts and steps of a repair after which no majority of the voters can come together? The test takes every one: five voters of five to eight disks, up to two disks lost (their machines gone, or back with empty disks) and one machine cut off, at any step of the leader's changes of members, and asserts after each that voters with their disks are a majority.

None is found.

--- a/crates/coordination/tests/voters.rs
+++ b/crates/coordination/tests/voters.rs
@@ -147,3 +147,108 @@
     let (members, _) = voters::next(&view, 3).expect("it votes");
     assert_eq!(ids(&members.voters), [1, 2]);
 }
+
+/// What happens to a machine.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    /// It is cut off, and comes back with its disk some day.
+    CutOff,
+    /// It stays away.
+    Gone,
+    /// It is back at its address with an empty disk.
+    Replaced,
+}
+
+/// Where a change of voters stands: what the leader sees, and which disks are lost.
+#[derive(Clone)]
+struct Repair {
+    view: View,
+    lost: Vec<ReplicaId>,
+    cut_off: Vec<ReplicaId>,
+    next_id: u64,
+}
+
+impl Repair {
+    /// Whether the voters that have their disk, now or once they are back, are a majority.
+    fn has_majority(&self) -> bool {
+        let voters = &self.view.members.voters;
+        let left = voters.iter().filter(|voter| !self.lost.contains(&voter.id)).count();
+        left > voters.len() / 2
+    }
+
+    fn is_up(&self, id: ReplicaId) -> bool {
+        !self.lost.contains(&id) && !self.cut_off.contains(&id)
+    }
+
+    fn strike(&self, at: &Member, fate: Fate) -> Option<Self> {
+        let mut after = self.clone();
+        match fate {
+            Fate::CutOff => after.cut_off.push(at.id),
+            Fate::Gone | Fate::Replaced => after.lost.push(at.id),
+        }
+        after.view.silent.insert(at.id, voters::REPLACE_AFTER);
+        after.view.caught_up.retain(|id| *id != at.id);
+        after.view.disks.retain(|disk| disk.member.id != at.id);
+        if fate == Fate::Replaced {
+            after.view.disks.push(disk(after.next_id, &at.address, &format!("z{}", at.id.0)));
+            after.next_id += 1;
+        }
+        // Whoever is left may lead.
+        let left = after.view.members.voters.iter().find(|voter| after.is_up(voter.id))?;
+        after.view.own = left.id;
+        Some(after)
+    }
+
+    /// The leader's next step; a leader without a majority in touch can take none.
+    fn take_step(&self) -> Option<Self> {
+        let voters = &self.view.members.voters;
+        let up = voters.iter().filter(|voter| self.is_up(voter.id)).count();
+        if up <= voters.len() / 2 {
+            return None;
+        }
+        let mut after = self.clone();
+        after.view.members = voters::next(&self.view, voters::wanted(LOSSES)).map(|(to, _)| to)?;
+        for member in after.view.members.all().filter(|member| self.is_up(member.id)) {
+            after.view.silent.insert(member.id, Duration::ZERO);
+            after.view.caught_up.push(member.id);
+        }
+        Some(after)
+    }
+
+    /// Strikes at this point or any later one, with so many disks still to lose and machines
+    /// to cut off, and counts the ends reached.
+    fn explore(&self, disks: usize, cuts: usize) -> usize {
+        assert!(self.has_majority(), "{:?} lost of {:?}", self.lost, self.view.members.voters);
+        let up = self.view.members.all().filter(|member| self.is_up(member.id));
+        let mut ends = 0;
+        for member in up {
+            for (fate, disks, cuts) in [
+                (Fate::CutOff, Some(disks), cuts.checked_sub(1)),
+                (Fate::Gone, disks.checked_sub(1), Some(cuts)),
+                (Fate::Replaced, disks.checked_sub(1), Some(cuts)),
+            ] {
+                if let (Some(disks), Some(cuts)) = (disks, cuts)
+                    && let Some(after) = self.strike(member, fate)
+                {
+                    ends += after.explore(disks, cuts);
+                }
+            }
+        }
+        ends + self.take_step().map_or(1, |after| after.explore(disks, cuts))
+    }
+}
+
+const LOSSES: usize = 2;
+
+/// A disk lost between two steps of a repair left the voters without a majority for good.
+#[test]
+fn no_two_disks_lost_at_any_step_of_a_repair_take_the_majority() {
+    const CUTS: usize = 1;
+    for count in 5..=8 {
+        let all: Vec<u64> = (1..=count).collect();
+        let (voters, learners) = all.split_at(voters::wanted(LOSSES));
+        let view = view(voters, learners, disks(&all));
+        let repair = Repair { view, lost: Vec::new(), cut_off: Vec::new(), next_id: 100 };
+        assert!(repair.explore(LOSSES, CUTS) > 1_000, "{count} disks");
+    }
+}
