--- a/crates/yuccalink/tests/cell.rs
+++ b/crates/yuccalink/tests/cell.rs
@@ -1,9 +1,11 @@
 //! The operator's commands against a job cell of one process.
 
+mod support;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::Duration;
+use support::daemon;
 use tempfile::TempDir;
 
 struct Cell {
@@ -13,16 +15,6 @@
     control: SocketAddr,
 }
 
-/// The daemon beside this test's program; the workspace's tests build it.
-fn daemon() -> PathBuf {
-    let mut path = std::env::current_exe().expect("this test's path");
-    path.pop();
-    path.pop();
-    path.push("yuccalinkd");
-    assert!(path.exists(), "{} is missing; run `cargo build --bins` first", path.display());
-    path
-}
-
 impl Cell {
     /// On a loopback address of its own, so that fixed ports are free.
     fn start() -> Self {
--- a/crates/yuccalink/tests/narrow_link.rs
+++ b/crates/yuccalink/tests/slow_link.rs
@@ -1,8 +1,11 @@
 //! The operator's commands at an entry without a disk whose link to the leader is slow.
 
+mod support;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Output};
+use support::daemon;
 use yuccalink_fakes::slow_link;
 
 const CALLERS: u16 = 8_080;
@@ -85,15 +88,6 @@
     }
 }
 
-fn daemon() -> PathBuf {
-    let mut path = std::env::current_exe().expect("this test's path");
-    path.pop();
-    path.pop();
-    path.push("yuccalinkd");
-    assert!(path.exists(), "{} is missing; run `cargo build --bins` first", path.display());
-    path
-}
-
 /// A change set of at least `size` bytes.
 fn change(version: u64, size: usize) -> String {
     let queue = |at: usize| {
