The test of a large answer no longer depends on the machine's speed

Cause: its document gives the request 800 ms, and a debug build does not pass 200 MB in that time on a busy machine; an entry cuts an answer at its deadline, as it promises.

The replacement is as strict: the same 200 MB must arrive whole, and memory may grow by the same 16 MiB. Only the deadline of the request, which the test is not about, is longer.

--- a/crates/yuccalinkd/tests/program.rs
+++ b/crates/yuccalinkd/tests/program.rs
@@ -65,7 +65,10 @@
     }
 
     fn apply(&self, version: u64) -> Option<String> {
-        let text = DOCUMENT.replace("version = 1", &format!("version = {version}"));
+        self.apply_text(&DOCUMENT.replace("version = 1", &format!("version = {version}")))
+    }
+
+    fn apply_text(&self, text: &str) -> Option<String> {
         let caller = Caller::new(self.control);
         let reply = caller.put("/v1/services/quotes?wait=false", text.as_bytes()).ok()?;
         (reply.status == 200).then(|| reply.text())
@@ -230,7 +233,9 @@
 fn a_large_answer_streams_in_constant_memory() {
     let folder = tempfile::tempdir().expect("a folder");
     let running = Running::start(folder.path());
-    assert!(running.apply(1).is_some());
+    // The whole answer must pass within its deadline, also on a busy machine.
+    let patient = DOCUMENT.replace("deadline = \"800ms\"", "deadline = \"60s\"");
+    assert!(patient != DOCUMENT && running.apply_text(&patient).is_some());
     let (mut runner, caller) = running.with_runner();
     let peak = || -> u64 {
         let path = format!("/proc/{}/status", running.child.id());
