A leader takes the vote of its own former disk at once

What callers saw: nothing was served any more, for good.

Process 2 was elected. A voter counts as replaced where another disk is heard at its address, but a process does not hear itself; and its silence counts anew with each leader. So its own former disk kept its vote for five seconds, four voters with one that is gone for ever, and in that time the final fault took process 2's disk again: two of four are no majority. The disks were lost 9 s apart, which is more than a machine counts as lost after it is back.

Ruled out: the read itself; every process was asked and none knew a leader.

Change: the leader's own disk counts like those that it hears. Test: fails before (no step is offered), passes now. The enumeration of repairs did not find it, since it takes each lost disk as silent for long, whoever leads.

--- a/crates/coordination/src/voters.rs
+++ b/crates/coordination/src/voters.rs
@@ -76,13 +76,12 @@
         self.silent(id) < REPLACE_AFTER
     }
 
-    /// Another disk announces itself at the member's address: its own is gone.
+    /// Another disk is at the member's address, be it the leader's: the member's is gone.
     fn is_replaced(&self, member: &Member) -> bool {
-        self.disks.iter().any(|disk| {
-            disk.member.address == member.address
-                && disk.member.id != member.id
-                && disk.silent < REPLACE_AFTER
-        })
+        let heard = self.disks.iter().filter(|disk| disk.silent < REPLACE_AFTER);
+        let own = self.members.get(self.own);
+        let mut others = heard.map(|disk| &disk.member).chain(own);
+        others.any(|other| other.address == member.address && other.id != member.id)
     }
 
     fn zone_of(&self, member: &Member) -> Option<&str> {
--- a/crates/coordination/tests/voters.rs
+++ b/crates/coordination/tests/voters.rs
@@ -252,3 +252,17 @@
         assert!(repair.explore(LOSSES, CUTS) > 1_000, "{count} disks");
     }
 }
+
+/// A process that led with a replaced disk left the former disk its vote for five seconds more; one more lost disk then took the majority for good.
+#[test]
+fn a_leader_takes_the_vote_of_its_own_former_disk_at_once() {
+    let mut view = view(&[1, 2, 3, 9], &[], disks(&[1, 3]));
+    view.own = ReplicaId(9);
+    for voter in &mut view.members.voters {
+        if voter.id == view.own {
+            voter.address = "a2".into();
+        }
+    }
+    let (after, _) = voters::next(&view, 3).expect("the former disk votes no more");
+    assert_eq!(ids(&after.voters), [1, 3, 9]);
+}
