A request to a job cell is one value in the operators' client

Six arguments were passed through two functions that differ by one. No behaviour changes; tests of the command and the client pass.

--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -68,6 +68,15 @@
     }
 }
 
+/// A request to a job cell.
+struct CellCall<'a> {
+    method: Method,
+    host: Option<&'a str>,
+    path: &'a str,
+    body: Vec<u8>,
+    deadline: Instant,
+}
+
 /// What a process of a job cell answers.
 enum CellAnswer {
     Here(u16, Vec<u8>),
@@ -203,10 +212,11 @@
         body: Vec<u8>,
     ) -> Result<(u16, Vec<u8>)> {
         let deadline = Instant::now() + self.timeout;
+        let call = CellCall { method, host, path, body, deadline };
         let mut last: Box<str> = "none is set".into();
         loop {
             for server in &self.servers {
-                match self.follow_cell(*server, &method, host, path, &body, deadline).await {
+                match self.follow_cell(*server, &call).await {
                     Ok((503 | 504, _)) => last = "it cannot answer now".into(),
                     Ok(answer) => return Ok(answer),
                     Err(why) => last = why.into(),
@@ -223,15 +233,11 @@
     async fn follow_cell(
         &self,
         server: SocketAddr,
-        method: &Method,
-        host: Option<&str>,
-        path: &str,
-        body: &[u8],
-        deadline: Instant,
+        call: &CellCall<'_>,
     ) -> std::result::Result<(u16, Vec<u8>), String> {
         let mut to = server;
         for _ in 0..=REDIRECTS_MAX {
-            match self.try_cell(to, method, host, path, body, deadline).await? {
+            match self.try_cell(to, call).await? {
                 CellAnswer::Here(status, body) => return Ok((status, body)),
                 CellAnswer::Elsewhere(leader) => to = leader,
             }
@@ -242,27 +248,23 @@
     async fn try_cell(
         &self,
         server: SocketAddr,
-        method: &Method,
-        host: Option<&str>,
-        path: &str,
-        body: &[u8],
-        deadline: Instant,
+        call: &CellCall<'_>,
     ) -> std::result::Result<CellAnswer, String> {
         let own = server.to_string();
         let req = Request::builder()
-            .method(method.clone())
-            .uri(path)
-            .header(header::HOST, host.unwrap_or(&own))
+            .method(call.method.clone())
+            .uri(call.path)
+            .header(header::HOST, call.host.unwrap_or(&own))
             .header(header::CONTENT_TYPE, yuccalink_transport::reply::JSON)
-            .body(body.to_vec().into())
+            .body(call.body.clone().into())
             .map_err(|e| e.to_string())?;
-        let answer = self.pool.send(server, req, deadline).await.map_err(|e| e.to_string())?;
+        let answer = self.pool.send(server, req, call.deadline).await.map_err(|e| e.to_string())?;
         let status = answer.head.status;
         if status.is_redirection() {
             let leader = redirected(&answer).ok_or("it redirects to no address")?;
             return Ok(CellAnswer::Elsewhere(leader));
         }
-        Ok(CellAnswer::Here(status.as_u16(), read_whole(answer, deadline).await?))
+        Ok(CellAnswer::Here(status.as_u16(), read_whole(answer, call.deadline).await?))
     }
 
     async fn get<T>(&self, path: &str) -> Result<T>
