Runners stay with the process that answers them; a leader no longer holds all

Cause: every answer to a report named the leader, so all runners ended up there: 3,320 connections of 4,100 descriptors, an HTTP exchange and a JSON body for each report, and after a change of leader a connect from each of them (353 a second). Change: an answer names the process that gives it, unless that one is about to stop; entries pass reports on over the one connection that they have to the leader, as they did for a runner's first report. The answer's context goes; orders carry the address. Why it holds: an entry keeps nothing of a runner. Leases and starts are the leader's alone, a report seen twice is known by its sequence, an answer later than a second is dropped by the runner.

--- a/crates/coordination/src/jobs/ask.rs
+++ b/crates/coordination/src/jobs/ask.rs
@@ -205,6 +205,8 @@
     pub rates: Vec<(TaskKey, u32, u8)>,
     /// When to report again.
     pub retry_after_ms: u64,
+    /// Where to report from now on; set by the process that answers the runner.
+    pub report_to: Option<SocketAddr>,
 }
 
 /// What the leader answers.
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -400,6 +400,7 @@
             stop,
             rates,
             retry_after_ms: millis(retry),
+            report_to: None,
         };
         self.answer(token, Answer::Orders(Box::new(orders)));
     }
--- a/crates/daemon/src/cell.rs
+++ b/crates/daemon/src/cell.rs
@@ -22,6 +22,6 @@
 mod seats;
 
 pub use config::{CellConfig, CellConfigBuilder};
-pub use dialect::{Dialect, Incoming, Outgoing, Reply, ReplyContext, Settings};
+pub use dialect::{Dialect, Incoming, Outgoing, Reply, Settings};
 pub use native::{Native, caller_ask, json, number, parse, plain_reply, problem};
 pub use run::run;
--- a/crates/daemon/src/cell/dialect.rs
+++ b/crates/daemon/src/cell/dialect.rs
@@ -49,13 +49,6 @@
     }
 }
 
-/// What an answer may need beside itself.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ReplyContext {
-    /// Where runners and operators reach the process that leads.
-    pub leader: Option<SocketAddr>,
-}
-
 /// One HTTP interface of the cell: its own, or that of a platform.
 pub trait Dialect {
     /// A caller's request.
@@ -71,7 +64,7 @@
     fn control(&self, req: Incoming<'_>) -> Result<Ask, Reply>;
 
     /// The response to an answer.
-    fn reply(&self, answer: Answer, cx: ReplyContext) -> Reply;
+    fn reply(&self, answer: Answer) -> Reply;
 
     /// The request for a call to a service outside; none where there is no such
     /// service.
--- a/crates/daemon/src/cell/http.rs
+++ b/crates/daemon/src/cell/http.rs
@@ -1,6 +1,6 @@
 //! HTTP for callers, runners, operators and the balancer.
 
-use crate::cell::dialect::{Dialect, Incoming, Reply, ReplyContext};
+use crate::cell::dialect::{Dialect, Incoming, Reply};
 use crate::cell::native;
 use crate::cell::node::{PassOn, Shared};
 use bytes::Bytes;
@@ -156,10 +156,11 @@
             };
             match site.node.ask(ask, pass_on, budget).await {
                 Answer::AskLeader { control } => Reply::elsewhere(control, path),
-                answer => {
-                    let cx = ReplyContext { leader: site.node.leader_control() };
-                    site.dialect.reply(answer, cx)
+                Answer::Orders(mut orders) => {
+                    orders.report_to = site.node.takes_reports_at();
+                    site.dialect.reply(Answer::Orders(orders))
                 }
+                answer => site.dialect.reply(answer),
             }
         }
     };
--- a/crates/daemon/src/cell/native.rs
+++ b/crates/daemon/src/cell/native.rs
@@ -4,7 +4,7 @@
 //! taken from the `Host` header. Runners: `POST /v1/runners/ID/heartbeat` and
 //! `/leave`. Operators: `PUT` and `GET /v1/change`.
 
-use crate::cell::dialect::{Dialect, Incoming, Outgoing, Reply, ReplyContext};
+use crate::cell::dialect::{Dialect, Incoming, Outgoing, Reply};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
@@ -73,7 +73,7 @@
         }
     }
 
-    fn reply(&self, answer: Answer, _: ReplyContext) -> Reply {
+    fn reply(&self, answer: Answer) -> Reply {
         match answer {
             Answer::Orders(orders) => json(200, &*orders),
             Answer::Invalid(what) => problem(400, &what),
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -330,6 +330,19 @@
         !self.is_draining() && self.with(|node| node.is_serving())
     }
 
+    /// Where a runner that has reported here sends its later reports. Every process keeps the
+    /// connections of its own runners and passes their reports on over one: a leader that all
+    /// of them connect to runs out of descriptors and processor time at some thousands.
+    pub(crate) fn takes_reports_at(&self) -> Option<SocketAddr> {
+        match self.is_draining() {
+            true => None,
+            // An address that stands for any of this VM's names none that others reach.
+            false => {
+                self.with(|node| node.roster.me.control.filter(|at| !at.ip().is_unspecified()))
+            }
+        }
+    }
+
     /// Where runners and operators reach the process that leads.
     pub(crate) fn leader_control(&self) -> Option<SocketAddr> {
         self.with(|node| node.known_lead().and_then(|lead| lead.control))
--- a/crates/soak/src/runners.rs
+++ b/crates/soak/src/runners.rs
@@ -42,20 +42,23 @@
     let id = format!("w{at}");
     let mut runner = EmulatedRunner::new(&id, "r1", 1_000 + at as u64, CAPACITY, now());
     let mut node = at;
+    let mut told: Option<SocketAddr> = None;
     loop {
         let sent = now();
         let report = runner.report(sent);
         watch.borrow_mut().happened(at, runner.take_happened());
         let Ok(body) = serde_json::to_vec(&report) else { return };
-        let to = nodes[node % nodes.len()];
+        let to = told.unwrap_or(nodes[node % nodes.len()]);
         let path = format!("/v1/runners/{id}/heartbeat");
         let orders = post(&pool, to, &path, body).await;
         let pause = match orders {
             Some(orders) => {
+                told = orders.report_to;
                 runner.obey(now(), sent, &orders, |task| Some(truth(task)));
                 Duration::from_millis(orders.retry_after_ms.max(50))
             }
             None => {
+                told = None;
                 node += 1;
                 AGAIN
             }
--- a/crates/yuccalink/tests/support/mod.rs
+++ b/crates/yuccalink/tests/support/mod.rs
@@ -1,6 +1,10 @@
 //! What the tests of the command share.
+#![allow(dead_code, missing_docs)]
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::process::{Child, Command, Output};
+use yuccalink_fakes::slow_link;
 
 /// The daemon beside the test's program; the workspace's tests build it.
 pub fn daemon() -> PathBuf {
@@ -11,3 +15,104 @@
     assert!(path.exists(), "{} is missing; run `cargo build --bins` first", path.display());
     path
 }
+
+pub const CALLERS: u16 = 8_080;
+pub const CONTROL: u16 = 8_081;
+pub const PEER: u16 = 8_082;
+const FORWARDER: u16 = 8_083;
+
+/// A leader with a disk, e1, and an entry without one, e2.
+pub struct Cell {
+    children: Vec<Child>,
+    pub folder: tempfile::TempDir,
+    number: u8,
+}
+
+impl Cell {
+    /// `number` is the last part of e1's address, less one; no two cells of one test program
+    /// may share any of it.
+    pub fn start(number: u8) -> Self {
+        let cell = Self::new(number);
+        let leader = cell.at(1, PEER);
+        cell.launched(leader)
+    }
+
+    /// The link from e2 to the leader carries `rate` bytes a second in each direction.
+    pub fn start_linked(number: u8, rate: u64) -> Self {
+        let cell = Self::new(number);
+        let forwarder = cell.at(1, FORWARDER);
+        slow_link::forward(forwarder, cell.at(1, PEER), rate).expect("its address is free");
+        cell.launched(forwarder)
+    }
+
+    fn new(number: u8) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        Self { children: Vec::new(), folder, number }
+    }
+
+    fn launched(mut self, leader: SocketAddr) -> Self {
+        let data = self.folder.path().join("data").display().to_string();
+        let advertised = leader.to_string();
+        self.launch(1, &["--found", "yes", "--data", &data, "--peer-advertised", &advertised]);
+        self.launch(2, &["--seeds", &advertised]);
+        self
+    }
+
+    /// Loopback addresses of this process, so that fixed ports are free.
+    pub fn at(&self, entry: u8, port: u16) -> SocketAddr {
+        let id = std::process::id();
+        let host = Ipv4Addr::new(127, (id >> 8) as u8 | 1, id as u8, self.number + entry);
+        SocketAddr::new(IpAddr::V4(host), port)
+    }
+
+    fn launch(&mut self, entry: u8, more: &[&str]) {
+        let log = self.folder.path().join(format!("e{entry}.log"));
+        let log = std::fs::File::create(log).expect("a log");
+        let child = Command::new(daemon())
+            .args(["cell", "--name", &format!("e{entry}")])
+            .args(["--peer", &self.at(entry, PEER).to_string()])
+            .args(["--callers", &self.at(entry, CALLERS).to_string()])
+            .args(["--control", &self.at(entry, CONTROL).to_string()])
+            .args(more)
+            .stdout(log)
+            .spawn()
+            .expect("the daemon");
+        self.children.push(child);
+    }
+
+    /// SIGTERM, without waiting for its end.
+    pub fn stop(&self, entry: u8) {
+        let id = self.children[usize::from(entry) - 1].id().to_string();
+        let done = Command::new("kill").args(["-TERM", &id]).status();
+        assert!(done.expect("kill").success());
+    }
+
+    pub fn run(&self, entry: u8, words: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_yuccalink"))
+            .args(["--server", &self.at(entry, CONTROL).to_string(), "--timeout", "20s"])
+            .args(words)
+            .output()
+            .expect("the command")
+    }
+
+    pub fn good(&self, entry: u8, words: &[&str]) -> String {
+        let output = self.run(entry, words);
+        let shown = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{words:?} at e{entry}: {shown}{}", self.lines_of(2));
+        String::from_utf8_lossy(&output.stdout).trim().into()
+    }
+
+    pub fn lines_of(&self, entry: u8) -> String {
+        let log = self.folder.path().join(format!("e{entry}.log"));
+        std::fs::read_to_string(log).unwrap_or_default()
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        for child in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
