Why jobs wait is found without a look at every runner for each job

Cause: the account of what holds jobs up looked, four times a second, at every runner for every waiting job. Ruled out: ranking (0.1 %), the log, the decision about one report (4 %). Change: one pass over the pool a look; a job then sees the runners with most free processors, as long as they have enough, 32 at most. The benchmark ticks every 25 ms as the daemon does, and not after each report, and plays 3,000 runners too. Why it holds: where no runner has enough free, the first one says so; where some have, the cause is told by the first that may take the task, which is nearly always among 32.

--- a/crates/coordination/benches/leader.rs
+++ b/crates/coordination/benches/leader.rs
@@ -13,6 +13,8 @@
 
 /// Simulated time that is played.
 const PLAYED: Duration = Duration::from_secs(20);
+/// As the daemon does.
+const TICK: Duration = Duration::from_millis(25);
 const REPORT_EVERY: Duration = Duration::from_millis(500);
 const WORK: Duration = Duration::from_millis(2_000);
 const CAPACITY: Resources = Resources { millicores: 32_000, memory_mib: 125_000, accelerators: 0 };
@@ -119,6 +121,7 @@
         let gap = REPORT_EVERY / u32::try_from(count).unwrap_or(1);
         let until = self.now + PLAYED;
         let (mut next, mut jobs, mut due) = (0, 0_u64, 0.0);
+        let mut ticked = self.now;
         while self.now < until {
             self.now = self.now + gap;
             due += gap.as_secs_f64() * count as f64 * JOBS_A_RUNNER;
@@ -129,9 +132,12 @@
             }
             self.report(next % count);
             next += 1;
-            let begun = Instant::now();
-            self.leader.tick(at(self.now));
-            self.spent.time += begun.elapsed();
+            if self.now.since(ticked) >= TICK {
+                ticked = self.now;
+                let begun = Instant::now();
+                self.leader.tick(at(self.now));
+                self.spent.time += begun.elapsed();
+            }
         }
         self.spent
     }
@@ -143,7 +149,7 @@
 
 fn main() {
     println!("runners  heartbeats/s  starts/s  us a heartbeat  of a core at that rate");
-    for runners in [48, 350, 1_000] {
+    for runners in [48, 350, 1_000, 3_000] {
         let spent = Cell::new(runners).play();
         let seconds = PLAYED.as_secs_f64();
         println!(
--- a/crates/coordination/src/jobs/account.rs
+++ b/crates/coordination/src/jobs/account.rs
@@ -6,15 +6,19 @@
 use super::leader::{Leader, Now};
 use super::ready::GroupKey;
 use super::runner::{RunView, Runner, Trust};
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::fmt;
 use std::time::Duration;
+use yuccalink_state::Resources;
 use yuccalink_state::jobs::{Job, JobId, JobPhase, StepSpec, TaskKey};
 
 /// How often jobs are looked at; a look counts for as long.
 pub(super) const LOOK_EVERY: Duration = Duration::from_millis(250);
 /// A run that takes this many times as long as guessed lags.
 const LAGS_BY: u32 = 2;
+/// Runners with room that are looked at for one job: more would hardly tell another cause.
+const LOOKED_AT_MAX: usize = 32;
 
 /// What holds a job up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
@@ -107,22 +111,42 @@
     }
 }
 
+/// Runners that take tasks, by pool, those with most processors free first.
+struct Vacancies<'a> {
+    by_pool: HashMap<&'a str, Vec<&'a Runner>>,
+    /// Runners looked at so far.
+    looked_at: u64,
+}
+
+impl<'a> Vacancies<'a> {
+    /// Some runners of a pool with room for a task.
+    fn with_room(&mut self, pool: &str, need: Resources) -> Vec<&'a Runner> {
+        let runners = self.by_pool.get(pool).into_iter().flatten().copied();
+        let enough = runners.take_while(|runner| runner.free.millicores >= need.millicores);
+        let looked_at: Vec<&Runner> = enough.take(LOOKED_AT_MAX).collect();
+        self.looked_at += looked_at.len() as u64;
+        looked_at.into_iter().filter(|runner| runner.free.holds(need)).collect()
+    }
+}
+
 impl Leader {
     /// Looks at every job that is to end.
     pub(super) fn keep_accounts(&mut self, now: Now) {
         let mut held_up = Vec::new();
         let mut overdue = Vec::new();
+        let mut vacancies = self.vacancies(now);
         for (id, job) in self.jobs.all() {
             if job.phase != JobPhase::Active || self.ready.lasts_or_comes_later(id) {
                 continue;
             }
-            if let Some(cause) = self.what_holds_up(now, id, job) {
+            if let Some(cause) = self.what_holds_up(now, id, job, &mut vacancies) {
                 held_up.push((id, cause));
             }
             if self.ready.is_overdue(id, now.at) {
                 overdue.push(id);
             }
         }
+        self.counts.looked_at += vacancies.looked_at;
         for (id, cause) in held_up {
             self.accounts.add(id, cause);
         }
@@ -133,9 +157,15 @@
         }
     }
 
-    fn what_holds_up(&self, now: Now, id: JobId, job: &Job) -> Option<HeldUp> {
+    fn what_holds_up(
+        &self,
+        now: Now,
+        id: JobId,
+        job: &Job,
+        vacancies: &mut Vacancies<'_>,
+    ) -> Option<HeldUp> {
         if let Some(group) = self.ready.first_waiting(id) {
-            return Some(self.why_waits(now, group));
+            return Some(self.why_waits(now, group, vacancies));
         }
         let mut worst = None;
         for (task, last_run, view) in self.running_of(id, job) {
@@ -145,17 +175,27 @@
         worst
     }
 
+    /// The runners that take tasks, for one look at the jobs that wait.
+    fn vacancies(&self, now: Now) -> Vacancies<'_> {
+        let mut by_pool: HashMap<&str, Vec<&Runner>> = HashMap::new();
+        for runner in self.runners.values() {
+            if runner.takes_tasks() && runner.is_heard_lately(now.at) {
+                by_pool.entry(&runner.pool).or_default().push(runner);
+            }
+        }
+        for runners in by_pool.values_mut() {
+            runners.sort_by_key(|runner| Reverse(runner.free.millicores));
+        }
+        Vacancies { by_pool, looked_at: self.runners.len() as u64 }
+    }
+
     /// Why a step's next task has not started.
-    fn why_waits(&self, now: Now, group: GroupKey) -> HeldUp {
+    fn why_waits(&self, now: Now, group: GroupKey, vacancies: &mut Vacancies<'_>) -> HeldUp {
         let Some(step) = self.ready.step(group.job, group.step) else { return HeldUp::Order };
+        let Some(job) = self.jobs.job(group.job) else { return HeldUp::Order };
         let mut cause = HeldUp::Room;
-        for runner in self.runners.values() {
-            let room = runner.takes_tasks()
-                && runner.is_heard_lately(now.at)
-                && runner.free.holds(step.committed);
-            let Some((job, spec)) = self.may_host(now, runner, group).filter(|_| room) else {
-                continue;
-            };
+        for runner in vacancies.with_room(self.pool_of(job), step.committed) {
+            let Some((job, spec)) = self.may_host(now, runner, group) else { continue };
             let trust = self.trust(now, runner);
             let takes_more = matches!(trust, Trust::Full | Trust::SecondTryOnly);
             if !takes_more || !self.has_task_for(job, spec, group, runner, trust) {
--- a/crates/coordination/src/jobs/report.rs
+++ b/crates/coordination/src/jobs/report.rs
@@ -23,6 +23,9 @@
     pub lost: u64,
     /// Reports of runners.
     pub heartbeats: u64,
+    /// Runners looked at beside those that reported: work that must not grow with the pool
+    /// for each job, task or report.
+    pub looked_at: u64,
 }
 
 /// How full the runners are.
--- /dev/null
+++ b/crates/coordination/tests/scale.rs
@@ -0,0 +1,68 @@
+//! What the leader looks at as the pool grows, counted, not timed.
+//!
+//! The load played here: a pool in which nothing fits any more, while hundreds of jobs wait.
+
+#[path = "cell/world.rs"]
+#[allow(dead_code)]
+mod world;
+
+#[path = "cell/desk.rs"]
+#[allow(dead_code)]
+mod desk;
+
+use desk::Desk;
+use std::time::Duration;
+use yuccalink_fakes::emulator::Truth;
+use yuccalink_state::Resources;
+use yuccalink_state::jobs::{JobId, StepSpec};
+
+const POOL: usize = 60;
+const JOBS: u64 = 100;
+/// Times that the leader looks at what waits.
+const LOOKS: u64 = 4;
+const SECOND: Duration = Duration::from_secs(1);
+
+fn work(cores: u64) -> StepSpec {
+    let need = Resources { millicores: cores * 1_000, memory_mib: 1_000, accelerators: 0 };
+    StepSpec { count: 1, need, estimate_ms: 600_000, ..StepSpec::default() }
+}
+
+/// A pool of `runners` on which each job that waits finds no room, after all had their turn.
+fn full_pool(runners: usize, waiting: &StepSpec) -> Desk {
+    let truth = Truth { work: SECOND * 600, need: work(12).need, ..Truth::default() };
+    let mut desk = Desk::new(runners, None, truth);
+    desk.round();
+    desk.submit_as(JobId(1), vec![StepSpec { count: runners as u32, ..work(12) }]);
+    desk.round();
+    for id in 0..JOBS {
+        desk.submit_as(JobId(100 + id), vec![waiting.clone()]);
+    }
+    for _ in 0..4 {
+        desk.round();
+        desk.pass(Duration::from_millis(300));
+    }
+    desk
+}
+
+/// Runners looked at in a second of reports, beside those that report.
+fn looked_at(runners: usize, waiting: &StepSpec) -> u64 {
+    let mut desk = full_pool(runners, waiting);
+    let before = desk.leader.counts().looked_at;
+    for _ in 0..LOOKS {
+        desk.round();
+        desk.pass(Duration::from_millis(250));
+    }
+    desk.leader.counts().looked_at - before
+}
+
+/// A leader with thousands of runners spent its processor on why jobs wait, not on starting them.
+#[test]
+fn why_jobs_wait_costs_no_more_in_a_larger_pool() {
+    let too_large = work(8);
+    let nobody_may = StepSpec { required_label: Some("none-has-it".into()), ..work(1) };
+    for waiting in [too_large, nobody_may] {
+        let (small, large) = (looked_at(POOL, &waiting), looked_at(POOL * 4, &waiting));
+        let once_a_look = LOOKS * 3 * POOL as u64;
+        assert!(large <= small + once_a_look, "{small} looks at {POOL} runners, then {large}");
+    }
+}
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -89,6 +89,7 @@
                 ("runs_standing", counts.standing),
                 ("runs_lost", counts.lost),
                 ("heartbeats", counts.heartbeats),
+                ("runners_looked_at", counts.looked_at),
                 ("runners", leader.runners_len() as u64),
                 ("steps_waiting", leader.waiting_len() as u64),
             ];
