A new leader keeps a runner whose former address is another's now

Callers saw: after a change of leader a live runner got no work and no lease; everything on it lapsed, and it stayed refused for as long as that leader led. Cause: the index of lives, rebuilt by a new leader, followed names and addresses from life to life: a(x) ended by b(x), then a's next life at y compared with b, with which it shares nothing. Evidence: the test fails before (lease 0, 'late report left aside' for good). Ruled out: the running leader, which met the lives one by one and kept the last. Change: one newest life by name and one by address, met in the order of the log by both leaders (module lives). It also ends the scan of all lives for each life, which was the square of the runners at a change of leader. Why it holds: a life competes with at most two others, those that hold its name and its address.

--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -15,6 +15,7 @@
 mod heartbeat;
 pub mod interference;
 mod leader;
+mod lives;
 mod neighbours;
 pub mod outside;
 mod pace;
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -50,40 +50,6 @@
 }
 
 impl Leader {
-    /// Finds the newest life of each runner.
-    pub(super) fn index_lives(&mut self) {
-        let keys: Vec<LifeKey> = self.jobs.lives().map(|(key, _)| key).collect();
-        for key in keys {
-            self.index_life(key);
-        }
-    }
-
-    /// Marks the lives that `key` ended, or `key` itself where a newer one is known.
-    /// A new life under the same name, or at the same address, means that the
-    /// former is over, whatever a delayed report of it still says.
-    fn index_life(&mut self, key: LifeKey) {
-        let Some(life) = self.jobs.life(key).cloned() else { return };
-        let mut newest = key;
-        let mut newest_born = life.born_ms;
-        let mut over = Vec::new();
-        for (other, known) in self.jobs.lives() {
-            let same = known.id == life.id || known.address == life.address;
-            if other == key || !same || self.over.contains(&other) {
-                continue;
-            }
-            if known.born_ms > newest_born {
-                over.push(newest);
-                (newest, newest_born) = (other, known.born_ms);
-            } else {
-                over.push(other);
-            }
-        }
-        self.over.extend(over);
-        if newest == key || self.jobs.life(newest).is_some_and(|known| known.id == life.id) {
-            self.by_id.insert(life.id, newest);
-        }
-    }
-
     pub(super) fn heartbeat(&mut self, now: Now, token: Token, report: Box<Report>) {
         self.counts.heartbeats += 1;
         let change = self.jobs.change();
@@ -92,7 +58,7 @@
             let what = format!("there is no pool {}; correct the name", report.pool);
             return self.answer(token, Answer::Invalid(what.into()));
         }
-        let known = self.by_id.get(&report.runner).copied();
+        let known = self.lives.newest(&report.runner);
         let born = known.and_then(|key| self.jobs.life(key)).map(|life| life.born_ms);
         match (known, born) {
             (Some(key), Some(born)) if born == report.born_ms => {
@@ -123,14 +89,13 @@
     /// A new life is in the log; what earlier ones ran is over.
     pub(super) fn met(&mut self, now: Now, token: Token, report: &Report, outcome: &JobOutcome) {
         let JobOutcome::Met(key) = *outcome else { return };
-        self.index_life(key);
+        self.lives.meet(key, &self.jobs);
         log::info!("runner={} {key} met: born={}", report.runner, report.born_ms);
         let mut ends = Vec::new();
-        for over in &self.over {
-            self.collect_ends(*over, How::Gone, &mut ends);
+        for over in self.lives.over() {
+            self.collect_ends(over, How::Gone, &mut ends);
+            self.runners.remove(&over);
         }
-        let over = &self.over;
-        self.runners.retain(|key, _| !over.contains(key));
         // What it ran before is not waiting yet, and comes before what never ran: it must
         // not find its room taken by the time it is.
         let offer = if ends.is_empty() { Offer::Work } else { Offer::Nothing };
@@ -141,7 +106,7 @@
     fn take_report(&mut self, now: Now, token: Token, key: LifeKey, report: &Report, offer: Offer) {
         let runner = self.runners.entry(key).or_insert_with(|| Runner::new(key, report, now.at));
         let late = report.sequence <= runner.sequence && runner.sequence > 0;
-        if late || self.over.contains(&key) {
+        if late || self.lives.is_over(key) {
             log::info!("runner={} late report {} left aside", report.runner, report.sequence);
             let answer = self.empty_orders();
             return self.answer(token, answer);
@@ -446,7 +411,7 @@
 
     /// A runner has left: everything on it is over, and it can say nothing more.
     pub(super) fn leave(&mut self, now: Now, token: Token, id: &str, born_ms: Option<u64>) {
-        let known = self.by_id.get(id).copied();
+        let known = self.lives.newest(id);
         let life = known.and_then(|key| self.jobs.life(key).map(|life| (key, life.born_ms)));
         if let Some((key, born)) = life
             && born_ms.is_none_or(|told| told == born)
@@ -457,7 +422,7 @@
                     let mut ends = Vec::new();
                     self.collect_ends(key, How::Gone, &mut ends);
                     self.propose_ends(now, ends, Then::Nothing);
-                    self.over.insert(key);
+                    self.lives.end(key);
                     self.runners.remove(&key);
                 }
                 // It may be a delayed word of an earlier life: nothing is started
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -4,6 +4,7 @@
 use super::advice::Advice;
 use super::ask::{Answer, Ask, Report};
 use super::interference::Interference;
+use super::lives::Lives;
 use super::outside::{Call, CallId, Told};
 use super::policy::Policy;
 use super::ready::{GroupKey, Ready};
@@ -14,7 +15,7 @@
 use super::swing::Loads;
 use super::waves::Waves;
 use crate::moment::Moment;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use yuccalink_state::jobs::{JobCommand, JobId, JobPhase, Jobs, LifeKey, Start, TaskKey};
 
@@ -88,7 +89,7 @@
     pub(super) started: Moment,
     pub(super) jobs: Jobs,
     pub(super) runners: BTreeMap<LifeKey, Runner>,
-    pub(super) by_id: HashMap<Box<str>, LifeKey>,
+    pub(super) lives: Lives,
     pub(super) routes: Routes,
     pub(super) ready: Ready,
     pub(super) interference: Interference,
@@ -120,8 +121,6 @@
     pub(super) noting: BTreeSet<(u64, Box<str>)>,
     /// How this process names itself to the platform.
     pub(super) cfg_name: Box<str>,
-    /// Lives that are over, though a late report of theirs may still come.
-    pub(super) over: BTreeSet<LifeKey>,
     pub(super) accounts: Accounts,
     pub(super) ranked: Moment,
     pub(super) looked: Moment,
@@ -147,7 +146,7 @@
             started: now.at,
             jobs,
             runners: BTreeMap::new(),
-            by_id: HashMap::new(),
+            lives: Lives::default(),
             routes: Routes::default(),
             ready: Ready::new(cfg.policy.order),
             interference: Interference::new(cfg.policy.interference),
@@ -170,7 +169,6 @@
             idle_pools: BTreeSet::new(),
             noting: BTreeSet::new(),
             cfg_name: Box::default(),
-            over: BTreeSet::new(),
             accounts: Accounts::default(),
             ranked: now.at,
             looked: now.at,
@@ -178,7 +176,7 @@
             counts: Counts::default(),
         };
         leader.routes = Routes::new(leader.jobs.change());
-        leader.index_lives();
+        leader.lives = Lives::of(&leader.jobs);
         leader.interference.recall(leader.jobs.learnt());
         let active: Vec<JobId> = leader.jobs.all().map(|(id, _)| id).collect();
         for id in active {
--- a/crates/coordination/src/jobs/waves.rs
+++ b/crates/coordination/src/jobs/waves.rs
@@ -132,7 +132,7 @@
     fn empty_machines(&mut self, now: Now) {
         let machines: Vec<Box<str>> = self.waves.emptying.keys().cloned().collect();
         for machine in machines {
-            let life = self.waves.runner_of(&machine).and_then(|id| self.by_id.get(id)).copied();
+            let life = self.waves.runner_of(&machine).and_then(|id| self.lives.newest(id));
             let empty = life.is_none_or(|life| self.empty_runner(life));
             let Some(emptying) = self.waves.emptying.get_mut(&machine) else { continue };
             let late = now.at.since(emptying.since) > EMPTY_MAX;
--- /dev/null
+++ b/crates/coordination/tests/lives.rs
@@ -0,0 +1,52 @@
+//! Which life of a runner is the newest, by names, addresses and births that overlap.
+
+#[path = "cell/world.rs"]
+#[allow(dead_code)]
+mod world;
+
+#[path = "cell/desk.rs"]
+#[allow(dead_code)]
+mod desk;
+
+use desk::Desk;
+use yuccalink_coordination::jobs::{Answer, Ask, Report};
+use yuccalink_fakes::emulator::Truth;
+use yuccalink_state::jobs::{JobCommand, Life};
+
+fn life(id: &str, address: &str, born_ms: u64) -> JobCommand {
+    JobCommand::Meet(Life { id: id.into(), born_ms, address: address.into() })
+}
+
+fn lease_of(desk: &mut Desk, id: &str, address: &str, born_ms: u64) -> u64 {
+    let report = Report {
+        runner: id.into(),
+        born_ms,
+        sequence: 1,
+        pool: "pool".into(),
+        address: address.into(),
+        ..Report::default()
+    };
+    match desk.ask(Ask::Heartbeat(Box::new(report))) {
+        Answer::Orders(orders) => orders.lease_ms,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A new leader refused a live runner every report, since its former address is another's now.
+#[test]
+fn a_runner_that_moved_is_taken_by_a_new_leader() {
+    let lives = vec![life("a", "x:1", 5), life("b", "x:1", 7), life("a", "y:1", 6)];
+    let mut desk = Desk::with(0, None, Truth::default(), lives);
+    assert!(lease_of(&mut desk, "a", "y:1", 6) > 0, "it lives, at another address");
+    assert!(lease_of(&mut desk, "b", "x:1", 7) > 0);
+    assert_eq!(lease_of(&mut desk, "a", "x:1", 5), 0, "this life of it is over");
+}
+
+/// A late report of a life whose address another runner took gave it a lease again.
+#[test]
+fn a_life_is_over_once_its_name_or_address_is_anothers() {
+    let lives = vec![life("a", "x:1", 5), life("b", "x:1", 7)];
+    let mut desk = Desk::with(0, None, Truth::default(), lives);
+    assert_eq!(lease_of(&mut desk, "a", "x:1", 5), 0);
+    assert!(lease_of(&mut desk, "b", "x:1", 7) > 0);
+}
