A leader that stood still suspects no target for what it has not read

Callers saw: once, while ten daemons restarted in turn on a busy machine, a request was told that no runner of its service is known (not run), though six were there. Cause (the likeliest; the lines that would prove it were cut from that log): the directory counts silence from the last heartbeat that the leader has read. A leader that gets no processor for three seconds finds all runners silent at its first tick, before it reads what waits, and tells every entry that none of them is usable. Evidence: the test; before, a tick after a gap leaves 0 of 6 usable. Ruled out: a lost leader's table (an entry keeps the former one until the new leader's is complete), owners that drain (they stay owners). Change: silence counts from when the leader works again, if its ticks were more than 500 ms apart; suspected and dropped targets are told in the log, which would have shown it.

--- a/crates/coordination/src/directory.rs
+++ b/crates/coordination/src/directory.rs
@@ -20,21 +20,28 @@
 pub const DEAD: Duration = Duration::from_secs(15);
 /// How long a worker runs its tasks after the last heartbeat that was answered.
 pub const WORKER_LEASE: Duration = Duration::from_secs(10);
+/// Between two ticks of a leader that works: after a longer gap it stood still itself, and
+/// what it has not read yet says nothing about those who sent it.
+const TICK_GAP_MAX: Duration = Duration::from_millis(500);
 /// Longest way of a request from its owner to a runner.
 const SETTLE: Duration = Duration::from_millis(500);
 /// How long a dropped runner is still told to entries as gone.
 const TOMBSTONE: Duration = Duration::from_secs(60);
 
 /// Whether a target is to be used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum Health {
     /// Heard lately.
+    #[display("live")]
     Live,
     /// Silent for longer than usual: nothing new.
+    #[display("suspected")]
     Suspected,
     /// It said that it leaves: nothing new.
+    #[display("leaving")]
     Leaving,
     /// Dropped.
+    #[display("gone")]
     Gone,
 }
 
@@ -165,6 +172,9 @@
 pub struct Directory {
     targets: BTreeMap<Name, Target>,
     version: u64,
+    ticked: Moment,
+    /// Since when the leader has worked without standing still.
+    awake_since: Moment,
 }
 
 impl Directory {
@@ -260,20 +270,25 @@
     /// Suspects and drops silent targets, and finds an owner for each runner.
     /// Returns runners that were given a new owner.
     pub fn tick(&mut self, now: Moment, entries: &Entries) -> Vec<Name> {
+        if now.since(self.ticked) > TICK_GAP_MAX {
+            self.awake_since = now;
+        }
+        self.ticked = now;
         self.note_silence(now);
         self.take_from_lost_owners(now, entries);
         self.assign(now, entries)
     }
 
     fn note_silence(&mut self, now: Moment) {
-        for target in self.targets.values_mut() {
-            let silent = now.since(target.heard);
+        for (name, target) in &mut self.targets {
+            let silent = now.since(target.heard.max(self.awake_since));
             let health = match (&target.spec, target.health) {
                 (_, Health::Gone) => continue,
                 (TargetSpec::Runner(_), _) if silent >= DEAD => Health::Gone,
                 (_, Health::Live) if silent >= target.suspect_after() => Health::Suspected,
                 _ => continue,
             };
+            log::info!("target {name} is {health} after {silent:?} of silence");
             self.version += 1;
             target.health = health;
             target.changed = self.version;
--- a/crates/coordination/tests/directory.rs
+++ b/crates/coordination/tests/directory.rs
@@ -1,9 +1,11 @@
 //! What entries are told of runners.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 use yuccalink_coordination::Moment;
-use yuccalink_coordination::directory::Directory;
-use yuccalink_state::id::{Incarnation, Name};
+use yuccalink_coordination::directory::{Directory, SUSPECT_MIN, Usage};
+use yuccalink_coordination::entries::{Entries, Hello};
+use yuccalink_state::id::{Incarnation, Name, Revision};
 use yuccalink_state::target::{RunnerSpec, TargetSpec};
 
 fn runner(at: usize) -> RunnerSpec {
@@ -50,3 +52,45 @@
     assert_eq!(unusable, BTreeSet::from([runner(0).name, runner(7).name]));
     assert!(pieces > RUNNERS / MOST);
 }
+
+fn entry(now: Moment) -> Entries {
+    let mut entries = Entries::new(Moment::ZERO);
+    let name = Name::new("e1").expect("a name");
+    let hello = Hello {
+        name,
+        incarnation: Incarnation(1),
+        callers: "127.0.0.1:8080".into(),
+        zone: Name::new("brno").expect("a name"),
+        acked: Revision(0),
+        draining: false,
+    };
+    entries.hear(now, &hello);
+    entries
+}
+
+fn usable(directory: &Directory) -> usize {
+    let (changes, _) = directory.changes(0, usize::MAX);
+    changes.iter().filter(|change| change.usable).count()
+}
+
+/// A leader that stood still suspected all runners at once, and entries refused every request.
+#[test]
+fn a_leader_that_stood_still_suspects_nobody_for_it() {
+    const RUNNERS: usize = 6;
+    let mut now = Moment::from_millis(10_000);
+    let entries = entry(now);
+    let mut directory = Directory::new();
+    for at in 0..RUNNERS {
+        directory.announce(now, TargetSpec::Runner(runner(at)), 0);
+    }
+    directory.tick(now, &entries);
+    now = now + SUSPECT_MIN * 2;
+    directory.tick(now, &entries);
+    assert_eq!(usable(&directory), RUNNERS, "their heartbeats wait to be read");
+    for _ in 0..31 {
+        now = now + Duration::from_millis(100);
+        directory.heartbeat(now, &runner(0).name, Incarnation(1), Usage::default());
+        directory.tick(now, &entries);
+    }
+    assert_eq!(usable(&directory), 1, "the others are silent since it works again");
+}
--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot, watch};
-use yuccalink_coordination::directory::{Directory, HEARTBEAT, Health, Heard, Usage, WORKER_LEASE};
+use yuccalink_coordination::directory::{Directory, HEARTBEAT, Heard, Usage, WORKER_LEASE};
 use yuccalink_coordination::dispatch::{Differences, Dispatch, Due, Order, Reconcile};
 use yuccalink_coordination::entries::{Entries, Hello, InForce};
 use yuccalink_coordination::moment::Moment;
@@ -393,15 +393,6 @@
     Problem::new(Kind::InProgress, Ran::NotRun, what).retry_after(millis(wait).max(1))
 }
 
-fn health_name(health: Health) -> &'static str {
-    match health {
-        Health::Live => "live",
-        Health::Suspected => "suspected",
-        Health::Leaving => "leaving",
-        Health::Gone => "gone",
-    }
-}
-
 fn not_found(what: String) -> Answer {
     Answer::Problem(Problem::new(Kind::NotFound, Ran::NotRun, what))
 }
--- a/crates/daemon/src/leader/asks.rs
+++ b/crates/daemon/src/leader/asks.rs
@@ -350,7 +350,7 @@
         let view =
             |(name, target): (&Name, &yuccalink_coordination::directory::Target)| TargetView {
                 target: target.spec.clone(),
-                health: health_name(target.health).into(),
+                health: target.health.to_string().into(),
                 busy: target.usage.busy,
                 owner: target.owner.clone(),
                 silent_ms: millis(now.since(target.heard)),
