A process holds a set number of connections and tells further ones to come back

Cause: nothing bounded the connections of callers, runners and operators. The one that took the last descriptor took it from the links to other processes and from the log's files as well. Beyond it a request is answered 503 'not run' with Retry-After and the remedy, then closed; readiness and metrics are answered all the same. Evidence: the test; before, any number of connections is taken.

--- a/crates/daemon/src/cell.rs
+++ b/crates/daemon/src/cell.rs
@@ -6,6 +6,7 @@
 //! that leads decides, the others pass on.
 
 mod config;
+mod connections;
 mod dialect;
 mod disk;
 mod frame;
--- a/crates/daemon/src/cell/config.rs
+++ b/crates/daemon/src/cell/config.rs
@@ -7,6 +7,10 @@
 use yuccalink_coordination::jobs::LeaderConfig;
 use yuccalink_coordination::jobs::policy::Policy;
 
+/// Connections held at once, where nothing else is set: a system gives a process 1,024
+/// descriptors, of which other processes of the cell, files and the balancer need some.
+const CONNECTIONS_MAX: usize = 800;
+
 /// What one process needs to know; made by [`CellConfigBuilder`].
 #[derive(Clone, Debug)]
 pub struct CellConfig {
@@ -24,6 +28,7 @@
     pub(crate) losses: usize,
     pub(crate) leader: LeaderConfig,
     pub(crate) drain: Duration,
+    pub(crate) connections_max: usize,
 }
 
 /// Makes a [`CellConfig`].
@@ -56,6 +61,7 @@
             losses: 1,
             leader: LeaderConfig::default(),
             drain: Duration::from_millis(3_000),
+            connections_max: CONNECTIONS_MAX,
         })
     }
 }
@@ -177,6 +183,13 @@
         self
     }
 
+    /// Connections of callers, runners and operators that are held at once.
+    #[must_use]
+    pub fn connections_max(mut self, most: usize) -> Self {
+        self.0.connections_max = most;
+        self
+    }
+
     /// Checks the settings against each other.
     ///
     /// # Errors
@@ -191,6 +204,9 @@
         if config.callers.is_none() && config.control.is_none() {
             return bad("callers", "the process would serve nobody; name an address to listen on");
         }
+        if config.connections_max == 0 {
+            return bad("connections-max", "nobody could connect; allow one at least");
+        }
         Ok(config)
     }
 }
--- a/crates/daemon/src/cell/http.rs
+++ b/crates/daemon/src/cell/http.rs
@@ -1,5 +1,6 @@
 //! HTTP for callers, runners, operators and the balancer.
 
+use crate::cell::connections::{Admission, Connections, Held};
 use crate::cell::dialect::{Dialect, Incoming, Reply};
 use crate::cell::native;
 use crate::cell::node::{PassOn, Shared};
@@ -36,6 +37,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest head, in bytes.
 const HEAD_MAX: usize = 16 * 1024;
+/// When to come back to a process that holds all the connections it may, in milliseconds.
+const TOO_MANY_MS: u64 = 1_000;
 /// Pause after a failed accept, as when no descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -55,6 +58,7 @@
 pub(crate) struct Site {
     pub(crate) node: Shared,
     pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) connections: Rc<Connections>,
     /// Requests being answered.
     pub(crate) in_flight: Cell<usize>,
     /// True once connections are to be closed after their answer.
@@ -71,7 +75,9 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(site.clone(), port, stream));
+                if let Some(admitted) = admit(&site, port) {
+                    tokio::task::spawn_local(connection(site.clone(), port, stream, admitted));
+                }
             }
             Err(error) => {
                 log::warn!("cannot accept a connection for {port:?}: {error}");
@@ -81,12 +87,38 @@
     }
 }
 
-async fn connection(site: Rc<Site>, port: Port, stream: TcpStream) {
+/// A connection that was taken; it counts until this is dropped.
+struct Admitted {
+    /// Its first request is only told that there are too many.
+    refused: bool,
+    _held: Option<Held>,
+}
+
+/// The balancer and readers of metrics are few, and are to be answered most of all by a
+/// process that is full.
+fn admit(site: &Site, port: Port) -> Option<Admitted> {
+    match port {
+        Port::Ready | Port::Metrics => Some(Admitted { refused: false, _held: None }),
+        Port::Callers | Port::Control => match site.connections.admit() {
+            Admission::Served(held) => Some(Admitted { refused: false, _held: Some(held) }),
+            Admission::Refused(held) => Some(Admitted { refused: true, _held: Some(held) }),
+            Admission::Closed => None,
+        },
+    }
+}
+
+async fn connection(site: Rc<Site>, port: Port, stream: TcpStream, admitted: Admitted) {
     let _ = stream.set_nodelay(true);
     let mut closing = site.closing.clone();
+    let refused = admitted.refused;
     let service = service_fn(move |req| {
         let site = site.clone();
-        async move { Ok::<_, Infallible>(respond(site, port, req).await) }
+        async move {
+            Ok::<_, Infallible>(match refused {
+                true => too_many(&site),
+                false => respond(site, port, req).await,
+            })
+        }
     });
     let mut http = hyper::server::conn::http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(HEAD_MAX);
@@ -188,12 +220,21 @@
     render(reply)
 }
 
+/// The answer on a connection beyond those that are served: nothing was done.
+fn too_many(site: &Site) -> Response<Full<Bytes>> {
+    let mut reply = native::problem(503, &site.connections.refusal());
+    reply.retry_after_ms = Some(TOO_MANY_MS);
+    let mut response = render(reply);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 fn metrics(site: &Site) -> Response<Full<Bytes>> {
     let text = site.node.with(|node| {
         let now = node.now();
         let version = node.change_version();
         let leader = node.replica.as_mut().and_then(|replica| replica.leader(now.at));
-        node.metrics.text(leader.as_deref(), version)
+        node.metrics.text(leader.as_deref(), version, &site.connections)
     });
     Response::new(Full::new(Bytes::from(text)))
 }
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms of one process, as text.
 
+use crate::cell::connections::Connections;
 use std::fmt::Write;
 use std::time::Duration;
 use yuccalink_coordination::jobs::Leader;
@@ -63,7 +64,12 @@
     }
 
     /// The text that is served.
-    pub(crate) fn text(&self, leader: Option<&Leader>, change_version: Option<u64>) -> String {
+    pub(crate) fn text(
+        &self,
+        leader: Option<&Leader>,
+        change_version: Option<u64>,
+        connections: &Connections,
+    ) -> String {
         let mut f = String::new();
         for (class, count) in self.statuses.iter().enumerate() {
             let class = class + 2;
@@ -72,6 +78,8 @@
         self.callers.write("yuccalink_callers", &mut f);
         self.control.write("yuccalink_control", &mut f);
         self.changes.write("yuccalink_changes", &mut f);
+        let _ = writeln!(f, "yuccalink_connections {}", connections.open());
+        let _ = writeln!(f, "yuccalink_connections_turned_away {}", connections.turned_away());
         let _ = writeln!(f, "yuccalink_links_lost {}", self.links_lost);
         let _ = writeln!(f, "yuccalink_leaders_lost {}", self.leaders_lost);
         if let Some(version) = change_version {
--- a/crates/daemon/src/cell/run.rs
+++ b/crates/daemon/src/cell/run.rs
@@ -1,6 +1,7 @@
 //! Starts and stops all parts of one process of a cell.
 
 use crate::cell::config::CellConfig;
+use crate::cell::connections::Connections;
 use crate::cell::dialect::{Dialect, Settings};
 use crate::cell::http::{self, Port, Site};
 use crate::cell::node::Shared;
@@ -68,7 +69,8 @@
     let (node, journal) = recover(&config, &dialect)?;
     let (close, closing) = watch::channel(false);
     let in_flight = Cell::new(0);
-    let site = Rc::new(Site { node: node.clone(), dialect, in_flight, closing });
+    let connections = Connections::new(config.connections_max);
+    let site = Rc::new(Site { node: node.clone(), dialect, connections, in_flight, closing });
     listen_all(&config, &site).await?;
     if let Some(journal) = journal {
         tokio::task::spawn_local(disk::feed(node.clone(), journal));
--- a/crates/yuccalink/tests/support/mod.rs
+++ b/crates/yuccalink/tests/support/mod.rs
@@ -32,9 +32,14 @@
     /// `number` is the last part of e1's address, less one; no two cells of one test program
     /// may share any of it.
     pub fn start(number: u8) -> Self {
+        Self::start_with(number, &[])
+    }
+
+    /// Both processes have these flags besides.
+    pub fn start_with(number: u8, more: &[&str]) -> Self {
         let cell = Self::new(number);
         let leader = cell.at(1, PEER);
-        cell.launched(leader)
+        cell.launched(leader, more)
     }
 
     /// The link from e2 to the leader carries `rate` bytes a second in each direction.
@@ -42,7 +47,7 @@
         let cell = Self::new(number);
         let forwarder = cell.at(1, FORWARDER);
         slow_link::forward(forwarder, cell.at(1, PEER), rate).expect("its address is free");
-        cell.launched(forwarder)
+        cell.launched(forwarder, &[])
     }
 
     fn new(number: u8) -> Self {
@@ -50,11 +55,12 @@
         Self { children: Vec::new(), folder, number }
     }
 
-    fn launched(mut self, leader: SocketAddr) -> Self {
+    fn launched(mut self, leader: SocketAddr, more: &[&str]) -> Self {
         let data = self.folder.path().join("data").display().to_string();
         let advertised = leader.to_string();
-        self.launch(1, &["--found", "yes", "--data", &data, "--peer-advertised", &advertised]);
-        self.launch(2, &["--seeds", &advertised]);
+        let first = ["--found", "yes", "--data", &data, "--peer-advertised", &advertised];
+        self.launch(1, &[&first, more].concat());
+        self.launch(2, &[&["--seeds", advertised.as_str()], more].concat());
         self
     }
 
--- a/crates/yuccalinkd/src/cell.rs
+++ b/crates/yuccalinkd/src/cell.rs
@@ -8,7 +8,7 @@
 use yuccalink_daemon::cell::{CellConfig, CellConfigBuilder, Settings, policy};
 
 /// All settings, in the order of the help.
-pub(crate) const SETTINGS: [Setting<CellConfigBuilder>; 14] = [
+pub(crate) const SETTINGS: [Setting<CellConfigBuilder>; 15] = [
     Setting {
         flag: "name",
         value: "NAME",
@@ -76,7 +76,7 @@
         flag: "control",
         value: "IP:PORT",
         short: "where runners and operators connect [none]",
-        long: "Runners stay with the process that leads.",
+        long: "Runners stay with the process that they reached first.",
         set: |config, text| Ok(config.control(args::address(text)?)),
     },
     Setting {
@@ -104,6 +104,14 @@
             Ok(config.policy(policy))
         },
     },
+    Setting {
+        flag: "connections-max",
+        value: "N",
+        short: "connections of callers, runners and operators held at once [800]",
+        long: "Further ones are told to come back. Keep it below the limit of open files, of \
+               which other processes of the cell and the data folder need some.",
+        set: |config, text| Ok(config.connections_max(args::number(text)?)),
+    },
     Setting {
         flag: "drain",
         value: "TIME",
