An entry goes on handing requests to those that a new leader has not heard yet

Callers saw: once, while ten daemons restarted in turn, a request got 'no runner of this service is known here' (not run, come back in 1.7 s) from e2, which had itself restarted and just become leader. Cause: a new leader's first news names the entries that it has heard, which is only itself; the entry replaced its list of neighbours by that at once, while it kept the former leader's table of runners. So all owners but itself were out of reach, and an entry that owns no runner, as one that has just restarted, refused. Change: until the new leader's table is complete, entries that only the former one knew stay. Why it holds: an entry that is gone is forgotten as soon as the table is complete, and what is handed on to it meanwhile was not run.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -131,8 +131,9 @@
         let mut changed = self.take_documents(news.documents);
         self.revision = self.revision.max(news.revision);
         self.table_version = news.table_version;
-        changed |= !news.runners.is_empty() || self.neighbours != news.entries;
-        self.neighbours = news.entries;
+        let neighbours = Neighbour::known(news.entries, &self.neighbours, news.settled);
+        changed |= !news.runners.is_empty() || self.neighbours != neighbours;
+        self.neighbours = neighbours;
         self.take_runners(news.runners);
         if news.settled && !self.settled {
             changed |= self.settle();
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -167,6 +167,33 @@
     pub draining: bool,
 }
 
+impl Neighbour {
+    /// The entries to hand requests on to: those that a leader tells of, and until its table is
+    /// `complete` also the `former` ones that it has not heard yet. Right after its election a
+    /// leader knows itself only, and no runner would have an owner that can be reached.
+    ///
+    /// ```
+    /// use yuccalink_protocol::peer::Neighbour;
+    /// use yuccalink_state::id::{BadName, Name};
+    /// fn entry(at: &str) -> Result<Neighbour, BadName> {
+    ///     let (name, zone) = (Name::new(at)?, Name::new("z")?);
+    ///     Ok(Neighbour { name, callers: at.into(), zone, draining: false })
+    /// }
+    /// let former = [entry("e1")?, entry("e2")?];
+    /// assert_eq!(Neighbour::known(vec![entry("e2")?], &former, false).len(), 2);
+    /// assert_eq!(Neighbour::known(vec![entry("e2")?], &former, true).len(), 1);
+    /// # Ok::<(), BadName>(())
+    /// ```
+    pub fn known(told: Vec<Self>, former: &[Self], complete: bool) -> Vec<Self> {
+        if complete {
+            return told;
+        }
+        let is_told = |entry: &Self| told.iter().any(|other| other.name == entry.name);
+        let untold: Vec<Self> = former.iter().filter(|entry| !is_told(entry)).cloned().collect();
+        told.into_iter().chain(untold).collect()
+    }
+}
+
 /// What an entry tells the leader, and what it knows already.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntryState {
