Jobs of a size that falls behind its queue are drawn to the front

Cause: the order by worth for each core-second serves the smaller ones first whenever there is room for less than what comes; the largest wait until they cannot be prompt any more, then come after work that lasts, and end with nothing. Ruled out: attempts, trust, lag (each under a tenth of their waits); a flatter order, which under heavier load leaves everything half done. Change: the module sizes counts for each queue how often each size ends in time and draws jobs of one that is behind to the front, within a share of the room. [sizes] switches it off. Why it works: it answers to outcomes, not to sizes as such, so it costs nothing while there is room.

--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -26,6 +26,7 @@
 mod room;
 mod routes;
 pub mod runner;
+mod sizes;
 mod suits;
 pub mod swing;
 mod waves;
--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -51,6 +51,9 @@
             self.log_ended(id, now);
             if !self.jobs.is_active(id) {
                 self.accounts.close(id);
+                if let Some(job) = self.jobs.job(id) {
+                    self.ready.ended(id, job, now.at);
+                }
             }
         }
         for id in touched {
--- a/crates/coordination/src/jobs/due.rs
+++ b/crates/coordination/src/jobs/due.rs
@@ -24,7 +24,7 @@
         if now.at.since(self.ranked) >= RANK_EVERY {
             self.ranked = now.at;
             self.ready.rank_all(&self.jobs, now.at);
-            self.find_idle_pools();
+            self.measure_pools();
             self.count_moving_out();
             self.find_laggards(now);
             self.keep_room(now);
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -122,10 +122,7 @@
         self.collect_never_started(now, key, &ended, &mut all_ends);
         self.judge_runs(now, key);
         let neighbours = self.pace(now, key);
-        let free = self.free_room(key, &ended);
-        if let Some(runner) = self.runners.get_mut(&key) {
-            runner.free = free;
-        }
+        self.measure_room(key, &ended);
         let starts = match offer {
             Offer::Work => self.pick(now, key, neighbours),
             Offer::Nothing => Vec::new(),
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -148,7 +148,7 @@
             runners: BTreeMap::new(),
             lives: Lives::default(),
             routes: Routes::default(),
-            ready: Ready::new(cfg.policy.order),
+            ready: Ready::new(cfg.policy.order, cfg.policy.sizes),
             interference: Interference::new(cfg.policy.interference),
             loads: Loads::new(cfg.policy.forecast),
             starting: BTreeMap::new(),
--- a/crates/coordination/src/jobs/policy.rs
+++ b/crates/coordination/src/jobs/policy.rs
@@ -13,6 +13,7 @@
 pub use super::ready::{OrderBy, OrderPolicy};
 pub use super::room::KeptFreePolicy;
 pub use super::runner::DistrustPolicy;
+pub use super::sizes::SizesPolicy;
 pub use super::suits::{GatheringPolicy, MatchingPolicy, PatiencePolicy, RacksPolicy};
 pub use super::swing::ForecastPolicy;
 use serde::{Deserialize, Serialize};
@@ -77,6 +78,8 @@
 pub struct Policy {
     /// Whose turn it is when room comes free.
     pub order: OrderPolicy,
+    /// Jobs of each size get their turn.
+    pub sizes: SizesPolicy,
     /// Filling images go where they press less than elsewhere.
     pub matching: MatchingPolicy,
     /// Runners kept free for large tasks that last.
@@ -167,10 +170,12 @@
         Ok(())
     }
 
-    fn figures(&self) -> [Bound; 15] {
+    fn figures(&self) -> [Bound; 17] {
         let runs_max = f64::from(self.moving.runs_max);
         [
             ("order", "size-weight", self.order.size_weight, 0.0, 2.0),
+            ("sizes", "behind", self.sizes.behind, 0.0, 1.0),
+            ("sizes", "room", self.sizes.room, 0.0, 1.0),
             ("kept-free", "first-runners-max", self.kept_free.first_runners_max as f64, 0.0, 1e4),
             ("kept-free", "one-in", self.kept_free.one_in as f64, 1.0, 1e6),
             ("gathering", "hard-weight", self.gathering.hard_weight, 0.0, 1e3),
@@ -211,6 +216,8 @@
 sections! {
     /// Sets whose turn it is.
     order: OrderPolicy,
+    /// Sets how sizes get their turn.
+    sizes: SizesPolicy,
     /// Sets how filling images are matched with those that serve.
     matching: MatchingPolicy,
     /// Sets which runners are kept free.
--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -10,12 +10,14 @@
 use super::interference::{ImageKey, Interference};
 use super::policy::Switch;
 use super::routes::Routes;
+use super::sizes::{Candidate, Size, Sizes, SizesPolicy};
 use crate::moment::Moment;
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use yuccalink_state::Resources;
-use yuccalink_state::jobs::{Job, JobId, Jobs, StepSpec, TaskKey};
+use yuccalink_state::jobs::{Job, JobId, JobPhase, Jobs, StepSpec, TaskKey};
 
 /// Weight of a new job in the running mean of its queue's work.
 const MEAN_WEIGHT: f64 = 0.05;
@@ -97,6 +99,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     turn: Turn,
+    /// Drawn to the front for its size.
+    front: Reverse<bool>,
     lateness: Lateness,
     priority: u32,
     /// Worth for each core-second left, below nothing so that more comes first.
@@ -106,7 +110,7 @@
 
 /// The part of a rank that goes before density.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct RankClass(Turn, Lateness, u32);
+pub(super) struct RankClass(Turn, Reverse<bool>, Lateness, u32);
 
 /// What a step's tasks are to their neighbours.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -167,6 +171,9 @@
     priority: u32,
     lasts: bool,
     scheduled: bool,
+    size: Size,
+    /// Whether it ended in time is counted.
+    judged: bool,
 }
 
 /// A step with waiting tasks, as it is offered to a runner.
@@ -198,11 +205,12 @@
     metas: HashMap<JobId, Meta>,
     means: HashMap<Box<str>, f64>,
     scheduled: BTreeSet<JobId>,
+    sizes: Sizes,
 }
 
 impl Ready {
-    pub(super) fn new(policy: OrderPolicy) -> Self {
-        Self { policy, ..Self::default() }
+    pub(super) fn new(policy: OrderPolicy, sizes: SizesPolicy) -> Self {
+        Self { policy, sizes: Sizes::new(sizes), ..Self::default() }
     }
 
     /// Whether a step has a task that has run and is down.
@@ -227,14 +235,21 @@
         if scheduled {
             self.scheduled.insert(id);
         }
+        let lasts = job.spec.steps.iter().any(|step| step.long_running);
+        let size = match lasts || scheduled {
+            true => Size::Usual,
+            false => self.sizes.meet(&job.queue, shape.work),
+        };
         let meta = Meta {
             came,
             objective: shape.objective(queue),
             shape,
             steps: job.spec.steps.iter().map(|step| StepInfo::of(step, learnt)).collect(),
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
-            lasts: job.spec.steps.iter().any(|step| step.long_running),
+            lasts,
             scheduled,
+            size,
+            judged: lasts || scheduled,
         };
         self.metas.insert(id, meta);
     }
@@ -263,6 +278,53 @@
         }
         self.metas.remove(&id);
         self.scheduled.remove(&id);
+        self.sizes.forget(id);
+    }
+
+    /// A job has ended.
+    pub(super) fn ended(&mut self, id: JobId, job: &Job, now: Moment) {
+        if job.phase == JobPhase::Cancelled {
+            return self.sizes.forget(id);
+        }
+        let Some(meta) = self.metas.get(&id) else { return };
+        let in_time = job.phase == JobPhase::Completed && now.since(meta.came) <= meta.objective;
+        self.judge(id, job, in_time);
+    }
+
+    fn judge(&mut self, id: JobId, job: &Job, in_time: bool) {
+        let Some(meta) = self.metas.get_mut(&id) else { return };
+        if !std::mem::replace(&mut meta.judged, true) {
+            self.sizes.ended(id, &job.queue, meta.size, in_time);
+        }
+    }
+
+    /// Judges jobs that can no longer end in time, and draws others to the front whose size
+    /// is behind; `room` has, for each pool, the processors that no task that lasts holds.
+    pub(super) fn draw_by_size(&mut self, jobs: &Jobs, room: &BTreeMap<Box<str>, u64>) {
+        let late = |(_, group): &(&GroupKey, &Group)| group.rank.lateness != Lateness::Prompt;
+        let late: Vec<JobId> = self.groups.iter().filter(late).map(|(key, _)| key.job).collect();
+        for id in late {
+            if let Some(job) = jobs.job(id) {
+                self.judge(id, job, false);
+            }
+        }
+        let in_turn = self.order.keys().filter(|(rank, _)| rank.turn == Turn::Short);
+        for (_, key) in in_turn {
+            let (Some(job), Some(meta)) = (jobs.job(key.job), self.metas.get(&key.job)) else {
+                continue;
+            };
+            if meta.size == Size::Usual || meta.judged {
+                continue;
+            }
+            let Some(spec) = job.spec.steps.get(usize::from(key.step)) else { continue };
+            self.sizes.draw(Candidate {
+                id: key.job,
+                queue: &job.queue,
+                size: meta.size,
+                millicores: spec.need.millicores * u64::from(spec.count),
+                room_millicores: room.get(&job.pool).copied().unwrap_or(0),
+            });
+        }
     }
 
     fn keys_of(&self, id: JobId) -> Vec<GroupKey> {
@@ -320,7 +382,7 @@
         self.order.iter().map(|((rank, group), step)| Waiting {
             group: *group,
             step,
-            class: RankClass(rank.turn, rank.lateness, rank.priority),
+            class: RankClass(rank.turn, rank.front, rank.lateness, rank.priority),
             density: -(rank.density as f64),
         })
     }
@@ -391,6 +453,7 @@
     fn rank(&self, jobs: &Jobs, key: GroupKey, now: Moment, since: Moment) -> Rank {
         let last = Rank {
             turn: Turn::Other,
+            front: Reverse(false),
             lateness: Lateness::Overdue,
             priority: u32::MAX,
             density: 0,
@@ -406,7 +469,7 @@
             let density = -i64::try_from(step.need.millicores).unwrap_or(i64::MAX);
             let again = self.policy.again_first.is_on() && has_run_before(job, key);
             let turn = if again { Turn::Again } else { Turn::Lasting };
-            return Rank { turn, lateness: Lateness::Prompt, priority, density, since };
+            return Rank { turn, lateness: Lateness::Prompt, priority, density, ..last };
         }
         let mean = self.means.get(&job.queue).copied().unwrap_or(0.0);
         let left = meta.shape.work_left(job);
@@ -417,7 +480,8 @@
             true => Turn::Short,
             false => Turn::Other,
         };
-        let alike = Rank { turn, lateness: Lateness::Prompt, priority: 0, density: 0, since };
+        let front = Reverse(turn == Turn::Short && self.sizes.is_front(key.job));
+        let alike = Rank { turn, front, lateness: Lateness::Prompt, priority: 0, ..last };
         match self.policy.by {
             OrderBy::Worth => {
                 let density = -((density * DENSITY_SCALE) as i64);
--- a/crates/coordination/src/jobs/room.rs
+++ b/crates/coordination/src/jobs/room.rs
@@ -56,22 +56,38 @@
     first: bool,
 }
 
+/// Processors of a pool, in thousandths.
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolRoom {
+    all: u64,
+    free: u64,
+    /// Held by tasks that last.
+    lasting: u64,
+}
+
 impl Leader {
-    /// What a runner has left: its capacity less all that may be running there.
+    /// Finds what a runner has left: its capacity less all that may be running there.
     /// Ends that it lists have freed their room, whether they are noted or not.
-    pub(super) fn free_room(&self, key: LifeKey, ended: &BTreeSet<(TaskKey, u32)>) -> Resources {
-        let Some(runner) = self.runners.get(&key) else { return Resources::ZERO };
+    pub(super) fn measure_room(&mut self, key: LifeKey, ended: &BTreeSet<(TaskKey, u32)>) {
+        let Some(runner) = self.runners.get(&key) else { return };
         let mut taken: BTreeSet<(TaskKey, u32)> =
             self.jobs.held(key).filter(|run| !ended.contains(run)).collect();
         taken.extend(runner.running.iter().map(|(task, view)| (*task, view.run)));
         let starting = self.starting.values().filter(|start| start.life == key);
         taken.extend(starting.map(|start| (start.task, start.run)));
         let mut free = runner.capacity;
+        let mut lasting_millicores = 0;
         for (task, _) in taken {
             let Some(step) = self.ready.step_of(task) else { continue };
             free = less(free, step.committed);
+            if step.long_running {
+                lasting_millicores += step.committed.millicores;
+            }
+        }
+        if let Some(runner) = self.runners.get_mut(&key) {
+            runner.free = free;
+            runner.lasting_millicores = lasting_millicores;
         }
-        free
     }
 
     /// Keeps runners free for large tasks that last and have waited: short work would
@@ -141,16 +157,20 @@
         self.idle_pools.contains(pool)
     }
 
-    /// Finds the pools of which half is idle.
-    pub(super) fn find_idle_pools(&mut self) {
-        let mut sums: BTreeMap<Box<str>, (u64, u64)> = BTreeMap::new();
+    /// Finds the pools of which half is idle, and draws jobs to the front by what pools have.
+    pub(super) fn measure_pools(&mut self) {
+        let mut sums: BTreeMap<&str, PoolRoom> = BTreeMap::new();
         for runner in self.runners.values() {
-            let (free, all) = sums.entry(runner.pool.clone()).or_default();
-            *free += runner.free.millicores;
-            *all += runner.capacity.millicores;
+            let sum = sums.entry(&runner.pool).or_default();
+            sum.free += runner.free.millicores;
+            sum.all += runner.capacity.millicores;
+            sum.lasting += runner.lasting_millicores;
         }
-        let idle = sums.into_iter().filter(|(_, (free, all))| free * 2 >= *all);
-        self.idle_pools = idle.map(|(pool, _)| pool).collect();
+        let left = |sum: &PoolRoom| sum.all.saturating_sub(sum.lasting);
+        let not_lasting = sums.iter().map(|(pool, sum)| (Box::from(*pool), left(sum))).collect();
+        let idle = sums.into_iter().filter(|(_, sum)| sum.free * 2 >= sum.all);
+        self.idle_pools = idle.map(|(pool, _)| Box::from(pool)).collect();
+        self.ready.draw_by_size(&self.jobs, &not_lasting);
     }
 
     /// Counts the tasks that last and wait for room, or are on their way to.
--- a/crates/coordination/src/jobs/runner.rs
+++ b/crates/coordination/src/jobs/runner.rs
@@ -172,6 +172,8 @@
     pub(super) ordered: BTreeMap<(TaskKey, u32), Moment>,
     pub(super) health: Health,
     pub(super) free: Resources,
+    /// Processors committed to tasks that last, in thousandths.
+    pub(super) lasting_millicores: u64,
     /// The image that serves there, where it is only one.
     pub(super) serves: Option<ImageKey>,
     /// Share at which tasks of an image that disturbs work, in percent; 100 for
@@ -203,6 +205,7 @@
             ordered: BTreeMap::new(),
             health: Health::default(),
             free: Resources::ZERO,
+            lasting_millicores: 0,
             serves: None,
             paces: BTreeMap::new(),
             paced_at: Moment::ZERO,
--- a/crates/coordination/tests/policy.rs
+++ b/crates/coordination/tests/policy.rs
@@ -27,6 +27,7 @@
         with("order by arrival", |p| p.order.by = OrderBy::Arrival),
         with("short first", |p| p.order.short_first = OFF),
         with("again first", |p| p.order.again_first = OFF),
+        with("sizes", |p| p.sizes.mode = OFF),
         with("matching", |p| p.matching.mode = OFF),
         with("kept free", |p| p.kept_free.mode = OFF),
         with("gathering", |p| p.gathering.mode = OFF),
--- /dev/null
+++ b/crates/coordination/tests/sizes.rs
@@ -0,0 +1,83 @@
+//! Whose turn it is by size, where there is room for less than what comes.
+//!
+//! The load played here: jobs of one queue come faster than the pool works them off, one in
+//! ten of them six times as large as the others.
+
+#[path = "cell/world.rs"]
+#[allow(dead_code)]
+mod world;
+
+use std::time::Duration;
+use world::{Rough, World, step};
+use yuccalink_coordination::Moment;
+use yuccalink_coordination::jobs::JobState;
+use yuccalink_state::jobs::{JobId, JobSpec};
+
+const RUNNERS: usize = 8;
+const JOBS: u64 = 800;
+const EVERY: Duration = Duration::from_millis(50);
+const WORK_MS: u64 = 1_000;
+/// Three times the objective of one step of that length: what ends later is of no use.
+const OF_USE_FOR: Duration = Duration::from_secs(9);
+
+#[derive(Default)]
+struct Served {
+    asked: u32,
+    served: u32,
+}
+
+impl Served {
+    fn add(&mut self, served: bool) {
+        self.asked += 1;
+        self.served += u32::from(served);
+    }
+
+    fn share(&self) -> f64 {
+        f64::from(self.served) / f64::from(self.asked)
+    }
+}
+
+fn is_large(id: u64) -> bool {
+    id.is_multiple_of(10)
+}
+
+fn submit(world: &mut World, id: u64) {
+    let (count, cores) = match is_large(id) {
+        true => (8, 4),
+        false => (1 + world.draw(3) as u32, 2 + world.draw(2)),
+    };
+    let (step, truth) = step(count, cores, WORK_MS);
+    let spec = JobSpec { payload: "work".into(), steps: vec![step], schedule: None };
+    world.submit(JobId(id), spec, vec![truth]);
+}
+
+/// Shares of all jobs and of the large ones that are done while it is of use.
+fn play(seed: u64) -> (f64, f64) {
+    let mut world = World::new(seed, RUNNERS, Rough::CALM);
+    let mut waiting: Vec<(u64, Moment)> = Vec::new();
+    let (mut all, mut large) = (Served::default(), Served::default());
+    for id in 1..=JOBS {
+        submit(&mut world, id);
+        waiting.push((id, world.now));
+        world.run_for(EVERY);
+        let now = world.now;
+        for (id, _) in waiting.extract_if(.., |(_, at)| now.since(*at) >= OF_USE_FOR) {
+            let served = world.state(JobId(id)) == Some(JobState::Completed);
+            all.add(served);
+            if is_large(id) {
+                large.add(served);
+            }
+        }
+    }
+    (all.share(), large.share())
+}
+
+/// The largest jobs of a queue were served a quarter as often as the others while the pool was full.
+#[test]
+fn the_largest_jobs_are_served_at_least_half_as_often_as_all() {
+    for seed in 1..=4 {
+        let (all, large) = play(seed);
+        assert!(all > 0.5, "seed {seed}: there is room for most, {all:.2} were served");
+        assert!(large >= all / 2.0, "seed {seed}: {large:.2} of the largest, {all:.2} of all");
+    }
+}
