--- a/examples/main-job.sh
+++ b/examples/main-job.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 cargo build --release --bins --examples
-bin=target/release
+bin=${CARGO_TARGET_DIR:-target}/release
 data=$(mktemp -d)
 pids=
 stop() {
