A report looks for room among the steps that it would be offered, not among all that wait

Read again as a whole: the look for any step that fits went over every waiting step, for each report, though only the first 1,024 are ever offered; with a long queue that costs more than the order it saves. One iterator (in_turn) bounds both. What starts is the same: beyond the bound nothing was offered. Jobs already judged late are not looked up again with each ranking, and the outcome of a size is counted in one place. No test of its own: results are equal, and the tests of placement pass.

--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -73,7 +73,7 @@
     /// The waiting steps in the order for a runner; none where no task would fit.
     fn offered(&self, chosen: &Chosen) -> Vec<Waiting<'_>> {
         let fits = |waiting: Waiting<'_>| chosen.free.holds(waiting.step.committed);
-        match self.ready.waiting().any(fits) {
+        match self.in_turn().any(fits) {
             true => self.order_for(&chosen.neighbours),
             false => Vec::new(),
         }
--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -298,11 +298,16 @@
         }
     }
 
+    fn is_unjudged(&self, id: JobId) -> bool {
+        self.metas.get(&id).is_some_and(|meta| !meta.judged)
+    }
+
     /// Judges jobs that can no longer end in time, and draws others to the front whose size
     /// is behind; `room` has, for each pool, the processors that no task that lasts holds.
     pub(super) fn draw_by_size(&mut self, jobs: &Jobs, room: &BTreeMap<Box<str>, u64>) {
         let late = |(_, group): &(&GroupKey, &Group)| group.rank.lateness != Lateness::Prompt;
-        let late: Vec<JobId> = self.groups.iter().filter(late).map(|(key, _)| key.job).collect();
+        let late = self.groups.iter().filter(late).map(|(key, _)| key.job);
+        let late: Vec<JobId> = late.filter(|id| self.is_unjudged(*id)).collect();
         for id in late {
             if let Some(job) = jobs.job(id) {
                 self.judge(id, job, false);
--- a/crates/coordination/src/jobs/sizes.rs
+++ b/crates/coordination/src/jobs/sizes.rs
@@ -1,7 +1,7 @@
 //! Jobs of each size get their turn while there is room for less than what comes.
 //!
-//! The pattern answered here: short jobs of one queue, the largest of them ten times as
-//! large as the usual, in a pool that has a tenth too little room for all. An order by worth
+//! The pattern answered here: short jobs of one queue, the largest of them several times as
+//! large as the usual, in a pool that has a little less room than all of them ask for. An order by worth
 //! for each core-second left serves nearly all of the small ones and none of the largest,
 //! whose callers then wait in vain each time. So how often each size ends in time is counted
 //! for each queue, and a size that falls behind its queue has jobs drawn to the front, a few
@@ -104,11 +104,12 @@
         }
     }
 
-    fn record(&mut self, size: Size) -> Option<&mut Record> {
+    fn ended(&mut self, size: Size, in_time: bool) {
+        self.all.add(in_time);
         match size {
-            Size::Usual => None,
-            Size::Large => Some(&mut self.large),
-            Size::Largest => Some(&mut self.largest),
+            Size::Usual => {}
+            Size::Large => self.large.add(in_time),
+            Size::Largest => self.largest.add(in_time),
         }
     }
 }
@@ -156,10 +157,8 @@
     /// A job ended, or can no longer end in time.
     pub(super) fn ended(&mut self, id: JobId, queue: &str, size: Size, in_time: bool) {
         self.front.remove(&id);
-        let Some(known) = self.queues.get_mut(queue) else { return };
-        known.all.add(in_time);
-        if let Some(record) = known.record(size) {
-            record.add(in_time);
+        if let Some(known) = self.queues.get_mut(queue) {
+            known.ended(size, in_time);
         }
     }
 
--- a/crates/coordination/src/jobs/suits.rs
+++ b/crates/coordination/src/jobs/suits.rs
@@ -91,11 +91,16 @@
 }
 
 impl Leader {
+    /// The waiting steps that are looked at for one report, in the common order.
+    pub(super) fn in_turn(&self) -> impl Iterator<Item = Waiting<'_>> {
+        self.ready.waiting().take(GROUPS_MAX)
+    }
+
     /// The waiting steps as they are offered one runner. Steps that fill keep their places
     /// among the others, and go by how much less their image presses here than on most:
     /// the margin here is best spent by those who find it nowhere else.
     pub(super) fn order_for(&self, beside: &Neighbours) -> Vec<Waiting<'_>> {
-        let mut order: Vec<Waiting<'_>> = self.ready.waiting().take(GROUPS_MAX).collect();
+        let mut order: Vec<Waiting<'_>> = self.in_turn().collect();
         if self.cfg.policy.matching.mode == Switch::Off || beside.serving.is_empty() {
             return order;
         }
