--- a/tools/pairs.py
+++ b/tools/pairs.py
@@ -54,6 +54,10 @@
         found = re.search(pattern, self.text)
         return float(found[1]) if found else 0.0
 
+    def short(self):
+        """What the day was short of, though no rule was broken."""
+        return re.findall(r"^short of the gate: .*$", self.text, re.M)
+
     def broken(self):
         return re.findall(r"^.*(?:BROKEN|broken rule|GATE failed|breaks|FAULT).*$", self.text, re.M)[:3]
 
@@ -96,6 +100,8 @@
         command += ["--seed", str(seed)]
     if not args.cpu:
         command += ["--no-cpu"]
+    if args.small:
+        command += ["--small"]
     done = subprocess.run(command, cwd=copy, capture_output=True, text=True)
     text = done.stdout + done.stderr
     (copy.parent / f"{name}-{day.replace('/', '_')}-{seed}.out").write_text(text)
@@ -138,6 +144,7 @@
     parser.add_argument("--seeds", required=True, help="N or N-M")
     parser.add_argument("--why", required=True)
     parser.add_argument("--jobs", type=int, default=5)
+    parser.add_argument("--small", action="store_true", help="play the small twins of large days")
     parser.add_argument("--cpu", action="store_true", help="charge processor time")
     parser.add_argument("--keep", help="folder for outputs")
     parser.add_argument("policies", nargs="+")
@@ -164,6 +171,8 @@
         against = "itself" if name == base_name else base_name
         print(f"{name} against {against}, {pathlib.Path(args.site).stem}:")
         print(compare(plays[base_name], several))
+        short = [(day, line) for day, p in zip(days, several) for line in p.short()]
+        print(f"  short: {len(short)} of {len(days)} {short}")
         print(f"  broken rules: {broken or 'none'}; not played: {failed or 'none'}", flush=True)
     print(f"outputs in {folder}")
     return 0
