A run that is lost with its runner says on what evidence, and what was seen of it

The logs of the incident could not tell whether a run that ended as Gone had ever been listed by its runner, what the evidence of its end was, or which runner it was: the end's line said 'unheard', since the runner is forgotten before the end is in the log. A line 'lost' now stands where runs are given up (why: next-life, lease, left; seen: nothing, ordered, working, proven; how long the runner was silent), and an end names its runner from the table of lives.

No decision changes: the ends that are proposed are the same.

--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -16,6 +16,7 @@
 pub mod interference;
 mod leader;
 mod lives;
+mod lost;
 mod neighbours;
 pub mod outside;
 mod pace;
--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -106,8 +106,7 @@
     }
 
     fn note_end(&mut self, now: Now, end: &End) {
-        let runner = self.runners.get_mut(&end.life);
-        let name: &str = runner.as_ref().map_or("unheard", |runner| &runner.id);
+        let name = self.jobs.life(end.life).map_or("unheard", |life| &*life.id);
         log::info!("end task={} run={} runner={name} how={:?}", end.task, end.run, end.how);
         let lasts = self.jobs.step_spec(end.task).is_some_and(|step| step.long_running);
         match end.how {
@@ -116,7 +115,7 @@
             How::Gone | How::Lapsed => self.counts.lost += 1,
             How::Stopped | How::Broken | How::Alone | How::Refused => {}
         }
-        if let Some(runner) = runner {
+        if let Some(runner) = self.runners.get_mut(&end.life) {
             match end.how {
                 How::Done => runner.health.went_well(),
                 How::Failed if !lasts => runner.health.went_badly(now.at),
--- a/crates/coordination/src/jobs/due.rs
+++ b/crates/coordination/src/jobs/due.rs
@@ -3,10 +3,11 @@
 use super::account::LOOK_EVERY;
 use super::ask::{Answer, Orders};
 use super::leader::{Leader, Now, Then, startable};
+use super::lost::Why;
 use super::ready::GroupKey;
 use super::runner::lease_surely_ended_after;
 use std::time::Duration;
-use yuccalink_state::jobs::{End, How, JobCommand, JobId, JobPhase, LifeKey};
+use yuccalink_state::jobs::{End, JobCommand, JobId, JobPhase};
 
 /// Longest wait of a heartbeat for the log: a runner drops what comes later than
 /// a second, and the way back takes time as well.
@@ -72,25 +73,12 @@
             let granted = self.runners.get(&life).map_or(inherited, |runner| runner.lease_end);
             let until = granted.max(inherited);
             if now.at > until {
-                self.collect_ends(life, How::Lapsed, &mut ends);
+                self.collect_lost(now, life, Why::Lease, &mut ends);
             }
         }
         self.propose_ends(now, ends, Then::Nothing);
     }
 
-    /// All runs that may be running in a life.
-    pub(super) fn collect_ends(&self, life: LifeKey, how: How, ends: &mut Vec<End>) {
-        let runner = self.runners.get(&life);
-        for (task, run) in self.jobs.held(life) {
-            if self.ending.contains(&(task, run)) {
-                continue;
-            }
-            let view = runner.and_then(|r| r.running.get(&task)).filter(|view| view.run == run);
-            let saved = view.map_or_else(Box::default, |view| view.saved.clone());
-            ends.push(End { task, run, life, how, saved });
-        }
-    }
-
     pub(super) fn propose_ends(&mut self, now: Now, ends: Vec<End>, then: Then) {
         if ends.is_empty() {
             return;
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -3,6 +3,7 @@
 
 use super::ask::{Answer, Finished, Orders, Report, RunnerState, StartOrder};
 use super::leader::{Leader, Now, Then, Token, Waiting};
+use super::lost::Why;
 use super::policy::{Millis, Switch};
 use super::ready::{GroupKey, StepInfo};
 use super::runner::{Runner, lease_surely_ended_after};
@@ -93,7 +94,7 @@
         log::info!("runner={} {key} met: born={}", report.runner, report.born_ms);
         let mut ends = Vec::new();
         for over in self.lives.over() {
-            self.collect_ends(over, How::Gone, &mut ends);
+            self.collect_lost(now, over, Why::NextLife, &mut ends);
             self.runners.remove(&over);
         }
         // What it ran before is not waiting yet, and comes before what never ran: it must
@@ -417,7 +418,7 @@
             match (born_ms, self.runners.get_mut(&key)) {
                 (Some(_), _) => {
                     let mut ends = Vec::new();
-                    self.collect_ends(key, How::Gone, &mut ends);
+                    self.collect_lost(now, key, Why::Left, &mut ends);
                     self.propose_ends(now, ends, Then::Nothing);
                     self.lives.end(key);
                     self.runners.remove(&key);
--- /dev/null
+++ b/crates/coordination/src/jobs/lost.rs
@@ -0,0 +1,74 @@
+//! Runs that end with their runners: on what evidence they are given up, and what was seen
+//! of them before.
+
+use super::leader::{Leader, Now};
+use super::runner::Runner;
+use std::time::Duration;
+use yuccalink_state::jobs::{End, How, LifeKey, Seen, TaskKey};
+
+/// A run that its runner listed for this long is no cause of the runner's loss.
+const PROVEN_AFTER: Duration = Duration::from_secs(10);
+
+/// Why what a runner ran is taken to be over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub(super) enum Why {
+    /// A later life of it, or another runner at its address, has reported.
+    #[display("next-life")]
+    NextLife,
+    /// Its lease has surely ended.
+    #[display("lease")]
+    Lease,
+    /// It said that it leaves.
+    #[display("left")]
+    Left,
+}
+
+impl Leader {
+    /// Ends of all runs that may be running in a life that is over.
+    pub(super) fn collect_lost(&self, now: Now, life: LifeKey, why: Why, ends: &mut Vec<End>) {
+        let runner = self.runners.get(&life);
+        for (task, run) in self.jobs.held(life) {
+            if self.ending.contains(&(task, run)) {
+                continue;
+            }
+            let seen = seen(runner, task, run);
+            self.log_lost(now, life, why, (task, run), seen);
+            let view = runner.and_then(|r| r.running.get(&task)).filter(|view| view.run == run);
+            let saved = view.map_or_else(Box::default, |view| view.saved.clone());
+            let how = match why {
+                Why::Lease => How::Lapsed,
+                Why::NextLife | Why::Left => How::Gone,
+            };
+            ends.push(End { task, run, life, how, saved });
+        }
+    }
+
+    fn log_lost(
+        &self,
+        now: Now,
+        life: LifeKey,
+        why: Why,
+        (task, run): (TaskKey, u32),
+        seen: Option<Seen>,
+    ) {
+        let runner = self.runners.get(&life);
+        let name = self.jobs.life(life).map_or("unknown", |life| &*life.id);
+        let seen = seen.map_or("never-ordered".into(), |seen| seen.to_string());
+        let silent = runner.map(|runner| now.at.since(runner.heard).as_millis());
+        let silent = silent.map_or("unknown".into(), |ms| format!("{ms}ms"));
+        log::info!(
+            "lost task={task} run={run} runner={name} why={why} seen={seen} silent={silent}"
+        );
+    }
+}
+
+/// What was seen of a run; nothing where it was surely never ordered.
+fn seen(runner: Option<&Runner>, task: TaskKey, run: u32) -> Option<Seen> {
+    let Some(runner) = runner else { return Some(Seen::Nothing) };
+    let view = runner.running.get(&task).filter(|view| view.run == run);
+    match view {
+        Some(view) if view.age >= PROVEN_AFTER => Some(Seen::Proven),
+        Some(_) => Some(Seen::Working),
+        None => runner.ordered.contains_key(&(task, run)).then_some(Seen::Ordered),
+    }
+}
