--- a/crates/coordination/tests/cell/checks.rs
+++ b/crates/coordination/tests/cell/checks.rs
@@ -64,6 +64,11 @@
             self.broken.push(format!("{task} run {run} starts twice"));
         }
         past.starts.push((when, run));
+        if let Some(third) = past.crashes.get(2)
+            && past.starts.iter().filter(|(at, _)| at > third).count() >= 3
+        {
+            self.broken.push(format!("{task} starts three times more after three crashes"));
+        }
         // A copy may be on its way while the other run ends; an order is dropped after a
         // second.
         let grace = if step.speculative { Duration::from_secs(1) } else { Duration::ZERO };
@@ -145,6 +150,27 @@
         self.broken.extend(wrong);
     }
 
+    /// Jobs that have failed though no task failed or lost its runner often enough.
+    pub fn check_failed(&mut self) {
+        let mut wrong = Vec::new();
+        for (id, job) in self.committed.all() {
+            if job.phase != yuccalink_state::jobs::JobPhase::Failed {
+                continue;
+            }
+            let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+            let failed = steps.zip(&job.spec.steps).any(|(step, spec)| {
+                let failures = step.tasks.iter().map(|task| task.failures);
+                let most = if spec.gang { failures.sum() } else { failures.max().unwrap_or(0) };
+                most >= ATTEMPTS
+            });
+            let lost = |(task, past): (&TaskKey, &Past)| task.job == id && past.lost_runners >= 2;
+            if !failed && !self.past.iter().any(lost) {
+                wrong.push(format!("{id} failed without cause"));
+            }
+        }
+        self.broken.extend(wrong);
+    }
+
     /// Jobs that are neither ended nor cancelled.
     pub fn open_jobs(&self) -> usize {
         let open =
--- a/crates/coordination/tests/cell/world.rs
+++ b/crates/coordination/tests/cell/world.rs
@@ -27,6 +27,10 @@
 /// The slowest clock that a runner may have.
 const SLOWEST_PPM: u64 = 20_000;
 
+/// How long a room that has shrunk may still be filled: nothing is in touch for the first
+/// part, and the rest is one report.
+const SHRINKS_WITHIN: Duration = Duration::from_millis(4_500);
+
 /// How rough a history is, in thousandths where not said otherwise.
 #[derive(Clone, Copy, Debug)]
 pub struct Rough {
@@ -36,13 +40,34 @@
     pub runner_crash: u32,
     pub faults: bool,
     pub cancels: bool,
+    /// Rooms shrink for some seconds and grow again.
+    pub shrinks: u32,
+    /// A runner's next life may have another name, at the same address.
+    pub renames: bool,
 }
 
 impl Rough {
-    pub const CALM: Self =
-        Self { lost: 0, late: 0, leader_change: 0, runner_crash: 0, faults: false, cancels: false };
-    pub const HARD: Self =
-        Self { lost: 40, late: 20, leader_change: 2, runner_crash: 2, faults: true, cancels: true };
+    pub const CALM: Self = Self {
+        lost: 0,
+        late: 0,
+        leader_change: 0,
+        runner_crash: 0,
+        faults: false,
+        cancels: false,
+        shrinks: 0,
+        renames: false,
+    };
+    pub const HARD: Self = Self {
+        lost: 40,
+        late: 20,
+        leader_change: 2,
+        runner_crash: 2,
+        faults: true,
+        cancels: true,
+        shrinks: 0,
+        renames: false,
+    };
+    pub const HARDEST: Self = Self { shrinks: 2, renames: true, ..Self::HARD };
 }
 
 enum Message {
@@ -59,6 +84,9 @@
     /// Ends that were listed, by their numbers, and not yet noted.
     listed: BTreeMap<u64, (TaskKey, u32, How)>,
     ends: u64,
+    /// Until then the runner's whole room counts, though it has less.
+    shrunk: Moment,
+    grows_at: Moment,
 }
 
 struct Committing {
@@ -83,6 +111,10 @@
     lapsed_dones: Vec<Moment>,
     failures_noted: Vec<Moment>,
     runs: BTreeSet<u32>,
+    /// When it made a runner crash.
+    crashes: Vec<Moment>,
+    /// Runners that crashed while it ran there, whatever the cause.
+    lost_runners: usize,
 }
 
 impl Past {
@@ -148,7 +180,17 @@
             let (listed, ends) = (BTreeMap::new(), 0);
             let (next_report, back_at) = (world.now, Moment::ZERO);
             let cut_until = Moment::ZERO;
-            world.slots.push(Slot { runner, next_report, back_at, cut_until, listed, ends });
+            let (shrunk, grows_at) = (Moment::ZERO, Moment::ZERO);
+            world.slots.push(Slot {
+                runner,
+                next_report,
+                back_at,
+                cut_until,
+                listed,
+                ends,
+                shrunk,
+                grows_at,
+            });
         }
         world
     }
@@ -158,6 +200,9 @@
         let rack = format!("r{}", at / 4);
         let mut runner = EmulatedRunner::new(&format!("w{at}"), &rack, born, CAPACITY, self.now);
         runner.slow_ppm = self.rng.random_range(0..=SLOWEST_PPM);
+        if self.rough.renames && self.chance(500) {
+            runner.id = format!("w{at}-{born}").into();
+        }
         if self.rough.faults {
             runner.fault = match self.rng.random_range(0..12) {
                 0 => Fault::FailsAll,
@@ -388,21 +433,24 @@
                 continue;
             }
             if self.chance(self.rough.runner_crash) && self.chance(200) {
-                let away = self.rng.random_range(200..9_000);
-                let slot = &mut self.slots[at];
-                slot.runner = None;
-                slot.back_at = self.now + Duration::from_millis(away);
+                self.lose(at);
                 continue;
             }
             if self.chance(self.rough.runner_crash) && self.chance(200) {
                 let cut = self.rng.random_range(1_000..9_000);
                 self.slots[at].cut_until = self.now + Duration::from_millis(cut);
             }
+            self.resize(at);
             let now = self.now;
             if let Some(runner) = self.slots[at].runner.as_mut() {
                 runner.advance(now);
             }
             let new_ends = self.observe(at);
+            if let Some(by) = self.slots[at].runner.as_ref().and_then(EmulatedRunner::crashed_by) {
+                self.past.entry(by).or_default().crashes.push(now);
+                self.lose(at);
+                continue;
+            }
             let slot = &mut self.slots[at];
             if new_ends {
                 slot.next_report = slot.next_report.min(now + Duration::from_millis(50));
@@ -417,13 +465,51 @@
         }
     }
 
+    /// A runner crashes and is back after some seconds.
+    fn lose(&mut self, at: usize) {
+        let away = self.rng.random_range(200..9_000);
+        self.crash(at, Duration::from_millis(away));
+    }
+
+    /// Lets a room shrink or grow.
+    fn resize(&mut self, at: usize) {
+        if self.now >= self.slots[at].grows_at {
+            self.set_capacity(at, CAPACITY);
+        }
+        if self.rough.shrinks > 0 && self.chance(self.rough.shrinks) && self.chance(200) {
+            let cores = self.rng.random_range(0..16);
+            let span = Duration::from_millis(self.rng.random_range(500..12_000));
+            self.shrink(at, cores, span);
+        }
+    }
+
+    /// A runner has only so many cores for a while.
+    pub fn shrink(&mut self, at: usize, cores: u64, span: Duration) {
+        self.set_capacity(at, Resources { millicores: cores * 1_000, ..CAPACITY });
+        let slot = &mut self.slots[at];
+        // Shrinking further does not make the first time longer.
+        if self.now >= slot.grows_at {
+            slot.shrunk = self.now + SHRINKS_WITHIN;
+        }
+        slot.grows_at = slot.grows_at.max(self.now + span);
+    }
+
+    fn set_capacity(&mut self, at: usize, capacity: Resources) {
+        if let Some(runner) = &mut self.slots[at].runner {
+            runner.capacity = capacity;
+        }
+    }
+
     /// Takes in what happened on a runner and checks it; true when a run ended.
     fn observe(&mut self, at: usize) -> bool {
+        let shrunk_since = self.slots[at].shrunk;
         let Some(runner) = self.slots[at].runner.as_mut() else { return false };
         let happened = runner.take_happened();
         let taken = runner.taken();
-        if !runner.capacity.holds(taken) {
-            self.broken.push(format!("w{at} holds {taken:?}"));
+        let room = if self.now < shrunk_since { CAPACITY } else { runner.capacity };
+        let started = happened.iter().any(|event| matches!(event, Happened::Started { .. }));
+        if started && !room.holds(taken) {
+            self.broken.push(format!("w{at} is brought to {taken:?} of {room:?}"));
         }
         let mut ended = false;
         for event in happened {
@@ -471,7 +557,12 @@
     }
 
     pub fn crash(&mut self, at: usize, away: Duration) {
+        for task in self.running_on(at) {
+            self.past.entry(task).or_default().lost_runners += 1;
+        }
         self.slots[at].runner = None;
+        self.slots[at].grows_at = self.now;
+        self.slots[at].shrunk = self.now;
         self.slots[at].back_at = self.now + away;
     }
 
@@ -485,6 +576,19 @@
         self.slots[at].runner.iter().flat_map(|runner| runner.running()).collect()
     }
 
+    /// How often a task made its runner crash.
+    pub fn crashes_of(&self, task: TaskKey) -> usize {
+        self.past.get(&task).map_or(0, |past| past.crashes.len())
+    }
+
+    /// Changes the leader at once.
+    pub fn replace_leader(&mut self) {
+        self.commit_now();
+        self.leader = None;
+        self.asked.clear();
+        self.next_leader = self.now;
+    }
+
     pub fn starts_of(&self, task: TaskKey) -> usize {
         self.past.get(&task).map_or(0, |past| past.starts.len())
     }
--- /dev/null
+++ b/crates/coordination/tests/crashes.rs
@@ -0,0 +1,223 @@
+//! Tasks that crash their runners, and rooms that shrink, under every order of events.
+
+#[path = "cell/world.rs"]
+#[allow(dead_code)]
+mod world;
+
+use std::time::Duration;
+use world::{Rough, World, step};
+use yuccalink_coordination::jobs::JobState;
+use yuccalink_fakes::emulator::{Crash, Truth};
+use yuccalink_state::jobs::{JobId, JobSpec, StepSpec, TaskKey};
+
+const SECOND: Duration = Duration::from_secs(1);
+const AT_ONCE: Crash = Crash::each(Duration::from_millis(10));
+/// Starts of a task after which another one breaks the rule at the latest.
+const STARTS_MAX: usize = 5;
+
+fn job(steps: Vec<(StepSpec, Truth)>) -> (JobSpec, Vec<Truth>) {
+    let (steps, truths): (Vec<_>, Vec<_>) = steps.into_iter().unzip();
+    (JobSpec { payload: "work".into(), steps, schedule: None }, truths)
+}
+
+fn key(id: u64, step: u16, index: u16) -> TaskKey {
+    TaskKey { job: JobId(id), occurrence: 0, step, index }
+}
+
+fn assert_kept(world: &mut World) {
+    world.close();
+    world.check_completed();
+    world.check_failed();
+    assert!(world.broken.is_empty(), "{:#?}", world.broken);
+}
+
+/// A job whose only task crashes each runner that starts it.
+fn submit_crashing(world: &mut World, id: u64, crash: Crash) {
+    let (spec, mut truths) = job(vec![step(1, 2, 1_000)]);
+    truths[0].crash = Some(crash);
+    world.submit(JobId(id), spec, truths);
+}
+
+/// A task that crashed each runner was started again for as long as the day lasted.
+#[test]
+fn a_task_that_crashes_each_runner_at_once_is_given_up() {
+    let mut world = World::new(1, 12, Rough::CALM);
+    submit_crashing(&mut world, 1, AT_ONCE);
+    world.run_for(SECOND * 40);
+    assert_eq!(world.state(JobId(1)), Some(JobState::Failed));
+    assert!(world.starts_of(key(1, 0, 0)) <= STARTS_MAX);
+    assert_kept(&mut world);
+}
+
+/// The same, where the crash comes after the runner has listed the task.
+#[test]
+fn a_task_that_crashes_each_runner_after_a_while_is_given_up() {
+    for after in [300, 900, 3_000] {
+        let mut world = World::new(2, 12, Rough::CALM);
+        let (spec, mut truths) = job(vec![step(1, 2, 10_000)]);
+        truths[0].crash = Some(Crash::each(Duration::from_millis(after)));
+        world.submit(JobId(1), spec, truths);
+        world.run_for(SECOND * 60);
+        assert_eq!(world.state(JobId(1)), Some(JobState::Failed), "after {after} ms");
+        assert!(world.starts_of(key(1, 0, 0)) <= STARTS_MAX, "after {after} ms");
+        assert_kept(&mut world);
+    }
+}
+
+/// A count that a leader kept in its memory was gone with it.
+#[test]
+fn crashes_are_counted_through_changes_of_leader() {
+    let mut world = World::new(3, 12, Rough::CALM);
+    submit_crashing(&mut world, 1, AT_ONCE);
+    for _ in 0..60 {
+        world.run_for(Duration::from_millis(700));
+        world.replace_leader();
+    }
+    world.run_for(SECOND * 20);
+    assert_eq!(world.state(JobId(1)), Some(JobState::Failed));
+    assert!(world.starts_of(key(1, 0, 0)) <= STARTS_MAX);
+    assert_kept(&mut world);
+}
+
+/// Work beside a task that crashes runners was lost with each of them.
+#[test]
+fn work_beside_tasks_that_crash_runners_completes() {
+    let mut world = World::new(4, 30, Rough::CALM);
+    for id in 1..=6 {
+        submit_crashing(&mut world, id, AT_ONCE);
+    }
+    for id in 100..160 {
+        let (spec, truths) = job(vec![step(6, 3, 900)]);
+        world.submit(JobId(id), spec, truths);
+        world.run_for(Duration::from_millis(250));
+    }
+    world.run_for(SECOND * 40);
+    for id in 1..=6 {
+        assert_eq!(world.state(JobId(id)), Some(JobState::Failed), "job {id}");
+    }
+    for id in 100..160 {
+        assert_eq!(world.state(JobId(id)), Some(JobState::Completed), "job {id}");
+    }
+    assert_kept(&mut world);
+}
+
+/// Tasks that last were started again without end as well.
+#[test]
+fn a_lasting_task_that_crashes_each_runner_is_given_up() {
+    let mut world = World::new(5, 12, Rough::CALM);
+    let (mut spec, mut truths) = job(vec![step(1, 4, 60_000)]);
+    spec.steps[0].long_running = true;
+    truths[0] = Truth { lasts: true, crash: Some(AT_ONCE), ..truths[0] };
+    world.submit(JobId(1), spec, truths);
+    world.run_for(SECOND * 40);
+    assert_eq!(world.state(JobId(1)), Some(JobState::Failed));
+    assert!(world.starts_of(key(1, 0, 0)) <= STARTS_MAX);
+    assert_kept(&mut world);
+}
+
+/// Members of a gang crashed one runner after another, and the gang started anew each time.
+#[test]
+fn a_gang_with_a_member_that_crashes_runners_is_given_up() {
+    let mut world = World::new(6, 12, Rough::CALM);
+    let (mut spec, mut truths) = job(vec![step(5, 5, 2_000)]);
+    spec.steps[0].gang = true;
+    truths[0].crash = Some(Crash::each(Duration::from_millis(10)));
+    world.submit(JobId(1), spec, truths);
+    world.run_for(SECOND * 80);
+    assert_eq!(world.state(JobId(1)), Some(JobState::Failed));
+    assert_kept(&mut world);
+}
+
+/// Runners crash by themselves as well: a task that was there is not at fault.
+#[test]
+fn tasks_on_runners_that_crash_by_themselves_complete() {
+    let mut world = World::new(7, 8, Rough::CALM);
+    let (spec, truths) = job(vec![step(8, 4, 6_000)]);
+    world.submit(JobId(1), spec, truths);
+    for at in 0..2 {
+        world.run_for(SECOND * 2);
+        world.crash(at, SECOND * 3);
+    }
+    world.run_for(SECOND * 30);
+    assert_eq!(world.state(JobId(1)), Some(JobState::Completed));
+    assert_kept(&mut world);
+}
+
+/// An order was sent again after the runner had said that its room had shrunk.
+#[test]
+fn an_order_sent_again_fits_the_room_that_is_left() {
+    let mut broken = Vec::new();
+    for seed in 0..40 {
+        let rough = Rough { lost: 150, late: 20, shrinks: 10, ..Rough::CALM };
+        let mut world = World::new(seed, 4, rough);
+        for id in 1..=30 {
+            let (spec, truths) = job(vec![step(4, 5, 700)]);
+            world.submit(JobId(id), spec, truths);
+            world.run_for(Duration::from_millis(300));
+        }
+        world.run_for(SECOND * 10);
+        broken.extend(world.broken.iter().map(|what| format!("seed {seed}: {what}")));
+    }
+    assert!(broken.is_empty(), "{} faults, the first: {:#?}", broken.len(), broken.first());
+}
+
+/// Crashing tasks, shrinking rooms, lost leaders and partitions mixed broke single promises.
+#[test]
+fn rough_histories_with_crashing_tasks_keep_every_promise() {
+    let mut broken = Vec::new();
+    for seed in 0..HISTORIES {
+        broken.extend(play(seed).into_iter().map(|what| format!("seed {seed}: {what}")));
+    }
+    assert!(broken.is_empty(), "{} faults, the first: {:#?}", broken.len(), broken.first());
+}
+
+const HISTORIES: u64 = 150;
+const JOBS: u64 = 25;
+
+fn play(seed: u64) -> Vec<String> {
+    let mut world = World::new(seed, 10, Rough::HARDEST);
+    for id in 1..=JOBS {
+        let (spec, truths) = random_job(&mut world);
+        world.submit(JobId(id), spec, truths);
+        let pause = 100 + world.draw(1_200);
+        world.run_for(Duration::from_millis(pause));
+        if world.draw(12) == 0 {
+            let other = JobId(1 + world.draw(id));
+            world.cancel(other);
+        }
+    }
+    world.calm_down();
+    world.run_for(SECOND * 60);
+    world.close();
+    world.check_completed();
+    world.check_failed();
+    if world.accepted.len() as u64 != JOBS {
+        world.broken.push(format!("{} of {JOBS} jobs accepted", world.accepted.len()));
+    }
+    if world.open_jobs() > 0 {
+        world.broken.push(format!("{} jobs never ended", world.open_jobs()));
+    }
+    world.broken.clone()
+}
+
+fn random_job(world: &mut World) -> (JobSpec, Vec<Truth>) {
+    let mut steps = Vec::new();
+    for at in 0..1 + world.draw(2) {
+        let (count, cores) = (1 + world.draw(6), 1 + world.draw(5));
+        let work = 100 + world.draw(2_500);
+        let (mut spec, mut truth) = step(u32::try_from(count).unwrap_or(1), cores, work);
+        if at > 0 && world.draw(2) == 0 {
+            spec.after = vec![u16::try_from(at - 1).unwrap_or(0)];
+        }
+        spec.checkpointing = world.draw(2) == 0;
+        spec.gang = world.draw(8) == 0;
+        spec.speculative = world.draw(4) == 0 && !spec.gang;
+        if world.draw(5) == 0 {
+            let after = [10, 10, 200, work * 3 / 4][world.draw(4) as usize];
+            let per_mille = [1_000, 1_000, 500][world.draw(3) as usize];
+            truth.crash = Some(Crash { after: Duration::from_millis(after), per_mille });
+        }
+        steps.push((spec, truth));
+    }
+    job(steps)
+}
--- a/crates/fakes/src/emulator.rs
+++ b/crates/fakes/src/emulator.rs
@@ -19,6 +19,29 @@
 /// How many times as long a slow runner takes.
 const SLOW_FACTOR: u32 = 5;
 
+/// A task that makes its runner crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// How long after its start.
+    pub after: Duration,
+    /// In how many of a thousand runs.
+    pub per_mille: u16,
+}
+
+impl Crash {
+    /// Each run crashes its runner that long after its start.
+    pub const fn each(after: Duration) -> Self {
+        Self { after, per_mille: 1_000 }
+    }
+
+    /// Whether this run does, the same each time it is asked.
+    fn strikes(self, task: TaskKey, run: u32) -> bool {
+        const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+        let seed = task.job.0 ^ (u64::from(task.index) << 20) ^ (u64::from(run) << 40);
+        (seed.wrapping_mul(MULTIPLIER) >> 32) % 1_000 < u64::from(self.per_mille)
+    }
+}
+
 /// What is true of one task, whatever was declared.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Truth {
@@ -30,6 +53,8 @@
     pub lasts: bool,
     /// What it takes of a runner.
     pub need: Resources,
+    /// It crashes its runner.
+    pub crash: Option<Crash>,
 }
 
 /// What happened on a runner, for whoever checks.
@@ -66,6 +91,7 @@
     run: u32,
     truth: Truth,
     done: Duration,
+    began: Moment,
     stop_at: Option<Moment>,
     rate: u8,
 }
@@ -89,6 +115,8 @@
 pub struct EmulatedRunner {
     /// Its name.
     pub id: Box<str>,
+    /// Where it listens.
+    pub address: Box<str>,
     /// When its life began.
     pub born_ms: u64,
     /// How it misbehaves.
@@ -112,6 +140,7 @@
     highest: BTreeMap<TaskKey, u32>,
     at: Moment,
     happened: Vec<Happened>,
+    crashed_by: Option<TaskKey>,
 }
 
 impl EmulatedRunner {
@@ -127,6 +156,7 @@
     pub fn new(id: &str, rack: &str, born_ms: u64, capacity: Resources, now: Moment) -> Self {
         Self {
             id: id.into(),
+            address: id.into(),
             born_ms,
             fault: Fault::None,
             state: RunnerState::Ready,
@@ -144,9 +174,15 @@
             highest: BTreeMap::new(),
             at: now,
             happened: Vec::new(),
+            crashed_by: None,
         }
     }
 
+    /// The task that has crashed this runner. Nothing is left of its life.
+    pub fn crashed_by(&self) -> Option<TaskKey> {
+        self.crashed_by
+    }
+
     /// What happened since the last call.
     pub fn take_happened(&mut self) -> Vec<Happened> {
         std::mem::take(&mut self.happened)
@@ -184,6 +220,11 @@
         }
         let mut ends = Vec::new();
         for (task, run) in &mut self.runs {
+            let due = |crash: &Crash| now.since(run.began) >= crash.after;
+            let crash = run.truth.crash.filter(due);
+            if crash.is_some_and(|crash| crash.strikes(*task, run.run)) {
+                self.crashed_by.get_or_insert(*task);
+            }
             if run.stop_at.is_some_and(|at| now >= at) {
                 ends.push((*task, How::Stopped));
                 continue;
@@ -232,7 +273,7 @@
             born_ms: self.born_ms,
             sequence: self.sequence,
             pool: "pool".into(),
-            address: self.id.clone(),
+            address: self.address.clone(),
             zone: "zone".into(),
             state: self.state,
             remaining_ms: self.leaves_at.map(|at| remaining_ms(at, now)),
@@ -293,7 +334,8 @@
             return self.finished.push(Finished { number, task, run, how, saved });
         }
         let done = Duration::ZERO;
-        self.runs.insert(task, Run { run, truth, done, stop_at: None, rate: 100 });
+        let began = self.at;
+        self.runs.insert(task, Run { run, truth, done, began, stop_at: None, rate: 100 });
         self.happened.push(Happened::Started { task, run, at: self.at });
     }
 
