--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -29,6 +29,7 @@
 pub mod runner;
 mod sizes;
 mod suits;
+mod suspects;
 pub mod swing;
 mod waves;
 
--- a/crates/coordination/src/jobs/account.rs
+++ b/crates/coordination/src/jobs/account.rs
@@ -32,6 +32,9 @@
     /// There is room only on runners that are not trusted.
     #[display("trust")]
     Trust,
+    /// There is room, and runners were lost under its next task.
+    #[display("suspect")]
+    Suspect,
     /// There is room, and the order is under way.
     #[display("order")]
     Order,
@@ -46,10 +49,11 @@
     Lag,
 }
 
-const CAUSES: [HeldUp; 7] = [
+const CAUSES: [HeldUp; 8] = [
     HeldUp::Room,
     HeldUp::Margin,
     HeldUp::Trust,
+    HeldUp::Suspect,
     HeldUp::Order,
     HeldUp::Pace,
     HeldUp::Again,
@@ -198,8 +202,9 @@
             let Some((job, spec)) = self.may_host(now, runner, group) else { continue };
             let trust = self.trust(now, runner);
             let takes_more = matches!(trust, Trust::Full | Trust::SecondTryOnly);
-            if !takes_more || !self.has_task_for(job, spec, group, runner, trust) {
-                cause = HeldUp::Trust;
+            if !takes_more || !self.has_task_for(now, job, spec, group, runner, trust) {
+                let suspect = self.has_suspect(now, group);
+                cause = if suspect { HeldUp::Suspect } else { HeldUp::Trust };
             } else if step.disturbs() {
                 return HeldUp::Margin;
             } else {
@@ -212,6 +217,7 @@
     /// Whether some waiting task of a step may run on a runner, by where it failed before.
     fn has_task_for(
         &self,
+        now: Now,
         job: &Job,
         step: &StepSpec,
         group: GroupKey,
@@ -222,7 +228,7 @@
         (0..step.count).any(|index| {
             let index = u16::try_from(index).unwrap_or(u16::MAX);
             let task = TaskKey { job: id, occurrence, step: at, index };
-            self.next_run(job, step, task, runner.key, trust).is_some()
+            self.next_run(now, job, step, task, runner.key, trust).is_some()
         })
     }
 
--- a/crates/coordination/src/jobs/ask.rs
+++ b/crates/coordination/src/jobs/ask.rs
@@ -260,4 +260,6 @@
         /// Where runners and operators reach it.
         control: SocketAddr,
     },
+    /// The job has failed; why, in words.
+    Failed(Box<str>),
 }
--- a/crates/coordination/src/jobs/asks.rs
+++ b/crates/coordination/src/jobs/asks.rs
@@ -14,7 +14,7 @@
         let answer = match ask {
             Ask::Submit { at, id, spec } => self.submit(now, token, &at, id, &spec),
             Ask::State { at, id } => Some(self.in_queue(&at, |leader, queue| {
-                leader.job_of(queue, id).map_or(Answer::Gone, |job| Answer::State(state(job)))
+                leader.job_of(queue, id).map_or(Answer::Gone, |job| leader.told_state(id, job))
             })),
             Ask::Cancel { at, id } => self.cancel(now, token, &at, id),
             Ask::Pending { at } => {
@@ -53,6 +53,28 @@
         }
     }
 
+    fn told_state(&self, id: JobId, job: &Job) -> Answer {
+        match state(job) {
+            JobState::Failed => Answer::Failed(self.why_failed(id, job).into()),
+            other => Answer::State(other),
+        }
+    }
+
+    fn why_failed(&self, id: JobId, job: &Job) -> String {
+        let losses = self.jobs.losses();
+        match losses.of_job(id).find(|(task, _)| losses.is_over(*task)) {
+            Some((task, lost)) => format!(
+                "{} runners were lost under task {task}, one after the other; \
+                 correct what it runs, and submit the job under another number",
+                lost.len()
+            ),
+            None => format!(
+                "a task failed {} times; correct it, and submit the job under another number",
+                job.attempts
+            ),
+        }
+    }
+
     fn job_of(&self, queue: &Queue, id: JobId) -> Option<&Job> {
         self.jobs.job(id).filter(|job| job.queue == queue.name)
     }
--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -41,11 +41,16 @@
 
     /// A command is agreed on: applies it and answers.
     pub fn committed(&mut self, now: Now, index: u64, command: JobCommand) {
-        let touched = touched(&command);
+        let touched = self.touched(&command);
         let detail = command.clone();
         let open: Vec<JobId> =
             touched.iter().copied().filter(|id| self.jobs.is_active(*id)).collect();
+        let unknown = match &command {
+            JobCommand::Meet(_) => self.jobs.losses().unknown(),
+            _ => BTreeSet::new(),
+        };
         let outcome = self.jobs.apply(command);
+        self.log_fates(now, &unknown);
         self.after(now, &detail, &outcome);
         for id in open {
             self.log_ended(id, now);
@@ -97,6 +102,7 @@
             JobCommand::UpkeepDone { wave, machine } => {
                 self.noting.remove(&(*wave, machine.clone()));
             }
+            JobCommand::Alive(life) => self.revived(*life),
             JobCommand::Cancel { .. }
             | JobCommand::Meet(_)
             | JobCommand::Learn(_)
@@ -112,7 +118,11 @@
         match end.how {
             How::Done => self.counts.done += 1,
             How::Failed => self.counts.failed += 1,
-            How::Gone | How::Lapsed => self.counts.lost += 1,
+            How::Crashed(_) => {
+                self.counts.lost += 1;
+                self.counts.crashed += 1;
+            }
+            How::Gone | How::Lapsed | How::Silent(_) => self.counts.lost += 1,
             How::Stopped | How::Broken | How::Alone | How::Refused => {}
         }
         if let Some(runner) = self.runners.get_mut(&end.life) {
@@ -122,6 +132,9 @@
                 _ => {}
             }
         }
+        if matches!(end.how, How::Crashed(_) | How::Silent(_)) {
+            self.log_standing(now, end.task);
+        }
     }
 
     fn finish(&mut self, now: Now, then: Then, outcome: &JobOutcome) {
@@ -151,18 +164,22 @@
     }
 }
 
-fn touched(command: &JobCommand) -> BTreeSet<JobId> {
-    match command {
-        JobCommand::Submit(submit) => BTreeSet::from([submit.id]),
-        JobCommand::Cancel { id, .. } => BTreeSet::from([*id]),
-        JobCommand::Start(starts) => starts.iter().map(|start| start.task.job).collect(),
-        JobCommand::End { ends, .. } => ends.iter().map(|end| end.task.job).collect(),
-        JobCommand::Change(_)
-        | JobCommand::Meet(_)
-        | JobCommand::Forget(_)
-        | JobCommand::Learn(_)
-        | JobCommand::Wave(_)
-        | JobCommand::UpkeepBegun { .. }
-        | JobCommand::UpkeepDone { .. } => BTreeSet::new(),
+impl Leader {
+    /// Jobs that a command may change.
+    fn touched(&self, command: &JobCommand) -> BTreeSet<JobId> {
+        match command {
+            JobCommand::Submit(submit) => BTreeSet::from([submit.id]),
+            JobCommand::Cancel { id, .. } => BTreeSet::from([*id]),
+            JobCommand::Start(starts) => starts.iter().map(|start| start.task.job).collect(),
+            JobCommand::End { ends, .. } => ends.iter().map(|end| end.task.job).collect(),
+            // It tells the fate of lost runners, and so may end jobs.
+            JobCommand::Meet(_) | JobCommand::Alive(_) => self.jobs.losses().open_jobs(),
+            JobCommand::Change(_)
+            | JobCommand::Forget(_)
+            | JobCommand::Learn(_)
+            | JobCommand::Wave(_)
+            | JobCommand::UpkeepBegun { .. }
+            | JobCommand::UpkeepDone { .. } => BTreeSet::new(),
+        }
     }
 }
--- a/crates/coordination/src/jobs/due.rs
+++ b/crates/coordination/src/jobs/due.rs
@@ -28,6 +28,7 @@
             self.measure_pools();
             self.count_moving_out();
             self.find_laggards(now);
+            self.find_suspects(now);
             self.keep_room(now);
             self.place_gangs(now);
             self.ask_advice(now);
--- a/crates/coordination/src/jobs/gangs.rs
+++ b/crates/coordination/src/jobs/gangs.rs
@@ -6,6 +6,7 @@
 use super::policy::Switch;
 use super::ready::GroupKey;
 use super::runner::{Runner, Trust};
+use super::suspects::Standing;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -73,7 +74,10 @@
             index: u16::try_from(index).unwrap_or(u16::MAX),
         };
         let whole = step.tasks.iter().enumerate().all(|(index, task)| {
-            !task.done && task.holds.is_empty() && !self.starting.contains_key(&key(index))
+            !task.done
+                && task.holds.is_empty()
+                && !self.starting.contains_key(&key(index))
+                && self.standing(now, key(index)) != Standing::HeldBack
         });
         if !whole {
             return None;
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -22,6 +22,8 @@
 const REPORT_PER_RUNNER: Duration = Duration::from_millis(4);
 /// A runner without room reports by itself after each end.
 const REPORT_FULL: Duration = Duration::from_millis(500);
+/// A runner that tries a suspect tells soon whether it has survived its start.
+const REPORT_TRIAL: Duration = Duration::from_millis(150);
 /// A runner leaves a little after it said, and what ends then is lost work.
 const LEAVE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -116,6 +118,7 @@
             log::info!("runner={} state={} was={}", report.runner, report.state, runner.state);
         }
         runner.update(report, now.at);
+        self.revive(key);
         let ends = self.new_ends(key, &report.finished);
         let ended: BTreeSet<(TaskKey, u32)> =
             report.finished.iter().filter_map(|f| f.task.map(|task| (task, f.run))).collect();
@@ -351,6 +354,10 @@
         let has_room = runner.takes_tasks() && runner.free.millicores > 0;
         let retry = if has_room { pause } else { REPORT_FULL.max(pause) };
         let retry = retry.min(self.cfg.heartbeat);
+        let retry = match self.trial_on(now, runner) {
+            Some(_) => retry.min(REPORT_TRIAL),
+            None => retry,
+        };
         let Some(runner) = self.runners.get_mut(&key) else { return };
         runner.note_orders(start.iter().map(|order| (order.task, order.run)), now.at);
         let rates = runner.rate_orders(&self.ready);
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -12,6 +12,7 @@
 use super::room::KeptFree;
 use super::routes::Routes;
 use super::runner::Runner;
+use super::suspects::Suspects;
 use super::swing::Loads;
 use super::waves::Waves;
 use crate::moment::Moment;
@@ -112,6 +113,7 @@
     pub(super) kept_free: BTreeMap<LifeKey, KeptFree>,
     /// Tasks that lag and may have a copy, as of the last ranking, the worst first.
     pub(super) laggards: Vec<TaskKey>,
+    pub(super) suspects: Suspects,
     /// Tasks that last and are to leave their runner or wait for another, as of the last
     /// ranking and since.
     pub(super) moving_out: u32,
@@ -165,6 +167,7 @@
             waves: Waves::default(),
             kept_free: BTreeMap::new(),
             laggards: Vec::new(),
+            suspects: Suspects::default(),
             moving_out: 0,
             idle_pools: BTreeSet::new(),
             noting: BTreeSet::new(),
--- a/crates/coordination/src/jobs/lost.rs
+++ b/crates/coordination/src/jobs/lost.rs
@@ -27,6 +27,8 @@
     /// Ends of all runs that may be running in a life that is over.
     pub(super) fn collect_lost(&self, now: Now, life: LifeKey, why: Why, ends: &mut Vec<End>) {
         let runner = self.runners.get(&life);
+        // What ends with a runner that leaves, or goes down for upkeep, ends by plan.
+        let leaves = runner.is_some_and(|runner| !runner.takes_tasks());
         for (task, run) in self.jobs.held(life) {
             if self.ending.contains(&(task, run)) {
                 continue;
@@ -35,9 +37,10 @@
             self.log_lost(now, life, why, (task, run), seen);
             let view = runner.and_then(|r| r.running.get(&task)).filter(|view| view.run == run);
             let saved = view.map_or_else(Box::default, |view| view.saved.clone());
-            let how = match why {
-                Why::Lease => How::Lapsed,
-                Why::NextLife | Why::Left => How::Gone,
+            let how = match (why, seen.filter(|_| !leaves)) {
+                (Why::Left, _) | (_, None) => How::Gone,
+                (Why::NextLife, Some(seen)) => How::Crashed(seen),
+                (Why::Lease, Some(seen)) => How::Silent(seen),
             };
             ends.push(End { task, run, life, how, saved });
         }
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -6,6 +6,7 @@
 use super::ready::{GroupKey, Waiting};
 use super::room::less;
 use super::runner::{Runner, Trust};
+use super::suspects::Standing;
 use yuccalink_state::Resources;
 use yuccalink_state::jobs::{Job, LifeKey, Start, StepSpec, TaskKey};
 
@@ -26,6 +27,14 @@
             most: starts_allowed(trust, runner),
             neighbours,
         };
+        if self.trial_on(now, runner).is_some() {
+            return Vec::new();
+        }
+        self.pick_suspect(now, key, &mut chosen);
+        if !chosen.starts.is_empty() {
+            return self.take_chosen(key, chosen);
+        }
+        let Some(runner) = self.runners.get(&key) else { return Vec::new() };
         let kept_free = self.kept_free.get(&key).is_some_and(|kept| now.at < kept.until);
         let mut later = Vec::new();
         let serves_nothing = chosen.neighbours.serving.is_empty();
@@ -62,6 +71,10 @@
             self.pick_of(now, runner, trust, group, &mut chosen);
         }
         self.pick_copies(runner, trust, &mut chosen);
+        self.take_chosen(key, chosen)
+    }
+
+    fn take_chosen(&mut self, key: LifeKey, chosen: Chosen) -> Vec<Start> {
         let Chosen { starts, free, neighbours, .. } = chosen;
         if let Some(runner) = self.runners.get_mut(&key) {
             runner.free = free;
@@ -105,7 +118,9 @@
             let index = u16::try_from(index).unwrap_or(u16::MAX);
             let (occurrence, step_at) = (group.occurrence, group.step);
             let task = TaskKey { job: group.job, occurrence, step: step_at, index };
-            let Some(run) = self.next_run(job, step, task, runner.key, trust) else { continue };
+            let Some(run) = self.next_run(now, job, step, task, runner.key, trust) else {
+                continue;
+            };
             if !chosen.free.holds(info.committed) || !self.suits(now, group, info, chosen) {
                 return;
             }
@@ -141,8 +156,22 @@
         }
     }
 
-    /// The number of a task's next run on a runner, if it may run there.
+    /// The number of a task's next run on a runner, if it may start there beside others.
     pub(super) fn next_run(
+        &self,
+        now: Now,
+        job: &Job,
+        step: &StepSpec,
+        task: TaskKey,
+        life: LifeKey,
+        trust: Trust,
+    ) -> Option<u32> {
+        let run = self.run_after(job, step, task, life, trust)?;
+        (self.standing(now, task) == Standing::Clear).then_some(run)
+    }
+
+    /// The number of a task's next run on a runner, if it may run there at all.
+    pub(super) fn run_after(
         &self,
         job: &Job,
         step: &StepSpec,
--- a/crates/coordination/src/jobs/policy.rs
+++ b/crates/coordination/src/jobs/policy.rs
@@ -15,6 +15,7 @@
 pub use super::runner::DistrustPolicy;
 pub use super::sizes::SizesPolicy;
 pub use super::suits::{GatheringPolicy, MatchingPolicy, PatiencePolicy, RacksPolicy};
+pub use super::suspects::SuspectsPolicy;
 pub use super::swing::ForecastPolicy;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -110,6 +111,8 @@
     pub distrust: DistrustPolicy,
     /// Members of a gang share a rack.
     pub gangs: GangsPolicy,
+    /// Tasks under which runners were lost are tried alone.
+    pub suspects: SuspectsPolicy,
 }
 
 /// Why a policy cannot be used.
@@ -170,7 +173,7 @@
         Ok(())
     }
 
-    fn figures(&self) -> [Bound; 17] {
+    fn figures(&self) -> [Bound; 18] {
         let runs_max = f64::from(self.moving.runs_max);
         [
             ("order", "size-weight", self.order.size_weight, 0.0, 2.0),
@@ -190,6 +193,7 @@
             ("copies", "lags-by", f64::from(self.copies.lags_by), 1.0, 100.0),
             ("copies", "one-in", self.copies.one_in as f64, 1.0, 1e6),
             ("distrust", "bad-ends-max", f64::from(self.distrust.bad_ends_max), 1.0, 1e3),
+            ("suspects", "one-in", self.suspects.one_in as f64, 1.0, 1e6),
         ]
     }
 }
@@ -248,6 +252,8 @@
     distrust: DistrustPolicy,
     /// Sets how gangs are placed.
     gangs: GangsPolicy,
+    /// Sets how tasks under which runners were lost are tried.
+    suspects: SuspectsPolicy,
 }
 
 impl PolicyBuilder {
--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -332,7 +332,7 @@
         }
     }
 
-    fn keys_of(&self, id: JobId) -> Vec<GroupKey> {
+    pub(super) fn keys_of(&self, id: JobId) -> Vec<GroupKey> {
         let from = GroupKey { job: id, occurrence: 0, step: 0 };
         let to = GroupKey { job: id, occurrence: u32::MAX, step: u16::MAX };
         self.groups.range(from..=to).map(|(key, _)| *key).collect()
--- a/crates/coordination/src/jobs/report.rs
+++ b/crates/coordination/src/jobs/report.rs
@@ -21,6 +21,12 @@
     pub standing: u64,
     /// Runs given up because their lease ended or their runner's life was over.
     pub lost: u64,
+    /// Of these, runs whose runner is known to have crashed.
+    pub crashed: u64,
+    /// Runs of suspects that were tried alone.
+    pub tried: u64,
+    /// Jobs given up since a task lost too many runners.
+    pub given_up: u64,
     /// Reports of runners.
     pub heartbeats: u64,
     /// Runners looked at beside those that reported: work that must not grow with the pool
@@ -79,7 +85,7 @@
     }
 
     /// One line when a job is over, with what its caller was to expect.
-    pub(super) fn log_ended(&self, id: JobId, now: Now) {
+    pub(super) fn log_ended(&mut self, id: JobId, now: Now) {
         let Some(job) = self.jobs.job(id).filter(|job| job.phase != JobPhase::Active) else {
             return;
         };
@@ -95,12 +101,16 @@
             .flat_map(|step| &step.tasks)
             .map(|task| task.failures)
             .sum();
+        let losses = self.jobs.losses();
+        let given_up = losses.of_job(id).any(|(task, _)| losses.is_over(task));
+        let why = if given_up { " why=crashes" } else { "" };
         log::info!(
             "job={id} ended state={:?} after={age:?} objective={objective:?} held-up={} \
-             failures={failures}",
+             failures={failures}{why}",
             job.phase,
             self.accounts.get(id)
         );
+        self.counts.given_up += u64::from(given_up);
     }
 
     /// One line when nobody waits for a job any more, which may never end.
--- /dev/null
+++ b/crates/coordination/src/jobs/suspects.rs
@@ -0,0 +1,337 @@
+//! Tasks under which runners were lost are tried alone until they are cleared or given up.
+//!
+//! The pattern answered here: a task crashes each runner that starts it, within
+//! milliseconds, and the runner is back after some seconds; runners crash by themselves too,
+//! and all that ran there is lost with them. Evidence comes late, with the runner's next
+//! life. A suspect starts where little would be lost, nothing else starts there until the
+//! runner has listed it, and only so many are tried at once.
+
+use super::leader::{Leader, Now, Then};
+use super::place::Chosen;
+use super::policy::{Millis, Switch};
+use super::ready::GroupKey;
+use super::room::less;
+use super::runner::{Runner, Trust};
+use crate::moment::Moment;
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use yuccalink_state::jobs::loss::CRASHES_AT_START_MAX;
+use yuccalink_state::jobs::{Fate, JobCommand, JobId, LifeKey, Loss, Seen, Start, TaskKey};
+
+/// Tasks of one job that are tried at once, while at most one runner crashed at the start of
+/// its tasks.
+const TRIED_OF_JOB_MAX: usize = 3;
+/// Runners that may be trying a suspect in a pool of any size.
+const TRIED_MIN: usize = 2;
+
+/// Tasks under which runners were lost are tried alone.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct SuspectsPolicy {
+    /// Whether they are; otherwise they start as all others, until they are given up.
+    pub mode: Switch,
+    /// How long a task that has lost several runners waits for news of the last ones.
+    #[serde(rename = "news-ms")]
+    pub news: Millis,
+    /// One runner in this many may be trying a suspect, and always two.
+    pub one_in: usize,
+    /// How long a suspect waits for a runner with nothing on it.
+    #[serde(rename = "empty-ms")]
+    pub empty: Millis,
+    /// How long for one without tasks that last.
+    #[serde(rename = "not-lasting-ms")]
+    pub not_lasting: Millis,
+}
+
+impl Default for SuspectsPolicy {
+    fn default() -> Self {
+        Self {
+            mode: Switch::On,
+            news: Millis(10_000),
+            one_in: 8,
+            empty: Millis(300),
+            not_lasting: Millis(900),
+        }
+    }
+}
+
+/// How a task may be started, by the runners lost under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Standing {
+    /// As any other.
+    Clear,
+    /// Alone.
+    Suspect,
+    /// Not before there is news of the runners.
+    HeldBack,
+}
+
+/// Suspects that wait, and when they first did.
+#[derive(Debug, Default)]
+pub(super) struct Suspects {
+    /// Those that may be tried now, as of the last ranking.
+    next: Vec<TaskKey>,
+    since: BTreeMap<TaskKey, Moment>,
+    /// Lives that were told to be alive after all, until that is in the log.
+    reviving: BTreeSet<LifeKey>,
+}
+
+/// A suspect that waits, in the order in which suspects are tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Waiting {
+    /// Runners that crashed right after the order to start a task of its job.
+    crashed_of_job: usize,
+    job: JobId,
+    /// Runners lost under it.
+    losses: Reverse<usize>,
+    task: TaskKey,
+}
+
+impl Leader {
+    /// How a task may be started.
+    pub(super) fn standing(&self, now: Now, task: TaskKey) -> Standing {
+        let losses = self.jobs.losses();
+        if losses.is_empty() {
+            return Standing::Clear;
+        }
+        let own = losses.of(task);
+        if own.len() >= CRASHES_AT_START_MAX && own.iter().any(|loss| self.may_be_heard(now, loss))
+        {
+            return Standing::HeldBack;
+        }
+        let at_start = own.iter().any(|loss| loss.seen == Seen::Ordered);
+        let crashed = own.iter().any(|loss| loss.fate == Fate::Crashed);
+        let suspect = at_start || (own.len() > 1 && crashed) || self.has_suspect_step(task);
+        match suspect && self.cfg.policy.suspects.mode.is_on() {
+            true => Standing::Suspect,
+            false => Standing::Clear,
+        }
+    }
+
+    /// Whether news of a lost runner may still come.
+    fn may_be_heard(&self, now: Now, loss: &Loss) -> bool {
+        let wait = u64::from(self.cfg.policy.suspects.news.0);
+        // The wall clock may have been set back since.
+        let age = now.unix_ms.checked_sub(loss.at_ms);
+        loss.fate == Fate::Unknown && age.is_some_and(|age| age < wait)
+    }
+
+    /// Whether several runners crashed at the start of tasks of a step, and none of its tasks
+    /// has ever worked.
+    fn has_suspect_step(&self, task: TaskKey) -> bool {
+        let group = GroupKey::of(task);
+        if self.lives_lost_at_start(group.job, Some(group)).len() < 2 {
+            return false;
+        }
+        let Some(job) = self.jobs.job(task.job) else { return false };
+        let occurrence = job.occurrences.get(task.occurrence as usize);
+        let step = occurrence.and_then(|found| found.steps.get(usize::from(task.step)));
+        let works = |(index, state): (usize, &yuccalink_state::jobs::Task)| {
+            let index = u16::try_from(index).unwrap_or(u16::MAX);
+            let key = TaskKey { index, ..task };
+            let listed =
+                |life| self.runners.get(&life).is_some_and(|r| r.running.contains_key(&key));
+            state.done || state.holds.iter().any(|hold| listed(hold.life))
+        };
+        step.is_some_and(|step| !step.tasks.iter().enumerate().any(works))
+    }
+
+    /// Runners that crashed right after the order to start a task of a job, or of a step.
+    fn lives_lost_at_start(&self, job: JobId, group: Option<GroupKey>) -> BTreeSet<LifeKey> {
+        let of_group = |task: TaskKey| group.is_none_or(|group| GroupKey::of(task) == group);
+        let losses = self.jobs.losses().of_job(job).filter(|(task, _)| of_group(*task));
+        let at_start = losses
+            .flat_map(|(_, losses)| losses)
+            .filter(|loss| loss.seen == Seen::Ordered && loss.fate == Fate::Crashed);
+        at_start.map(|loss| loss.life).collect()
+    }
+
+    /// Finds the suspects that may be tried now. Jobs under which the fewest runners crashed
+    /// come first, since most of them are innocent; of a job's tasks that which lost the most,
+    /// since it tells soonest whether the job is to be given up.
+    pub(super) fn find_suspects(&mut self, now: Now) {
+        self.suspects.next.clear();
+        if self.jobs.losses().is_empty() || self.cfg.policy.suspects.mode == Switch::Off {
+            self.suspects.since.clear();
+            return;
+        }
+        let trying: Vec<TaskKey> =
+            self.runners.values().filter_map(|r| self.trial_on(now, r)).collect();
+        let one_in = self.cfg.policy.suspects.one_in.max(1);
+        let most = (self.runners.len() / one_in).max(TRIED_MIN).saturating_sub(trying.len());
+        let mut of_job: BTreeMap<JobId, usize> = BTreeMap::new();
+        for task in &trying {
+            *of_job.entry(task.job).or_default() += 1;
+        }
+        let mut waiting = self.waiting_suspects(now);
+        let since = std::mem::take(&mut self.suspects.since);
+        let kept = waiting.iter().map(|s| (s.task, *since.get(&s.task).unwrap_or(&now.at)));
+        self.suspects.since = kept.collect();
+        waiting.sort_unstable();
+        for Waiting { crashed_of_job, task, .. } in waiting {
+            let tried = of_job.entry(task.job).or_default();
+            let most_of_job = if crashed_of_job > 1 { 1 } else { TRIED_OF_JOB_MAX };
+            if self.suspects.next.len() < most && *tried < most_of_job {
+                *tried += 1;
+                self.suspects.next.push(task);
+            }
+        }
+    }
+
+    fn waiting_suspects(&self, now: Now) -> Vec<Waiting> {
+        let mut jobs: Vec<JobId> = self.jobs.losses().tasks().map(|(task, _)| task.job).collect();
+        jobs.dedup();
+        let mut found = Vec::new();
+        for group in jobs.into_iter().flat_map(|job| self.ready.keys_of(job)) {
+            let Some(job) = self.jobs.job(group.job) else { continue };
+            let crashed_of_job = self.lives_lost_at_start(group.job, None).len();
+            let Some(step) = job.spec.steps.get(usize::from(group.step)) else { continue };
+            if step.gang {
+                continue;
+            }
+            for index in 0..step.count {
+                let index = u16::try_from(index).unwrap_or(u16::MAX);
+                let task = TaskKey {
+                    job: group.job,
+                    occurrence: group.occurrence,
+                    step: group.step,
+                    index,
+                };
+                let waits = self.jobs.task(task).is_some_and(|t| !t.done && t.holds.is_empty())
+                    && !self.starting.contains_key(&task);
+                if waits && self.standing(now, task) == Standing::Suspect {
+                    let losses = Reverse(self.jobs.losses().of(task).len());
+                    found.push(Waiting { crashed_of_job, job: task.job, losses, task });
+                }
+            }
+        }
+        found
+    }
+
+    /// Whether a step's job has tasks under which runners were lost.
+    pub(super) fn has_suspect(&self, now: Now, group: GroupKey) -> bool {
+        let mut lost = self.jobs.losses().of_job(group.job);
+        lost.any(|(task, _)| self.standing(now, task) != Standing::Clear)
+    }
+
+    /// The suspect that a runner was told to start and has not listed yet.
+    pub(super) fn trial_on(&self, now: Now, runner: &Runner) -> Option<TaskKey> {
+        if self.jobs.losses().is_empty() {
+            return None;
+        }
+        let starting = self.starting.values().filter(|start| start.life == runner.key);
+        let held = self.jobs.held(runner.key).chain(starting.map(|start| (start.task, start.run)));
+        held.filter(|(task, run)| runner.running.get(task).is_none_or(|view| view.run != *run))
+            .map(|(task, _)| task)
+            .find(|task| self.standing(now, *task) != Standing::Clear)
+    }
+
+    /// Starts a suspect on a runner that has reported, if one may be tried there.
+    pub(super) fn pick_suspect(&mut self, now: Now, key: LifeKey, chosen: &mut Chosen) {
+        let Some(runner) = self.runners.get(&key) else { return };
+        let trust = self.trust(now, runner);
+        if !runner.takes_tasks() || matches!(trust, Trust::None | Trust::Probe) {
+            return;
+        }
+        let fits = |task: &TaskKey| self.try_on(now, runner, trust, *task, chosen);
+        let Some((at, start)) =
+            self.suspects.next.iter().enumerate().find_map(|(at, task)| Some((at, fits(task)?)))
+        else {
+            return;
+        };
+        let losses = self.jobs.losses().of(start.task).len();
+        log::info!(
+            "try task={} run={} runner={} losses={losses} beside={}",
+            start.task,
+            start.run,
+            runner.id,
+            runner.running.len()
+        );
+        if let Some(step) = self.ready.step_of(start.task) {
+            chosen.free = less(chosen.free, step.committed);
+            chosen.neighbours.started(now.at, step, &self.loads, GroupKey::of(start.task));
+        }
+        chosen.starts.push(start);
+        self.counts.tried += 1;
+        self.suspects.next.remove(at);
+    }
+
+    fn try_on(
+        &self,
+        now: Now,
+        runner: &Runner,
+        trust: Trust,
+        task: TaskKey,
+        chosen: &Chosen,
+    ) -> Option<Start> {
+        let policy = &self.cfg.policy.suspects;
+        let since = self.suspects.since.get(&task).copied().unwrap_or(now.at);
+        let waited = now.at.since(since);
+        let little_to_lose = runner.running.is_empty()
+            || (waited > policy.empty.span() && runner.lasting_millicores == 0)
+            || waited > policy.not_lasting.span();
+        let group = GroupKey::of(task);
+        let info = self.ready.step(group.job, group.step)?;
+        if !little_to_lose || !chosen.free.holds(info.committed) {
+            return None;
+        }
+        let (job, step) = self.may_host(now, runner, group)?;
+        if self.seats(runner, group, step) == 0 {
+            return None;
+        }
+        let run = self.run_after(job, step, task, runner.key, trust)?;
+        Some(Start { task, run, life: runner.key })
+    }
+
+    /// A runner whose runs were given up reports again: what it lost is no crash.
+    pub(super) fn revive(&mut self, key: LifeKey) {
+        let losses = self.jobs.losses();
+        if losses.is_empty() || !losses.unknown().contains(&key) {
+            return;
+        }
+        if self.suspects.reviving.insert(key) {
+            log::info!("{key} reports again: its losses are no crash");
+            self.propose(JobCommand::Alive(key), Then::Nothing);
+        }
+    }
+
+    /// That is in the log.
+    pub(super) fn revived(&mut self, key: LifeKey) {
+        self.suspects.reviving.remove(&key);
+    }
+
+    /// Says what became of tasks whose runners are now known to have crashed.
+    pub(super) fn log_fates(&self, now: Now, were_unknown: &BTreeSet<LifeKey>) {
+        if were_unknown.is_empty() {
+            return;
+        }
+        let losses = self.jobs.losses();
+        let still = losses.unknown();
+        let told = |loss: &Loss| were_unknown.contains(&loss.life) && !still.contains(&loss.life);
+        for (task, _) in losses.tasks().filter(|(_, own)| own.iter().any(told)) {
+            self.log_standing(now, task);
+        }
+    }
+
+    /// Says what the loss of a runner means for a task.
+    pub(super) fn log_standing(&self, now: Now, task: TaskKey) {
+        let losses = self.jobs.losses();
+        let own = losses.of(task);
+        if own.is_empty() {
+            return;
+        }
+        let crashed = own.iter().filter(|loss| loss.fate == Fate::Crashed).count();
+        let at_start = own.iter().filter(|loss| loss.seen == Seen::Ordered).count();
+        let verdict = match (losses.is_over(task), self.standing(now, task)) {
+            (true, _) => "given-up",
+            (false, Standing::Clear) => "unsuspected",
+            (false, Standing::Suspect) => "suspected",
+            (false, Standing::HeldBack) => "held-back",
+        };
+        log::info!(
+            "task={task} {verdict} losses={} crashed={crashed} at-start={at_start}",
+            own.len()
+        );
+    }
+}
--- a/crates/coordination/tests/cell/checks.rs
+++ b/crates/coordination/tests/cell/checks.rs
@@ -178,6 +178,11 @@
         self.committed.all().filter(|(_, job)| open(job)).count()
     }
 
+    /// Whether a job has not ended.
+    pub fn is_open(&self, id: JobId) -> bool {
+        self.committed.is_active(id)
+    }
+
     /// Cancelled jobs that still run somewhere, `grace` after the cancelling.
     pub fn check_cancelled(&mut self, grace: Duration) {
         for slot in &self.slots {
--- a/crates/coordination/tests/cell/world.rs
+++ b/crates/coordination/tests/cell/world.rs
@@ -139,7 +139,7 @@
     numbers: u64,
     asked: BTreeMap<Token, (usize, u64, Moment)>,
     specs: BTreeMap<JobId, Arc<JobSpec>>,
-    truths: BTreeMap<JobId, Vec<Truth>>,
+    pub truths: BTreeMap<JobId, Vec<Truth>>,
     past: BTreeMap<TaskKey, Past>,
     cancelled: BTreeMap<JobId, Moment>,
     pub accepted: BTreeSet<JobId>,
@@ -240,6 +240,7 @@
     pub fn state(&mut self, id: JobId) -> Option<JobState> {
         match self.ask(Ask::State { at: place(), id })? {
             Answer::State(state) => Some(state),
+            Answer::Failed(_) => Some(JobState::Failed),
             _ => None,
         }
     }
--- a/crates/coordination/tests/crashes.rs
+++ b/crates/coordination/tests/crashes.rs
@@ -188,6 +188,13 @@
     }
     world.calm_down();
     world.run_for(SECOND * 60);
+    let sound = |steps: &Vec<Truth>| steps.iter().all(|truth| truth.crash.is_none());
+    for (id, truths) in world.truths.clone() {
+        if sound(&truths) && world.is_open(id) {
+            world.broken.push(format!("{id} never ended beside crashing tasks"));
+        }
+    }
+    world.run_for(SECOND * 140);
     world.close();
     world.check_completed();
     world.check_failed();
--- a/crates/coordination/tests/policy.rs
+++ b/crates/coordination/tests/policy.rs
@@ -42,6 +42,7 @@
         with("leaving", |p| p.leaving.mode = OFF),
         with("copies", |p| p.copies.mode = OFF),
         with("distrust", |p| p.distrust.mode = OFF),
+        with("suspects", |p| p.suspects.mode = OFF),
         with("one rack for a gang", |p| p.gangs = GangsPolicy { one_rack: OFF }),
     ]
 }
--- a/crates/daemon/src/cell/native.rs
+++ b/crates/daemon/src/cell/native.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use yuccalink_coordination::jobs::ask::Place;
 use yuccalink_coordination::jobs::outside::{Call, Told};
-use yuccalink_coordination::jobs::{Answer, Ask, Report};
+use yuccalink_coordination::jobs::{Answer, Ask, JobState, Report};
 use yuccalink_state::jobs::{ChangeSet, JobId, JobSpec, Wave};
 
 /// The interface that this project speaks by itself.
@@ -26,7 +26,9 @@
 /// How far a job is.
 #[derive(Debug, Serialize)]
 struct StateView {
-    state: yuccalink_coordination::jobs::JobState,
+    state: JobState,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<Box<str>>,
 }
 
 /// How many jobs have not begun.
@@ -128,7 +130,10 @@
     let later = |status, after_ms| Reply { retry_after_ms: Some(after_ms), ..Reply::empty(status) };
     match answer {
         Answer::Accepted | Answer::Ok => Reply::empty(200),
-        Answer::State(state) => json(200, &StateView { state }),
+        Answer::State(state) => json(200, &StateView { state, reason: None }),
+        Answer::Failed(reason) => {
+            json(200, &StateView { state: JobState::Failed, reason: Some(reason) })
+        }
         Answer::Pending(pending) => json(200, &PendingView { pending }),
         Answer::Gone => Reply::empty(410),
         Answer::NoQueue => Reply::empty(404),
--- a/crates/operator/src/losses.rs
+++ b/crates/operator/src/losses.rs
@@ -25,6 +25,7 @@
 /// Causes beside those that a leader tells.
 const OWN_LENGTH: &str = "own-length";
 const FAILED: &str = "failed";
+const CRASHES: &str = "crashes";
 const UNTOLD: &str = "untold";
 
 /// What is known of one job.
@@ -47,6 +48,8 @@
     Cancelled,
     /// A task failed too often.
     Failed,
+    /// A task was given up, since too many runners were lost under it.
+    GivenUp,
     /// It took so long against that objective, held up so long by each cause.
     Took { took: Duration, objective: Duration, held_up: Vec<(Box<str>, Duration)> },
 }
@@ -152,6 +155,7 @@
         End::Open if job.came_s + SETTLED_S > last_s => None,
         End::Open => Some(vec![(UNTOLD.into(), worth)]),
         End::Failed => Some(vec![(FAILED.into(), worth)]),
+        End::GivenUp => Some(vec![(CRASHES.into(), worth)]),
         End::Took { took, objective, .. } if took <= objective => Some(Vec::new()),
         End::Took { took, objective, held_up } => {
             let late = (*took - *objective).as_secs_f64();
@@ -225,7 +229,8 @@
         return Some(End::Cancelled);
     }
     if told.starts_with("ended") && value(told, "state")? == "Failed" {
-        return Some(End::Failed);
+        let given_up = value(told, "why") == Some("crashes");
+        return Some(if given_up { End::GivenUp } else { End::Failed });
     }
     if !told.starts_with("ended") && !told.starts_with("overdue") {
         return None;
--- a/crates/operator/tests/losses.rs
+++ b/crates/operator/tests/losses.rs
@@ -116,6 +116,19 @@
     assert!(missing(long, "margin") > missing(long, "room"), "{long:?}");
 }
 
+/// A job given up for crashes was counted with those that failed by themselves.
+#[test]
+fn jobs_given_up_for_crashes_have_a_row_of_their_own() {
+    let failed = "objective=2s held-up=former:0 failures=0";
+    let text = accepted(1, "0a", "q", 1)
+        + &line(9, &format!("job=0a ended state=Failed after=8s {failed} why=crashes"))
+        + &accepted(1, "0b", "q", 1)
+        + &line(9, &format!("job=0b ended state=Failed after=8s {failed}"));
+    let Losses { all, .. } = add_up(&text);
+    assert_near(missing(&all, "crashes"), 1.0);
+    assert_near(missing(&all, "failed"), 1.0);
+}
+
 #[test]
 fn lines_that_are_cut_or_strange_are_passed_over() {
     let text = "job= accepted\n[2030 job=zz ended state=\njob=0a accepted queue=q steps=[x]\n";
--- a/crates/state/src/jobs/command.rs
+++ b/crates/state/src/jobs/command.rs
@@ -1,6 +1,7 @@
 //! What may change the state of jobs, and what each change came to.
 
 use super::change::ChangeSet;
+use super::loss::Seen;
 use super::spec::JobSpec;
 use super::task::{JobId, LifeKey, TaskKey};
 use serde::{Deserialize, Serialize};
@@ -52,6 +53,8 @@
         /// Which.
         machine: Box<str>,
     },
+    /// A runner whose runs were given up reports again: it was only cut off.
+    Alive(LifeKey),
 }
 
 /// A wave of upkeep, as its operator ordered it.
@@ -118,7 +121,7 @@
     Failed,
     /// It was told to.
     Stopped,
-    /// Its lease ended.
+    /// Its lease ended, as its runner tells.
     Lapsed,
     /// Another member of its gang ended.
     Broken,
@@ -126,8 +129,12 @@
     Alone,
     /// The runner did not start it.
     Refused,
-    /// Its runner's life is over, or it was never started.
+    /// It was never started, or its runner left as it had said.
     Gone,
+    /// Its runner's life is over, though it did not say that it leaves.
+    Crashed(Seen),
+    /// Its lease has surely ended, and nothing was heard of its runner.
+    Silent(Seen),
 }
 
 /// The end of one run.
--- a/crates/state/src/jobs/loss.rs
+++ b/crates/state/src/jobs/loss.rs
@@ -1,7 +1,21 @@
-//! What was seen of runs that ended with their runners.
+//! Runs that ended with their runners, by task, and what they say of the task.
+//!
+//! A runner that crashes takes all that it runs along, and one task of them may be the
+//! cause, or none. A task is given up once it has lost so many runners that chance does not
+//! explain it; until then it is a suspect.
 
+use super::task::{JobId, LifeKey, TaskKey};
 use derive_more::Display;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Crashes right after the order to start a task after which it is given up.
+pub const CRASHES_AT_START_MAX: usize = 3;
+/// Crashes under a task after which it is given up, whatever was seen of its runs.
+pub const CRASHES_MAX: usize = 4;
+/// Runners lost under a task after which it is given up, whether they are known to have
+/// crashed or not.
+pub const LOSSES_MAX: usize = 5;
 
 /// What was seen of a run before its runner was lost.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -19,3 +33,140 @@
     #[display("proven")]
     Proven,
 }
+
+/// What became of a runner that was lost.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fate {
+    /// Nothing was heard of it since: it may be cut off.
+    #[display("unknown")]
+    Unknown,
+    /// A later life of it has come, or another runner at its address.
+    #[display("crashed")]
+    Crashed,
+}
+
+/// A run that ended with its runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loss {
+    /// Which run.
+    pub run: u32,
+    /// Where.
+    pub life: LifeKey,
+    /// What was seen of it.
+    pub seen: Seen,
+    /// What became of the runner.
+    pub fate: Fate,
+    /// When it was given up, in Unix milliseconds.
+    pub at_ms: u64,
+}
+
+/// The losses of tasks that are not done. Most tasks have none, and no entry.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Losses {
+    by_task: BTreeMap<TaskKey, Vec<Loss>>,
+}
+
+impl Losses {
+    /// Those of a task, the oldest first.
+    ///
+    /// ```
+    /// use yuccalink_state::jobs::{JobId, Losses, TaskKey};
+    /// let task = TaskKey { job: JobId(1), occurrence: 0, step: 0, index: 0 };
+    /// assert!(Losses::default().of(task).is_empty());
+    /// ```
+    pub fn of(&self, task: TaskKey) -> &[Loss] {
+        self.by_task.get(&task).map_or(&[], Vec::as_slice)
+    }
+
+    /// Tasks with losses.
+    pub fn tasks(&self) -> impl Iterator<Item = (TaskKey, &[Loss])> {
+        self.by_task.iter().map(|(task, losses)| (*task, losses.as_slice()))
+    }
+
+    /// Tasks of a job with losses.
+    pub fn of_job(&self, job: JobId) -> impl Iterator<Item = (TaskKey, &[Loss])> {
+        let first = TaskKey { job, occurrence: 0, step: 0, index: 0 };
+        let of_job = self.by_task.range(first..).take_while(move |(task, _)| task.job == job);
+        of_job.map(|(task, losses)| (*task, losses.as_slice()))
+    }
+
+    /// Whether no task has any.
+    pub fn is_empty(&self) -> bool {
+        self.by_task.is_empty()
+    }
+
+    /// Whether a task has lost runners too often to be started again.
+    pub fn is_over(&self, task: TaskKey) -> bool {
+        let losses = self.of(task);
+        let crashed = losses.iter().filter(|loss| loss.fate == Fate::Crashed);
+        let at_start = crashed.clone().filter(|loss| loss.seen == Seen::Ordered).count();
+        at_start >= CRASHES_AT_START_MAX
+            || crashed.count() >= CRASHES_MAX
+            || losses.len() >= LOSSES_MAX
+    }
+
+    /// Lives of which it is not known whether they crashed.
+    pub fn unknown(&self) -> BTreeSet<LifeKey> {
+        let losses = self.by_task.values().flatten();
+        losses.filter(|loss| loss.fate == Fate::Unknown).map(|loss| loss.life).collect()
+    }
+
+    /// Jobs with a runner of which it is not known whether it crashed.
+    pub fn open_jobs(&self) -> BTreeSet<JobId> {
+        let open = |losses: &[Loss]| losses.iter().any(|loss| loss.fate == Fate::Unknown);
+        self.tasks().filter(|(_, losses)| open(losses)).map(|(task, _)| task.job).collect()
+    }
+
+    /// A run ended with its runner.
+    pub(crate) fn add(&mut self, task: TaskKey, loss: Loss) {
+        match loss.seen {
+            // It has worked for long enough to clear what was suspected before.
+            Seen::Proven => self.remove(task),
+            Seen::Nothing | Seen::Ordered | Seen::Working => {
+                self.by_task.entry(task).or_default().push(loss);
+            }
+        }
+    }
+
+    /// These lives are over. Names the tasks that lost them.
+    pub(crate) fn crashed(&mut self, lives: &BTreeSet<LifeKey>) -> Vec<TaskKey> {
+        let mut tasks = Vec::new();
+        for (task, losses) in &mut self.by_task {
+            for loss in losses {
+                if loss.fate == Fate::Unknown && lives.contains(&loss.life) {
+                    loss.fate = Fate::Crashed;
+                    tasks.push(*task);
+                }
+            }
+        }
+        tasks
+    }
+
+    /// A life was only cut off.
+    pub(crate) fn alive(&mut self, life: LifeKey) {
+        for losses in self.by_task.values_mut() {
+            losses.retain(|loss| loss.life != life || loss.fate != Fate::Unknown);
+        }
+        self.by_task.retain(|_, losses| !losses.is_empty());
+    }
+
+    /// A task is done, or proven to be sound.
+    pub(crate) fn remove(&mut self, task: TaskKey) {
+        self.by_task.remove(&task);
+    }
+
+    /// A job is forgotten.
+    pub(crate) fn remove_job(&mut self, job: JobId) {
+        self.by_task.retain(|task, _| task.job != job);
+    }
+}
+
+/// Reads what an earlier release did not write as nothing. Only for the last part of a state
+/// whose checksum holds: there an end of the bytes can mean nothing else.
+pub(crate) fn or_none<'de, D>(from: D) -> Result<Losses, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    Ok(Losses::deserialize(from).unwrap_or_default())
+}
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -2,6 +2,7 @@
 
 use super::change::ChangeSet;
 use super::command::{End, How, JobCommand, JobOutcome, Life, PairWeight, Start, Submit};
+use super::loss::{self, Fate, Loss, Losses, Seen};
 use super::spec::{JobSpec, StepSpec};
 use super::task::{Hold, JobId, LifeKey, Task, TaskKey};
 use super::wave::WaveState;
@@ -76,6 +77,9 @@
     waves: BTreeMap<u64, WaveState>,
     #[serde(skip)]
     held: Vec<BTreeMap<TaskKey, u32>>,
+    /// Written last, so that states of earlier releases can be read.
+    #[serde(deserialize_with = "loss::or_none")]
+    losses: Losses,
 }
 
 impl Jobs {
@@ -134,6 +138,11 @@
         self.held.get(key.0 as usize).into_iter().flatten().map(|(task, run)| (*task, *run))
     }
 
+    /// Runs that ended with their runners.
+    pub fn losses(&self) -> &Losses {
+        &self.losses
+    }
+
     /// Whether a run may be running in a life.
     pub fn holds(&self, key: LifeKey, task: TaskKey, run: u32) -> bool {
         self.held.get(key.0 as usize).is_some_and(|held| held.get(&task) == Some(&run))
@@ -186,6 +195,10 @@
                 }
                 JobOutcome::Done
             }
+            JobCommand::Alive(life) => {
+                self.losses.alive(life);
+                JobOutcome::Done
+            }
         }
     }
 
@@ -254,6 +267,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return false };
         if job.phase == JobPhase::Active {
             job.finish(JobPhase::Cancelled, at_ms);
+            self.losses.remove_job(id);
         }
         true
     }
@@ -263,11 +277,38 @@
         if let Some(at) = self.lives.iter().position(same) {
             return life_key(at);
         }
+        let over = self.ended_by(&life);
+        for task in self.losses.crashed(&over) {
+            self.give_up(task);
+        }
         self.lives.push(life);
         self.held.push(BTreeMap::new());
         life_key(self.lives.len() - 1)
     }
 
+    /// Lives with runs that were given up and that are surely over now: an older one of the
+    /// same name, or at the same address.
+    fn ended_by(&self, newer: &Life) -> BTreeSet<LifeKey> {
+        let over = |life: &Life| {
+            life.born_ms < newer.born_ms && (life.id == newer.id || life.address == newer.address)
+        };
+        let mut lives = self.losses.unknown();
+        lives.retain(|key| self.life(*key).is_some_and(over));
+        lives
+    }
+
+    /// Fails the job of a task that has lost too many runners.
+    fn give_up(&mut self, task: TaskKey) {
+        if !self.losses.is_over(task) {
+            return;
+        }
+        let at_ms = self.losses.of(task).last().map_or(0, |loss| loss.at_ms);
+        if let Some(job) = self.jobs.get_mut(&task.job).filter(|job| job.phase == JobPhase::Active)
+        {
+            job.finish(JobPhase::Failed, at_ms);
+        }
+    }
+
     fn start(&mut self, start: Start) -> bool {
         let Start { task: key, run, life } = start;
         if self.held.len() <= life.0 as usize {
@@ -328,9 +369,14 @@
         }
         if end.how == How::Done && !lasts {
             job.mark_done(end.task, gang, at_ms);
+            self.losses.remove(end.task);
         } else if failed {
             job.finish(JobPhase::Failed, at_ms);
         }
+        if let Some(loss) = loss_of(end, at_ms) {
+            self.losses.add(end.task, loss);
+            self.give_up(end.task);
+        }
     }
 
     fn forget(&mut self, id: JobId) {
@@ -339,6 +385,7 @@
         collect_holds(id, job, &mut found);
         if job.phase != JobPhase::Active && found.is_empty() {
             self.jobs.remove(&id);
+            self.losses.remove_job(id);
         }
     }
 
@@ -443,6 +490,23 @@
     }
 }
 
+/// What an end says of its runner.
+fn loss_of(end: &End, at_ms: u64) -> Option<Loss> {
+    let (seen, fate): (Seen, Fate) = match end.how {
+        How::Crashed(seen) => (seen, Fate::Crashed),
+        How::Silent(seen) => (seen, Fate::Unknown),
+        How::Done
+        | How::Failed
+        | How::Stopped
+        | How::Lapsed
+        | How::Broken
+        | How::Alone
+        | How::Refused
+        | How::Gone => return None,
+    };
+    Some(Loss { run: end.run, life: end.life, seen, fate, at_ms })
+}
+
 fn collect_holds(id: JobId, job: &Job, into: &mut Vec<(TaskKey, Hold)>) {
     for (k, occurrence) in job.occurrences.iter().enumerate() {
         for (s, step) in occurrence.steps.iter().enumerate() {
--- a/crates/state/tests/jobs.rs
+++ b/crates/state/tests/jobs.rs
@@ -103,6 +103,115 @@
     assert_eq!(phase(&jobs), JobPhase::Active);
 }
 
+const SEEN: [Seen; 3] = [Seen::Nothing, Seen::Ordered, Seen::Working];
+
+/// Another life of the runner that life `of` is one of.
+fn reborn(jobs: &mut Jobs, of: u32) -> LifeKey {
+    let known = jobs.life(LifeKey(of)).expect("a life").clone();
+    let life = Life { born_ms: known.born_ms + 1, ..known };
+    match jobs.apply(JobCommand::Meet(life)) {
+        JobOutcome::Met(key) => key,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Crashes under a task were forgotten with each run.
+#[test]
+fn a_task_under_which_too_many_runners_crashed_fails_its_job() {
+    for (seen, most) in [(Seen::Ordered, 3), (Seen::Working, 4), (Seen::Nothing, 4)] {
+        let mut jobs = table(vec![step(1)]);
+        for run in 1..=most {
+            assert_eq!(phase(&jobs), JobPhase::Active, "{seen} run {run}");
+            assert!(start(&mut jobs, key(0, 0), run, run % 3));
+            end(&mut jobs, key(0, 0), run, run % 3, How::Crashed(seen));
+        }
+        assert_eq!(phase(&jobs), JobPhase::Failed, "{seen}");
+        assert!(!start(&mut jobs, key(0, 0), most + 1, 0));
+    }
+}
+
+/// A lease that ended and the next life after it were two marks for one crash.
+#[test]
+fn one_crash_counts_once_however_it_is_learnt() {
+    for seen in SEEN {
+        let mut jobs = table(vec![step(1)]);
+        for run in 1..=2 {
+            assert!(start(&mut jobs, key(0, 0), run, run));
+            end(&mut jobs, key(0, 0), run, run, How::Silent(seen));
+            end(&mut jobs, key(0, 0), run, run, How::Crashed(seen));
+            reborn(&mut jobs, run);
+        }
+        let losses = jobs.losses().of(key(0, 0));
+        assert_eq!(losses.len(), 2, "{seen}");
+        assert!(losses.iter().all(|loss| loss.fate == Fate::Crashed));
+        assert_eq!(phase(&jobs), JobPhase::Active);
+    }
+}
+
+/// News of three crashed runners that came after the task was started elsewhere was lost.
+#[test]
+fn late_news_of_crashed_runners_counts_against_the_task() {
+    let mut jobs = table(vec![step(1)]);
+    for run in 1..=3 {
+        assert!(start(&mut jobs, key(0, 0), run, run - 1));
+        end(&mut jobs, key(0, 0), run, run - 1, How::Silent(Seen::Ordered));
+    }
+    assert_eq!(phase(&jobs), JobPhase::Active, "they may be cut off");
+    for life in 0..3 {
+        reborn(&mut jobs, life);
+    }
+    assert_eq!(phase(&jobs), JobPhase::Failed);
+}
+
+/// Tasks on runners that were cut off, and reported again, were taken for guilty.
+#[test]
+fn a_runner_that_reports_again_is_no_mark() {
+    let mut jobs = table(vec![step(1)]);
+    for run in 1..=9 {
+        assert!(start(&mut jobs, key(0, 0), run, 1));
+        end(&mut jobs, key(0, 0), run, 1, How::Silent(Seen::Ordered));
+        jobs.apply(JobCommand::Alive(LifeKey(1)));
+        assert!(jobs.losses().is_empty());
+    }
+    assert_eq!(phase(&jobs), JobPhase::Active);
+}
+
+/// A task that lasts and loses a runner now and then would be given up in the end.
+#[test]
+fn a_long_run_clears_a_task_of_what_was_before() {
+    let mut jobs = table(vec![StepSpec { long_running: true, ..step(1) }]);
+    for run in 1..=20 {
+        assert!(start(&mut jobs, key(0, 0), run, 1));
+        let seen = if run % 3 == 0 { Seen::Proven } else { Seen::Ordered };
+        end(&mut jobs, key(0, 0), run, 1, How::Crashed(seen));
+    }
+    assert_eq!(phase(&jobs), JobPhase::Active);
+}
+
+/// Runners that are never heard of again left no bound on the starts of a task.
+#[test]
+fn runners_that_never_return_bound_the_starts_as_well() {
+    let mut jobs = table(vec![step(1)]);
+    let mut starts = 0;
+    while start(&mut jobs, key(0, 0), starts + 1, starts % 3) {
+        starts += 1;
+        end(&mut jobs, key(0, 0), starts, (starts - 1) % 3, How::Silent(Seen::Working));
+    }
+    assert_eq!(starts, 5);
+}
+
+/// A state written before losses were kept could not be read.
+#[test]
+fn a_state_without_losses_is_read_as_one_with_none() {
+    let jobs = table(vec![step(1)]);
+    let bytes = snapshot::encode(&Meta::default(), &jobs).expect("a snapshot");
+    let (head, body) = bytes.split_at(16);
+    let older = &body[..body.len() - 1];
+    let head = [&head[..12], &crc32fast::hash(older).to_le_bytes()].concat();
+    let back = snapshot::decode_as::<Jobs>(&[&head, older].concat(), "memory").expect("decoded");
+    assert_eq!(back.machine, jobs);
+}
+
 /// A long-running task fails as often as it likes; it is started again.
 #[test]
 fn long_running_tasks_never_fail_their_job() {
@@ -208,9 +317,10 @@
 proptest! {
     /// Whatever happened, a snapshot brings back the same state, derived parts too.
     #[test]
-    fn a_snapshot_brings_everything_back(moves in prop::collection::vec((0u16..4, 0u32..3, 0u8..6), 0..60)) {
+    fn a_snapshot_brings_everything_back(moves in prop::collection::vec((0u16..4, 0u32..3, 0u8..9), 0..60)) {
         let mut jobs = table(vec![step(2), StepSpec { after: vec![0], ..step(2) }]);
         for (at, life, what) in moves {
+            let how_lost = SEEN[usize::from(at) % SEEN.len()];
             let task = key(at % 2, at / 2);
             let last = jobs.task(task).map_or(0, |task| task.last_run);
             match what {
@@ -218,6 +328,9 @@
                 2 => end(&mut jobs, task, last, life, How::Done),
                 3 => end(&mut jobs, task, last, life, How::Stopped),
                 4 => end(&mut jobs, task, last, life, How::Failed),
+                5 => end(&mut jobs, task, last, life, How::Silent(how_lost)),
+                6 => end(&mut jobs, task, last, life, How::Crashed(how_lost)),
+                7 => { reborn(&mut jobs, life); }
                 _ => end(&mut jobs, task, last, life, How::Lapsed),
             }
         }
