Runs that end otherwise after three crashes are bounded as well

Only ends with a runner were counted. A task with three crashes is now given up after two more runs, however they end; it fails as runs_that_end_otherwise_after_three_crashes_are_bounded did before.

--- a/crates/coordination/src/jobs/asks.rs
+++ b/crates/coordination/src/jobs/asks.rs
@@ -62,7 +62,7 @@
 
     fn why_failed(&self, id: JobId, job: &Job) -> String {
         let losses = self.jobs.losses();
-        match losses.of_job(id).find(|(task, _)| losses.is_over(*task)) {
+        match losses.of_job(id).find(|(task, _)| self.jobs.lost_too_often(*task)) {
             Some((task, lost)) => format!(
                 "{} runners were lost under task {task}, one after the other; \
                  correct what it runs, and submit the job under another number",
--- a/crates/coordination/src/jobs/report.rs
+++ b/crates/coordination/src/jobs/report.rs
@@ -102,7 +102,7 @@
             .map(|task| task.failures)
             .sum();
         let losses = self.jobs.losses();
-        let given_up = losses.of_job(id).any(|(task, _)| losses.is_over(task));
+        let given_up = losses.of_job(id).any(|(task, _)| self.jobs.lost_too_often(task));
         let why = if given_up { " why=crashes" } else { "" };
         log::info!(
             "job={id} ended state={:?} after={age:?} objective={objective:?} held-up={} \
--- a/crates/coordination/src/jobs/suspects.rs
+++ b/crates/coordination/src/jobs/suspects.rs
@@ -323,7 +323,7 @@
         }
         let crashed = own.iter().filter(|loss| loss.fate == Fate::Crashed).count();
         let at_start = own.iter().filter(|loss| loss.seen == Seen::Ordered).count();
-        let verdict = match (losses.is_over(task), self.standing(now, task)) {
+        let verdict = match (self.jobs.lost_too_often(task), self.standing(now, task)) {
             (true, _) => "given-up",
             (false, Standing::Clear) => "unsuspected",
             (false, Standing::Suspect) => "suspected",
--- a/crates/state/src/jobs/loss.rs
+++ b/crates/state/src/jobs/loss.rs
@@ -13,6 +13,8 @@
 pub const CRASHES_AT_START_MAX: usize = 3;
 /// Crashes under a task after which it is given up, whatever was seen of its runs.
 pub const CRASHES_MAX: usize = 4;
+/// Runs of a task after its third crash, however they end, after which it is given up.
+pub const RUNS_AFTER_MAX: u32 = 2;
 /// Runners lost under a task after which it is given up, whether they are known to have
 /// crashed or not.
 pub const LOSSES_MAX: usize = 5;
@@ -96,14 +98,17 @@
         self.by_task.is_empty()
     }
 
-    /// Whether a task has lost runners too often to be started again.
-    pub fn is_over(&self, task: TaskKey) -> bool {
+    /// Whether a task, whose newest run is `last_run`, has lost runners too often to be
+    /// started again.
+    pub(crate) fn are_too_many(&self, task: TaskKey, last_run: u32) -> bool {
         let losses = self.of(task);
         let crashed = losses.iter().filter(|loss| loss.fate == Fate::Crashed);
         let at_start = crashed.clone().filter(|loss| loss.seen == Seen::Ordered).count();
+        let third = crashed.clone().nth(CRASHES_AT_START_MAX - 1);
         at_start >= CRASHES_AT_START_MAX
             || crashed.count() >= CRASHES_MAX
             || losses.len() >= LOSSES_MAX
+            || third.is_some_and(|third| last_run >= third.run + RUNS_AFTER_MAX)
     }
 
     /// Lives of which it is not known whether they crashed.
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -143,6 +143,18 @@
         &self.losses
     }
 
+    /// Whether a task has lost runners too often to be started again.
+    ///
+    /// ```
+    /// use yuccalink_state::jobs::{JobId, Jobs, TaskKey};
+    /// let task = TaskKey { job: JobId(1), occurrence: 0, step: 0, index: 0 };
+    /// assert!(!Jobs::new().lost_too_often(task));
+    /// ```
+    pub fn lost_too_often(&self, key: TaskKey) -> bool {
+        let last_run = self.task(key).map_or(0, |task| task.last_run);
+        self.losses.are_too_many(key, last_run)
+    }
+
     /// Whether a run may be running in a life.
     pub fn holds(&self, key: LifeKey, task: TaskKey, run: u32) -> bool {
         self.held.get(key.0 as usize).is_some_and(|held| held.get(&task) == Some(&run))
@@ -299,7 +311,7 @@
 
     /// Fails the job of a task that has lost too many runners.
     fn give_up(&mut self, task: TaskKey) {
-        if !self.losses.is_over(task) {
+        if !self.lost_too_often(task) {
             return;
         }
         let at_ms = self.losses.of(task).last().map_or(0, |loss| loss.at_ms);
@@ -375,8 +387,8 @@
         }
         if let Some(loss) = loss_of(end, at_ms) {
             self.losses.add(end.task, loss);
-            self.give_up(end.task);
         }
+        self.give_up(end.task);
     }
 
     fn forget(&mut self, id: JobId) {
--- a/crates/state/tests/jobs.rs
+++ b/crates/state/tests/jobs.rs
@@ -130,6 +130,22 @@
     }
 }
 
+/// Runs that failed between crashes let a task be started three times after the third.
+#[test]
+fn runs_that_end_otherwise_after_three_crashes_are_bounded() {
+    let mut jobs = table(vec![StepSpec { long_running: true, ..step(1) }]);
+    for run in 1..=3 {
+        assert!(start(&mut jobs, key(0, 0), run, run - 1));
+        end(&mut jobs, key(0, 0), run, run - 1, How::Crashed(Seen::Working));
+    }
+    for run in 4..=5 {
+        assert!(start(&mut jobs, key(0, 0), run, 0));
+        end(&mut jobs, key(0, 0), run, 0, How::Failed);
+    }
+    assert!(!start(&mut jobs, key(0, 0), 6, 0));
+    assert_eq!(phase(&jobs), JobPhase::Failed);
+}
+
 /// A lease that ended and the next life after it were two marks for one crash.
 #[test]
 fn one_crash_counts_once_however_it_is_learnt() {
