A task that the next crash would end is tried on a runner of its own

A task that one more crash would end now waits up to five seconds for a runner with nothing on it, and nothing else starts there until it has worked for ten seconds or ended. Runners that list such a task do not count as trying one, so that others are not kept waiting.

--- a/crates/coordination/src/jobs/lost.rs
+++ b/crates/coordination/src/jobs/lost.rs
@@ -7,7 +7,7 @@
 use yuccalink_state::jobs::{End, How, LifeKey, Seen, TaskKey};
 
 /// A run that its runner listed for this long is no cause of the runner's loss.
-const PROVEN_AFTER: Duration = Duration::from_secs(10);
+pub(super) const PROVEN_AFTER: Duration = Duration::from_secs(10);
 
 /// Why what a runner ran is taken to be over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
--- a/crates/coordination/src/jobs/suspects.rs
+++ b/crates/coordination/src/jobs/suspects.rs
@@ -7,6 +7,7 @@
 //! runner has listed it, and only so many are tried at once.
 
 use super::leader::{Leader, Now, Then};
+use super::lost::PROVEN_AFTER;
 use super::place::Chosen;
 use super::policy::{Millis, Switch};
 use super::ready::GroupKey;
@@ -16,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
-use yuccalink_state::jobs::loss::CRASHES_AT_START_MAX;
+use yuccalink_state::jobs::loss::{CRASHES_AT_START_MAX, CRASHES_MAX};
 use yuccalink_state::jobs::{Fate, JobCommand, JobId, LifeKey, Loss, Seen, Start, TaskKey};
 
 /// Tasks of one job that are tried at once, while at most one runner crashed at the start of
@@ -42,6 +43,9 @@
     /// How long for one without tasks that last.
     #[serde(rename = "not-lasting-ms")]
     pub not_lasting: Millis,
+    /// How long one that the next crash would end waits for a runner with nothing on it.
+    #[serde(rename = "last-try-ms")]
+    pub last_try: Millis,
 }
 
 impl Default for SuspectsPolicy {
@@ -52,6 +56,7 @@
             one_in: 8,
             empty: Millis(300),
             not_lasting: Millis(900),
+            last_try: Millis(5_000),
         }
     }
 }
@@ -156,8 +161,10 @@
             self.suspects.since.clear();
             return;
         }
-        let trying: Vec<TaskKey> =
-            self.runners.values().filter_map(|r| self.trial_on(now, r)).collect();
+        let not_listed = |runner: &Runner| {
+            self.trial_on(now, runner).filter(|task| !runner.running.contains_key(task))
+        };
+        let trying: Vec<TaskKey> = self.runners.values().filter_map(not_listed).collect();
         let one_in = self.cfg.policy.suspects.one_in.max(1);
         let most = (self.runners.len() / one_in).max(TRIED_MIN).saturating_sub(trying.len());
         let mut of_job: BTreeMap<JobId, usize> = BTreeMap::new();
@@ -209,22 +216,36 @@
         found
     }
 
+    /// Whether one more crash would be the last: what else runs beside it must not decide.
+    fn is_last_try(&self, task: TaskKey) -> bool {
+        let own = self.jobs.losses().of(task);
+        let crashed = own.iter().filter(|loss| loss.fate == Fate::Crashed);
+        let at_start = crashed.clone().filter(|loss| loss.seen == Seen::Ordered).count();
+        at_start + 1 >= CRASHES_AT_START_MAX || crashed.count() + 1 >= CRASHES_MAX
+    }
+
     /// Whether a step's job has tasks under which runners were lost.
     pub(super) fn has_suspect(&self, now: Now, group: GroupKey) -> bool {
         let mut lost = self.jobs.losses().of_job(group.job);
         lost.any(|(task, _)| self.standing(now, task) != Standing::Clear)
     }
 
-    /// The suspect that a runner was told to start and has not listed yet.
+    /// The suspect that a runner was told to start and has not listed yet, or on its last try
+    /// for so long that it is cleared.
     pub(super) fn trial_on(&self, now: Now, runner: &Runner) -> Option<TaskKey> {
         if self.jobs.losses().is_empty() {
             return None;
         }
         let starting = self.starting.values().filter(|start| start.life == runner.key);
         let held = self.jobs.held(runner.key).chain(starting.map(|start| (start.task, start.run)));
-        held.filter(|(task, run)| runner.running.get(task).is_none_or(|view| view.run != *run))
-            .map(|(task, _)| task)
-            .find(|task| self.standing(now, *task) != Standing::Clear)
+        let is_tried = |task: TaskKey, run: u32| {
+            let view = runner.running.get(&task).filter(|view| view.run == run);
+            match view {
+                Some(view) => view.age < PROVEN_AFTER && self.is_last_try(task),
+                None => self.standing(now, task) != Standing::Clear,
+            }
+        };
+        held.filter(|(task, run)| is_tried(*task, *run)).map(|(task, _)| task).next()
     }
 
     /// Starts a suspect on a runner that has reported, if one may be tried there.
@@ -268,9 +289,14 @@
         let policy = &self.cfg.policy.suspects;
         let since = self.suspects.since.get(&task).copied().unwrap_or(now.at);
         let waited = now.at.since(since);
-        let little_to_lose = runner.running.is_empty()
-            || (waited > policy.empty.span() && runner.lasting_millicores == 0)
-            || waited > policy.not_lasting.span();
+        let little_to_lose = match self.is_last_try(task) && waited < policy.last_try.span() {
+            true => runner.running.is_empty(),
+            false => {
+                runner.running.is_empty()
+                    || (waited > policy.empty.span() && runner.lasting_millicores == 0)
+                    || waited > policy.not_lasting.span()
+            }
+        };
         let group = GroupKey::of(task);
         let info = self.ready.step(group.job, group.step)?;
         if !little_to_lose || !chosen.free.holds(info.committed) {
@@ -325,7 +351,7 @@
         let at_start = own.iter().filter(|loss| loss.seen == Seen::Ordered).count();
         let verdict = match (self.jobs.lost_too_often(task), self.standing(now, task)) {
             (true, _) => "given-up",
-            (false, Standing::Clear) => "unsuspected",
+            (false, Standing::Clear) => "clear",
             (false, Standing::Suspect) => "suspected",
             (false, Standing::HeldBack) => "held-back",
         };
--- a/crates/coordination/tests/cell/world.rs
+++ b/crates/coordination/tests/cell/world.rs
@@ -592,6 +592,24 @@
         self.committed.lives().map(|(life, _)| self.committed.held(life).count()).sum()
     }
 
+    /// Runners that have crashed and are not back.
+    pub fn runners_down(&self) -> usize {
+        self.slots.iter().filter(|slot| slot.runner.is_none()).count()
+    }
+
+    /// Runs that were lost with their runners.
+    pub fn runs_lost(&self) -> usize {
+        self.past.values().map(|past| past.lost_runners).sum()
+    }
+
+    /// Jobs that are completed.
+    pub fn completed_jobs(&self) -> usize {
+        let completed = |job: &yuccalink_state::jobs::Job| {
+            job.phase == yuccalink_state::jobs::JobPhase::Completed
+        };
+        self.committed.all().filter(|(_, job)| completed(job)).count()
+    }
+
     /// How often a task made its runner crash.
     pub fn crashes_of(&self, task: TaskKey) -> usize {
         self.past.get(&task).map_or(0, |past| past.crashes.len())
