The soak has tasks that crash their runners and rooms that shrink

The soak counts starts after the third crash and starts over a room itself. A job may be shown as failed only where two runners crashed under one of its tasks, as the users' page allows; how many of these were sound is reported.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -31,12 +31,16 @@
     pub runners: usize,
     /// How long faults come.
     pub span: Duration,
+    /// Whether some tasks crash their runners, and rooms shrink and grow.
+    pub crashes: bool,
 }
 
 /// Longest wait for the first version to be in force.
 const START_MAX: Duration = Duration::from_secs(30);
 /// Longest wait, after the last fault, for all jobs to be completed.
 const CALM_MAX: Duration = Duration::from_secs(40);
+/// The same, where each crashing task takes several runners for some seconds each.
+const CALM_AFTER_CRASHES_MAX: Duration = Duration::from_secs(90);
 /// After the last fault, for a disk that was lost to be replaced.
 const CATCH_UP: Duration = Duration::from_secs(6);
 /// Between two jobs of the caller, and between two versions of the operator.
@@ -67,7 +71,8 @@
     let operator = tokio::task::spawn_local(operator);
     for at in 0..settings.runners {
         let control = system.control();
-        tokio::task::spawn_local(runners::run(at, control, watch.clone(), began));
+        let runner = runners::run(at, control, watch.clone(), began, settings.crashes);
+        tokio::task::spawn_local(runner);
     }
     while watch.borrow().version.is_none() {
         if began.elapsed() > START_MAX {
@@ -87,7 +92,8 @@
     let system = Rc::new(RefCell::new(system));
     let strikes = inject(&plan, &system, &watch).await;
     tokio::time::sleep_until(until).await;
-    settle(&system, &watch).await;
+    let calm = if settings.crashes { CALM_AFTER_CRASHES_MAX } else { CALM_MAX };
+    settle(&system, &watch, calm).await;
     strikes.join_all().await;
     tokio::time::sleep(CATCH_UP).await;
     last_change.set(true);
@@ -200,8 +206,8 @@
 }
 
 /// Ends all faults and waits until every acknowledged job is completed.
-async fn settle(system: &SharedSystem, watch: &SharedWatch) {
-    let until = Instant::now() + CALM_MAX;
+async fn settle(system: &SharedSystem, watch: &SharedWatch, calm: Duration) {
+    let until = Instant::now() + calm;
     while Instant::now() < until && !watch.borrow().open().is_empty() {
         tokio::time::sleep(POLL).await;
         let down: Vec<usize> = {
--- a/crates/soak/src/runners.rs
+++ b/crates/soak/src/runners.rs
@@ -1,6 +1,8 @@
 //! Emulated runners that report over HTTP, to whichever process answers.
 
 use crate::watch::Watch;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,7 +10,7 @@
 use tokio::time::Instant;
 use yuccalink_coordination::Moment;
 use yuccalink_coordination::jobs::Orders;
-use yuccalink_fakes::emulator::{EmulatedRunner, Truth};
+use yuccalink_fakes::emulator::{Crash, EmulatedRunner, Truth};
 use yuccalink_state::Resources;
 use yuccalink_state::jobs::TaskKey;
 use yuccalink_transport::http::{Method, Request, header};
@@ -17,44 +19,130 @@
 const CAPACITY: Resources = Resources { millicores: 8_000, memory_mib: 16_000, accelerators: 0 };
 /// Longest wait for an answer, as on the users' platform.
 const ANSWER_MAX: Duration = Duration::from_secs(1);
+/// Added to the work of tasks that crash their runner, so that they do.
+const WORK_MORE: Duration = Duration::from_millis(500);
 const BODY_MAX: usize = 4 * 1024 * 1024;
 /// Pause after a report that got no answer.
 const AGAIN: Duration = Duration::from_millis(150);
 /// Longest pause between reports.
 const PAUSE_MAX: Duration = Duration::from_millis(1_000);
 
+/// One job in this many crashes runners, where that is asked for.
+const CRASHING_ONE_IN: u64 = 24;
+/// When a crashing task strikes after its start, by its job's number.
+const CRASH_AFTER_MS: [u64; 3] = [10, 10, 400];
+/// Shortest and longest time from a crash to the next life.
+const AWAY_MS: std::ops::Range<u64> = 500..7_000;
+/// Shortest and longest time that a room stays as it is.
+const ROOM_STAYS_MS: std::ops::Range<u64> = 500..6_000;
+/// A room that has shrunk may still be filled for this long.
+const SHRINKS_WITHIN: Duration = Duration::from_millis(4_500);
+
 /// What is true of every task: its work is drawn from its key.
-pub(crate) fn truth(task: TaskKey) -> Truth {
+fn truth(task: TaskKey, crashes: bool) -> Truth {
     let work = Duration::from_millis(100 + (task.job.0 ^ u64::from(task.index)) % 900);
     let need = Resources { millicores: 1_000, memory_mib: 100, accelerators: 0 };
-    Truth { work, need, ..Truth::default() }
+    let strikes = crashes && task.index == 0 && task.job.0.is_multiple_of(CRASHING_ONE_IN);
+    let after = CRASH_AFTER_MS[(task.job.0 / CRASHING_ONE_IN % 3) as usize];
+    let crash = strikes.then(|| Crash::each(Duration::from_millis(after)));
+    Truth { work: if strikes { work + WORK_MORE } else { work }, need, crash, ..Truth::default() }
+}
+
+/// How a runner's room shrinks and grows.
+struct Room {
+    rng: Pcg64Mcg,
+    changes_at: Moment,
+    former: Vec<(Moment, Resources)>,
 }
 
-/// Runs one runner until the soak ends.
+impl Room {
+    fn new(at: usize, now: Moment) -> Self {
+        let rng = Pcg64Mcg::seed_from_u64(at as u64);
+        Self { rng, changes_at: now, former: Vec::new() }
+    }
+
+    /// Shrinks or grows the room when it is time.
+    fn change(&mut self, runner: &mut EmulatedRunner, now: Moment) {
+        self.former.retain(|(until, _)| now < *until);
+        if now < self.changes_at {
+            return;
+        }
+        self.changes_at = now + Duration::from_millis(self.rng.random_range(ROOM_STAYS_MS));
+        let millicores = self.rng.random_range(1..=CAPACITY.millicores / 1_000) * 1_000;
+        let former = std::mem::replace(&mut runner.capacity, Resources { millicores, ..CAPACITY });
+        self.former.push((now + SHRINKS_WITHIN, former));
+    }
+
+    fn holds(&self, runner: &EmulatedRunner) -> bool {
+        let mut rooms = self.former.iter().map(|(_, room)| *room).chain([runner.capacity]);
+        rooms.any(|room| room.holds(runner.taken()))
+    }
+}
+
+/// Runs one runner, life after life, until the soak ends.
 pub(crate) async fn run(
     at: usize,
     nodes: Vec<SocketAddr>,
     watch: Rc<RefCell<Watch>>,
     began: Instant,
+    crashes: bool,
 ) {
-    let pool = Pool::new(PoolSettings::default());
     let now = || Moment(1_000_000) + began.elapsed();
-    let id = format!("w{at}");
-    let mut runner = EmulatedRunner::new(&id, "r1", 1_000 + at as u64, CAPACITY, now());
+    let mut room = Room::new(at, now());
+    let mut born_ms = 1_000 + at as u64;
+    loop {
+        let runner = EmulatedRunner::new(&format!("w{at}"), "r1", born_ms, CAPACITY, now());
+        room.former.clear();
+        let shrinks = crashes.then_some(&mut room);
+        let Some(by) = live(at, runner, &nodes, &watch, &now, shrinks).await else { return };
+        watch.borrow_mut().crashed(at, by);
+        let away = Duration::from_millis(room.rng.random_range(AWAY_MS));
+        tokio::time::sleep(away).await;
+        born_ms += u64::try_from(away.as_millis()).unwrap_or(u64::MAX);
+    }
+}
+
+/// Runs one life until a task makes it crash.
+async fn live<F>(
+    at: usize,
+    mut runner: EmulatedRunner,
+    nodes: &[SocketAddr],
+    watch: &Rc<RefCell<Watch>>,
+    now: &F,
+    mut shrinks: Option<&mut Room>,
+) -> Option<TaskKey>
+where
+    F: Fn() -> Moment,
+{
+    let pool = Pool::new(PoolSettings::default());
+    let id = runner.id.clone();
+    let crashes = shrinks.is_some();
     let mut node = at;
     let mut told: Option<SocketAddr> = None;
     loop {
+        if let Some(by) = runner.crashed_by() {
+            return Some(by);
+        }
+        if let Some(room) = &mut shrinks {
+            room.change(&mut runner, now());
+        }
         let sent = now();
         let report = runner.report(sent);
         watch.borrow_mut().happened(at, runner.take_happened());
-        let Ok(body) = serde_json::to_vec(&report) else { return };
+        let body = serde_json::to_vec(&report).ok()?;
         let to = told.unwrap_or(nodes[node % nodes.len()]);
         let path = format!("/v1/runners/{id}/heartbeat");
         let orders = post(&pool, to, &path, body).await;
         let pause = match orders {
             Some(orders) => {
                 told = orders.report_to;
-                runner.obey(now(), sent, &orders, |task| Some(truth(task)));
+                let before = runner.taken();
+                runner.obey(now(), sent, &orders, |task| Some(truth(task, crashes)));
+                if runner.taken().millicores > before.millicores
+                    && shrinks.as_ref().is_some_and(|room| !room.holds(&runner))
+                {
+                    watch.borrow_mut().overfull(at);
+                }
                 Duration::from_millis(orders.retry_after_ms.max(50))
             }
             None => {
@@ -64,7 +152,7 @@
             }
         };
         watch.borrow_mut().happened(at, runner.take_happened());
-        sleep(&mut runner, at, &watch, pause.min(PAUSE_MAX), &now).await;
+        sleep(&mut runner, at, watch, pause.min(PAUSE_MAX), now).await;
     }
 }
 
@@ -86,7 +174,7 @@
         let events = runner.take_happened();
         let ended = !events.is_empty();
         watch.borrow_mut().happened(at, events);
-        if ended {
+        if ended || runner.crashed_by().is_some() {
             return;
         }
     }
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -19,6 +19,12 @@
     pub accepted: usize,
     /// Jobs that were seen completed.
     pub completed: usize,
+    /// Jobs that were seen failed, since their tasks crash each runner.
+    pub given_up: usize,
+    /// Of these, jobs whose tasks crashed none.
+    pub sound_given_up: usize,
+    /// Runners that crashed.
+    pub crashes: usize,
     /// Runs that began.
     pub starts: usize,
     /// Faults that were injected.
@@ -34,8 +40,19 @@
     done: bool,
     noted: bool,
     runs: BTreeSet<u32>,
+    /// Runners that it made crash.
+    crashes: usize,
+    /// Runners that crashed while it ran there.
+    lost_runners: usize,
+    /// Its starts since the third of them.
+    starts_after: usize,
 }
 
+/// Crashes of runners under a task after which it is hardly ever started again, and starts
+/// after them that are too many.
+const CRASHES_BORNE: usize = 3;
+const STARTS_AFTER: usize = 3;
+
 /// One runner's listed ends that are not noted yet.
 type Listed = BTreeMap<u64, (TaskKey, How)>;
 
@@ -47,6 +64,7 @@
     counts: BTreeMap<usize, u64>,
     accepted: BTreeMap<JobId, (Instant, u16)>,
     pub(crate) completed: BTreeSet<JobId>,
+    given_up: BTreeSet<JobId>,
     pub(crate) version: Option<(u64, Instant)>,
 }
 
@@ -61,7 +79,8 @@
     }
 
     pub(crate) fn open(&self) -> Vec<JobId> {
-        self.accepted.keys().filter(|id| !self.completed.contains(id)).copied().collect()
+        let ended = |id: &JobId| self.completed.contains(id) || self.given_up.contains(id);
+        self.accepted.keys().filter(|id| !ended(id)).copied().collect()
     }
 
     /// A caller asked at `asked` and was told a job's state, or that there is none.
@@ -80,6 +99,13 @@
                 self.completed.insert(id);
                 self.report.completed = self.completed.len();
             }
+            Some(JobState::Failed) if self.given_up.contains(&id) => {}
+            Some(JobState::Failed) if self.lost_runners_of(id) >= 2 => {
+                self.given_up.insert(id);
+                let guilty = self.tasks.iter().any(|(key, task)| key.job == id && task.crashes > 0);
+                self.report.sound_given_up += usize::from(!guilty);
+                self.report.given_up = self.given_up.len();
+            }
             Some(JobState::Failed | JobState::Cancelled) => {
                 self.broken(format!("{id} is {state:?} and nobody failed or cancelled it"));
             }
@@ -87,6 +113,28 @@
         }
     }
 
+    /// Most runners that crashed under one task of a job.
+    fn lost_runners_of(&self, id: JobId) -> usize {
+        let of_job = self.tasks.iter().filter(|(key, _)| key.job == id);
+        of_job.map(|(_, task)| task.lost_runners).max().unwrap_or(0)
+    }
+
+    /// A task made a runner crash: nothing is left of that life.
+    pub(crate) fn crashed(&mut self, runner: usize, by: TaskKey) {
+        self.report.crashes += 1;
+        self.listed.remove(&runner);
+        self.counts.remove(&runner);
+        for task in self.tasks.values_mut() {
+            task.lost_runners += usize::from(task.running.remove(&runner));
+        }
+        self.tasks.entry(by).or_default().crashes += 1;
+    }
+
+    /// A start brought a runner over its room.
+    pub(crate) fn overfull(&mut self, runner: usize) {
+        self.broken(format!("a start brings w{runner} over its room"));
+    }
+
     /// An operator asked at `asked` and was told that this version is in force.
     pub(crate) fn in_force(&mut self, version: u64, asked: Instant) {
         if let Some((acknowledged, at)) = self.version
@@ -118,12 +166,17 @@
         let again = !task.runs.insert(run);
         let noted = task.noted;
         task.running.insert(runner);
+        task.starts_after += usize::from(task.crashes >= CRASHES_BORNE);
+        let too_often = task.starts_after >= STARTS_AFTER;
         if elsewhere {
             self.broken(format!("{key} run {run} starts while it runs elsewhere"));
         }
         if again {
             self.broken(format!("{key} run {run} starts twice"));
         }
+        if too_often {
+            self.broken(format!("{key} run {run} starts once more after three crashes"));
+        }
         if noted {
             self.broken(format!("{key} run {run} starts after its end was noted"));
         }
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -16,6 +16,10 @@
 }
 
 fn soak(seed: u64, seconds: u64, nodes: usize, runners: usize) -> Report {
+    soak_with(seed, seconds, nodes, runners, false)
+}
+
+fn soak_with(seed: u64, seconds: u64, nodes: usize, runners: usize, crashes: bool) -> Report {
     let folder = tempfile::tempdir().expect("a folder");
     let settings = Settings {
         program: program(),
@@ -25,6 +29,7 @@
         disks: 3,
         runners,
         span: Duration::from_secs(seconds),
+        crashes,
     };
     let report = run(&settings).expect("it runs");
     if !report.broken.is_empty() {
@@ -40,6 +45,14 @@
     assert!(report.accepted > 0 && report.completed == report.accepted, "{report:?}");
 }
 
+/// Tasks that crash their runners were started again without end, by every process in turn.
+#[test]
+fn tasks_that_crash_their_runners_are_given_up_by_every_process() {
+    let report = soak_with(11, 12, 4, 10, true);
+    assert!(report.given_up > 0, "{report:?}");
+    assert_eq!(report.completed + report.given_up, report.accepted, "{report:?}");
+}
+
 /// A process that was asked to stop has just ended when the next fault strikes, 1.16 s
 /// later. The soak took its end for one of its own, in three plays of four: the check of
 /// processes that fall looked before the check of those that stop.
