A job's tasks that survive their start let more of its suspects be tried

A step with a dozen tasks lost to two crashed runners was tried one task at a time, a third of a second each. Each of its tasks that works after a loss now allows two more at once.

--- a/crates/coordination/src/jobs/suspects.rs
+++ b/crates/coordination/src/jobs/suspects.rs
@@ -178,7 +178,11 @@
         waiting.sort_unstable();
         for Waiting { crashed_of_job, task, .. } in waiting {
             let tried = of_job.entry(task.job).or_default();
-            let most_of_job = if crashed_of_job > 1 { 1 } else { TRIED_OF_JOB_MAX };
+            let most_of_job = match crashed_of_job {
+                0 | 1 => TRIED_OF_JOB_MAX,
+                // Each one that has survived its start speaks for the others.
+                _ => 1 + 2 * self.survivors_of(task.job),
+            };
             if self.suspects.next.len() < most && *tried < most_of_job {
                 *tried += 1;
                 self.suspects.next.push(task);
@@ -186,6 +190,16 @@
         }
     }
 
+    /// Tasks of a job under which runners were lost and that work now.
+    fn survivors_of(&self, job: JobId) -> usize {
+        let works = |task: TaskKey| {
+            let holds = self.jobs.task(task).into_iter().flat_map(|state| &state.holds);
+            let mut runners = holds.filter_map(|hold| self.runners.get(&hold.life));
+            runners.any(|runner| runner.running.contains_key(&task))
+        };
+        self.jobs.losses().of_job(job).filter(|(task, _)| works(*task)).count()
+    }
+
     fn waiting_suspects(&self, now: Now) -> Vec<Waiting> {
         let mut jobs: Vec<JobId> = self.jobs.losses().tasks().map(|(task, _)| task.job).collect();
         jobs.dedup();
