A task that lost one runner at work may have a second copy again

No task with a lost runner had copies, though a copy matters most where a job is late already. Only one that may crash its runner at its start must not crash two at once: the bound of starts after the third crash holds, since a task with two losses has none.

--- a/crates/coordination/src/jobs/copies.rs
+++ b/crates/coordination/src/jobs/copies.rs
@@ -114,7 +114,7 @@
             && !self.starting.contains_key(&task)
             // A failure of the copy beside one of the original would end the job.
             && state.failures == 0
-            && self.jobs.losses().of(task).is_empty()
+            && self.may_have_copy(task)
             && !step.gang
             && !step.opportunistic
             && chosen.free.holds(step.committed())
--- a/crates/coordination/src/jobs/suspects.rs
+++ b/crates/coordination/src/jobs/suspects.rs
@@ -230,6 +230,16 @@
         found
     }
 
+    /// Whether a second copy of a task may start: one that crashes its runners would crash two
+    /// more at once.
+    pub(super) fn may_have_copy(&self, task: TaskKey) -> bool {
+        match self.jobs.losses().of(task) {
+            [] => true,
+            [loss] => loss.seen != Seen::Ordered,
+            _ => false,
+        }
+    }
+
     /// Whether one more crash would be the last: what else runs beside it must not decide.
     fn is_last_try(&self, task: TaskKey) -> bool {
         let own = self.jobs.losses().of(task);
