A suspect that finds no room keeps no other from its trial

Found by reading, shown by a_suspect_that_finds_no_room_keeps_no_other_waiting, which failed: only as many suspects were listed as might be tried at once, the first in order, and three that fitted nowhere filled the list for ever. All that wait are listed now, and trials are counted when they start.

--- a/crates/coordination/src/jobs/suspects.rs
+++ b/crates/coordination/src/jobs/suspects.rs
@@ -72,12 +72,17 @@
     HeldBack,
 }
 
-/// Suspects that wait, and when they first did.
+/// Suspects that wait, and how many may be tried, as of the last ranking.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
-    /// Those that may be tried now, as of the last ranking.
-    next: Vec<TaskKey>,
+    /// In the order in which they are tried.
+    waiting: Vec<TaskKey>,
+    /// When each first waited.
     since: BTreeMap<TaskKey, Moment>,
+    /// How many more may be tried at once,
+    left: usize,
+    /// and how many of each job.
+    left_of_job: BTreeMap<JobId, usize>,
     /// Lives that were told to be alive after all, until that is in the log.
     reviving: BTreeSet<LifeKey>,
 }
@@ -152,11 +157,11 @@
         at_start.map(|loss| loss.life).collect()
     }
 
-    /// Finds the suspects that may be tried now. Jobs under which the fewest runners crashed
-    /// come first, since most of them are innocent; of a job's tasks that which lost the most,
-    /// since it tells soonest whether the job is to be given up.
+    /// Finds the suspects that wait. Jobs under which the fewest runners crashed come first,
+    /// since most of them are innocent; of a job's tasks that which lost the most, since it
+    /// tells soonest whether the job is to be given up.
     pub(super) fn find_suspects(&mut self, now: Now) {
-        self.suspects.next.clear();
+        self.suspects.waiting.clear();
         if self.jobs.losses().is_empty() || self.cfg.policy.suspects.mode == Switch::Off {
             self.suspects.since.clear();
             return;
@@ -165,28 +170,31 @@
             self.trial_on(now, runner).filter(|task| !runner.running.contains_key(task))
         };
         let trying: Vec<TaskKey> = self.runners.values().filter_map(not_listed).collect();
-        let one_in = self.cfg.policy.suspects.one_in.max(1);
-        let most = (self.runners.len() / one_in).max(TRIED_MIN).saturating_sub(trying.len());
-        let mut of_job: BTreeMap<JobId, usize> = BTreeMap::new();
-        for task in &trying {
-            *of_job.entry(task.job).or_default() += 1;
-        }
         let mut waiting = self.waiting_suspects(now);
-        let since = std::mem::take(&mut self.suspects.since);
-        let kept = waiting.iter().map(|s| (s.task, *since.get(&s.task).unwrap_or(&now.at)));
-        self.suspects.since = kept.collect();
         waiting.sort_unstable();
-        for Waiting { crashed_of_job, task, .. } in waiting {
-            let tried = of_job.entry(task.job).or_default();
-            let most_of_job = match crashed_of_job {
-                0 | 1 => TRIED_OF_JOB_MAX,
-                // Each one that has survived its start speaks for the others.
-                _ => 1 + 2 * self.survivors_of(task.job),
-            };
-            if self.suspects.next.len() < most && *tried < most_of_job {
-                *tried += 1;
-                self.suspects.next.push(task);
-            }
+        let one_in = self.cfg.policy.suspects.one_in.max(1);
+        let most = (self.runners.len() / one_in).max(TRIED_MIN);
+        let mut left_of_job = BTreeMap::new();
+        for Waiting { crashed_of_job, job, .. } in &waiting {
+            left_of_job.entry(*job).or_insert_with(|| {
+                let tried = trying.iter().filter(|task| task.job == *job).count();
+                self.trials_of_job(*job, *crashed_of_job).saturating_sub(tried)
+            });
+        }
+        let former = std::mem::take(&mut self.suspects.since);
+        let since = |task| *former.get(&task).unwrap_or(&now.at);
+        self.suspects.since = waiting.iter().map(|s| (s.task, since(s.task))).collect();
+        self.suspects.waiting = waiting.into_iter().map(|suspect| suspect.task).collect();
+        self.suspects.left = most.saturating_sub(trying.len());
+        self.suspects.left_of_job = left_of_job;
+    }
+
+    /// How many tasks of a job may be tried at once.
+    fn trials_of_job(&self, job: JobId, crashed: usize) -> usize {
+        match crashed {
+            0 | 1 => TRIED_OF_JOB_MAX,
+            // Each one that has survived its start speaks for the others.
+            _ => 1 + 2 * self.survivors_of(job),
         }
     }
 
@@ -200,6 +208,7 @@
         self.jobs.losses().of_job(job).filter(|(task, _)| works(*task)).count()
     }
 
+    /// All suspects that wait, in no order.
     fn waiting_suspects(&self, now: Now) -> Vec<Waiting> {
         let mut jobs: Vec<JobId> = self.jobs.losses().tasks().map(|(task, _)| task.job).collect();
         jobs.dedup();
@@ -279,9 +288,13 @@
         if !runner.takes_tasks() || matches!(trust, Trust::None | Trust::Probe) {
             return;
         }
-        let fits = |task: &TaskKey| self.try_on(now, runner, trust, *task, chosen);
-        let Some((at, start)) =
-            self.suspects.next.iter().enumerate().find_map(|(at, task)| Some((at, fits(task)?)))
+        let suspects = &self.suspects;
+        if suspects.left == 0 {
+            return;
+        }
+        let may = |task: &&TaskKey| suspects.left_of_job.get(&task.job).is_some_and(|n| *n > 0);
+        let mut waiting = suspects.waiting.iter().filter(may);
+        let Some(start) = waiting.find_map(|task| self.try_on(now, runner, trust, *task, chosen))
         else {
             return;
         };
@@ -299,7 +312,11 @@
         }
         chosen.starts.push(start);
         self.counts.tried += 1;
-        self.suspects.next.remove(at);
+        self.suspects.left -= 1;
+        if let Some(left) = self.suspects.left_of_job.get_mut(&start.task.job) {
+            *left -= 1;
+        }
+        self.suspects.waiting.retain(|task| *task != start.task);
     }
 
     fn try_on(
--- a/crates/coordination/tests/crashes.rs
+++ b/crates/coordination/tests/crashes.rs
@@ -101,6 +101,51 @@
     assert_kept(&mut world);
 }
 
+/// Suspects for which there was no room took up all trials, and others waited for ever.
+#[test]
+fn a_suspect_that_finds_no_room_keeps_no_other_waiting() {
+    let mut world = World::new(8, RUNNERS, Rough::CALM);
+    world.run_for(SECOND);
+    for id in 1..=3 {
+        let (spec, truths) = job(vec![step(1, 16, 1_000)]);
+        world.submit(JobId(id), spec, truths);
+    }
+    crash_where_started(&mut world, 3);
+    run_narrow(&mut world, SECOND * 4);
+    let (spec, truths) = job(vec![step(1, 2, 800)]);
+    world.submit(JobId(4), spec, truths);
+    crash_where_started(&mut world, 1);
+    run_narrow(&mut world, SECOND * 10);
+    assert_eq!(world.state(JobId(4)), Some(JobState::Completed));
+    assert!((1..=3).all(|id| world.starts_of(key(id, 0, 0)) == 1), "they find no room");
+    assert_kept(&mut world);
+}
+
+const RUNNERS: usize = 10;
+
+/// Crashes the runners of the next runs right after their start.
+fn crash_where_started(world: &mut World, count: usize) {
+    let mut crashed = 0;
+    while crashed < count {
+        world.step();
+        for at in 0..RUNNERS {
+            if !world.running_on(at).is_empty() {
+                world.crash(at, SECOND);
+                crashed += 1;
+            }
+        }
+    }
+}
+
+/// No runner has room for a task of 16 cores meanwhile.
+fn run_narrow(world: &mut World, span: Duration) {
+    let until = world.now + span;
+    while world.now < until {
+        (0..RUNNERS).for_each(|at| world.shrink(at, 8, SECOND));
+        world.step();
+    }
+}
+
 /// Tasks that last were started again without end as well.
 #[test]
 fn a_lasting_task_that_crashes_each_runner_is_given_up() {
