One late report does not take a crash back

A report that a runner sent before it crashed, and that came after its lease, was taken for a sign of life; the loss was taken back, the next life then had nothing to settle, and the crash was never counted. A loss is taken back once the same life has reported for a lease's time.

Looking for it no longer builds a set of all lost lives for each report.

--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -118,7 +118,7 @@
             log::info!("runner={} state={} was={}", report.runner, report.state, runner.state);
         }
         runner.update(report, now.at);
-        self.revive(key);
+        self.revive(now, key);
         let ends = self.new_ends(key, &report.finished);
         let ended: BTreeSet<(TaskKey, u32)> =
             report.finished.iter().filter_map(|f| f.task.map(|task| (task, f.run))).collect();
--- a/crates/coordination/src/jobs/suspects.rs
+++ b/crates/coordination/src/jobs/suspects.rs
@@ -12,7 +12,7 @@
 use super::policy::{Millis, Switch};
 use super::ready::GroupKey;
 use super::room::less;
-use super::runner::{Runner, Trust};
+use super::runner::{Runner, Trust, lease_surely_ended_after};
 use crate::moment::Moment;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -83,8 +83,8 @@
     left: usize,
     /// and how many of each job.
     left_of_job: BTreeMap<JobId, usize>,
-    /// Lives that were told to be alive after all, until that is in the log.
-    reviving: BTreeSet<LifeKey>,
+    /// Lives that were lost and report again, since when.
+    reporting: BTreeMap<LifeKey, Moment>,
 }
 
 /// A suspect that waits, in the order in which suspects are tried.
@@ -162,6 +162,7 @@
     /// tells soonest whether the job is to be given up.
     pub(super) fn find_suspects(&mut self, now: Now) {
         self.suspects.waiting.clear();
+        self.suspects.reporting.retain(|life, _| self.jobs.losses().has_unknown(*life));
         if self.jobs.losses().is_empty() || self.cfg.policy.suspects.mode == Switch::Off {
             self.suspects.since.clear();
             return;
@@ -351,21 +352,24 @@
         Some(Start { task, run, life: runner.key })
     }
 
-    /// A runner whose runs were given up reports again: what it lost is no crash.
-    pub(super) fn revive(&mut self, key: LifeKey) {
-        let losses = self.jobs.losses();
-        if losses.is_empty() || !losses.unknown().contains(&key) {
+    /// A runner whose runs were given up reports again: what it lost is no crash, once its
+    /// reports have come for a lease's time. A single one may have been sent before a crash.
+    pub(super) fn revive(&mut self, now: Now, key: LifeKey) {
+        if !self.jobs.losses().has_unknown(key) {
             return;
         }
-        if self.suspects.reviving.insert(key) {
+        let since = *self.suspects.reporting.entry(key).or_insert(now.at);
+        if now.at.since(since) > lease_surely_ended_after(self.cfg.lease) {
             log::info!("{key} reports again: its losses are no crash");
+            // Asked for again only if this one is lost.
+            self.suspects.reporting.insert(key, now.at);
             self.propose(JobCommand::Alive(key), Then::Nothing);
         }
     }
 
     /// That is in the log.
     pub(super) fn revived(&mut self, key: LifeKey) {
-        self.suspects.reviving.remove(&key);
+        self.suspects.reporting.remove(&key);
     }
 
     /// Says what became of tasks whose runners are now known to have crashed.
--- a/crates/coordination/tests/cell/world.rs
+++ b/crates/coordination/tests/cell/world.rs
@@ -31,11 +31,16 @@
 /// part, and the rest is one report.
 const SHRINKS_WITHIN: Duration = Duration::from_millis(4_500);
 
+/// How late the last report before a crash is, where it is.
+const LAST_WORDS_TAKE: Duration = Duration::from_secs(6);
+
 /// How rough a history is, in thousandths where not said otherwise.
 #[derive(Clone, Copy, Debug)]
 pub struct Rough {
     pub lost: u32,
     pub late: u32,
+    /// Messages that are late are so by up to this many milliseconds.
+    pub late_max_ms: u64,
     pub leader_change: u32,
     pub runner_crash: u32,
     pub faults: bool,
@@ -44,30 +49,36 @@
     pub shrinks: u32,
     /// A runner's next life may have another name, at the same address.
     pub renames: bool,
+    /// The last report before a crash by a task arrives after the lease has ended.
+    pub last_words: bool,
 }
 
 impl Rough {
     pub const CALM: Self = Self {
         lost: 0,
         late: 0,
+        late_max_ms: 4_000,
         leader_change: 0,
         runner_crash: 0,
         faults: false,
         cancels: false,
         shrinks: 0,
         renames: false,
+        last_words: false,
     };
     pub const HARD: Self = Self {
         lost: 40,
         late: 20,
+        late_max_ms: 4_000,
         leader_change: 2,
         runner_crash: 2,
         faults: true,
         cancels: true,
         shrinks: 0,
         renames: false,
+        last_words: false,
     };
-    pub const HARDEST: Self = Self { shrinks: 2, renames: true, ..Self::HARD };
+    pub const HARDEST: Self = Self { shrinks: 2, renames: true, late_max_ms: 9_000, ..Self::HARD };
 }
 
 enum Message {
@@ -369,8 +380,10 @@
             return;
         }
         let late = self.chance(self.rough.late);
-        let wait =
-            if late { self.rng.random_range(500..4_000) } else { self.rng.random_range(1..30) };
+        let wait = match late {
+            true => self.rng.random_range(500..self.rough.late_max_ms),
+            false => self.rng.random_range(1..30),
+        };
         self.numbers += 1;
         self.messages.insert((self.now + Duration::from_millis(wait), self.numbers), message);
     }
@@ -449,6 +462,9 @@
             let new_ends = self.observe(at);
             if let Some(by) = self.slots[at].runner.as_ref().and_then(EmulatedRunner::crashed_by) {
                 self.past.entry(by).or_default().crashes.push(now);
+                if self.rough.last_words {
+                    self.send_last_words(at);
+                }
                 self.lose(at);
                 continue;
             }
@@ -472,6 +488,14 @@
         self.crash(at, Duration::from_millis(away));
     }
 
+    fn send_last_words(&mut self, at: usize) {
+        let Some(runner) = self.slots[at].runner.as_mut() else { return };
+        let (sent, report) = (self.now, Box::new(runner.report(self.now)));
+        self.numbers += 1;
+        let arrives = self.now + LAST_WORDS_TAKE;
+        self.messages.insert((arrives, self.numbers), Message::Report { slot: at, sent, report });
+    }
+
     /// Lets a room shrink or grow.
     fn resize(&mut self, at: usize) {
         if self.now >= self.slots[at].grows_at {
--- a/crates/coordination/tests/crashes.rs
+++ b/crates/coordination/tests/crashes.rs
@@ -64,6 +64,21 @@
     }
 }
 
+/// A report that was sent before a crash and came after the lease took the crash back.
+#[test]
+fn a_late_last_report_does_not_take_a_crash_back() {
+    for seed in 0..12 {
+        let mut world = World::new(seed, 12, Rough { last_words: true, ..Rough::CALM });
+        let (spec, mut truths) = job(vec![step(1, 2, 10_000)]);
+        truths[0].crash = Some(Crash::each(Duration::from_millis(700)));
+        world.submit(JobId(1), spec, truths);
+        world.run_for(SECOND * 120);
+        assert_eq!(world.state(JobId(1)), Some(JobState::Failed), "seed {seed}");
+        assert!(world.starts_of(key(1, 0, 0)) <= STARTS_MAX, "seed {seed}");
+        assert_kept(&mut world);
+    }
+}
+
 /// A count that a leader kept in its memory was gone with it.
 #[test]
 fn crashes_are_counted_through_changes_of_leader() {
--- a/crates/state/src/jobs/loss.rs
+++ b/crates/state/src/jobs/loss.rs
@@ -111,6 +111,12 @@
             || third.is_some_and(|third| last_run >= third.run + RUNS_AFTER_MAX)
     }
 
+    /// Whether it is not known of a life with losses whether it crashed.
+    pub fn has_unknown(&self, life: LifeKey) -> bool {
+        let mut losses = self.by_task.values().flatten();
+        losses.any(|loss| loss.life == life && loss.fate == Fate::Unknown)
+    }
+
     /// Lives of which it is not known whether they crashed.
     pub fn unknown(&self) -> BTreeSet<LifeKey> {
         let losses = self.by_task.values().flatten();
