One piece of code for what was written several times around lost runners

No behaviour changes. An answer to a report without unlisted runs no longer adds up the runner's room a second time; forgetting a job looks at its own losses only; Alive ends no job and touches none.

--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -4,7 +4,7 @@
 use super::leader::{Leader, Now, Then};
 use super::routes::Routes;
 use std::collections::BTreeSet;
-use yuccalink_state::jobs::{End, How, JobCommand, JobId, JobOutcome};
+use yuccalink_state::jobs::{End, How, JobCommand, JobId, JobOutcome, Jobs};
 
 /// Commands waiting for the log; more are refused as "not run".
 const QUEUE_MAX: usize = 8 * 1024;
@@ -41,7 +41,7 @@
 
     /// A command is agreed on: applies it and answers.
     pub fn committed(&mut self, now: Now, index: u64, command: JobCommand) {
-        let touched = self.touched(&command);
+        let touched = touched(&command, &self.jobs);
         let detail = command.clone();
         let open: Vec<JobId> =
             touched.iter().copied().filter(|id| self.jobs.is_active(*id)).collect();
@@ -164,22 +164,21 @@
     }
 }
 
-impl Leader {
-    /// Jobs that a command may change.
-    fn touched(&self, command: &JobCommand) -> BTreeSet<JobId> {
-        match command {
-            JobCommand::Submit(submit) => BTreeSet::from([submit.id]),
-            JobCommand::Cancel { id, .. } => BTreeSet::from([*id]),
-            JobCommand::Start(starts) => starts.iter().map(|start| start.task.job).collect(),
-            JobCommand::End { ends, .. } => ends.iter().map(|end| end.task.job).collect(),
-            // It tells the fate of lost runners, and so may end jobs.
-            JobCommand::Meet(_) | JobCommand::Alive(_) => self.jobs.losses().open_jobs(),
-            JobCommand::Change(_)
-            | JobCommand::Forget(_)
-            | JobCommand::Learn(_)
-            | JobCommand::Wave(_)
-            | JobCommand::UpkeepBegun { .. }
-            | JobCommand::UpkeepDone { .. } => BTreeSet::new(),
-        }
+/// Jobs that a command may change.
+fn touched(command: &JobCommand, jobs: &Jobs) -> BTreeSet<JobId> {
+    match command {
+        JobCommand::Submit(submit) => BTreeSet::from([submit.id]),
+        JobCommand::Cancel { id, .. } => BTreeSet::from([*id]),
+        JobCommand::Start(starts) => starts.iter().map(|start| start.task.job).collect(),
+        JobCommand::End { ends, .. } => ends.iter().map(|end| end.task.job).collect(),
+        // It tells the fate of lost runners, and so may end jobs.
+        JobCommand::Meet(_) => jobs.losses().open_jobs(),
+        JobCommand::Change(_)
+        | JobCommand::Forget(_)
+        | JobCommand::Learn(_)
+        | JobCommand::Wave(_)
+        | JobCommand::UpkeepBegun { .. }
+        | JobCommand::UpkeepDone { .. }
+        | JobCommand::Alive(_) => BTreeSet::new(),
     }
 }
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -161,7 +161,7 @@
         let Some(runner) = self.runners.get(&key) else { return };
         let order_over = lease_surely_ended_after(self.cfg.lease);
         for (task, run) in self.jobs.held(key) {
-            let listed = runner.running.get(&task).is_some_and(|view| view.run == run);
+            let listed = runner.view(task, run).is_some();
             let under_way = self.ending.contains(&(task, run));
             let wanted = self.is_wanted(task)
                 && self.may_be_ordered(now, key, task)
@@ -400,7 +400,7 @@
             if outgrown.contains(&(task, run)) {
                 continue;
             }
-            let listed = runner.running.get(&task).is_some_and(|view| view.run == run);
+            let listed = runner.view(task, run).is_some();
             if listed || self.ending.contains(&(task, run)) || !self.is_wanted(task) {
                 continue;
             }
--- a/crates/coordination/src/jobs/lost.rs
+++ b/crates/coordination/src/jobs/lost.rs
@@ -35,7 +35,7 @@
             }
             let seen = seen(runner, task, run);
             self.log_lost(now, life, why, (task, run), seen);
-            let view = runner.and_then(|r| r.running.get(&task)).filter(|view| view.run == run);
+            let view = runner.and_then(|runner| runner.view(task, run));
             let saved = view.map_or_else(Box::default, |view| view.saved.clone());
             let how = match (why, seen.filter(|_| !leaves)) {
                 (Why::Left, _) | (_, None) => How::Gone,
@@ -68,8 +68,7 @@
 /// What was seen of a run; nothing where it was surely never ordered.
 fn seen(runner: Option<&Runner>, task: TaskKey, run: u32) -> Option<Seen> {
     let Some(runner) = runner else { return Some(Seen::Nothing) };
-    let view = runner.running.get(&task).filter(|view| view.run == run);
-    match view {
+    match runner.view(task, run) {
         Some(view) if view.age >= PROVEN_AFTER => Some(Seen::Proven),
         Some(_) => Some(Seen::Working),
         None => runner.ordered.contains_key(&(task, run)).then_some(Seen::Ordered),
--- a/crates/coordination/src/jobs/neighbours.rs
+++ b/crates/coordination/src/jobs/neighbours.rs
@@ -91,7 +91,7 @@
         let mut found = Self { policy, capacity, pool: runner.pool.clone(), ..Self::default() };
         for (task, run) in jobs.held(runner.key) {
             let Some(step) = ready.step_of(task) else { continue };
-            let view = runner.running.get(&task).filter(|view| view.run == run);
+            let view = runner.view(task, run);
             match step.kind {
                 Kind::Serving => found.add_serving(step, loads, GroupKey::of(task), now),
                 Kind::Filling => found.add_filling(step, view),
--- a/crates/coordination/src/jobs/room.rs
+++ b/crates/coordination/src/jobs/room.rs
@@ -93,17 +93,18 @@
     /// Runs that a runner has not listed and has no room for by its newest report, all that it
     /// lists and all orders that may still reach it counted.
     pub(super) fn outgrown(&self, now: Now, runner: &Runner) -> BTreeSet<(TaskKey, u32)> {
-        let need = |task: TaskKey| self.ready.step_of(task).map(|step| step.committed);
-        let listed = runner.running.keys().filter_map(|task| need(*task));
-        let mut free = listed.fold(runner.capacity, less);
-        let is_listed =
-            |task: &TaskKey, run: u32| runner.running.get(task).is_some_and(|view| view.run == run);
         let mut unlisted: Vec<(TaskKey, u32)> = self
             .jobs
             .held(runner.key)
-            .filter(|(task, run)| !is_listed(task, *run))
+            .filter(|(task, run)| runner.view(*task, *run).is_none())
             .filter(|run| !self.ending.contains(run))
             .collect();
+        if unlisted.is_empty() {
+            return BTreeSet::new();
+        }
+        let need = |task: TaskKey| self.ready.step_of(task).map(|step| step.committed);
+        let listed = runner.running.keys().filter_map(|task| need(*task));
+        let mut free = listed.fold(runner.capacity, less);
         unlisted.sort_by_key(|(task, run)| !runner.may_yet_start(*task, *run, now.at));
         unlisted.retain(|(task, _)| match need(*task) {
             Some(need) if !free.holds(need) => true,
--- a/crates/coordination/src/jobs/runner.rs
+++ b/crates/coordination/src/jobs/runner.rs
@@ -288,6 +288,11 @@
         now.since(self.heard) < HEARD_LATELY
     }
 
+    /// One of its runs, as it last listed it.
+    pub(super) fn view(&self, task: TaskKey, run: u32) -> Option<&RunView> {
+        self.running.get(&task).filter(|view| view.run == run)
+    }
+
     /// Whether it carries a label.
     pub(super) fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|own| &**own == label)
--- a/crates/coordination/src/jobs/suspects.rs
+++ b/crates/coordination/src/jobs/suspects.rs
@@ -17,8 +17,8 @@
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
-use yuccalink_state::jobs::loss::{CRASHES_AT_START_MAX, CRASHES_MAX};
-use yuccalink_state::jobs::{Fate, JobCommand, JobId, LifeKey, Loss, Seen, Start, TaskKey};
+use yuccalink_state::jobs::loss::CRASHES_AT_START_MAX;
+use yuccalink_state::jobs::{Fate, JobCommand, JobId, LifeKey, Loss, Seen, Start, Task, TaskKey};
 
 /// Tasks of one job that are tried at once, while at most one runner crashed at the start of
 /// its tasks.
@@ -137,16 +137,19 @@
         let Some(job) = self.jobs.job(task.job) else { return false };
         let occurrence = job.occurrences.get(task.occurrence as usize);
         let step = occurrence.and_then(|found| found.steps.get(usize::from(task.step)));
-        let works = |(index, state): (usize, &yuccalink_state::jobs::Task)| {
+        let works = |(index, state): (usize, &Task)| {
             let index = u16::try_from(index).unwrap_or(u16::MAX);
-            let key = TaskKey { index, ..task };
-            let listed =
-                |life| self.runners.get(&life).is_some_and(|r| r.running.contains_key(&key));
-            state.done || state.holds.iter().any(|hold| listed(hold.life))
+            state.done || self.is_listed(TaskKey { index, ..task }, state)
         };
         step.is_some_and(|step| !step.tasks.iter().enumerate().any(works))
     }
 
+    /// Whether some runner lists a task.
+    fn is_listed(&self, task: TaskKey, state: &Task) -> bool {
+        let mut runners = state.holds.iter().filter_map(|hold| self.runners.get(&hold.life));
+        runners.any(|runner| runner.running.contains_key(&task))
+    }
+
     /// Runners that crashed right after the order to start a task of a job, or of a step.
     fn lives_lost_at_start(&self, job: JobId, group: Option<GroupKey>) -> BTreeSet<LifeKey> {
         let of_group = |task: TaskKey| group.is_none_or(|group| GroupKey::of(task) == group);
@@ -201,11 +204,7 @@
 
     /// Tasks of a job under which runners were lost and that work now.
     fn survivors_of(&self, job: JobId) -> usize {
-        let works = |task: TaskKey| {
-            let holds = self.jobs.task(task).into_iter().flat_map(|state| &state.holds);
-            let mut runners = holds.filter_map(|hold| self.runners.get(&hold.life));
-            runners.any(|runner| runner.running.contains_key(&task))
-        };
+        let works = |task| self.jobs.task(task).is_some_and(|state| self.is_listed(task, state));
         self.jobs.losses().of_job(job).filter(|(task, _)| works(*task)).count()
     }
 
@@ -252,34 +251,28 @@
 
     /// Whether one more crash would be the last: what else runs beside it must not decide.
     fn is_last_try(&self, task: TaskKey) -> bool {
-        let own = self.jobs.losses().of(task);
-        let crashed = own.iter().filter(|loss| loss.fate == Fate::Crashed);
-        let at_start = crashed.clone().filter(|loss| loss.seen == Seen::Ordered).count();
-        at_start + 1 >= CRASHES_AT_START_MAX || crashed.count() + 1 >= CRASHES_MAX
+        self.jobs.losses().crashes(task).reach_bound_with(1)
     }
 
-    /// Whether a step's job has tasks under which runners were lost.
+    /// Whether a step's job has tasks that may not start beside others.
     pub(super) fn has_suspect(&self, now: Now, group: GroupKey) -> bool {
         let mut lost = self.jobs.losses().of_job(group.job);
         lost.any(|(task, _)| self.standing(now, task) != Standing::Clear)
     }
 
-    /// The suspect that a runner was told to start and has not listed yet, or on its last try
-    /// for so long that it is cleared.
+    /// The suspect that a runner was told to start and has not listed yet, or not for long
+    /// enough to clear it on its last try.
     pub(super) fn trial_on(&self, now: Now, runner: &Runner) -> Option<TaskKey> {
         if self.jobs.losses().is_empty() {
             return None;
         }
         let starting = self.starting.values().filter(|start| start.life == runner.key);
         let held = self.jobs.held(runner.key).chain(starting.map(|start| (start.task, start.run)));
-        let is_tried = |task: TaskKey, run: u32| {
-            let view = runner.running.get(&task).filter(|view| view.run == run);
-            match view {
-                Some(view) => view.age < PROVEN_AFTER && self.is_last_try(task),
-                None => self.standing(now, task) != Standing::Clear,
-            }
+        let is_tried = |task: TaskKey, run: u32| match runner.view(task, run) {
+            Some(view) => view.age < PROVEN_AFTER && self.is_last_try(task),
+            None => self.standing(now, task) != Standing::Clear,
         };
-        held.filter(|(task, run)| is_tried(*task, *run)).map(|(task, _)| task).next()
+        held.into_iter().find_map(|(task, run)| is_tried(task, run).then_some(task))
     }
 
     /// Starts a suspect on a runner that has reported, if one may be tried there.
@@ -331,14 +324,10 @@
         let policy = &self.cfg.policy.suspects;
         let since = self.suspects.since.get(&task).copied().unwrap_or(now.at);
         let waited = now.at.since(since);
-        let little_to_lose = match self.is_last_try(task) && waited < policy.last_try.span() {
-            true => runner.running.is_empty(),
-            false => {
-                runner.running.is_empty()
-                    || (waited > policy.empty.span() && runner.lasting_millicores == 0)
-                    || waited > policy.not_lasting.span()
-            }
-        };
+        let must_be_empty = self.is_last_try(task) && waited < policy.last_try.span();
+        let may_be_shared = waited > policy.not_lasting.span()
+            || (waited > policy.empty.span() && runner.lasting_millicores == 0);
+        let little_to_lose = runner.running.is_empty() || (may_be_shared && !must_be_empty);
         let group = GroupKey::of(task);
         let info = self.ready.step(group.job, group.step)?;
         if !little_to_lose || !chosen.free.holds(info.committed) {
--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -15,7 +15,7 @@
 
 pub use change::{ChangeSet, Limits, Pool, Queue};
 pub use command::{End, How, JobCommand, JobOutcome, Life, PairWeight, Start, Submit, Wave};
-pub use loss::{Fate, Loss, Losses, Seen};
+pub use loss::{Crashes, Fate, Loss, Losses, Seen};
 pub use spec::{JobSpec, Schedule, StepSpec};
 pub use table::{Job, JobPhase, Jobs, Occurrence, Step};
 pub use task::{Hold, JobId, LifeKey, Task, TaskKey};
--- a/crates/state/src/jobs/loss.rs
+++ b/crates/state/src/jobs/loss.rs
@@ -13,6 +13,8 @@
 pub const CRASHES_AT_START_MAX: usize = 3;
 /// Crashes under a task after which it is given up, whatever was seen of its runs.
 pub const CRASHES_MAX: usize = 4;
+/// Crashes after which a task has only so many more runs.
+const CRASHES_BORNE: usize = 3;
 /// Runs of a task after its third crash, however they end, after which it is given up.
 pub const RUNS_AFTER_MAX: u32 = 2;
 /// Runners lost under a task after which it is given up, whether they are known to have
@@ -62,6 +64,28 @@
     pub at_ms: u64,
 }
 
+/// Runners known to have crashed under one task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Crashes {
+    /// All of them.
+    pub all: usize,
+    /// Those that had not reported since they were told to start it.
+    pub at_start: usize,
+}
+
+impl Crashes {
+    /// Whether `more` crashes at the start would be too many.
+    ///
+    /// ```
+    /// use yuccalink_state::jobs::Crashes;
+    /// let twice = Crashes { all: 2, at_start: 2 };
+    /// assert!(!twice.reach_bound_with(0) && twice.reach_bound_with(1));
+    /// ```
+    pub fn reach_bound_with(self, more: usize) -> bool {
+        self.at_start + more >= CRASHES_AT_START_MAX || self.all + more >= CRASHES_MAX
+    }
+}
+
 /// The losses of tasks that are not done. Most tasks have none, and no entry.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -98,15 +122,25 @@
         self.by_task.is_empty()
     }
 
+    /// Runners known to have crashed under a task.
+    ///
+    /// ```
+    /// use yuccalink_state::jobs::{JobId, Losses, TaskKey};
+    /// let task = TaskKey { job: JobId(1), occurrence: 0, step: 0, index: 0 };
+    /// assert_eq!(Losses::default().crashes(task).all, 0);
+    /// ```
+    pub fn crashes(&self, task: TaskKey) -> Crashes {
+        let crashed = self.of(task).iter().filter(|loss| loss.fate == Fate::Crashed);
+        let at_start = crashed.clone().filter(|loss| loss.seen == Seen::Ordered).count();
+        Crashes { all: crashed.count(), at_start }
+    }
+
     /// Whether a task, whose newest run is `last_run`, has lost runners too often to be
     /// started again.
     pub(crate) fn are_too_many(&self, task: TaskKey, last_run: u32) -> bool {
         let losses = self.of(task);
-        let crashed = losses.iter().filter(|loss| loss.fate == Fate::Crashed);
-        let at_start = crashed.clone().filter(|loss| loss.seen == Seen::Ordered).count();
-        let third = crashed.clone().nth(CRASHES_AT_START_MAX - 1);
-        at_start >= CRASHES_AT_START_MAX
-            || crashed.count() >= CRASHES_MAX
+        let third = losses.iter().filter(|loss| loss.fate == Fate::Crashed).nth(CRASHES_BORNE - 1);
+        self.crashes(task).reach_bound_with(0)
             || losses.len() >= LOSSES_MAX
             || third.is_some_and(|third| last_run >= third.run + RUNS_AFTER_MAX)
     }
@@ -169,7 +203,10 @@
 
     /// A job is forgotten.
     pub(crate) fn remove_job(&mut self, job: JobId) {
-        self.by_task.retain(|task, _| task.job != job);
+        let tasks: Vec<TaskKey> = self.of_job(job).map(|(task, _)| task).collect();
+        for task in tasks {
+            self.by_task.remove(&task);
+        }
     }
 }
 
