--- a/crates/state/src/error.rs
+++ b/crates/state/src/error.rs
@@ -27,6 +27,8 @@
         /// Offset in the file at or after which the first damaged byte is.
         offset: u64,
     },
+    /// the snapshot {0} is damaged or incomplete; nothing was changed. Use another copy of it, or save a new one
+    DamagedSnapshot(Box<str>),
     /// the log lacks records {from} to {to}; nothing was changed. Restore this data folder from a snapshot, or replace this replica by an empty one
     Gap {
         /// First missing index.
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -86,7 +86,7 @@
 /// Decodes a snapshot; `shown` is its name in errors.
 ///
 /// # Errors
-/// [`Error::DamagedMiddle`] if the snapshot is damaged or incomplete,
+/// [`Error::DamagedSnapshot`] if the snapshot is damaged or incomplete,
 /// [`Error::Version`] if it has the format of another release, and [`Error::Decode`] if its
 /// body is not a state of this type.
 pub fn decode(buf: &[u8], shown: &str) -> Result<Snapshot> {
@@ -101,7 +101,7 @@
 where
     S: Replicated,
 {
-    let damaged = || Error::DamagedMiddle { path: shown.into(), offset: 0 };
+    let damaged = || Error::DamagedSnapshot(shown.into());
     if buf.len() < HEADER_LEN || &buf[..8] != MAGIC {
         return Err(damaged());
     }
--- a/crates/state/tests/store.rs
+++ b/crates/state/tests/store.rs
@@ -171,3 +171,17 @@
     let (_, found) = Store::open(folder.path(), 10).expect("the same folder");
     assert_eq!(found.replica, 9, "the identity is drawn once");
 }
+
+/// Guards against a damaged snapshot whose error message speaks of the log and its records.
+#[test]
+fn a_damaged_snapshot_is_reported_as_a_snapshot() {
+    let meta = Meta { index: 7, term: 2, members: [].into() };
+    let mut bytes = snapshot::encode(&meta, &StateMachine::new()).expect("a snapshot");
+    let last = bytes.len() - 1;
+    bytes[last] ^= 1;
+    for damaged in [&bytes[..], &bytes[..last]] {
+        let error = snapshot::decode(damaged, "saved").expect_err("damaged").to_string();
+        assert!(error.starts_with("the snapshot saved is damaged"), "{error}");
+        assert!(!error.contains("record"), "{error}");
+    }
+}
