Release each runner once, however often it is given back

What could be seen: an entry whose lease expired lists its runners as releasing; when the next leader's runner table lacks one of them, it was listed again and reported as released twice. Cause: one of three places that add to the list did not check for duplicates. Change: a set instead of a list. No effect on the directory was seen of a release reported twice.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod placement;
 pub mod pressure;
 pub mod raft;
+pub mod releases;
 pub mod retry;
 pub mod router;
 pub mod scenario;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use yuccalink_coordination::Moment;
 use yuccalink_coordination::entries::ConfigLease;
+use yuccalink_coordination::releases::Releases;
 use yuccalink_protocol::peer::{EntryState, EntryUpdate, PeerEntry, RunnerChange};
 use yuccalink_state::document::Document;
 use yuccalink_state::id::{Incarnation, Name};
@@ -32,7 +33,7 @@
     runners: BTreeMap<Name, RunnerChange>,
     peer_entries: Vec<PeerEntry>,
     /// Runners that may get no more requests and are released once none is in flight.
-    releasing: Vec<Name>,
+    releases: Releases,
 }
 
 impl EntryControl {
@@ -51,7 +52,7 @@
             documents: BTreeMap::new(),
             runners: BTreeMap::new(),
             peer_entries: Vec::new(),
-            releasing: Vec::new(),
+            releases: Releases::default(),
         }
     }
 
@@ -96,31 +97,25 @@
         let names: Vec<Name> = routing.router.runners().map(|r| r.spec.name.clone()).collect();
         for name in names {
             routing.router.stop_routing_to(&name);
-            if !self.releasing.contains(&name) {
-                self.releasing.push(name);
-            }
+            self.releases.add(name);
         }
     }
 
     fn owned_specs(&self) -> Vec<yuccalink_state::target::RunnerSpec> {
         let routing = self.shared.routing();
-        let owned = routing.router.runners().filter(|r| !self.releasing.contains(&r.spec.name));
+        let owned = routing.router.runners().filter(|r| !self.releases.contains(&r.spec.name));
         owned.map(|runner| runner.spec.clone()).collect()
     }
 
     /// Removes and returns the runners to release that have no more requests in flight.
     fn take_released(&mut self) -> Vec<Name> {
         let mut routing = self.shared.routing();
-        let mut released = Vec::new();
-        self.releasing.retain(|name| match routing.router.in_flight(name) {
-            Some(count) if count > 0 => true,
-            // None in flight, or the router no longer knows the runner.
-            _ => {
-                routing.router.remove_runner(name);
-                released.push(name.clone());
-                false
-            }
-        });
+        // A runner that the router no longer knows has no request in flight either.
+        let released =
+            self.releases.take_idle(|name| routing.router.in_flight(name).is_none_or(|n| n == 0));
+        for name in &released {
+            routing.router.remove_runner(name);
+        }
         released
     }
 
@@ -174,7 +169,7 @@
             self.runners.remove(name);
             if routing.router.in_flight(name).is_some() {
                 routing.router.stop_routing_to(name);
-                self.releasing.push(name.clone());
+                self.releases.add(name.clone());
             }
         }
         !unlisted.is_empty()
@@ -216,7 +211,7 @@
         let mut routing = self.shared.routing();
         let was_routed = routing.router.in_flight(name).is_some();
         if is_owner && change.usable {
-            self.releasing.retain(|other| other != name);
+            self.releases.cancel(name);
             routing.change(now, |router, dequeued| {
                 if was_routed {
                     router.update_busy_count(now, name, change.busy, dequeued);
@@ -225,8 +220,8 @@
             });
         } else if was_routed {
             routing.router.stop_routing_to(name);
-            if !is_owner && !self.releasing.contains(name) {
-                self.releasing.push(name.clone());
+            if !is_owner {
+                self.releases.add(name.clone());
             }
         }
     }
