Let an empty disk join although an earlier voter is silent

What operators saw (by reading): of five voters, e1 is down and the disk of e2 is replaced; e2 asks e1 first, gets no answer and never asks the others, so it does not join until e1 is back. Cause: the search ended at the first voter that did not answer, one voter after the other. Change: all voters are asked at once, the answers are judged by a function without network, and the first that has data ends the search. Evidence: the test of the judgement fails for the old order; not run with five real daemons.

--- a/crates/coordination/src/voters.rs
+++ b/crates/coordination/src/voters.rs
@@ -64,6 +64,40 @@
         .or_else(|| replace_voter(view, wanted))
 }
 
+/// What the other voters say about an existing group, while their answers come in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GroupSearch {
+    /// A voter has data: a group exists, and an empty disk joins it.
+    Exists,
+    /// All voters are empty, so a new group may be bootstrapped.
+    AllEmpty,
+    /// A voter has not answered, and no other says that a group exists.
+    Unknown,
+}
+
+/// Judges the answers of the other voters: whether each is empty, or `None` for one that does
+/// not answer. One voter with data is enough, however many are silent.
+///
+/// ```
+/// use yuccalink_coordination::voters::{GroupSearch, search_group};
+/// assert_eq!(search_group([Some(true), Some(true)]), GroupSearch::AllEmpty);
+/// assert_eq!(search_group([Some(true), None]), GroupSearch::Unknown);
+/// ```
+pub fn search_group<I>(empty: I) -> GroupSearch
+where
+    I: IntoIterator<Item = Option<bool>>,
+{
+    let mut found = GroupSearch::AllEmpty;
+    for answer in empty {
+        match answer {
+            Some(false) => return GroupSearch::Exists,
+            Some(true) => {}
+            None => found = GroupSearch::Unknown,
+        }
+    }
+    found
+}
+
 impl MembershipView {
     fn silent(&self, id: ReplicaId) -> Duration {
         match id == self.own {
--- a/crates/coordination/tests/voters.rs
+++ b/crates/coordination/tests/voters.rs
@@ -269,3 +269,14 @@
     let (after, _) = voters::next(&view, 3).expect("the former disk is removed");
     assert_eq!(ids(&after.voters), [1, 3, 9]);
 }
+
+/// Guards against an empty disk that never joins, because a voter listed before the others is
+/// down and the search ends there.
+#[test]
+fn a_silent_voter_does_not_hide_the_group_from_an_empty_disk() {
+    use voters::{GroupSearch, search_group};
+    assert_eq!(search_group([None, Some(true), Some(false)]), GroupSearch::Exists);
+    assert_eq!(search_group([Some(false), None]), GroupSearch::Exists);
+    assert_eq!(search_group([None, Some(true)]), GroupSearch::Unknown);
+    assert_eq!(search_group([Some(true), Some(true)]), GroupSearch::AllEmpty);
+}
--- a/crates/daemon/src/voters.rs
+++ b/crates/daemon/src/voters.rs
@@ -10,8 +10,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 use yuccalink_coordination::raft::{Envelope, Member, ReplicaId};
+use yuccalink_coordination::voters::{GroupSearch, search_group};
 use yuccalink_protocol::peer;
 use yuccalink_state::id::{Incarnation, Name};
 use yuccalink_transport::rpc;
@@ -141,15 +143,18 @@
         }
         while !self.replica.borrow().is_voter() {
             let empty = self.replica.borrow().is_empty();
-            let system = if empty { self.query_voters().await } else { SystemState::Bootstrapped };
-            match system {
+            let (found, others) = match empty {
+                true => self.clone().query_voters().await,
+                false => (GroupSearch::Exists, Vec::new()),
+            };
+            match found {
                 // Only the first voter of the list bootstraps; the others wait for its messages.
-                SystemState::AllEmpty(members) if config.voters[0].name == config.name => {
-                    let members = std::iter::once(self.own_member()).chain(members).collect();
+                GroupSearch::AllEmpty if config.voters[0].name == config.name => {
+                    let members = std::iter::once(self.own_member()).chain(others).collect();
                     self.replica.borrow_mut().bootstrap(members);
                 }
-                SystemState::AllEmpty(_) | SystemState::Unknown => sleep(QUERY_INTERVAL).await,
-                SystemState::Bootstrapped => {
+                GroupSearch::AllEmpty | GroupSearch::Unknown => sleep(QUERY_INTERVAL).await,
+                GroupSearch::Exists => {
                     if let Err(error) = self.join(&leader_client).await {
                         log::info!("cannot join yet: {error}; trying again");
                     }
@@ -160,19 +165,30 @@
         log::info!("this replica is a voter");
     }
 
-    async fn query_voters(&self) -> SystemState {
+    /// Asks all other voters at once whether they have data. Returns what they say, and the
+    /// members that are empty.
+    async fn query_voters(self: Rc<Self>) -> (GroupSearch, Vec<Member>) {
         let config = &self.shared.config;
+        let mut calls = JoinSet::new();
+        for voter in config.voters.iter().filter(|voter| voter.name != config.name).cloned() {
+            let this = self.clone();
+            calls.spawn_local(async move { (this.hello(voter.address).await, voter) });
+        }
         let mut members = Vec::new();
-        for voter in config.voters.iter().filter(|voter| voter.name != config.name) {
-            let Ok(response) = self.hello(voter.address).await else { return SystemState::Unknown };
+        let mut answers = Vec::new();
+        while let Some(answer) = calls.join_next().await {
+            let Ok((Ok(response), voter)) = answer else {
+                answers.push(None);
+                continue;
+            };
+            answers.push(Some(response.empty));
             if !response.empty {
-                return SystemState::Bootstrapped;
+                break;
             }
             let address = voter.address.to_string().into();
-            let id = ReplicaId(response.replica);
-            members.push(Member { id, name: voter.name.clone(), address });
+            members.push(Member { id: ReplicaId(response.replica), name: voter.name, address });
         }
-        SystemState::AllEmpty(members)
+        (search_group(answers), members)
     }
 
     async fn hello(&self, address: SocketAddr) -> Result<HelloResponse, CallError> {
@@ -187,14 +203,6 @@
     }
 }
 
-/// What the other voters say about an existing system; `Unknown` if one did not respond before
-/// any said that it exists.
-enum SystemState {
-    AllEmpty(Vec<Member>),
-    Bootstrapped,
-    Unknown,
-}
-
 /// Splits messages into calls of at most [`CALL_BYTES`], in order; a larger message gets a call
 /// of its own.
 fn split_messages(messages: Vec<Envelope>) -> Vec<Vec<Envelope>> {
