--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -44,8 +44,6 @@
     pub job_retention: Duration,
     /// Longest interval between two reports of a runner.
     pub heartbeat: Duration,
-    /// How long before its due time a task may be started.
-    pub early: Duration,
     /// Scheduling policy.
     pub policy: Policy,
 }
@@ -56,7 +54,6 @@
             lease: Duration::from_millis(5_000),
             job_retention: Duration::from_secs(130),
             heartbeat: Duration::from_millis(1_500),
-            early: Duration::ZERO,
             policy: Policy::default(),
         }
     }
