Make a soak with crashes have a crash, whatever the machine's speed

What was seen: `tasks_that_crash_their_runners_are_given_up_by_every_process` needs one job whose id happens to crash runners; with its seed that is the 26th job of a caller, which a slow machine does not submit within the 12 s of the soak. Change: with crashes enabled, the first job of each caller crashes its runners. The draws of ids stay as they were, so the other jobs of every seed are the same. Test: a soak of one second, too short for a crashing id to come up by chance, must give up a job.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers and an operator that retry each request until it gets a definite response.
 
+use crate::runners::as_crashing;
 use crate::watch::Watch;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -67,17 +68,21 @@
     }
 }
 
-/// Submits jobs until the time `until`, with a pause of `gap` after each.
+/// Submits jobs until the time `until`, with a pause of `gap` after each. With `crashing_job`,
+/// the first of them crashes its runners.
 pub(crate) async fn submit(
     mut client: Client,
     watch: Rc<RefCell<Watch>>,
     seed: u64,
     gap: Duration,
     until: Instant,
+    mut crashing_job: bool,
 ) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     while Instant::now() < until {
         let id = JobId(rng.random_range(1..u64::MAX));
+        // Of the ids alone, how many jobs crash runners depends on how many are submitted in time.
+        let id = if std::mem::take(&mut crashing_job) { as_crashing(id) } else { id };
         let count: u16 = rng.random_range(1..6);
         let step = json!({
             "count": count,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -89,8 +89,9 @@
     }
     let until = Instant::now() + settings.span;
     for at in 0..2 {
+        let seed = seed * 10 + at as u64;
         let traffic =
-            callers::submit(client(at), watch.clone(), seed * 10 + at as u64, JOB_GAP, until);
+            callers::submit(client(at), watch.clone(), seed, JOB_GAP, until, settings.crashes);
         tokio::task::spawn_local(traffic);
     }
     tokio::task::spawn_local(callers::poll_states(client(2), watch.clone()));
--- a/crates/soak/src/runners.rs
+++ b/crates/soak/src/runners.rs
@@ -12,7 +12,7 @@
 use yuccalink_coordination::jobs::RunnerOrders;
 use yuccalink_fakes::emulator::{Crash, EmulatedRunner, TaskBehavior};
 use yuccalink_state::Resources;
-use yuccalink_state::jobs::TaskKey;
+use yuccalink_state::jobs::{JobId, TaskKey};
 use yuccalink_transport::http::{Method, Request, header};
 use yuccalink_transport::pool::{Pool, PoolSettings};
 
@@ -36,6 +36,11 @@
 /// Shortest and longest time between two changes of a runner's capacity, in ms.
 const CAPACITY_CHANGE_MS: std::ops::Range<u64> = 500..6_000;
 
+/// Returns the id next to `id` of a job that crashes runners, if crashes are enabled.
+pub(crate) fn as_crashing(id: JobId) -> JobId {
+    JobId((id.0 / CRASHING_ONE_IN).max(1) * CRASHING_ONE_IN)
+}
+
 /// Returns the actual behavior of a task; its run time is derived from its key.
 fn behavior(task: TaskKey, crashes: bool) -> TaskBehavior {
     let run_time = Duration::from_millis(100 + (task.job.0 ^ u64::from(task.index)) % 900);
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -54,6 +54,13 @@
     assert_eq!(report.completed + report.given_up, report.accepted, "{report:?}");
 }
 
+/// Guards against a soak with crashes that has none on a slow machine, which submits few jobs.
+#[test]
+fn a_soak_of_few_jobs_has_a_task_that_crashes_its_runners() {
+    let report = soak_with(11, 1, 3, 6, true);
+    assert!(report.given_up > 0, "{report:?}");
+}
+
 /// Guards against a requested stop that is reported as an unexpected end. The process ends just
 /// before the next fault, 1.16 s after the request, and the check for unexpected ends runs before
 /// the check for requested stops. This happened in three runs of four.
