Add zones under evacuation to the replicated states

An operator's evacuation of a zone got 404, and nothing in the code knew one. This adds the state: one command in both logs (cells and services), a bounded record a zone, an order number by which a delayed order does not undo a later one where the operator numbers them, and a check at commit that no task is placed on a worker of an evacuated zone. A log record of an evacuation stops an earlier release with an error, as every unknown record does.

--- a/crates/protocol/src/api.rs
+++ b/crates/protocol/src/api.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use yuccalink_state::Resources;
 use yuccalink_state::command::{CancelOutcome, TaskReport};
+use yuccalink_state::evacuation::{ZoneAction, ZoneOrder};
 use yuccalink_state::id::{Epoch, Incarnation, Name, TaskId};
 use yuccalink_state::target::{RunnerSpec, TargetSpec};
 use yuccalink_state::worker::WorkerSpec;
@@ -424,3 +425,32 @@
     /// Log line of the decision.
     pub line: Box<str>,
 }
+
+/// Body of an operator's order for an availability zone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct ZoneChange {
+    /// Whether the zone gets no new work.
+    pub evacuated: bool,
+    /// Whether long-running tasks leave the zone as well.
+    #[serde(default)]
+    pub empty: bool,
+    /// Place among the numbered orders for the zone; see [`ZoneOrder::number`].
+    #[serde(default)]
+    pub number: Option<u64>,
+}
+
+impl ZoneChange {
+    /// Returns the order that this change stands for.
+    ///
+    /// ```
+    /// use yuccalink_protocol::api::ZoneChange;
+    /// use yuccalink_state::evacuation::ZoneAction;
+    /// let change = ZoneChange { evacuated: true, ..ZoneChange::default() };
+    /// assert_eq!(change.into_order("brno-a").action, ZoneAction::Evacuate);
+    /// ```
+    pub fn into_order(self, zone: &str) -> ZoneOrder {
+        let action = if self.evacuated { ZoneAction::Evacuate } else { ZoneAction::Restore };
+        ZoneOrder { zone: zone.into(), action, empty: self.empty, number: self.number }
+    }
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -3,6 +3,7 @@
 //! the same one.
 
 use crate::document::{Digest, Document};
+use crate::evacuation::{ZoneOrder, ZoneOutcome};
 use crate::id::{Epoch, Incarnation, Name, Revision, TaskId, WorkerKey};
 use crate::ledger::{RequestKey, RequestOutcome, Verdict};
 use crate::task::TaskOutcome;
@@ -34,6 +35,13 @@
     RequestBegin(RequestBegin),
     /// Record how an at-most-once request ended.
     RequestEnd(RequestEnd),
+    /// Evacuate a zone, or give it work again.
+    Zone {
+        /// The operator's order.
+        order: ZoneOrder,
+        /// Time of the order, in Unix milliseconds.
+        at_ms: u64,
+    },
 }
 
 /// See [`Command::Apply`].
@@ -187,6 +195,8 @@
     WorkerBusy,
     /// The ledger's verdict on a request.
     Request(Verdict),
+    /// The result of an order for a zone.
+    Zone(ZoneOutcome),
     /// Applied, without a result.
     Done,
 }
--- a/crates/state/src/jobs/command.rs
+++ b/crates/state/src/jobs/command.rs
@@ -4,6 +4,7 @@
 use super::loss::LossEvidence;
 use super::spec::JobSpec;
 use super::task::{IncarnationKey, JobId, TaskKey};
+use crate::evacuation::{ZoneOrder, ZoneOutcome};
 use serde::{Deserialize, Serialize};
 
 /// A command, which is applied after a majority of voters has committed it.
@@ -58,6 +59,13 @@
     /// Remove the losses of a runner that reports again: it had not crashed but was
     /// partitioned.
     Alive(IncarnationKey),
+    /// Evacuate a zone, or give it work again.
+    Zone {
+        /// The operator's order.
+        order: ZoneOrder,
+        /// Time of the order, in Unix milliseconds.
+        at_ms: u64,
+    },
 }
 
 /// A maintenance wave, as its operator ordered it.
@@ -190,4 +198,6 @@
     Started(Vec<RunStart>),
     /// Whether the change set is in force now; if not, an equal or higher version is.
     Changed(bool),
+    /// The result of an order for a zone.
+    Zone(ZoneOutcome),
 }
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -9,6 +9,7 @@
 use super::spec::{JobSpec, StepSpec};
 use super::task::{IncarnationKey, JobId, RunAssignment, Task, TaskKey};
 use super::wave::WaveState;
+use crate::evacuation::{self, Evacuations};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -83,9 +84,12 @@
     waves: BTreeMap<u64, WaveState>,
     #[serde(skip)]
     assigned_runs: Vec<BTreeMap<TaskKey, u32>>,
-    /// The last field, so that states of earlier releases, which lack it, can be read.
+    /// Behind the fields of earlier releases, so that their states can be read.
     #[serde(deserialize_with = "loss::or_none")]
     losses: Losses,
+    /// The last field, for the same reason.
+    #[serde(deserialize_with = "evacuation::or_none")]
+    evacuations: Evacuations,
 }
 
 impl CellState {
@@ -156,6 +160,11 @@
         &self.losses
     }
 
+    /// The zones under evacuation.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// Whether a task has lost too many runners to be started again.
     ///
     /// ```
@@ -224,6 +233,9 @@
                 self.losses.remove_unconfirmed(incarnation);
                 JobOutcome::Done
             }
+            JobCommand::Zone { order, at_ms } => {
+                JobOutcome::Zone(self.evacuations.apply(&order, at_ms))
+            }
         }
     }
 
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command;
 pub mod document;
 pub mod error;
+pub mod evacuation;
 pub mod id;
 pub mod jobs;
 pub mod ledger;
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -11,6 +11,7 @@
     TaskSubmission,
 };
 use crate::document::{Accepted, Document, PastVersion, TaskClass, TaskKind};
+use crate::evacuation::{self, Evacuations};
 use crate::id::{Epoch, Incarnation, Name, Revision, ServiceKey, TaskId, WorkerKey};
 use crate::ledger::Ledger;
 use crate::resources::Resources;
@@ -75,6 +76,9 @@
     waiting: BTreeSet<(Rank, TaskId)>,
     #[serde(skip)]
     tasks_by_worker: Vec<BTreeSet<TaskId>>,
+    /// The last field, so that states of earlier releases, which lack it, can be read.
+    #[serde(deserialize_with = "evacuation::or_none")]
+    evacuations: Evacuations,
 }
 
 impl StateMachine {
@@ -119,6 +123,7 @@
                 self.ledger.finish(&end.key, end.attempt, end.ended);
                 Outcome::Done
             }
+            Command::Zone { order, at_ms } => Outcome::Zone(self.evacuations.apply(&order, at_ms)),
         }
     }
 
--- a/crates/state/src/machine/queries.rs
+++ b/crates/state/src/machine/queries.rs
@@ -159,6 +159,25 @@
         self.waiting.len()
     }
 
+    /// The zones under evacuation.
+    ///
+    /// ```
+    /// # use yuccalink_state::StateMachine;
+    /// assert!(StateMachine::new().evacuations().is_empty());
+    /// ```
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Whether a worker may be given tasks: it is live, and its zone is not under evacuation.
+    ///
+    /// # Panics
+    /// If the key is not from this state machine.
+    pub fn takes_tasks(&self, key: WorkerKey) -> bool {
+        let worker = self.worker_at(key);
+        worker.phase == WorkerPhase::Live && !self.evacuations.excludes(worker.spec.zone.as_str())
+    }
+
     /// The request ledger.
     ///
     /// ```
--- a/crates/state/src/machine/tasks.rs
+++ b/crates/state/src/machine/tasks.rs
@@ -75,14 +75,15 @@
         if task.phase != TaskPhase::Waiting {
             return None;
         }
-        let worker = self.workers.get_mut(placement.worker.0 as usize)?;
+        let worker = self.workers.get(placement.worker.0 as usize)?;
         let committed = worker.committed.plus(task.need)?;
-        // The final check that a worker's capacity is never exceeded. A leader may
-        // have planned the placement from an older state, so it is checked here
+        // The final check that a worker's capacity is never exceeded and that it takes tasks.
+        // A leader may have planned the placement from an older state, so it is checked here
         // against the exact sum.
-        if worker.phase != WorkerPhase::Live || !worker.spec.capacity.covers(committed) {
+        if !self.takes_tasks(placement.worker) || !worker.spec.capacity.covers(committed) {
             return None;
         }
+        let worker = self.workers.get_mut(placement.worker.0 as usize)?;
         worker.committed = committed;
         worker.tasks += 1;
         let rank = (self.rank(task), placement.task);
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -2,6 +2,7 @@
 //! put in place by a rename, so a crash leaves either the old or the new snapshot.
 
 use crate::error::{Error, Result};
+use crate::evacuation::Evacuations;
 use crate::jobs::CellState;
 use crate::log::sync_folder;
 use crate::machine::StateMachine;
@@ -11,8 +12,11 @@
 use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 
-/// Format version in the header of each snapshot.
+/// Format version in the header of a snapshot without evacuations.
 pub const FORMAT: u32 = 2;
+/// Format version of a snapshot with evacuations. Releases that know none refuse it: they would
+/// read it without them, and give work to a zone under evacuation.
+pub const FORMAT_WITH_EVACUATIONS: u32 = 3;
 
 const MAGIC: &[u8; 8] = b"YUCCASNP";
 /// Length of the header: magic, format version and CRC-32 of the body.
@@ -34,18 +38,29 @@
 pub trait Replicated: Default + Serialize + DeserializeOwned {
     /// Rebuilds the indexes, which are not written to snapshots.
     fn reindex(&mut self);
+
+    /// The zones under evacuation.
+    fn evacuations(&self) -> &Evacuations;
 }
 
 impl Replicated for StateMachine {
     fn reindex(&mut self) {
         StateMachine::reindex(self);
     }
+
+    fn evacuations(&self) -> &Evacuations {
+        StateMachine::evacuations(self)
+    }
 }
 
 impl Replicated for CellState {
     fn reindex(&mut self) {
         CellState::reindex(self);
     }
+
+    fn evacuations(&self) -> &Evacuations {
+        CellState::evacuations(self)
+    }
 }
 
 /// A replicated state and its metadata.
@@ -77,7 +92,8 @@
         .map_err(|source| Error::Decode { what: "a snapshot", source })?;
     let mut buf = Vec::with_capacity(body.len() + HEADER_LEN);
     buf.extend_from_slice(MAGIC);
-    buf.extend_from_slice(&FORMAT.to_le_bytes());
+    let format = if state.evacuations().is_empty() { FORMAT } else { FORMAT_WITH_EVACUATIONS };
+    buf.extend_from_slice(&format.to_le_bytes());
     buf.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
     buf.extend_from_slice(&body);
     Ok(buf)
@@ -107,8 +123,9 @@
     }
     let read_u32 = |at: usize| buf[at..at + 4].try_into().map_or(0, u32::from_le_bytes);
     let found = read_u32(8);
-    if found != FORMAT {
-        return Err(Error::Version { path: shown.into(), found, known: FORMAT });
+    if !matches!(found, FORMAT | FORMAT_WITH_EVACUATIONS) {
+        let known = FORMAT_WITH_EVACUATIONS;
+        return Err(Error::Version { path: shown.into(), found, known });
     }
     let body = &buf[HEADER_LEN..];
     if crc32fast::hash(body) != read_u32(12) {
