Give no work to the runners of an evacuated zone of a cell

Change: an order for a zone is a command, acknowledged when it is committed. Whether a runner may start anything is decided in one place, Runner::takes_tasks, for new starts (all ways: picks, copies, gangs, trials of suspects, reserved runners, advice) and now also for starts that were assigned before and not yet listed; these were sent again to draining runners too. What runs in the zone ends there. Long-running tasks leave only if the order says so, within their disruption budgets. A restored zone's capacity grows over a second. A job that only an evacuated zone has room for waits under a cause of its own.

--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -12,6 +12,7 @@
 mod copies;
 mod due;
 mod estimate;
+mod evacuation;
 pub mod external;
 mod gangs;
 mod heartbeat;
--- a/crates/coordination/src/jobs/account.rs
+++ b/crates/coordination/src/jobs/account.rs
@@ -27,6 +27,9 @@
     /// No runner has free capacity for the next task.
     #[display("room")]
     Room,
+    /// Only runners of zones under evacuation have free capacity.
+    #[display("evacuation")]
+    Evacuation,
     /// Runners have free capacity, but their serving tasks would exceed their bounds.
     #[display("margin")]
     Margin,
@@ -50,8 +53,9 @@
     Lag,
 }
 
-const CAUSES: [DelayCause; 8] = [
+const CAUSES: [DelayCause; 9] = [
     DelayCause::Room,
+    DelayCause::Evacuation,
     DelayCause::Margin,
     DelayCause::Trust,
     DelayCause::Suspect,
@@ -121,6 +125,8 @@
 /// Runners that take tasks, by pool, sorted by free CPU from most to least.
 struct FreeRunners<'a> {
     by_pool: HashMap<&'a str, Vec<&'a Runner>>,
+    /// The runner with the most free CPU in the evacuated zones, by pool.
+    evacuated: HashMap<&'a str, &'a Runner>,
     /// Number of runners checked so far.
     runners_scanned: u64,
 }
@@ -134,6 +140,11 @@
         self.runners_scanned += runners_scanned.len() as u64;
         runners_scanned.into_iter().filter(|runner| runner.free.covers(need)).collect()
     }
+
+    /// Whether a runner of an evacuated zone has enough free capacity for a task.
+    fn has_evacuated(&self, pool: &str, need: Resources) -> bool {
+        self.evacuated.get(pool).is_some_and(|runner| runner.free.covers(need))
+    }
 }
 
 impl Leader {
@@ -185,15 +196,21 @@
     /// Collects the runners that take tasks, for one check of all waiting jobs.
     fn free_runners(&self, now: Now) -> FreeRunners<'_> {
         let mut by_pool: HashMap<&str, Vec<&Runner>> = HashMap::new();
-        for runner in self.runners.values() {
-            if runner.takes_tasks() && runner.reported_recently(now.at) {
+        let mut evacuated: HashMap<&str, &Runner> = HashMap::new();
+        for runner in self.runners.values().filter(|runner| runner.reported_recently(now.at)) {
+            if runner.takes_tasks() {
                 by_pool.entry(&runner.pool).or_default().push(runner);
+            } else if runner.zone_evacuated {
+                let most = evacuated.entry(&runner.pool).or_insert(runner);
+                if runner.free.millicores > most.free.millicores {
+                    *most = runner;
+                }
             }
         }
         for runners in by_pool.values_mut() {
             runners.sort_by_key(|runner| Reverse(runner.free.millicores));
         }
-        FreeRunners { by_pool, runners_scanned: self.runners.len() as u64 }
+        FreeRunners { by_pool, evacuated, runners_scanned: self.runners.len() as u64 }
     }
 
     /// Cause that keeps a step's next task from starting.
@@ -221,7 +238,12 @@
                 return DelayCause::Order;
             }
         }
-        cause
+        match cause {
+            DelayCause::Room if free_runners.has_evacuated(self.pool_of(job), step.reserved) => {
+                DelayCause::Evacuation
+            }
+            found => found,
+        }
     }
 
     /// Whether a waiting task of a step may run on a runner, given where it failed before.
--- a/crates/coordination/src/jobs/capacity.rs
+++ b/crates/coordination/src/jobs/capacity.rs
@@ -75,6 +75,7 @@
     /// free, whether or not their ends are committed.
     pub(super) fn update_free_capacity(
         &mut self,
+        now: Now,
         key: IncarnationKey,
         ended: &BTreeSet<(TaskKey, u32)>,
     ) {
@@ -84,7 +85,7 @@
         taken.extend(runner.running.iter().map(|(task, view)| (*task, view.run)));
         let starting = self.starting.values().filter(|start| start.incarnation == key);
         taken.extend(starting.map(|start| (start.task, start.run)));
-        let mut free = runner.capacity;
+        let mut free = saturating_sub(runner.capacity, self.withheld_after_return(now, runner));
         let mut long_running_millicores = 0;
         for (task, _) in taken {
             let Some(step) = self.ready.step_of(task) else { continue };
--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -103,6 +103,11 @@
                 self.proposed_maintenance_ends.remove(&(*wave, machine.clone()));
             }
             JobCommand::Alive(incarnation) => self.clear_report_after_loss(*incarnation),
+            JobCommand::Zone { order, .. } => {
+                if let JobOutcome::Zone(outcome) = outcome {
+                    self.update_zones(now, order, *outcome);
+                }
+            }
             JobCommand::Cancel { .. }
             | JobCommand::Meet(_)
             | JobCommand::Learn(_)
@@ -163,6 +168,11 @@
                 self.incarnation_committed(now, token, &report, outcome)
             }
             OnCommit::Heartbeat(at) => self.heartbeat_committed(now, at),
+            OnCommit::Zone { order, token } => {
+                if let JobOutcome::Zone(outcome) = outcome {
+                    self.zone_committed(token, &order, *outcome);
+                }
+            }
             OnCommit::Acknowledged(token) => self.answer(token, CellResponse::Ok),
             OnCommit::Nothing => {}
         }
@@ -184,6 +194,7 @@
         | JobCommand::Wave(_)
         | JobCommand::UpkeepBegun { .. }
         | JobCommand::UpkeepDone { .. }
-        | JobCommand::Alive(_) => BTreeSet::new(),
+        | JobCommand::Alive(_)
+        | JobCommand::Zone { .. } => BTreeSet::new(),
     }
 }
--- a/crates/coordination/src/jobs/due.rs
+++ b/crates/coordination/src/jobs/due.rs
@@ -27,6 +27,7 @@
             self.ready.rank_all(&self.state, now.at);
             self.measure_pools();
             self.count_moving_long_running();
+            self.advance_evacuations(now);
             self.find_stragglers(now);
             self.find_suspects(now);
             self.reserve_runners(now);
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use yuccalink_state::jobs::{
     IncarnationKey, JobCommand, JobOutcome, JobPhase, RunEnd, RunOutcome, RunStart,
-    RunnerIncarnation, TaskKey,
+    RunnerIncarnation, Task, TaskKey,
 };
 
 /// Shortest and longest interval between reports of a runner with free capacity. Each report
@@ -139,6 +139,7 @@
             log::info!("runner={} state={} was={}", report.runner, report.state, runner.state);
         }
         runner.update(report, now.at);
+        runner.zone_evacuated = self.state.evacuations().excludes(&runner.zone);
         self.note_report_after_loss(now, key);
         let ends = self.new_ends(key, &report.finished);
         let ended: BTreeSet<(TaskKey, u32)> =
@@ -147,7 +148,7 @@
         self.collect_never_started(now, key, &ended, &mut all_ends);
         self.mark_runs_to_stop(now, key);
         let colocation = self.pace(now, key);
-        self.update_free_capacity(key, &ended);
+        self.update_free_capacity(now, key, &ended);
         let starts = match new_starts {
             NewStarts::Allowed => self.pick(now, key, colocation),
             NewStarts::Deferred => Vec::new(),
@@ -177,7 +178,7 @@
     }
 
     /// Collects ends for runs that were assigned but never started and must not start any more:
-    /// the job has ended, or the runner has no capacity for the run any more.
+    /// the job has ended, or the run was withheld for so long that it certainly does not run.
     fn collect_never_started(
         &self,
         now: Now,
@@ -222,6 +223,19 @@
         active && self.state.task(task).is_some_and(|task| !task.done)
     }
 
+    /// Whether another member of a run's gang has ended or was given up, so that the gang never
+    /// gets together.
+    fn has_lost_gang_member(&self, task: TaskKey, run: u32) -> bool {
+        if !self.state.step_spec(task).is_some_and(|step| step.gang) {
+            return false;
+        }
+        let occurrence =
+            self.state.job(task.job).and_then(|job| job.occurrences.get(task.occurrence as usize));
+        let step = occurrence.and_then(|found| found.steps.get(usize::from(task.step)));
+        let runs = |member: &Task| member.assignments.iter().any(|other| other.run == run);
+        step.is_some_and(|step| step.tasks.iter().any(|member| !runs(member)))
+    }
+
     /// Marks runs to be stopped: stalled runs, and runs that will not end before their runner
     /// leaves.
     fn mark_runs_to_stop(&mut self, now: Now, key: IncarnationKey) {
@@ -299,7 +313,7 @@
     }
 
     /// Number of tasks of a step that other runners have capacity for.
-    fn capacity_elsewhere(
+    pub(super) fn capacity_elsewhere(
         &self,
         now: Now,
         leaving: &Runner,
@@ -388,8 +402,8 @@
             let answer = self.empty_orders();
             return self.answer(token, answer);
         };
-        let runs_over_capacity = self.runs_over_capacity(now, runner);
-        let start = self.start_orders(now, runner, &runs_over_capacity);
+        let withheld = self.runs_to_withhold(now, runner);
+        let start = self.start_orders(now, runner, &withheld);
         for order in &start {
             log::info!(
                 "start task={} run={} runner={} rack={} resumes={} report={}",
@@ -412,7 +426,7 @@
             None => retry,
         };
         let Some(runner) = self.runners.get_mut(&key) else { return };
-        runner.withhold(runs_over_capacity, now.at);
+        runner.withhold(withheld, now.at);
         runner.note_orders(start.iter().map(|order| (order.task, order.run)), now.at);
         let rates = runner.pace_orders(&self.ready);
         runner.lease_end = now.at + lease_expiry_bound(self.cfg.lease);
@@ -434,6 +448,19 @@
         (REPORT_INTERVAL_PER_RUNNER * count).clamp(REPORT_INTERVAL_MIN, REPORT_INTERVAL_MAX)
     }
 
+    /// Assigned runs that a runner has not listed and must not start any more: the runner takes
+    /// no tasks or has no capacity for them, or their gang never gets together.
+    fn runs_to_withhold(&self, now: Now, runner: &Runner) -> BTreeSet<(TaskKey, u32)> {
+        let runs = self.state.assigned_runs(runner.key);
+        let unlisted = runs.filter(|(task, run)| runner.view(*task, *run).is_none());
+        if !runner.takes_tasks() {
+            return unlisted.collect();
+        }
+        let mut withheld = self.runs_over_capacity(now, runner);
+        withheld.extend(unlisted.filter(|(task, run)| self.has_lost_gang_member(*task, *run)));
+        withheld
+    }
+
     /// Orders for runs that are assigned to the runner and that it does not list. If a
     /// response was lost, the order is sent again with the same run number; a runner that has
     /// ended that run refuses it.
@@ -441,11 +468,11 @@
         &self,
         now: Now,
         runner: &Runner,
-        runs_over_capacity: &BTreeSet<(TaskKey, u32)>,
+        withheld: &BTreeSet<(TaskKey, u32)>,
     ) -> Vec<StartOrder> {
         let mut orders = Vec::new();
         for (task, run) in self.state.assigned_runs(runner.key) {
-            if runs_over_capacity.contains(&(task, run)) {
+            if withheld.contains(&(task, run)) {
                 continue;
             }
             let listed = runner.view(task, run).is_some();
@@ -469,7 +496,10 @@
 
     fn stop_orders(&self, runner: &Runner) -> Vec<(TaskKey, u32)> {
         let unwanted = |task: TaskKey, run: u32, stopping: bool| {
-            stopping || !self.state.is_assigned(runner.key, task, run) || !self.is_wanted(task)
+            stopping
+                || !self.state.is_assigned(runner.key, task, run)
+                || !self.is_wanted(task)
+                || self.has_lost_gang_member(task, run)
         };
         let running = runner.running.iter();
         let stop = running.filter(|(task, view)| unwanted(**task, view.run, view.stopping));
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -3,6 +3,7 @@
 use super::account::DelayAccounts;
 use super::advice::Advice;
 use super::capacity::KeptFree;
+use super::evacuation::ZoneReturns;
 use super::external::{ExternalCall, ExternalCallId, ExternalReply};
 use super::incarnations::Incarnations;
 use super::interference::Interference;
@@ -18,6 +19,7 @@
 use crate::moment::Moment;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
+use yuccalink_state::evacuation::ZoneOrder;
 use yuccalink_state::jobs::{
     CellState, IncarnationKey, JobCommand, JobId, JobPhase, RunStart, TaskKey,
 };
@@ -66,6 +68,7 @@
     Changed { version: u64, token: RequestToken },
     Met { token: RequestToken, report: Box<RunnerReport> },
     Heartbeat(u64),
+    Zone { order: Box<ZoneOrder>, token: RequestToken },
     Acknowledged(RequestToken),
     Nothing,
 }
@@ -108,6 +111,7 @@
     next_call: u64,
     pub(super) advice: Advice,
     pub(super) waves: Waves,
+    pub(super) zone_returns: ZoneReturns,
     /// Runners on which no short tasks start, and until when.
     pub(super) kept_free: BTreeMap<IncarnationKey, KeptFree>,
     /// Stragglers that may have a second copy, as of the last ranking, the slowest first.
@@ -164,6 +168,7 @@
             next_call: 0,
             advice: Advice::default(),
             waves: Waves::default(),
+            zone_returns: ZoneReturns::default(),
             kept_free: BTreeMap::new(),
             stragglers: Vec::new(),
             suspects: Suspects::default(),
--- a/crates/coordination/src/jobs/messages.rs
+++ b/crates/coordination/src/jobs/messages.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use yuccalink_state::Resources;
+use yuccalink_state::evacuation::{ZoneOrder, ZoneView};
 use yuccalink_state::jobs::{ChangeSet, JobId, JobSpec, RunOutcome, TaskKey, Wave};
 
 /// The queue that a caller's request is for, as the host and the path in front of the
@@ -72,6 +73,10 @@
     WaveStart(Wave),
     /// Read the progress of a maintenance wave.
     WaveState(u64),
+    /// Evacuate an availability zone, or give it work again.
+    Zone(Box<ZoneOrder>),
+    /// List the availability zones.
+    Zones,
 }
 
 /// Whether a runner takes new tasks.
@@ -269,4 +274,10 @@
     },
     /// The job has failed, with the reason as text.
     Failed(Box<str>),
+    /// The order for an availability zone is committed; what holds there now.
+    Zone(ZoneView),
+    /// All availability zones.
+    Zones(Vec<ZoneView>),
+    /// A later order is in force; says which, and what to do.
+    Conflict(Box<str>),
 }
--- a/crates/coordination/src/jobs/policy.rs
+++ b/crates/coordination/src/jobs/policy.rs
@@ -8,6 +8,7 @@
 pub use super::colocation::SharingPolicy;
 pub use super::compatibility::{GatheringPolicy, MatchingPolicy, PatiencePolicy, RacksPolicy};
 pub use super::copies::CopiesPolicy;
+pub use super::evacuation::EvacuationPolicy;
 pub use super::gangs::GangsPolicy;
 pub use super::heartbeat::LeavingPolicy;
 pub use super::interference::InterferencePolicy;
@@ -114,6 +115,8 @@
     pub gangs: GangsPolicy,
     /// Tries tasks that crashed runners alone before they run beside others.
     pub suspects: SuspectsPolicy,
+    /// Moves work out of evacuated zones, and back.
+    pub evacuation: EvacuationPolicy,
 }
 
 /// Error of a policy with an invalid parameter.
@@ -256,6 +259,8 @@
     gangs: GangsPolicy,
     /// Sets how tasks that crashed runners are tried alone.
     suspects: SuspectsPolicy,
+    /// Sets how work leaves evacuated zones, and how it comes back.
+    evacuation: EvacuationPolicy,
 }
 
 impl PolicyBuilder {
--- a/crates/coordination/src/jobs/requests.rs
+++ b/crates/coordination/src/jobs/requests.rs
@@ -34,6 +34,8 @@
                 self.leave(now, token, &runner, started_ms);
                 None
             }
+            CellRequest::Zone(order) => self.zone_order(now, token, *order),
+            CellRequest::Zones => Some(self.zones()),
             CellRequest::Change(change) => self.change(token, &change),
             CellRequest::Document => Some(self.document()),
             CellRequest::WaveStart(wave) => self.wave_start(token, wave),
--- a/crates/coordination/src/jobs/runner.rs
+++ b/crates/coordination/src/jobs/runner.rs
@@ -156,6 +156,10 @@
     pub(super) key: IncarnationKey,
     pub(super) id: Box<str>,
     pub(super) pool: Box<str>,
+    /// Availability zone, empty as long as no report names it.
+    pub(super) zone: Box<str>,
+    /// The zone is under evacuation.
+    pub(super) zone_evacuated: bool,
     pub(super) rack: Box<str>,
     pub(super) labels: Vec<Box<str>>,
     pub(super) capacity: Resources,
@@ -174,8 +178,8 @@
     pub(super) running: BTreeMap<TaskKey, RunView>,
     /// Runs that were ordered to start, and when the order was last sent.
     pub(super) ordered: BTreeMap<(TaskKey, u32), Moment>,
-    /// Assigned runs that the runner has no capacity for any more, and since when they are
-    /// not ordered.
+    /// Assigned runs that the runner must not start any more, and since when they are not
+    /// ordered.
     withheld: BTreeMap<(TaskKey, u32), Moment>,
     pub(super) health: Health,
     pub(super) free: Resources,
@@ -197,6 +201,8 @@
             key,
             id: report.runner.clone(),
             pool: report.pool.clone(),
+            zone: report.zone.clone(),
+            zone_evacuated: false,
             rack: report.rack.clone(),
             labels: report.labels.clone(),
             capacity: report.capacity,
@@ -226,6 +232,9 @@
         self.pool.clone_from(&report.pool);
         self.capacity = report.capacity;
         self.labels.clone_from(&report.labels);
+        if !report.zone.is_empty() {
+            self.zone.clone_from(&report.zone);
+        }
         self.state = report.state;
         self.last_report_at = now;
         self.terminates_at = match report.state {
@@ -253,12 +262,17 @@
         self.ordered.extend(runs.map(|run| (run, now)));
     }
 
-    /// Records the runs that are not ordered because the runner has no capacity for them.
+    /// Records the assigned runs that are not ordered any more.
     pub(super) fn withhold(&mut self, runs: BTreeSet<(TaskKey, u32)>, now: Moment) {
         self.withheld.retain(|run, _| runs.contains(run));
+        let why = match (self.zone_evacuated, self.takes_tasks()) {
+            (true, _) => "its zone is evacuated",
+            (false, false) => "it takes no tasks",
+            (false, true) => "no room, or its gang is incomplete",
+        };
         for (task, run) in runs {
             self.withheld.entry((task, run)).or_insert_with(|| {
-                log::info!("task={task} run={run} runner={} not ordered: no room", self.id);
+                log::info!("task={task} run={run} runner={} not ordered: {why}", self.id);
                 now
             });
         }
@@ -283,9 +297,10 @@
         self.ordered.get(&(task, run)).is_some_and(|at| now.since(*at) < ORDER_LIFETIME_MAX)
     }
 
-    /// Whether the runner can be given new tasks at all.
+    /// Whether the runner may be ordered to start anything. The only place that decides it, for
+    /// new starts and for starts that were assigned before.
     pub(super) fn takes_tasks(&self) -> bool {
-        self.state == RunnerState::Ready && !self.maintenance_pending
+        self.state == RunnerState::Ready && !self.maintenance_pending && !self.zone_evacuated
     }
 
     /// Whether the runner reported recently, so that its next report is expected soon.
--- a/crates/coordination/src/jobs/telemetry.rs
+++ b/crates/coordination/src/jobs/telemetry.rs
@@ -27,6 +27,10 @@
     pub tried: u64,
     /// Jobs that failed because a task lost too many runners.
     pub given_up: u64,
+    /// Orders that put a zone under evacuation.
+    pub zones_evacuated: u64,
+    /// Orders that gave a zone work again.
+    pub zones_restored: u64,
     /// Heartbeats received.
     pub heartbeats: u64,
     /// Runners scanned other than the reporting ones. The work for one job, task or report
@@ -45,6 +49,8 @@
     free: u64,
     /// Runners with a serving task that exceeds its bound.
     bound_exceeded: usize,
+    /// Runners in zones under evacuation.
+    evacuated: usize,
 }
 
 impl Leader {
@@ -61,10 +67,11 @@
             load.runs += runner.running.len();
             load.free += runner.free.millicores;
             load.bound_exceeded += usize::from(runner.bound_exceeded_since.is_some());
+            load.evacuated += usize::from(runner.zone_evacuated);
         }
         log::info!(
             "load runners={} serving={} mixed={} paced={} runs={} filling-runners={:.1} \
-             free-cores={} over={} down={} waiting-steps={} waiting-tasks={}",
+             free-cores={} over={} down={} evacuated={} waiting-steps={} waiting-tasks={}",
             self.runners.len(),
             load.serving,
             load.mixed,
@@ -74,6 +81,7 @@
             load.free / 1000,
             load.bound_exceeded,
             self.moving_long_running,
+            load.evacuated,
             self.ready.len(),
             self.ready.waiting_tasks(&self.state)
         );
--- a/crates/coordination/tests/cell/checks.rs
+++ b/crates/coordination/tests/cell/checks.rs
@@ -70,6 +70,12 @@
         if elsewhere && !step.speculative {
             self.violations.push(format!("{task} runs on two runners"));
         }
+        // A runner applies an order until one second after its report.
+        let order_lifetime = Duration::from_secs(1);
+        let evacuated = self.evacuated.get(zone(at));
+        if evacuated.is_some_and(|since| when.since(*since) > order_lifetime) {
+            self.violations.push(format!("{task} starts in the evacuated zone {}", zone(at)));
+        }
         let history = self.histories.entry(task).or_default();
         if !history.runs.insert(run) {
             self.violations.push(format!("{task} run {run} starts twice"));
--- a/crates/coordination/tests/cell/harness.rs
+++ b/crates/coordination/tests/cell/harness.rs
@@ -1,6 +1,6 @@
 //! Drives a leader whose log commits at once, and runners that report when a test says so.
 
-use super::world::{CAPACITY, change_set, queue_address};
+use super::world::{CAPACITY, change_set, queue_address, zone};
 use std::sync::Arc;
 use std::time::Duration;
 use yuccalink_coordination::Moment;
@@ -54,7 +54,11 @@
         let now = Moment::from_millis(1_000);
         let mut leader = Leader::new(cfg, 3, jobs, Self::now_at(now));
         leader.set_node_name("e1");
-        let runner = |at| EmulatedRunner::new(&format!("w{at}"), "r1", 5, CAPACITY, now);
+        let runner = |at| {
+            let mut runner = EmulatedRunner::new(&format!("w{at}"), "r1", 5, CAPACITY, now);
+            runner.zone = zone(at).into();
+            runner
+        };
         let runners = (0..runners).map(runner).collect();
         Self { now, leader, index: 0, last_token: 0, runners, behavior }
     }
--- a/crates/coordination/tests/cell/world.rs
+++ b/crates/coordination/tests/cell/world.rs
@@ -20,6 +20,7 @@
     EmulatedRunner, RunnerEvent, RunnerFault, TaskBehavior, checkpoint_text,
 };
 use yuccalink_state::Resources;
+use yuccalink_state::evacuation::{ZoneAction, ZoneOrder};
 use yuccalink_state::jobs::{
     CellState, ChangeSet, JobCommand, JobId, JobSpec, Pool, Queue, RunOutcome, StepSpec, TaskKey,
 };
@@ -50,6 +51,8 @@
     pub runner_renames: bool,
     /// The last report before a crash caused by a task arrives after the lease has expired.
     pub late_last_report: bool,
+    /// Zones are evacuated and restored.
+    pub zone_order_per_mille: u32,
 }
 
 impl FaultProfile {
@@ -64,6 +67,7 @@
         shrink_per_mille: 0,
         runner_renames: false,
         late_last_report: false,
+        zone_order_per_mille: 0,
     };
     pub const HARSH: Self = Self {
         loss_per_mille: 40,
@@ -76,6 +80,7 @@
         shrink_per_mille: 0,
         runner_renames: false,
         late_last_report: false,
+        zone_order_per_mille: 0,
     };
     pub const HARSHEST: Self =
         Self { shrink_per_mille: 2, runner_renames: true, delay_max_ms: 9_000, ..Self::HARSH };
@@ -156,6 +161,11 @@
     pub downtime_ms: std::ops::Range<u64>,
     /// Runs that were lost beside a task that had already made a runner crash before.
     pub runs_lost_to_repeated_crashes: usize,
+    /// The operator's order that is not acknowledged yet, and when it was last sent.
+    zone_order: Option<(ZoneOrder, RequestToken, Moment)>,
+    /// Zones whose evacuation was acknowledged and not taken back, and since when.
+    evacuated: BTreeMap<Box<str>, Moment>,
+    pub zone_orders: usize,
     pub violations: Vec<String>,
 }
 
@@ -192,6 +202,9 @@
             accepted: BTreeSet::new(),
             downtime_ms: 200..9_000,
             runs_lost_to_repeated_crashes: 0,
+            zone_order: None,
+            evacuated: BTreeMap::new(),
+            zone_orders: 0,
             violations: Vec::new(),
         };
         world.committed.apply(JobCommand::Change(Box::new(change_set())));
@@ -219,6 +232,7 @@
         let rack = format!("r{}", at / 4);
         let mut runner =
             EmulatedRunner::new(&format!("w{at}"), &rack, started_ms, CAPACITY, self.now);
+        runner.zone = zone(at).into();
         runner.slow_ppm = self.rng.random_range(0..=SLOWEST_PPM);
         if self.fault_profile.runner_renames && self.chance(500) {
             runner.id = format!("w{at}-{started_ms}").into();
@@ -309,6 +323,7 @@
             self.deliver(responses);
         }
         self.submit_missing();
+        self.operate_zones();
         self.deliver_messages();
         self.advance_runners();
         self.commit();
@@ -335,6 +350,66 @@
         }
     }
 
+    /// Orders an evacuation, or the end of one, again until it is acknowledged.
+    pub fn order_zone(&mut self, zone: &str, action: ZoneAction, empty: bool) {
+        if action == ZoneAction::Restore {
+            self.evacuated.remove(zone);
+        }
+        let order = ZoneOrder { zone: zone.into(), action, empty, number: None };
+        self.zone_order = Some((order, RequestToken(0), Moment::ZERO));
+        self.operate_zones();
+    }
+
+    /// Whether the last order for a zone was acknowledged.
+    pub fn zone_order_acknowledged(&self) -> bool {
+        self.zone_order.is_none()
+    }
+
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.committed.evacuations().excludes(zone)
+    }
+
+    fn operate_zones(&mut self) {
+        const RESEND: Duration = Duration::from_millis(700);
+        if self.zone_order.is_none()
+            && self.fault_profile.zone_order_per_mille > 0
+            && self.chance(self.fault_profile.zone_order_per_mille)
+        {
+            let zone = zone(self.rng.random_range(0..ZONES));
+            let action = match self.evacuated.contains_key(zone) {
+                true => ZoneAction::Restore,
+                false => ZoneAction::Evacuate,
+            };
+            let empty = self.chance(500);
+            return self.order_zone(zone, action, empty);
+        }
+        let now = self.now();
+        let token = RequestToken(u64::MAX - self.last_number);
+        let (Some((order, sent_as, sent)), Some(leader)) = (&mut self.zone_order, &mut self.leader)
+        else {
+            return;
+        };
+        if *sent > Moment::ZERO && now.at.since(*sent) < RESEND {
+            return;
+        }
+        self.last_number += 1;
+        (*sent_as, *sent) = (token, now.at);
+        leader.handle_request(now, token, CellRequest::Zone(Box::new(order.clone())));
+    }
+
+    fn on_zone_order_answered(&mut self, response: &CellResponse) {
+        assert!(matches!(response, CellResponse::Zone(_)), "{response:?}");
+        let Some((order, ..)) = self.zone_order.take() else { return };
+        self.zone_orders += 1;
+        let evacuated = order.action == ZoneAction::Evacuate;
+        if self.committed.evacuations().excludes(&order.zone) != evacuated {
+            self.violations.push(format!("{order:?} is acknowledged before it is committed"));
+        }
+        if evacuated {
+            self.evacuated.entry(order.zone).or_insert(self.now);
+        }
+    }
+
     fn submit_missing(&mut self) {
         if self.leader.is_none() || !self.now.0.is_multiple_of(100_000) {
             return;
@@ -389,6 +464,10 @@
 
     fn deliver(&mut self, responses: Vec<(RequestToken, CellResponse)>) {
         for (token, response) in responses {
+            if self.zone_order.as_ref().is_some_and(|(_, sent, _)| *sent == token) {
+                self.on_zone_order_answered(&response);
+                continue;
+            }
             let Some((slot, started_ms, sent)) = self.pending_reports.remove(&token) else {
                 continue;
             };
@@ -602,6 +681,9 @@
     /// Stops all faults, so that the remaining jobs must end.
     pub fn stop_faults(&mut self) {
         self.fault_profile = FaultProfile::NO_FAULTS;
+        if self.zone_orders > 0 || self.zone_order.is_some() {
+            self.restore_all_zones();
+        }
         for slot in &mut self.slots {
             if let Some(runner) = &mut slot.runner {
                 runner.fault = RunnerFault::None;
@@ -609,6 +691,15 @@
         }
     }
 
+    fn restore_all_zones(&mut self) {
+        for at in 0..ZONES {
+            while self.zone_order.is_some() {
+                self.step();
+            }
+            self.order_zone(zone(at), ZoneAction::Restore, false);
+        }
+    }
+
     pub fn drain(&mut self, at: usize) {
         if let Some(runner) = &mut self.slots[at].runner {
             runner.state = RunnerState::Draining;
@@ -701,6 +792,12 @@
 pub const CAPACITY: Resources =
     Resources { millicores: 16_000, memory_mib: 32_000, accelerators: 0 };
 pub const ATTEMPTS: u32 = 3;
+const ZONES: usize = 2;
+
+/// The zone of the runner at this position.
+pub fn zone(at: usize) -> &'static str {
+    ["z0", "z1"][at % ZONES]
+}
 
 pub fn queue_address() -> QueueAddress {
     QueueAddress { host: "h".into(), path: "/q/".into() }
--- a/crates/daemon/src/cell.rs
+++ b/crates/daemon/src/cell.rs
@@ -25,7 +25,7 @@
 pub use adapter::{ApiAdapter, ApiRequest, ApiResponse, ExternalRequest, SeedSource};
 pub use config::{CellConfig, CellConfigBuilder};
 pub use native::{
-    Native, common_response, error_response, json_response, parse_caller_request, parse_json,
-    parse_number,
+    Native, common_response, decode_path, error_response, json_response, parse_caller_request,
+    parse_json, parse_number,
 };
 pub use run::run;
--- a/crates/daemon/src/cell/native.rs
+++ b/crates/daemon/src/cell/native.rs
@@ -2,7 +2,7 @@
 //!
 //! Callers: `POST`, `GET` and `DELETE /v1/HOST/QUEUE-PATH/JOB`, where the host comes
 //! from the `Host` header. Runners: `POST /v1/runners/ID/heartbeat` and
-//! `/leave`. Operators: `PUT` and `GET /v1/change`.
+//! `/leave`. Operators: `PUT` and `GET /v1/change`, `/v1/waves/ID`, `/v1/zones`.
 
 use crate::cell::adapter::{ApiAdapter, ApiRequest, ApiResponse, ExternalRequest};
 use serde::Serialize;
@@ -11,6 +11,7 @@
 use yuccalink_coordination::jobs::external::{ExternalCall, ExternalReply};
 use yuccalink_coordination::jobs::messages::QueueAddress;
 use yuccalink_coordination::jobs::{CellRequest, CellResponse, JobState, RunnerReport};
+use yuccalink_protocol::api::ZoneChange;
 use yuccalink_state::jobs::{ChangeSet, JobId, JobSpec, Wave};
 
 /// Adapter for the native HTTP interface.
@@ -71,6 +72,11 @@
                 Ok(CellRequest::WaveStart(wave))
             }
             ("GET", ["v1", "waves", id]) => Ok(CellRequest::WaveState(parse_number(id)?)),
+            ("PUT", ["v1", "zones", zone]) => {
+                let change: ZoneChange = parse_json(req.body)?;
+                Ok(CellRequest::Zone(Box::new(change.into_order(&decode_path(zone)?))))
+            }
+            ("GET", ["v1", "zones"]) => Ok(CellRequest::Zones),
             _ => {
                 Err(error_response(404, "no such path; see docs/PROTOCOLS.md for the valid paths"))
             }
@@ -95,6 +101,20 @@
     }
 }
 
+/// Decodes the percent-encoded characters of a path segment.
+///
+/// # Errors
+/// Returns a 400 response if the segment is not UTF-8.
+///
+/// ```
+/// use yuccalink_daemon::cell::decode_path;
+/// assert_eq!(decode_path("brno%20a").as_deref(), Ok("brno a"));
+/// ```
+pub fn decode_path(segment: &str) -> Result<Box<str>, ApiResponse> {
+    let decoded = percent_encoding::percent_decode_str(segment).decode_utf8();
+    decoded.map(Box::from).map_err(|_| error_response(400, "a path segment is not UTF-8"))
+}
+
 /// Parses a number in a path.
 ///
 /// # Errors
@@ -154,6 +174,9 @@
         }
         CellResponse::Document(text) => ApiResponse::json(200, text.to_vec()),
         CellResponse::Invalid(what) => error_response(400, &what),
+        CellResponse::Conflict(what) => error_response(409, &what),
+        CellResponse::Zone(zone) => json_response(200, &zone),
+        CellResponse::Zones(zones) => json_response(200, &zones),
         CellResponse::Orders(orders) => json_response(200, &*orders),
         CellResponse::Wave { done } => {
             json_response(200, &WaveView { state: if done { "completed" } else { "running" } })
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -71,6 +71,8 @@
     term: u64,
     /// Peer address of the leader, if one is known.
     leader: Option<SocketAddr>,
+    /// Zones under evacuation, as far as this process keeps the state.
+    evacuated: Vec<Box<str>>,
     /// Policy that this process applies while it leads.
     policy: Policy,
     /// Policy values that differ from the defaults.
@@ -379,7 +381,11 @@
     pub(crate) fn status(&mut self) -> CellStatus {
         let leader = self.known_leader();
         let policy = self.cfg.leader.policy;
+        let state = self.replica.as_ref().and_then(Replica::state);
+        let evacuated = state.into_iter().flat_map(|state| state.evacuations().evacuated());
+        let evacuated = evacuated.map(|(zone, _)| zone.into()).collect();
         CellStatus {
+            evacuated,
             cell: self.cfg.name.clone(),
             zone: self.cfg.zone.clone(),
             leads: leader.is_some_and(|leader| leader.peer == self.peer_table.me.peer),
--- a/crates/fakes/src/emulator.rs
+++ b/crates/fakes/src/emulator.rs
@@ -136,6 +136,8 @@
     pub capacity: Resources,
     /// How much the clock of the runner is slow, in parts per million.
     pub slow_ppm: u64,
+    /// Availability zone in the reports.
+    pub zone: Box<str>,
     rack: Box<str>,
     sequence: u64,
     token: u64,
@@ -172,6 +174,7 @@
             terminates_at: None,
             capacity,
             slow_ppm: 0,
+            zone: "zone".into(),
             rack: rack.into(),
             sequence: 0,
             token: 0,
@@ -320,7 +323,7 @@
             sequence: self.sequence,
             pool: "pool".into(),
             address: self.address.clone(),
-            zone: "zone".into(),
+            zone: self.zone.clone(),
             state: self.state,
             remaining_ms: self.terminates_at.map(|at| remaining_ms(at, now)),
             capacity: self.capacity,
