Give no request and no task to an evacuated zone's targets, with a verb in the command

What operators saw: the daemons for services knew no evacuation, and neither did the command. Change: the leader's directory and the placement leave out targets of an evacuated zone; starts that a worker has not confirmed are taken back by an order to stop. Open requests and running tasks end whole. The order is acknowledged when every entry that may be serving routes by a table without the zone, or its lease has ended. Evidence: a system test of five daemons under load, tests of directory, rollout and command.

--- a/crates/coordination/src/directory.rs
+++ b/crates/coordination/src/directory.rs
@@ -7,6 +7,7 @@
 use crate::moment::{Moment, lease_span_with_drift};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use yuccalink_state::evacuation::Evacuations;
 use yuccalink_state::id::{Incarnation, Name};
 use yuccalink_state::target::{RunnerSpec, TargetSpec};
 
@@ -74,6 +75,8 @@
     reserved: u32,
     /// The release by the previous owner that must complete before another owner is chosen.
     pending_release: Option<Release>,
+    /// Its zone is under evacuation, so it gets no new work.
+    zone_evacuated: bool,
     changed: u64,
     interval: Duration,
 }
@@ -85,7 +88,7 @@
             TargetSpec::Worker(_) => None,
             TargetSpec::Runner(spec) => Some(RunnerUpdate {
                 spec: spec.clone(),
-                usable: self.health == Health::Live,
+                usable: self.health == Health::Live && !self.zone_evacuated,
                 busy: self.usage.busy,
                 owner: self.owner.clone(),
             }),
@@ -153,7 +156,7 @@
 /// let mut entries = EntryTable::new(Moment::ZERO);
 /// entries.record_report(now, &EntryReport {
 ///     name: Name::new("e1")?, incarnation: run, caller_address: "127.0.0.1:8080".into(),
-///     zone: Name::new("brno")?, acked_revision: Revision(0), draining: false,
+///     zone: Name::new("brno")?, acked_revision: Revision(0), acked_table: 0, draining: false,
 /// });
 /// let mut directory = Directory::new();
 /// let name = Name::new("r1")?;
@@ -172,6 +175,7 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     targets: BTreeMap<Name, Target>,
+    evacuations: Evacuations,
     version: u64,
     last_tick: Moment,
     /// Since when the leader has ticked without a gap longer than [`TICK_GAP_MAX`].
@@ -189,6 +193,19 @@
         self.version
     }
 
+    /// Sets the zones under evacuation, whose targets get no new work.
+    pub fn set_evacuations(&mut self, evacuations: &Evacuations) {
+        self.evacuations.clone_from(evacuations);
+        for target in self.targets.values_mut() {
+            let evacuated = evacuations.excludes(target.spec.zone().as_str());
+            if target.zone_evacuated != evacuated {
+                self.version += 1;
+                target.zone_evacuated = evacuated;
+                target.changed = self.version;
+            }
+        }
+    }
+
     /// Handles an announcement.
     pub fn announce(&mut self, now: Moment, spec: TargetSpec, busy: u32) -> HeartbeatOutcome {
         if let Some(known) = self.targets.get(spec.name())
@@ -202,10 +219,12 @@
         }
         self.version += 1;
         let name = spec.name().clone();
+        let zone_evacuated = self.evacuations.excludes(spec.zone().as_str());
         let usage = Usage { busy, ..Usage::default() };
         match self.targets.get_mut(&name) {
             Some(known) if known.health != Health::Gone && is_same_kind(&known.spec, &spec) => {
                 known.spec = spec;
+                known.zone_evacuated = zone_evacuated;
                 known.last_heard = now;
                 known.health = Health::Live;
                 known.usage = usage;
@@ -220,6 +239,7 @@
                     owner: None,
                     reserved: 0,
                     pending_release: None,
+                    zone_evacuated,
                     changed: self.version,
                     interval: HEARTBEAT_INTERVAL,
                 };
@@ -411,6 +431,7 @@
         }
         self.version += 1;
         let name = spec.name.clone();
+        let zone_evacuated = self.evacuations.excludes(spec.zone.as_str());
         let spec = TargetSpec::Runner(spec);
         let changed = self.version;
         let target = self.targets.entry(name).or_insert_with(|| Target {
@@ -421,6 +442,7 @@
             owner: None,
             reserved: 0,
             pending_release: None,
+            zone_evacuated,
             changed,
             interval: HEARTBEAT_INTERVAL,
         });
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -99,7 +99,10 @@
 fn order_for(state: &StateMachine, task: &Task) -> Option<Order> {
     use yuccalink_state::task::StopReason;
     match task.phase {
-        TaskPhase::Placed(_) => Some(Order::Start),
+        TaskPhase::Placed(worker) => {
+            let zone = &state.worker_at(worker).spec.zone;
+            (!state.evacuations().excludes(zone.as_str())).then_some(Order::Start)
+        }
         TaskPhase::Stopping(_, StopReason::Cancel) => Some(Order::Stop),
         TaskPhase::Stopping(_, StopReason::Evict) => {
             let checkpoint = state.document_of(task).disruption_tolerance.checkpoint;
--- a/crates/coordination/src/entries.rs
+++ b/crates/coordination/src/entries.rs
@@ -22,6 +22,8 @@
     pub zone: Name,
     /// The revision that it has applied.
     pub acked_revision: Revision,
+    /// Version of this leader's directory that it has applied.
+    pub acked_table: u64,
     /// When its last report arrived.
     pub last_heard: Moment,
     /// Whether it is about to stop.
@@ -48,6 +50,8 @@
     pub zone: Name,
     /// The revision that it has applied.
     pub acked_revision: Revision,
+    /// Version of this leader's directory that it has applied; 0 if it is of another leader.
+    pub acked_table: u64,
     /// Whether it is about to stop.
     pub draining: bool,
 }
@@ -60,7 +64,7 @@
 /// let mut entries = EntryTable::new(Moment::ZERO);
 /// let mut report = EntryReport {
 ///     name: Name::new("e1")?, incarnation: Incarnation(1), caller_address: "127.0.0.1:8080".into(),
-///     zone: Name::new("brno")?, acked_revision: Revision(6), draining: false,
+///     zone: Name::new("brno")?, acked_revision: Revision(6), acked_table: 0, draining: false,
 /// };
 /// let at = |ms| Moment::from_millis(ms);
 /// entries.record_report(at(10_000), &report);
@@ -110,6 +114,7 @@
             caller_address: report.caller_address.clone(),
             zone: report.zone.clone(),
             acked_revision: report.acked_revision,
+            acked_table: report.acked_table,
             last_heard: now,
             draining: report.draining,
         };
@@ -147,10 +152,22 @@
     /// An entry that is disconnected cannot acknowledge. It stops serving when its lease expires,
     /// so it is waited for only until then.
     pub fn rollout_status(&self, now: Moment, revision: Revision) -> RolloutStatus {
+        self.rollout(now, |entry| entry.acked_revision >= revision)
+    }
+
+    /// Whether every entry that may be serving routes by this version of the directory.
+    pub fn directory_status(&self, now: Moment, version: u64) -> RolloutStatus {
+        self.rollout(now, |entry| entry.acked_table >= version)
+    }
+
+    fn rollout<F>(&self, now: Moment, has_applied: F) -> RolloutStatus
+    where
+        F: Fn(&EntryRecord) -> bool,
+    {
         let behind: Box<[Name]> = self
             .records
             .iter()
-            .filter(|(_, entry)| entry.acked_revision < revision && entry.may_hold_lease(now))
+            .filter(|(_, entry)| !has_applied(entry) && entry.may_hold_lease(now))
             .map(|(name, _)| name.clone())
             .collect();
         if !behind.is_empty() {
--- a/crates/coordination/src/jobs/evacuation.rs
+++ b/crates/coordination/src/jobs/evacuation.rs
@@ -127,16 +127,8 @@
 
     fn zone_view(&self, zone: &str) -> ZoneView {
         let runners = || self.runners.values().filter(|runner| &*runner.zone == zone);
-        let runs: usize = runners().map(|runner| runner.running.len()).sum();
-        let record = self.state.evacuations().get(zone);
-        ZoneView {
-            zone: zone.into(),
-            evacuated: record.is_some_and(|record| record.evacuated),
-            empty: record.is_some_and(|record| record.empty),
-            changed_ms: record.map_or(0, |record| record.changed_ms),
-            targets: u32::try_from(runners().count()).unwrap_or(u32::MAX),
-            busy: u32::try_from(runs).unwrap_or(u32::MAX),
-        }
+        let runs = runners().map(|runner| runner.running.len()).sum();
+        ZoneView::new(self.state.evacuations(), zone, runners().count(), runs)
     }
 
     /// The part of a runner's capacity that is withheld because its zone was restored just now.
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -133,7 +133,7 @@
 
 impl<'a> Planner<'a> {
     fn new(state: &'a StateMachine) -> Self {
-        let live = state.workers().filter(|(_, w)| w.phase == WorkerPhase::Live);
+        let live = state.workers().filter(|(key, _)| state.takes_tasks(*key));
         let workers = live.map(|(key, worker)| WorkerCapacity {
             key,
             free: worker.free(),
--- a/crates/coordination/src/scenario/world/routing.rs
+++ b/crates/coordination/src/scenario/world/routing.rs
@@ -48,6 +48,7 @@
             caller_address: "127.0.0.1:1".into(),
             zone: entry.zone.clone(),
             acked_revision: Revision(1),
+            acked_table: 0,
             draining: entry.draining,
         };
         if self.entries.record_report(self.now, &report) {
--- a/crates/coordination/tests/directory.rs
+++ b/crates/coordination/tests/directory.rs
@@ -5,6 +5,7 @@
 use yuccalink_coordination::Moment;
 use yuccalink_coordination::directory::{Directory, SUSPECT_MIN, Usage};
 use yuccalink_coordination::entries::{EntryReport, EntryTable};
+use yuccalink_state::evacuation::{Evacuations, ZoneAction, ZoneOrder};
 use yuccalink_state::id::{Incarnation, Name, Revision};
 use yuccalink_state::target::{RunnerSpec, TargetSpec};
 
@@ -63,6 +64,7 @@
         caller_address: "127.0.0.1:8080".into(),
         zone: Name::new("brno").expect("a name"),
         acked_revision: Revision(0),
+        acked_table: 0,
         draining: false,
     };
     entries.record_report(now, &report);
@@ -96,3 +98,41 @@
     }
     assert_eq!(usable(&directory), 1, "the others have sent nothing since the pause");
 }
+
+fn evacuations(action: ZoneAction) -> Evacuations {
+    let mut evacuations = Evacuations::default();
+    let order = ZoneOrder { zone: "brno".into(), action, empty: false, number: None };
+    evacuations.apply(&order, 1);
+    evacuations
+}
+
+/// Guards against requests to runners of an evacuated zone, also to those that announce
+/// themselves later or that an entry reports to a new leader.
+#[test]
+fn runners_of_an_evacuated_zone_are_not_usable() {
+    let now = Moment::from_millis(10_000);
+    let entries = entry_table(now);
+    let mut directory = Directory::new();
+    directory.announce(now, TargetSpec::Runner(runner(0)), 0);
+    directory.tick(now, &entries);
+    let before = directory.version();
+    directory.set_evacuations(&evacuations(ZoneAction::Evacuate));
+    assert_eq!(directory.changes(before, 9).0.len(), 1, "entries hear of it");
+    directory.announce(now, TargetSpec::Runner(runner(1)), 0);
+    directory.restore_owner(now, runner(2), &Name::new("e1").expect("a name"));
+    assert_eq!(usable(&directory), 0);
+    directory.set_evacuations(&evacuations(ZoneAction::Restore));
+    assert_eq!(usable(&directory), 3);
+}
+
+/// Guards against an evacuation that is acknowledged while an entry routes by an older table.
+#[test]
+fn an_older_table_is_waited_for_until_its_entrys_lease_has_ended() {
+    use yuccalink_coordination::entries::RolloutStatus;
+    let now = Moment::from_millis(10_000);
+    let entries = entry_table(now);
+    assert_eq!(entries.directory_status(now, 0), RolloutStatus::Everywhere);
+    assert!(matches!(entries.directory_status(now, 1), RolloutStatus::Not(_)));
+    let later = now + Duration::from_secs(4);
+    assert_eq!(entries.directory_status(later, 1), RolloutStatus::Everywhere);
+}
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -12,7 +12,7 @@
 use xitca_web::body::RequestBody;
 use xitca_web::http::{WebRequest, WebResponse};
 use yuccalink_protocol::api::{
-    Announce, Applied, CancelTasks, Heartbeat, LIST_MAX, Leave, SubmitTasks,
+    Announce, Applied, CancelTasks, Heartbeat, LIST_MAX, Leave, SubmitTasks, ZoneChange,
 };
 use yuccalink_protocol::document;
 use yuccalink_protocol::peer::{LeaderRequest, LeaderResponse, TaskFilter};
@@ -73,6 +73,7 @@
             ["v1", "services", ..] => self.services(request).await,
             ["v1", "tasks", ..] => self.tasks(request).await,
             ["v1", "status"] => self.status(&request).await,
+            ["v1", "zones", ..] => self.zones(request).await,
             ["v1", "decisions"] => self.decisions(&request).await,
             ["v1", "snapshot"] => {
                 require_get(&request)?;
@@ -130,6 +131,20 @@
         }
     }
 
+    async fn zones(&self, request: AdminRequest<'_>) -> AdminResult {
+        let path = request.path.clone();
+        match (request.method.as_str(), path.as_slice()) {
+            ("GET", ["v1", "zones"]) => self.ask_leader(LeaderRequest::Zones).await,
+            ("PUT", ["v1", "zones", zone]) => {
+                // Targets of this daemon name their zones with these characters only.
+                let zone = parse_name(zone)?;
+                let change: ZoneChange = read_json(request.body).await?;
+                self.ask_leader(LeaderRequest::Zone(change.into_order(zone.as_str()))).await
+            }
+            _ => Err(method_problem(&request)),
+        }
+    }
+
     async fn services(&self, request: AdminRequest<'_>) -> AdminResult {
         let path = request.path.clone();
         match (request.method.as_str(), path.as_slice()) {
@@ -272,6 +287,8 @@
         }
         LeaderResponse::Status(value) => reply::json(ok, &value),
         LeaderResponse::Targets(value) => reply::json(ok, &value),
+        LeaderResponse::Zone(value) => reply::json(ok, &value),
+        LeaderResponse::Zones(value) => reply::json(ok, &value),
         LeaderResponse::Decisions(value) => reply::json(ok, &value),
         LeaderResponse::Snapshot(bytes) => {
             reply::with_body(ok, "application/octet-stream", bytes.into())
--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -5,6 +5,7 @@
 mod orders;
 mod requests;
 mod time;
+mod zones;
 
 use crate::clock::{Clock, millis, unix_ms};
 use crate::shared::{Shared, no_leader_problem};
@@ -35,6 +36,7 @@
 use yuccalink_state::command::{
     Apply, Command, Missing, Outcome, TaskEvent, TaskReport, TaskSubmission,
 };
+use yuccalink_state::evacuation::{ZONES_MAX, ZoneOrder, ZoneOutcome, ZoneView, check_zone};
 use yuccalink_state::id::{Epoch, Incarnation, Name, Revision, TaskId, WorkerKey};
 use yuccalink_state::target::TargetSpec;
 use yuccalink_state::task::{Task, TaskPhase};
@@ -70,6 +72,7 @@
     /// the worker's list of tasks.
     Reported(Option<(Reply, bool)>),
     Request(Reply),
+    Zone(ZoneOrder, Reply),
     Done(Reply),
     WorkerGone(Name),
     PreviousIncarnationGone(Name),
@@ -82,6 +85,14 @@
     reply: Reply,
 }
 
+/// An operator's order for a zone that waits until all entries route by the directory's
+/// version after it.
+struct ZoneWaiter {
+    zone: Box<str>,
+    version: u64,
+    reply: Reply,
+}
+
 /// Orders to send to one worker in one message.
 pub(crate) struct OrderBatch {
     pub(crate) worker: WorkerKey,
@@ -122,6 +133,7 @@
     throttles: BTreeMap<WorkerKey, Vec<Throttle>>,
     last_sweep: Moment,
     in_force_waiters: Vec<InForceWaiter>,
+    zone_waiters: Vec<ZoneWaiter>,
     /// Whether the directory lists all runners; see [`EntryUpdate::runner_table_complete`].
     runner_table_complete: bool,
     /// Wakes the task that sends orders.
@@ -139,13 +151,15 @@
     ) -> Self {
         let clock = shared.clock;
         let started = clock.now();
+        let mut directory = Directory::new();
+        directory.set_evacuations(state.evacuations());
         Self {
             shared,
             clock,
             term,
             started,
             state,
-            directory: Directory::new(),
+            directory,
             entries: EntryTable::new(started),
             dispatch: Dispatch::new(),
             reconcile: Reconcile::default(),
@@ -161,6 +175,7 @@
             throttles: BTreeMap::new(),
             last_sweep: started,
             in_force_waiters: Vec::new(),
+            zone_waiters: Vec::new(),
             runner_table_complete: false,
             order_wake,
             update_signal: watch::Sender::new(0),
@@ -270,6 +285,7 @@
                 };
                 let _ = reply.send(response);
             }
+            OnCommit::Zone(order, reply) => self.finish_zone_order(&order, &outcome, reply),
             OnCommit::Done(reply) => {
                 let _ = reply.send(LeaderResponse::Done);
             }
--- a/crates/daemon/src/leader/entries.rs
+++ b/crates/daemon/src/leader/entries.rs
@@ -27,6 +27,7 @@
             caller_address: state.caller_address.clone(),
             zone: state.zone.clone(),
             acked_revision: Revision(state.acked_revision),
+            acked_table: if state.term == self.term { state.table_version } else { 0 },
             draining: state.draining,
         };
         let known = self.entries.get(&state.entry);
@@ -48,6 +49,7 @@
             self.signal_update();
         }
         self.answer_in_force_waiters();
+        self.answer_zone_waiters();
     }
 
     /// Builds the update for an entry; the flag tells whether it contains anything new.
--- a/crates/daemon/src/leader/requests.rs
+++ b/crates/daemon/src/leader/requests.rs
@@ -43,6 +43,8 @@
                 None => not_found(format!("no task {id} is known; it may have ended long ago")),
             },
             LeaderRequest::Tasks(filter) => LeaderResponse::Tasks(self.tasks(&filter)),
+            LeaderRequest::Zone(order) => return self.order_zone(order, reply),
+            LeaderRequest::Zones => LeaderResponse::Zones(self.zones()),
             LeaderRequest::Targets => LeaderResponse::Targets(self.targets()),
             LeaderRequest::Decisions => LeaderResponse::Decisions(self.shared.decisions.list()),
             // The replica answers these itself, as it knows the log and the members.
--- a/crates/daemon/src/leader/time.rs
+++ b/crates/daemon/src/leader/time.rs
@@ -22,9 +22,11 @@
         self.entries.tidy(now);
         self.give_up_workers(now);
         self.answer_in_force_waiters();
+        self.answer_zone_waiters();
         if now.since(self.last_sweep) >= SWEEP_INTERVAL {
             self.last_sweep = now;
             self.dispatch.tidy(&self.state);
+            self.release_placed_in_evacuated_zones();
             self.dirty_workers
                 .extend(self.state.workers().filter(|(_, w)| w.tasks > 0).map(|(k, _)| k));
             self.plan_due |= self.state.waiting_len() > 0;
--- a/crates/operator/src/cell.rs
+++ b/crates/operator/src/cell.rs
@@ -122,15 +122,23 @@
         .flatten()
         .filter_map(Value::as_str)
         .collect();
+    let evacuated: Vec<&str> = status
+        .get("evacuated")
+        .and_then(Value::as_array)
+        .into_iter()
+        .flatten()
+        .filter_map(Value::as_str)
+        .collect();
     let policy = if changed.is_empty() { "as shipped".into() } else { changed.join(" ") };
     let row = vec![
         field("cell").to_owned(),
         field("zone").to_owned(),
         leader.to_owned(),
         status.get("term").map_or_else(String::new, Value::to_string),
+        if evacuated.is_empty() { "none".into() } else { evacuated.join(" ") },
         policy,
     ];
-    render::table(&["CELL", "ZONE", "LEADER", "TERM", "POLICY"], &[row])
+    render::table(&["CELL", "ZONE", "LEADER", "TERM", "EVACUATED", "POLICY"], &[row])
 }
 
 async fn send_job_request(
--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -8,6 +8,7 @@
 use crate::render;
 use crate::snapshot_file;
 use crate::why;
+use crate::zone::{self, ZoneCommand};
 use serde_json::{Value, json};
 use similar::TextDiff;
 use std::fs;
@@ -97,6 +98,8 @@
     Targets,
     /// List the last routing and placement decisions.
     Decisions,
+    /// Run a command for availability zones.
+    Zone(ZoneCommand),
     /// Run a command for a job cell.
     Cell(CellCommand),
     /// Save a snapshot of the state of the system.
@@ -193,6 +196,7 @@
         }
         Command::Why { id, files } => why::explain(&id, &files),
         Command::Losses { files, plot } => losses::run(&files, plot.as_deref()),
+        Command::Zone(command) => zone::run(client, command).await,
         Command::Cell(command) => cell::run(client, command).await,
         Command::Decisions => {
             let all = client.decisions().await?;
--- a/crates/operator/src/completions.rs
+++ b/crates/operator/src/completions.rs
@@ -32,7 +32,7 @@
 }
 
 /// Commands with a short description, as in the help.
-pub const COMMANDS: [(&str, &str); 17] = [
+pub const COMMANDS: [(&str, &str); 18] = [
     ("check", "check documents without sending them"),
     ("apply", "put a document in force"),
     ("get", "print the document in force"),
@@ -42,6 +42,7 @@
     ("job", "submit, get and cancel jobs of a job cell, count those pending"),
     ("change", "apply or get the change set of a job cell"),
     ("wave", "start or get a maintenance wave of a job cell"),
+    ("zone", "evacuate, restore and list availability zones"),
     ("why", "print the log lines of a job in order of time"),
     ("losses", "sum up the lost worth of a cell's jobs by cause, from logs"),
     ("status", "show the state of the system"),
@@ -54,7 +55,7 @@
 /// Subcommands of `task`.
 pub const TASK_COMMANDS: [&str; 4] = ["submit", "cancel", "list", "show"];
 /// Flags of all commands.
-pub const FLAGS: [&str; 20] = [
+pub const FLAGS: [&str; 21] = [
     "--server",
     "--json",
     "--author",
@@ -66,6 +67,7 @@
     "--key",
     "--plot",
     "--wait",
+    "--empty",
     "--service",
     "--phase",
     "--after",
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod render;
 mod snapshot_file;
 mod why;
+pub mod zone;
 
 pub use client::{Client, ClientBuilder};
 pub use error::{Error, Result};
--- a/crates/operator/src/render.rs
+++ b/crates/operator/src/render.rs
@@ -7,6 +7,7 @@
 use yuccalink_protocol::units::Span;
 use yuccalink_state::Resources;
 use yuccalink_state::command::CancelOutcome;
+use yuccalink_state::evacuation::ZoneView;
 use yuccalink_state::target::TargetSpec;
 use yuccalink_state::task::TaskOutcome;
 
@@ -181,3 +182,22 @@
     }
     out
 }
+
+/// Renders availability zones.
+pub(crate) fn zones(zones: &[ZoneView]) -> String {
+    let state = |view: &ZoneView| match (view.evacuated, view.empty) {
+        (true, true) => "evacuated, emptying",
+        (true, false) => "evacuated",
+        (false, _) => "in use",
+    };
+    let row = |view: &ZoneView| {
+        vec![
+            view.zone.to_string(),
+            state(view).to_owned(),
+            view.targets.to_string(),
+            view.busy.to_string(),
+        ]
+    };
+    let rows: Vec<Vec<String>> = zones.iter().map(row).collect();
+    table(&["ZONE", "STATE", "TARGETS", "NOT ENDED"], &rows)
+}
--- a/crates/operator/src/snapshot_file.rs
+++ b/crates/operator/src/snapshot_file.rs
@@ -66,12 +66,16 @@
     let services = state.services().count();
     let tasks = state.tasks().count();
     let requests = state.ledger().len();
-    let text = format!(
+    let evacuated: Vec<&str> = state.evacuations().evacuated().map(|(zone, _)| zone).collect();
+    let mut text = format!(
         "{file} is whole: record {}, revision {}, {services} services, {tasks} tasks, {requests} \
          remembered requests\n",
         meta.index,
         state.revision()
     );
+    if !evacuated.is_empty() {
+        text.push_str(&format!("zones under evacuation: {}\n", evacuated.join(", ")));
+    }
     let json = json!({
         "file": file,
         "record": meta.index,
@@ -79,6 +83,7 @@
         "services": services,
         "tasks": tasks,
         "requests": requests,
+        "evacuated": evacuated,
     });
     Output { text, json }
 }
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use yuccalink_state::command::{RequestBegin, RequestEnd};
 use yuccalink_state::document::Accepted;
+use yuccalink_state::evacuation::{ZoneOrder, ZoneView};
 use yuccalink_state::id::{Incarnation, Name, TaskId};
 use yuccalink_state::ledger::Verdict;
 use yuccalink_state::target::{RunnerSpec, TargetSpec};
@@ -84,6 +85,10 @@
     Decisions,
     /// Returns a snapshot of the whole state.
     Snapshot,
+    /// Evacuates an availability zone, or gives it work again.
+    Zone(ZoneOrder),
+    /// Lists the availability zones.
+    Zones,
 }
 
 /// Filter for a list of tasks.
@@ -139,6 +144,10 @@
     Done,
     /// The request failed.
     Problem(Problem),
+    /// Response to [`LeaderRequest::Zone`]: the order is in force at all entries.
+    Zone(ZoneView),
+    /// Response to [`LeaderRequest::Zones`].
+    Zones(Vec<ZoneView>),
 }
 
 /// New state of a runner, sent to entries.
--- a/crates/state/src/evacuation.rs
+++ b/crates/state/src/evacuation.rs
@@ -195,6 +195,28 @@
     Ok(Evacuations::deserialize(from).unwrap_or_default())
 }
 
+impl ZoneView {
+    /// Describes a zone with this many targets, on which `busy` runs or requests have not ended.
+    ///
+    /// ```
+    /// use yuccalink_state::evacuation::{Evacuations, ZoneView};
+    /// let view = ZoneView::new(&Evacuations::default(), "brno-a", 2, 5);
+    /// assert_eq!((view.evacuated, view.targets, view.busy), (false, 2, 5));
+    /// ```
+    pub fn new(evacuations: &Evacuations, zone: &str, targets: usize, busy: usize) -> Self {
+        let record = evacuations.get(zone);
+        Self {
+            zone: zone.into(),
+            evacuated: record.is_some_and(|record| record.evacuated),
+            empty: record.is_some_and(|record| record.empty),
+            changed_ms: record.map_or(0, |record| record.changed_ms),
+            number: record.map_or(0, |record| record.number),
+            targets: u32::try_from(targets).unwrap_or(u32::MAX),
+            busy: u32::try_from(busy).unwrap_or(u32::MAX),
+        }
+    }
+}
+
 /// What operators see of a zone.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
@@ -207,6 +229,8 @@
     pub empty: bool,
     /// Time of the last change, in Unix milliseconds; 0 if no order was ever given.
     pub changed_ms: u64,
+    /// Highest number of an order for the zone; 0 if none had one.
+    pub number: u64,
     /// Number of targets in the zone that are known to the leader.
     pub targets: u32,
     /// Number of runs or requests that have not ended there.
--- a/crates/yuccalink/src/args.rs
+++ b/crates/yuccalink/src/args.rs
@@ -6,9 +6,11 @@
 use yuccalink_operator::cell::CellCommand;
 use yuccalink_operator::command::Command;
 use yuccalink_operator::completions::{COMMANDS, Shell};
+use yuccalink_operator::zone::ZoneCommand;
 use yuccalink_operator::{Error, Result};
 use yuccalink_protocol::api::SubmitTasks;
 use yuccalink_protocol::units;
+use yuccalink_state::evacuation::check_zone;
 use yuccalink_state::id::{BadTaskId, Name, TaskId};
 use yuccalink_state::jobs::JobId;
 
@@ -41,6 +43,7 @@
     no_wait: bool,
     wait: bool,
     urgent: bool,
+    empty: bool,
     count: Option<u32>,
     payload: Option<Box<str>>,
     key: Option<Box<str>>,
@@ -94,6 +97,13 @@
             file: (*file).into(),
         }),
         ["wave", "get", id] => Command::Cell(CellCommand::WaveGet { id: parse_wave_number(id)? }),
+        ["zone", "evacuate", zone] => {
+            Command::Zone(ZoneCommand::Evacuate { zone: parse_zone(zone)?, empty: given.empty })
+        }
+        ["zone", "restore", zone] => {
+            Command::Zone(ZoneCommand::Restore { zone: parse_zone(zone)? })
+        }
+        ["zone", "list"] => Command::Zone(ZoneCommand::List),
         ["why", job, files @ ..] if !files.is_empty() => Command::Why {
             id: parse_job_id(job)?,
             files: files.iter().map(|file| (*file).into()).collect(),
@@ -178,6 +188,10 @@
     JobId::parse(word).map(|id| id.to_string().into()).ok_or_else(wrong)
 }
 
+fn parse_zone(text: &str) -> Result<Box<str>> {
+    check_zone(text).map(|()| text.into()).map_err(|bad| usage(bad.to_string()))
+}
+
 fn parse_wave_number(text: &str) -> Result<u64> {
     text.parse().map_err(|_| usage(format!("`{text}` is not a wave number")))
 }
@@ -232,6 +246,7 @@
             Arg::Long("json") => given.json = true,
             Arg::Long("no-wait") => given.no_wait = true,
             Arg::Long("wait") => given.wait = true,
+            Arg::Long("empty") => given.empty = true,
             Arg::Long("urgent") => given.urgent = true,
             Arg::Short('s') | Arg::Long("server") => given.server = Some(flag_value(&mut parser)?),
             Arg::Long("author") => given.author = Some(flag_value(&mut parser)?),
@@ -354,6 +369,11 @@
 
 The system:
   status                    show the leader and the revision in force on each entry
+  zone evacuate ZONE [--empty]
+                            give the runners and workers of a zone no new work; what runs there
+                            ends, and with --empty long-running tasks move to other zones
+  zone restore ZONE         give the zone work again
+  zone list                 list the zones, their targets and what has not ended there
   targets                   list runners and workers, their health and their owners
   decisions                 list the last routing and placement decisions, newest first
   snapshot save FILE        save a snapshot of the committed state
--- a/crates/yuccalink/tests/cell.rs
+++ b/crates/yuccalink/tests/cell.rs
@@ -173,3 +173,20 @@
     assert_eq!(status["policy"]["copies"]["mode"], "off");
     assert_eq!(status["policy"]["pacing"]["mode"], "on");
 }
+
+#[test]
+fn a_zone_is_evacuated_listed_and_restored() {
+    let cell = Cell::start_with(79, &[]);
+    std::thread::sleep(Duration::from_millis(200));
+    let text = cell.run_ok(cell.control, &["zone", "evacuate", "brno a", "--empty"]);
+    assert!(text.contains("evacuated, emptying"), "{text}");
+    assert!(text.contains("no target has reported zone brno a"), "{text}");
+    let listed = cell.run_ok(cell.control, &["zone", "list", "--json"]);
+    assert!(listed.contains(r#""zone":"brno a""#) || listed.contains(r#""zone": "brno a""#));
+    let status = cell.run_ok(cell.control, &["status"]);
+    assert!(status.contains("brno a"), "{status}");
+    let text = cell.run_ok(cell.control, &["zone", "restore", "brno a"]);
+    assert!(text.contains("in use"), "{text}");
+    let (code, message) = cell.run_err(cell.control, &["zone", "evacuate", ""]);
+    assert_eq!(code, Some(2), "{message}");
+}
--- a/crates/yuccalinkd/tests/support/mod.rs
+++ b/crates/yuccalinkd/tests/support/mod.rs
@@ -144,6 +144,12 @@
         self.control(at).get("/readyz").is_ok_and(|reply| reply.status == 200)
     }
 
+    /// Orders an evacuation, or the end of one, and returns the answer.
+    pub fn order_zone(&self, at: usize, zone: &str, evacuated: bool) -> CallerResponse {
+        let body = format!("{{\"evacuated\":{evacuated}}}");
+        self.control(at).put(&format!("/v1/zones/{zone}"), body.as_bytes()).expect("an answer")
+    }
+
     pub fn status(&self, at: usize) -> Option<Status> {
         let reply = self.control(at).get("/v1/status").ok()?;
         serde_json::from_slice(&reply.body).ok()
--- a/crates/yuccalinkd/tests/system.rs
+++ b/crates/yuccalinkd/tests/system.rs
@@ -213,3 +213,41 @@
     let reply = until("a change", || daemons.apply(9, 3).ok().filter(|reply| reply.status == 200));
     assert!(reply.text().contains("\"in-force-everywhere\":true"), "{}", reply.text());
 }
+
+/// A zone is evacuated under load. Once that is acknowledged, its runners get no request through
+/// any entry and its workers no task; no request fails, and afterwards both get work again.
+#[test]
+fn an_evacuated_zone_gets_no_request_and_no_task() {
+    let daemons = Daemons::start(5).with_document().with_runners(6).with_workers(1, 4);
+    let load = daemons.load(4);
+    load.wait_for(100);
+    for zone in ["z0", "zone"] {
+        let reply = daemons.order_zone(4, zone, true);
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    let in_zone = |at: &usize| at.is_multiple_of(3);
+    let served = || -> Vec<u64> {
+        let evacuated = (0..6).filter(in_zone);
+        evacuated.map(|at| daemons.runners[at].served()).collect()
+    };
+    // What was in flight ends whole.
+    load.wait_for(50);
+    let before = served();
+    let body = br#"{"service":"q","kind":"k","count":2,"payload":"run=100ms"}"#;
+    let submit = daemons.control(1).header("idempotency-key", "e").post("/v1/tasks", body);
+    assert_eq!(submit.expect("an answer").status, 202);
+    load.wait_for(400);
+    assert_eq!(served(), before);
+    assert_eq!(daemons.tasks(2, "waiting").len(), 2);
+    let leader = daemons.leader();
+    let zones = daemons.control((leader + 1) % 5).get("/v1/zones").expect("an answer").text();
+    assert!(zones.contains("\"zone\":\"z0\",\"evacuated\":true"), "{zones}");
+    for zone in ["z0", "zone"] {
+        assert_eq!(daemons.order_zone(2, zone, false).status, 200);
+    }
+    until("requests in the zone", || (served() != before).then_some(()));
+    until("both tasks ended", || (daemons.tasks(2, "finished").len() == 2).then_some(()));
+    let (_, failed) = load.finish();
+    assert!(failed.is_empty(), "{} failed: {}", failed.len(), failed.join("\n"));
+    daemons.assert_no_violations();
+}
