Renew the entries' leases before a leader hands over

What callers saw: a_rolling_restart_fails_no_request failed once beside three busy loops and two soaks; two requests got 503 'not run' at e6 and e7, which held no configuration lease. Trace: from the log of that run (docs/incidents/rolling-restart-loaded.log) the leader stopped granting leases at 16.99 s, when it handed over; the first successor was not elected and the second, of term 4, answered entries from 19.01 to 19.18 s. An entry's lease counts from its request, which waits at the leader for up to 0.5 s, and the one before as long again, so of 3 s only 2.0 to 2.5 s may be left at the hand-over; e6 and e7 were last, after 2.16 and 2.18 s. The old leader also stopped while its vote could still have helped. Change: before it hands over, the leader answers all waiting requests, waits until every entry has asked again (0.3 s at most) and answers once more, so each lease lasts nearly 3 s from then. It then stays until a successor is known (1.5 s at most) and offers the leadership again.

--- a/crates/coordination/src/entries.rs
+++ b/crates/coordination/src/entries.rs
@@ -142,6 +142,18 @@
         self.records.get(name)
     }
 
+    /// Whether every entry that may hold a lease has reported after `since`.
+    ///
+    /// ```
+    /// # use yuccalink_coordination::{Moment, entries::*};
+    /// let entries = EntryTable::new(Moment::ZERO);
+    /// assert!(entries.all_reported_since(Moment::ZERO, Moment::ZERO), "there are none");
+    /// ```
+    pub fn all_reported_since(&self, now: Moment, since: Moment) -> bool {
+        let mut holders = self.records.values().filter(|entry| entry.may_hold_lease(now));
+        holders.all(|entry| entry.draining || entry.last_heard > since)
+    }
+
     /// Whether leases granted by an earlier leader may still be valid.
     pub fn earlier_leases_may_run(&self, now: Moment) -> bool {
         now.since(self.elected_at) <= lease_span_with_drift(CONFIG_LEASE)
--- a/crates/coordination/tests/directory.rs
+++ b/crates/coordination/tests/directory.rs
@@ -57,18 +57,20 @@
 
 fn entry_table(now: Moment) -> EntryTable {
     let mut entries = EntryTable::new(Moment::ZERO);
-    let name = Name::new("e1").expect("a name");
-    let report = EntryReport {
-        name,
+    entries.record_report(now, &report("e1"));
+    entries
+}
+
+fn report(entry: &str) -> EntryReport {
+    EntryReport {
+        name: Name::new(entry).expect("a name"),
         incarnation: Incarnation(1),
         caller_address: "127.0.0.1:8080".into(),
         zone: Name::new("brno").expect("a name"),
         acked_revision: Revision(0),
         acked_table: 0,
         draining: false,
-    };
-    entries.record_report(now, &report);
-    entries
+    }
 }
 
 fn usable(directory: &Directory) -> usize {
@@ -136,3 +138,19 @@
     let later = now + Duration::from_secs(4);
     assert_eq!(entries.directory_status(later, 1), RolloutStatus::Everywhere);
 }
+
+/// Guards against a planned stop of the leader while an entry's lease is old: an election that
+/// takes two seconds then outlasts it.
+#[test]
+fn an_entry_counts_as_renewed_only_after_a_later_report() {
+    let now = Moment::from_millis(10_000);
+    let mut entries = entry_table(now);
+    assert!(!entries.all_reported_since(now, now));
+    let later = now + Duration::from_millis(1);
+    entries.record_report(later, &report("e1"));
+    assert!(entries.all_reported_since(later, now));
+    entries.record_report(now, &report("e2"));
+    assert!(!entries.all_reported_since(later, now));
+    let after_lease = now + Duration::from_secs(4);
+    assert!(entries.all_reported_since(after_lease, later), "neither holds a lease");
+}
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -25,7 +25,12 @@
 /// Interval of the periodic work of the replica and the leader.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for another voter to take over the leadership at a planned stop.
-const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(500);
+const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Interval at which the leadership is offered again if nobody has taken it.
+const TRANSFER_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for all entries to renew their leases before the leadership is handed over.
+const LEASE_RENEWAL_TIMEOUT: Duration = Duration::from_millis(300);
+const LEASE_RENEWAL_POLL: Duration = Duration::from_millis(5);
 /// Longest wait for the leader's response when this entry reports that it stops.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -108,15 +113,39 @@
     }
 }
 
-/// Waits until another voter leads, but not longer than [`LEADERSHIP_TRANSFER_TIMEOUT`].
+/// Hands the leadership to another voter: renews the leases of all entries, so that they serve
+/// on during the election, then waits until the successor is known. This voter's disk and vote
+/// serve that election too.
 async fn transfer_leadership(replica: &Rc<RefCell<Replica>>) {
-    if !replica.borrow_mut().transfer_leadership() {
-        return;
-    }
+    renew_entry_leases(replica).await;
     let deadline = tokio::time::Instant::now() + LEADERSHIP_TRANSFER_TIMEOUT;
-    while replica.borrow().is_leader() && tokio::time::Instant::now() < deadline {
+    let mut asked = replica.borrow_mut().transfer_leadership();
+    let mut ask_again = tokio::time::Instant::now() + TRANSFER_RETRY_INTERVAL;
+    while asked && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(TICK_INTERVAL).await;
+        let mut replica = replica.borrow_mut();
+        if !replica.is_leader() && replica.leader_name().is_some() {
+            return;
+        }
+        if replica.is_leader() && tokio::time::Instant::now() >= ask_again {
+            ask_again += TRANSFER_RETRY_INTERVAL;
+            asked = replica.transfer_leadership();
+        }
+    }
+}
+
+/// Renews the leases of all entries that answer in time, so that each lasts nearly its whole
+/// length from now on. An entry's lease counts from its request, which may have waited here.
+async fn renew_entry_leases(replica: &Rc<RefCell<Replica>>) {
+    let Some(since) = replica.borrow_mut().renew_leases() else { return };
+    let deadline = tokio::time::Instant::now() + LEASE_RENEWAL_TIMEOUT;
+    while !replica.borrow_mut().all_reported_since(since) && tokio::time::Instant::now() < deadline
+    {
+        tokio::time::sleep(LEASE_RENEWAL_POLL).await;
     }
+    replica.borrow_mut().renew_leases();
+    // The answers are sent by tasks of this thread, which run while it sleeps.
+    tokio::time::sleep(TICK_INTERVAL).await;
 }
 
 fn start_voter_tasks(
--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -140,6 +140,8 @@
     order_wake: Arc<Notify>,
     /// Counter that is incremented when an entry update may be due.
     update_signal: watch::Sender<u64>,
+    /// Counter that is incremented to answer all entries at once, which renews their leases.
+    lease_round: u64,
 }
 
 impl Leader {
@@ -179,6 +181,7 @@
             runner_table_complete: false,
             order_wake,
             update_signal: watch::Sender::new(0),
+            lease_round: 0,
         }
     }
 
--- a/crates/daemon/src/leader/entries.rs
+++ b/crates/daemon/src/leader/entries.rs
@@ -52,6 +52,21 @@
         self.answer_zone_waiters();
     }
 
+    /// Answers all entries at once, whether or not they have anything to learn.
+    pub(crate) fn renew_leases(&mut self) {
+        self.lease_round += 1;
+        self.signal_update();
+    }
+
+    pub(crate) fn lease_round(&self) -> u64 {
+        self.lease_round
+    }
+
+    /// Whether every entry that may hold a lease has reported after `since`.
+    pub(crate) fn all_reported_since(&self, since: Moment) -> bool {
+        self.entries.all_reported_since(self.clock.now(), since)
+    }
+
     /// Builds the update for an entry; the flag tells whether it contains anything new.
     pub(crate) fn entry_update(&self, state: &EntryState) -> (EntryUpdate, bool) {
         let same_term = state.term == self.term;
--- a/crates/daemon/src/leader_client.rs
+++ b/crates/daemon/src/leader_client.rs
@@ -447,12 +447,14 @@
         return None;
     }
     let mut changes = replica.borrow_mut().leader()?.subscribe();
+    let lease_round = replica.borrow_mut().leader()?.lease_round();
     let deadline = Instant::now() + UPDATE_HOLD_MAX;
     loop {
         changes.mark_unchanged();
         let (update, has_changes) = replica.borrow_mut().entry_update(state)?;
         let left = deadline.saturating_duration_since(Instant::now());
-        if has_changes || left.is_zero() {
+        let renewed = replica.borrow_mut().leader()?.lease_round() != lease_round;
+        if has_changes || renewed || left.is_zero() {
             return Some(update);
         }
         // The channel closes when this replica stops leading.
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -189,6 +189,19 @@
         true
     }
 
+    /// Renews the leases of all entries whose requests wait here; returns when, or `None` if this
+    /// replica does not lead.
+    pub(crate) fn renew_leases(&mut self) -> Option<Moment> {
+        let now = self.shared.clock.now();
+        self.leader()?.renew_leases();
+        Some(now)
+    }
+
+    /// Whether every entry that may hold a lease has reported after `since`.
+    pub(crate) fn all_reported_since(&mut self, since: Moment) -> bool {
+        self.leader().is_some_and(|leader| leader.all_reported_since(since))
+    }
+
     pub(crate) fn entry_update(&mut self, state: &EntryState) -> Option<(EntryUpdate, bool)> {
         self.leader().map(|leader| leader.entry_update(state))
     }
