Evacuate zones during the soak, and before its final fault

A zone is evacuated for 1.7 s, then left in use, in turn, while processes are killed, paused, cut off and lose disks; a start there more than an order's lifetime after the acknowledgement is a violation, and the evacuation acknowledged right before the final fault must be listed after it.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,7 +1,7 @@
 //! Callers and an operator that retry each request until it gets a definite response.
 
 use crate::runners::as_crashing;
-use crate::watch::Watch;
+use crate::watch::{Watch, zone};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
@@ -59,6 +59,17 @@
         None
     }
 
+    /// Whether the next process lists a zone as under evacuation.
+    pub(crate) async fn is_evacuated(&mut self, zone: &str) -> Option<bool> {
+        match self.send(Method::GET, "/v1/zones", Vec::new()).await? {
+            (200, body) => {
+                let zones: Vec<Value> = serde_json::from_slice(&body).ok()?;
+                Some(zones.iter().any(|view| view["zone"] == zone && view["evacuated"] == true))
+            }
+            _ => None,
+        }
+    }
+
     /// Reads the version of the change set in force from the next process.
     pub(crate) async fn read_version(&mut self) -> Option<u64> {
         match self.send(Method::GET, CHANGE, Vec::new()).await? {
@@ -179,3 +190,34 @@
     queues.extend((0..more).map(|at| queue(&format!("more-{at}"))));
     json!({ "version": version, "queues": queues, "pools": [{ "name": "pool" }] })
 }
+
+/// Evacuates the zones in turn, each for `span`, until `until`; each order is retried until it is
+/// acknowledged.
+pub(crate) async fn operate_zones(
+    mut client: Client,
+    watch: Rc<RefCell<Watch>>,
+    span: Duration,
+    until: Instant,
+) {
+    for turn in 0.. {
+        tokio::time::sleep(span).await;
+        if Instant::now() >= until {
+            return;
+        }
+        let zone = zone(turn);
+        order_zone(&mut client, zone, true).await;
+        watch.borrow_mut().record_evacuated(zone);
+        tokio::time::sleep(span).await;
+        watch.borrow_mut().record_restoring(zone);
+        order_zone(&mut client, zone, false).await;
+    }
+}
+
+/// Orders an evacuation or its end, again until it is acknowledged.
+pub(crate) async fn order_zone(client: &mut Client, zone: &str, evacuated: bool) {
+    let body = json!({ "evacuated": evacuated }).to_string().into_bytes();
+    let path = format!("/v1/zones/{zone}");
+    while !matches!(client.send(Method::PUT, &path, body.clone()).await, Some((200, _))) {
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -48,6 +48,10 @@
 const JOB_GAP: Duration = Duration::from_millis(150);
 /// Pause of the operator after each change set.
 const CHANGE_GAP: Duration = Duration::from_millis(1_500);
+/// Time for which a zone is evacuated, and then left in use.
+const EVACUATION_SPAN: Duration = Duration::from_millis(1_700);
+/// A zone without runners that is evacuated right before the final fault.
+const FINAL_ZONE: &str = "last-zone";
 const POLL: Duration = Duration::from_millis(50);
 /// Longest wait for a process to stop after it was asked to; it is killed afterwards.
 const STOP_MAX: Duration = Duration::from_secs(6);
@@ -95,20 +99,47 @@
         tokio::task::spawn_local(traffic);
     }
     tokio::task::spawn_local(callers::poll_states(client(2), watch.clone()));
+    let zones = callers::operate_zones(
+        Client::new(system.control(), 1),
+        watch.clone(),
+        EVACUATION_SPAN,
+        until,
+    );
+    let zones = tokio::task::spawn_local(zones);
     let plan = Plan::draw(*seed, *nodes, *disks, settings.span);
     let system = Rc::new(RefCell::new(system));
     let fault_tasks = inject(&plan, &system, &watch).await;
     tokio::time::sleep_until(until).await;
     let recovery_max = if settings.crashes { RECOVERY_WITH_CRASHES_MAX } else { RECOVERY_MAX };
-    recover(&system, &watch, recovery_max).await;
+    let (zones, ()) = tokio::join!(zones, recover(&system, &watch, recovery_max));
+    zones.map_err(io::Error::other)?;
     fault_tasks.join_all().await;
     tokio::time::sleep(DISK_CATCH_UP).await;
+    let mut zone_operator = Client::new(system.borrow().control(), 2);
     last_change.set(true);
+    callers::order_zone(&mut zone_operator, FINAL_ZONE, true).await;
     operator.await.map_err(io::Error::other)?;
     final_fault::inject_and_read_back(FinalFault::draw(*seed, *disks), &system, &watch).await?;
+    check_final_zone(&mut zone_operator, &watch).await;
     Ok(watch.borrow().report.clone())
 }
 
+/// Checks that the evacuation before the final fault is still in force.
+async fn check_final_zone(operator: &mut Client, watch: &SharedWatch) {
+    let until = Instant::now() + RECOVERY_MAX;
+    while Instant::now() < until {
+        match operator.is_evacuated(FINAL_ZONE).await {
+            Some(true) => return,
+            Some(false) => {
+                let violation = format!("the evacuation of {FINAL_ZONE} is lost");
+                return watch.borrow_mut().report.violations.push(violation);
+            }
+            None => tokio::time::sleep(POLL).await,
+        }
+    }
+    watch.borrow_mut().report.violations.push("the zones cannot be listed".into());
+}
+
 pub(crate) type SharedSystem = Rc<RefCell<System>>;
 pub(crate) type SharedWatch = Rc<RefCell<Watch>>;
 
--- a/crates/soak/src/runners.rs
+++ b/crates/soak/src/runners.rs
@@ -1,6 +1,6 @@
 //! Emulated runners that send their reports over HTTP to any process that responds.
 
-use crate::watch::Watch;
+use crate::watch::{Watch, zone};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use std::cell::RefCell;
@@ -90,7 +90,8 @@
     let mut capacity_changer = CapacityChanger::new(at, now());
     let mut started_ms = 1_000 + at as u64;
     loop {
-        let runner = EmulatedRunner::new(&format!("w{at}"), "r1", started_ms, CAPACITY, now());
+        let mut runner = EmulatedRunner::new(&format!("w{at}"), "r1", started_ms, CAPACITY, now());
+        runner.zone = zone(at).into();
         let changer = crashes.then_some(&mut capacity_changer);
         let Some(by) = run_incarnation(at, runner, &nodes, &watch, &now, changer).await else {
             return;
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -27,6 +27,8 @@
     pub crashes: usize,
     /// Number of runs that started.
     pub starts: usize,
+    /// Number of acknowledged evacuations.
+    pub evacuations: usize,
     /// Number of injected faults.
     pub faults: usize,
     /// Times from the restart of all processes after the final fault until each process had
@@ -66,13 +68,35 @@
     pub(crate) completed: BTreeSet<JobId>,
     given_up: BTreeSet<JobId>,
     pub(crate) version: Option<(u64, Instant)>,
+    /// Zones whose evacuation was acknowledged and not taken back, and since when.
+    evacuated: BTreeMap<&'static str, Instant>,
 }
 
+/// The zone of a runner. There are two zones.
+pub(crate) fn zone(runner: usize) -> &'static str {
+    ["z0", "z1"][runner % 2]
+}
+
+/// Time after the acknowledgement of an evacuation in which a start that was ordered before may
+/// still come.
+const ORDER_LIFETIME: Duration = Duration::from_millis(1_100);
+
 impl Watch {
     fn record_violation(&mut self, what: String) {
         self.report.violations.push(what);
     }
 
+    /// Records that the evacuation of a zone was acknowledged.
+    pub(crate) fn record_evacuated(&mut self, zone: &'static str) {
+        self.report.evacuations += 1;
+        self.evacuated.entry(zone).or_insert_with(Instant::now);
+    }
+
+    /// Records that a zone is about to get work again.
+    pub(crate) fn record_restoring(&mut self, zone: &'static str) {
+        self.evacuated.remove(zone);
+    }
+
     pub(crate) fn record_accepted(&mut self, id: JobId, tasks: u16) {
         self.accepted.entry(id).or_insert((Instant::now(), tasks));
         self.report.accepted = self.accepted.len();
@@ -169,6 +193,13 @@
 
     fn started(&mut self, runner: usize, key: TaskKey, run: u32) {
         self.report.starts += 1;
+        let since = self.evacuated.get(zone(runner));
+        if since.is_some_and(|since| since.elapsed() > ORDER_LIFETIME) {
+            self.record_violation(format!(
+                "{key} run {run} starts on w{runner} in the evacuated zone {}",
+                zone(runner)
+            ));
+        }
         let task = self.tasks.entry(key).or_default();
         let elsewhere = !task.running.is_empty();
         let again = !task.runs.insert(run);
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -43,6 +43,7 @@
 fn a_short_soak_violates_no_guarantee() {
     let report = soak(1, 10, 4, 4);
     assert!(report.accepted > 0 && report.completed == report.accepted, "{report:?}");
+    assert!(report.evacuations > 0, "{report:?}");
 }
 
 /// Guards against tasks that crash their runners and are restarted forever, by one process after
