--- a/crates/coordination/src/jobs/evacuation.rs
+++ b/crates/coordination/src/jobs/evacuation.rs
@@ -10,9 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use yuccalink_state::Resources;
-use yuccalink_state::evacuation::{
-    ZONES_MAX, ZoneAction, ZoneOrder, ZoneOutcome, ZoneView, check_zone,
-};
+use yuccalink_state::evacuation::{ZoneAction, ZoneOrder, ZoneOutcome, ZoneView, check_zone};
 use yuccalink_state::jobs::{IncarnationKey, JobCommand, TaskKey};
 
 /// Steps whose tasks may move in one tick, which bounds the scans for capacity elsewhere.
@@ -37,11 +35,11 @@
     }
 }
 
-/// Evacuations as far as they are not replicated.
+/// What the leader remembers of evacuations outside of the replicated state.
 #[derive(Debug, Default)]
-pub(super) struct ZoneReturns {
+pub(super) struct ZoneProgress {
     /// Since when each restored zone takes work again, while its capacity grows.
-    since: BTreeMap<Box<str>, Moment>,
+    restored_at: BTreeMap<Box<str>, Moment>,
     /// The last step whose tasks were moved, after which the next tick goes on.
     last_moved: Option<StepKey>,
 }
@@ -70,11 +68,11 @@
         }
         match order.action {
             ZoneAction::Evacuate => {
-                self.zone_returns.since.remove(&order.zone);
+                self.zone_progress.restored_at.remove(&order.zone);
                 self.counts.zones_evacuated += 1;
             }
             ZoneAction::Restore => {
-                self.zone_returns.since.insert(order.zone.clone(), now.at);
+                self.zone_progress.restored_at.insert(order.zone.clone(), now.at);
                 self.counts.zones_restored += 1;
             }
         }
@@ -100,27 +98,19 @@
             view.targets,
             view.busy
         );
-        let answer = match outcome {
-            ZoneOutcome::Changed | ZoneOutcome::Unchanged => CellResponse::Zone(view),
-            ZoneOutcome::Superseded(number) => CellResponse::Conflict(
-                format!(
-                    "order {number} for zone {} came first; list the zones, and order again",
-                    order.zone
-                )
-                .into(),
-            ),
-            ZoneOutcome::TooMany => CellResponse::Invalid(
-                format!("{ZONES_MAX} zones are under evacuation; restore one first").into(),
-            ),
+        let answer = match (outcome, outcome.refusal(&order.zone)) {
+            (_, None) => CellResponse::Zone(view),
+            (ZoneOutcome::Superseded(_), Some(why)) => CellResponse::Conflict(why),
+            (_, Some(why)) => CellResponse::Invalid(why),
         };
         self.answer(token, answer);
     }
 
     /// All zones with runners or with an order, by name.
     pub(super) fn zones(&self) -> CellResponse {
-        let evacuated = self.state.evacuations().evacuated().map(|(zone, _)| zone);
+        let ordered = self.state.evacuations().zones();
         let with_runners = self.runners.values().map(|runner| &*runner.zone);
-        let names: BTreeSet<&str> = evacuated.chain(with_runners).collect();
+        let names: BTreeSet<&str> = ordered.chain(with_runners).collect();
         let known = names.into_iter().filter(|zone| !zone.is_empty());
         CellResponse::Zones(known.map(|zone| self.zone_view(zone)).collect())
     }
@@ -134,10 +124,10 @@
     /// The part of a runner's capacity that is withheld because its zone was restored just now.
     pub(super) fn withheld_after_return(&self, now: Now, runner: &Runner) -> Resources {
         let ramp = self.cfg.policy.evacuation.ramp.to_duration();
-        let Some(since) = self.zone_returns.since.get(&runner.zone) else {
+        let Some(restored_at) = self.zone_progress.restored_at.get(&runner.zone) else {
             return Resources::ZERO;
         };
-        let left = ramp.saturating_sub(now.at.since(*since)).as_millis();
+        let left = ramp.saturating_sub(now.at.since(*restored_at)).as_millis();
         let part = |whole: u64| {
             let withheld = u128::from(whole) * left / ramp.as_millis().max(1);
             u64::try_from(withheld).unwrap_or(u64::MAX)
@@ -153,16 +143,16 @@
     /// zones that are to be emptied.
     pub(super) fn advance_evacuations(&mut self, now: Now) {
         let ramp = self.cfg.policy.evacuation.ramp.to_duration();
-        self.zone_returns.since.retain(|_, since| now.at.since(*since) < ramp);
+        self.zone_progress.restored_at.retain(|_, at| now.at.since(*at) < ramp);
         if self.state.evacuations().is_empty() {
             return;
         }
         let by_step = self.long_running_to_move();
-        let last = self.zone_returns.last_moved;
+        let last = self.zone_progress.last_moved;
         let after = by_step.keys().filter(|key| last.is_none_or(|last| **key > last));
         let next: Vec<StepKey> = after.chain(by_step.keys()).copied().collect();
         for step_key in next.into_iter().take(STEPS_MOVED_PER_TICK.min(by_step.len())) {
-            self.zone_returns.last_moved = Some(step_key);
+            self.zone_progress.last_moved = Some(step_key);
             self.move_tasks(now, &by_step[&step_key]);
         }
     }
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -3,7 +3,7 @@
 use super::account::DelayAccounts;
 use super::advice::Advice;
 use super::capacity::KeptFree;
-use super::evacuation::ZoneReturns;
+use super::evacuation::ZoneProgress;
 use super::external::{ExternalCall, ExternalCallId, ExternalReply};
 use super::incarnations::Incarnations;
 use super::interference::Interference;
@@ -111,7 +111,7 @@
     next_call: u64,
     pub(super) advice: Advice,
     pub(super) waves: Waves,
-    pub(super) zone_returns: ZoneReturns,
+    pub(super) zone_progress: ZoneProgress,
     /// Runners on which no short tasks start, and until when.
     pub(super) kept_free: BTreeMap<IncarnationKey, KeptFree>,
     /// Stragglers that may have a second copy, as of the last ranking, the slowest first.
@@ -168,7 +168,7 @@
             next_call: 0,
             advice: Advice::default(),
             waves: Waves::default(),
-            zone_returns: ZoneReturns::default(),
+            zone_progress: ZoneProgress::default(),
             kept_free: BTreeMap::new(),
             stragglers: Vec::new(),
             suspects: Suspects::default(),
--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -36,7 +36,7 @@
 use yuccalink_state::command::{
     Apply, Command, Missing, Outcome, TaskEvent, TaskReport, TaskSubmission,
 };
-use yuccalink_state::evacuation::{ZONES_MAX, ZoneOrder, ZoneOutcome, ZoneView, check_zone};
+use yuccalink_state::evacuation::{ZoneOrder, ZoneOutcome, ZoneView, check_zone};
 use yuccalink_state::id::{Epoch, Incarnation, Name, Revision, TaskId, WorkerKey};
 use yuccalink_state::target::TargetSpec;
 use yuccalink_state::task::{Task, TaskPhase};
--- a/crates/daemon/src/leader/zones.rs
+++ b/crates/daemon/src/leader/zones.rs
@@ -8,7 +8,7 @@
     /// entry can send anything to the zone any more.
     pub(super) fn order_zone(&mut self, order: ZoneOrder, reply: Reply) {
         if let Err(error) = check_zone(&order.zone) {
-            let _ = reply.send(unacceptable_order(error.to_string()));
+            let _ = reply.send(refused_order(ProblemKind::Unacceptable, &error.to_string()));
             return;
         }
         let command = Command::Zone { order: order.clone(), at_ms: unix_ms() };
@@ -25,29 +25,21 @@
             "zone {}: {} ordered, {outcome:?} (number {:?})",
             order.zone, order.action, order.number
         ));
-        match outcome {
-            ZoneOutcome::Changed | ZoneOutcome::Unchanged => {
-                self.shared.metrics.count("zone_orders", 1);
-                self.plan_due = true;
-                self.release_placed_in_evacuated_zones();
-                self.signal_update();
-                let version = self.directory.version();
-                self.zone_waiters.push(ZoneWaiter { zone: order.zone.clone(), version, reply });
-                self.answer_zone_waiters();
-            }
-            ZoneOutcome::Superseded(number) => {
-                let message = format!(
-                    "order {number} for zone {} came first; list the zones, and order again",
-                    order.zone
-                );
-                let problem = Problem::new(ProblemKind::Conflict, ExecutionStatus::NotRun, message);
-                let _ = reply.send(LeaderResponse::Problem(problem));
-            }
-            ZoneOutcome::TooMany => {
-                let message = format!("{ZONES_MAX} zones are under evacuation; restore one first");
-                let _ = reply.send(unacceptable_order(message));
-            }
+        if let Some(why) = outcome.refusal(&order.zone) {
+            let kind = match outcome {
+                ZoneOutcome::Superseded(_) => ProblemKind::Conflict,
+                _ => ProblemKind::Unacceptable,
+            };
+            let _ = reply.send(refused_order(kind, &why));
+            return;
         }
+        self.shared.metrics.count("zone_orders", 1);
+        self.plan_due = true;
+        self.release_placed_in_evacuated_zones();
+        self.signal_update();
+        let version = self.directory.version();
+        self.zone_waiters.push(ZoneWaiter { zone: order.zone.clone(), version, reply });
+        self.answer_zone_waiters();
     }
 
     /// Answers the orders that all entries which may be serving have applied.
@@ -86,9 +78,9 @@
 
     /// All zones with targets or under evacuation, by name.
     pub(super) fn zones(&self) -> Vec<ZoneView> {
-        let evacuated = self.state.evacuations().evacuated().map(|(zone, _)| zone);
+        let ordered = self.state.evacuations().zones();
         let with_targets = self.directory.iter().map(|(_, target)| target.spec.zone().as_str());
-        let names: BTreeSet<&str> = evacuated.chain(with_targets).collect();
+        let names: BTreeSet<&str> = ordered.chain(with_targets).collect();
         names.into_iter().map(|zone| self.zone_view(zone)).collect()
     }
 
@@ -103,7 +95,6 @@
     }
 }
 
-fn unacceptable_order(message: String) -> LeaderResponse {
-    let problem = Problem::new(ProblemKind::Unacceptable, ExecutionStatus::NotRun, message);
-    LeaderResponse::Problem(problem)
+fn refused_order(kind: ProblemKind, why: &str) -> LeaderResponse {
+    LeaderResponse::Problem(Problem::new(kind, ExecutionStatus::NotRun, why))
 }
--- a/crates/operator/src/cell.rs
+++ b/crates/operator/src/cell.rs
@@ -115,28 +115,18 @@
     let field = |name: &str| status.get(name).and_then(Value::as_str).unwrap_or("unknown");
     let is_leader = status.get("leads").and_then(Value::as_bool).unwrap_or(false);
     let leader = if is_leader { "leads" } else { field("leader") };
-    let changed: Vec<&str> = status
-        .get("changed")
-        .and_then(Value::as_array)
-        .into_iter()
-        .flatten()
-        .filter_map(Value::as_str)
-        .collect();
-    let evacuated: Vec<&str> = status
-        .get("evacuated")
-        .and_then(Value::as_array)
-        .into_iter()
-        .flatten()
-        .filter_map(Value::as_str)
-        .collect();
-    let policy = if changed.is_empty() { "as shipped".into() } else { changed.join(" ") };
+    let list = |name: &str, if_empty: &str| {
+        let values = status.get(name).and_then(Value::as_array).into_iter().flatten();
+        let values: Vec<&str> = values.filter_map(Value::as_str).collect();
+        if values.is_empty() { if_empty.to_owned() } else { values.join(" ") }
+    };
     let row = vec![
         field("cell").to_owned(),
         field("zone").to_owned(),
         leader.to_owned(),
         status.get("term").map_or_else(String::new, Value::to_string),
-        if evacuated.is_empty() { "none".into() } else { evacuated.join(" ") },
-        policy,
+        list("evacuated", "none"),
+        list("changed", "as shipped"),
     ];
     render::table(&["CELL", "ZONE", "LEADER", "TERM", "EVACUATED", "POLICY"], &[row])
 }
--- a/crates/state/src/evacuation.rs
+++ b/crates/state/src/evacuation.rs
@@ -63,6 +63,30 @@
     TooMany,
 }
 
+impl ZoneOutcome {
+    /// Why the order was refused, with the remedy; `None` if it holds.
+    ///
+    /// ```
+    /// use yuccalink_state::evacuation::ZoneOutcome;
+    /// assert_eq!(ZoneOutcome::Changed.refusal("brno-a"), None);
+    /// assert!(ZoneOutcome::Superseded(7).refusal("brno-a").is_some());
+    /// ```
+    pub fn refusal(self, zone: &str) -> Option<Box<str>> {
+        match self {
+            Self::Changed | Self::Unchanged => None,
+            Self::Superseded(number) => Some(
+                format!(
+                    "order {number} for zone {zone} came first; list the zones, and order again"
+                )
+                .into(),
+            ),
+            Self::TooMany => {
+                Some(format!("{ZONES_MAX} zones are under evacuation; restore one first").into())
+            }
+        }
+    }
+}
+
 /// Why a text is no name of a zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum InvalidZone {
@@ -137,6 +161,11 @@
         self.zones.iter().filter(|(_, record)| record.evacuated).map(|(zone, r)| (&**zone, r))
     }
 
+    /// The zones with an order that is remembered, by name.
+    pub fn zones(&self) -> impl Iterator<Item = &str> {
+        self.zones.keys().map(|zone| &**zone)
+    }
+
     /// Whether no zone is under evacuation.
     ///
     /// ```
