--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -53,13 +53,14 @@
         };
         let report = run(&settings)?;
         println!(
-            "seed {seed}: {} jobs accepted, {} completed, {} given up ({} of them without crashes), {} runners crashed, {} \
+            "seed {seed}: {} jobs accepted, {} completed, {} given up ({} of them without crashes), {} runners crashed, {} evacuations, {} \
              starts, {} faults, read back first {:?} last {:?}, {} violations",
             report.accepted,
             report.completed,
             report.given_up,
             report.given_up_without_crash,
             report.crashes,
+            report.evacuations,
             report.starts,
             report.faults,
             report.read_back.first(),
