--- a/crates/coordination/src/jobs/lost.rs
+++ b/crates/coordination/src/jobs/lost.rs
@@ -34,7 +34,7 @@
     ) {
         let runner = self.runners.get(&incarnation);
         // Runs that end because their runner drains or goes down for maintenance have not crashed.
-        let leaves = runner.is_some_and(|runner| !runner.takes_tasks());
+        let leaves = runner.is_some_and(Runner::is_leaving);
         for (task, run) in self.state.assigned_runs(incarnation) {
             if self.ending.contains(&(task, run)) {
                 continue;
--- a/crates/coordination/src/jobs/runner.rs
+++ b/crates/coordination/src/jobs/runner.rs
@@ -300,7 +300,12 @@
     /// Whether the runner may be ordered to start anything. The only place that decides it, for
     /// new starts and for starts that were assigned before.
     pub(super) fn takes_tasks(&self) -> bool {
-        self.state == RunnerState::Ready && !self.maintenance_pending && !self.zone_evacuated
+        !self.is_leaving() && !self.zone_evacuated
+    }
+
+    /// Whether the runner drains or goes down for maintenance, so that its end is expected.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.state == RunnerState::Draining || self.maintenance_pending
     }
 
     /// Whether the runner reported recently, so that its next report is expected soon.
--- a/crates/coordination/tests/evacuation.rs
+++ b/crates/coordination/tests/evacuation.rs
@@ -14,7 +14,7 @@
 use yuccalink_coordination::jobs::{
     CellRequest, CellResponse, JobState, LeaderConfig, RequestToken, RunnerOrders,
 };
-use yuccalink_fakes::emulator::TaskBehavior;
+use yuccalink_fakes::emulator::{EmulatedRunner, TaskBehavior};
 use yuccalink_state::evacuation::{ZoneAction, ZoneOrder};
 use yuccalink_state::jobs::{JobId, JobSpec};
 
@@ -247,6 +247,22 @@
     assert!(stopped.is_some(), "the rest of the gang runs on for nothing");
 }
 
+/// Guards against a task that crashes runners of an evacuated zone and is started ever again,
+/// because their loss was expected.
+#[test]
+fn a_crash_in_an_evacuated_zone_counts() {
+    let mut harness = LeaderHarness::new(1, None, BEHAVIOR);
+    harness.report_round();
+    harness.submit(vec![step(1, 4, 60_000).0]);
+    assert_eq!(starts(&harness.report_round()), [1]);
+    assert!(matches!(harness.request(evacuate("z0")), CellResponse::Zone(_)));
+    harness.advance(SECOND);
+    harness.runners[0] = EmulatedRunner::new("w0", "r1", 6, world::CAPACITY, harness.now);
+    harness.report_round();
+    let crashes = harness.leader.state().losses().crashes(key(1, 0, 0));
+    assert_eq!((crashes.all, crashes.at_start), (1, 1));
+}
+
 /// Guards against a storm of starts in a zone that comes back.
 #[test]
 fn a_restored_zone_takes_work_step_by_step() {
