Derive whether a target's zone is evacuated

Each target of the directory stored whether its zone is under evacuation, set in four places; the directory keeps the evacuations themselves. Ask those instead, and compare old and new when they change, so that the entries get the same updates. Behaviour is the same. Without the check, or without the new version, runners_of_an_evacuated_zone_are_not_usable fails.

--- a/crates/coordination/src/directory.rs
+++ b/crates/coordination/src/directory.rs
@@ -75,20 +75,18 @@
     reserved: u32,
     /// The release by the previous owner that must complete before another owner is chosen.
     pending_release: Option<Release>,
-    /// Its zone is under evacuation, so it gets no new work.
-    zone_evacuated: bool,
     changed: u64,
     interval: Duration,
 }
 
 impl Target {
     /// The update for entries if this target is a runner.
-    fn as_update(&self) -> Option<RunnerUpdate> {
+    fn as_update(&self, evacuations: &Evacuations) -> Option<RunnerUpdate> {
         match &self.spec {
             TargetSpec::Worker(_) => None,
             TargetSpec::Runner(spec) => Some(RunnerUpdate {
                 spec: spec.clone(),
-                usable: self.health == Health::Live && !self.zone_evacuated,
+                usable: self.health == Health::Live && !evacuations.excludes(spec.zone.as_str()),
                 busy: self.usage.busy,
                 owner: self.owner.clone(),
             }),
@@ -195,12 +193,11 @@
 
     /// Sets the zones under evacuation, whose targets get no new work.
     pub fn set_evacuations(&mut self, evacuations: &Evacuations) {
-        self.evacuations.clone_from(evacuations);
+        let earlier = std::mem::replace(&mut self.evacuations, evacuations.clone());
         for target in self.targets.values_mut() {
-            let evacuated = evacuations.excludes(target.spec.zone().as_str());
-            if target.zone_evacuated != evacuated {
+            let zone = target.spec.zone().as_str();
+            if earlier.excludes(zone) != evacuations.excludes(zone) {
                 self.version += 1;
-                target.zone_evacuated = evacuated;
                 target.changed = self.version;
             }
         }
@@ -219,12 +216,10 @@
         }
         self.version += 1;
         let name = spec.name().clone();
-        let zone_evacuated = self.evacuations.excludes(spec.zone().as_str());
         let usage = Usage { busy, ..Usage::default() };
         match self.targets.get_mut(&name) {
             Some(known) if known.health != Health::Gone && is_same_kind(&known.spec, &spec) => {
                 known.spec = spec;
-                known.zone_evacuated = zone_evacuated;
                 known.last_heard = now;
                 known.health = Health::Live;
                 known.usage = usage;
@@ -239,7 +234,6 @@
                     owner: None,
                     reserved: 0,
                     pending_release: None,
-                    zone_evacuated,
                     changed: self.version,
                     interval: HEARTBEAT_INTERVAL,
                 };
@@ -431,7 +425,6 @@
         }
         self.version += 1;
         let name = spec.name.clone();
-        let zone_evacuated = self.evacuations.excludes(spec.zone.as_str());
         let spec = TargetSpec::Runner(spec);
         let changed = self.version;
         let target = self.targets.entry(name).or_insert_with(|| Target {
@@ -442,7 +435,6 @@
             owner: None,
             reserved: 0,
             pending_release: None,
-            zone_evacuated,
             changed,
             interval: HEARTBEAT_INTERVAL,
         });
@@ -458,7 +450,7 @@
             .targets
             .values()
             .filter(is_new)
-            .filter_map(|target| Some((target.changed, target.as_update()?)))
+            .filter_map(|target| Some((target.changed, target.as_update(&self.evacuations)?)))
             .collect();
         changed.sort_by_key(|(changed, _)| *changed);
         let upto = match changed.len() > most {
