--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -134,7 +134,7 @@
     pub json: Value,
 }
 
-fn output<T>(value: &T, text: String) -> Result<Output>
+pub(crate) fn output<T>(value: &T, text: String) -> Result<Output>
 where
     T: serde::Serialize,
 {
--- a/crates/operator/src/zone.rs
+++ b/crates/operator/src/zone.rs
@@ -1,7 +1,7 @@
 //! Commands that empty an availability zone and give it work again, for daemons and job cells.
 
 use crate::client::Client;
-use crate::command::Output;
+use crate::command::{Output, output};
 use crate::error::{Error, Result};
 use crate::render;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
@@ -99,12 +99,3 @@
     let detail = detail.unwrap_or("it gives no reason; use the yuccalink program of its release");
     Err(Error::Failed(format!("the server answered {status}: {detail}").into()))
 }
-
-fn output<T>(value: &T, text: String) -> Result<Output>
-where
-    T: serde::Serialize,
-{
-    let json = serde_json::to_value(value)
-        .map_err(|error| Error::InvalidResponse(error.to_string().into()))?;
-    Ok(Output { text, json })
-}
