--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -9,6 +9,9 @@
 
 /// Time after the acknowledgement of a job from which every process must know it.
 const VISIBLE_AFTER: Duration = Duration::from_secs(3);
+/// Time after the acknowledgement of an evacuation in which a start that was ordered before may
+/// still come.
+const ORDER_LIFETIME: Duration = Duration::from_millis(1_100);
 
 /// Result of a soak.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -77,10 +80,6 @@
     ["z0", "z1"][runner % 2]
 }
 
-/// Time after the acknowledgement of an evacuation in which a start that was ordered before may
-/// still come.
-const ORDER_LIFETIME: Duration = Duration::from_millis(1_100);
-
 impl Watch {
     fn record_violation(&mut self, what: String) {
         self.report.violations.push(what);
