One function reads a field that a release added to a state

Losses and evacuations each had their own copy of it. Behaviour is the same. Without the default, a_snapshot_of_an_earlier_release_is_read fails.

--- a/crates/state/src/evacuation.rs
+++ b/crates/state/src/evacuation.rs
@@ -1,6 +1,6 @@
 //! Availability zones under evacuation: their runners and workers get no new work.
 
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Most zones with a record. A platform has a few dozen; the limit bounds what mistyped names
@@ -216,14 +216,6 @@
     }
 }
 
-/// Reads the evacuations at the end of a state, which states of earlier releases lack.
-pub(crate) fn or_none<'de, D>(from: D) -> Result<Evacuations, D::Error>
-where
-    D: Deserializer<'de>,
-{
-    Ok(Evacuations::deserialize(from).unwrap_or_default())
-}
-
 impl ZoneView {
     /// Describes a zone with this many targets, on which `busy` runs or requests have not ended.
     ///
--- a/crates/state/src/jobs/loss.rs
+++ b/crates/state/src/jobs/loss.rs
@@ -6,7 +6,7 @@
 
 use super::task::{IncarnationKey, JobId, TaskKey};
 use derive_more::Display;
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Crashes of runners right after they were ordered to start a task, at which the task's job
@@ -220,13 +220,3 @@
         }
     }
 }
-
-/// Reads losses, or none if the bytes end before them because an earlier release wrote the
-/// state. Only for the last field of a state whose checksum was verified: there, missing bytes
-/// cannot mean a truncated file.
-pub(crate) fn or_none<'de, D>(from: D) -> Result<Losses, D::Error>
-where
-    D: Deserializer<'de>,
-{
-    Ok(Losses::deserialize(from).unwrap_or_default())
-}
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -5,11 +5,12 @@
     JobCommand, JobOutcome, JobSubmission, PairWeight, RunEnd, RunOutcome, RunStart,
     RunnerIncarnation,
 };
-use super::loss::{self, Loss, LossEvidence, Losses, RunnerFate};
+use super::loss::{Loss, LossEvidence, Losses, RunnerFate};
 use super::spec::{JobSpec, StepSpec};
 use super::task::{IncarnationKey, JobId, RunAssignment, Task, TaskKey};
 use super::wave::WaveState;
-use crate::evacuation::{self, Evacuations};
+use crate::evacuation::Evacuations;
+use crate::snapshot;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -85,10 +86,10 @@
     #[serde(skip)]
     assigned_runs: Vec<BTreeMap<TaskKey, u32>>,
     /// Behind the fields of earlier releases, so that their states can be read.
-    #[serde(deserialize_with = "loss::or_none")]
+    #[serde(deserialize_with = "snapshot::added_field")]
     losses: Losses,
     /// The last field, for the same reason.
-    #[serde(deserialize_with = "evacuation::or_none")]
+    #[serde(deserialize_with = "snapshot::added_field")]
     evacuations: Evacuations,
 }
 
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -11,10 +11,11 @@
     TaskSubmission,
 };
 use crate::document::{Accepted, Document, PastVersion, TaskClass, TaskKind};
-use crate::evacuation::{self, Evacuations};
+use crate::evacuation::Evacuations;
 use crate::id::{Epoch, Incarnation, Name, Revision, ServiceKey, TaskId, WorkerKey};
 use crate::ledger::Ledger;
 use crate::resources::Resources;
+use crate::snapshot;
 use crate::task::{Checkpoint, StopReason, Task, TaskOutcome, TaskPhase};
 use crate::worker::{Worker, WorkerPhase, WorkerSpec};
 use serde::{Deserialize, Serialize};
@@ -77,7 +78,7 @@
     #[serde(skip)]
     tasks_by_worker: Vec<BTreeSet<TaskId>>,
     /// The last field, so that states of earlier releases, which lack it, can be read.
-    #[serde(deserialize_with = "evacuation::or_none")]
+    #[serde(deserialize_with = "snapshot::added_field")]
     evacuations: Evacuations,
 }
 
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -7,7 +7,7 @@
 use crate::log::sync_folder;
 use crate::machine::StateMachine;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
@@ -43,6 +43,17 @@
     fn evacuations(&self) -> &Evacuations;
 }
 
+/// Reads a field that a release added at the end of a state, or its default if the bytes end
+/// before it because an earlier release wrote the state. Only for states whose checksum was
+/// verified: there, missing bytes cannot mean a truncated file.
+pub(crate) fn added_field<'de, D, T>(from: D) -> std::result::Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Default + Deserialize<'de>,
+{
+    Ok(T::deserialize(from).unwrap_or_default())
+}
+
 impl Replicated for StateMachine {
     fn reindex(&mut self) {
         StateMachine::reindex(self);
