One function finds the tasks of a step

The search for a gang's lost member repeated a lookup that stood in seven places: occurrence by number, then step by number. Job::step does it for all of them, and the count of waiting tasks in all steps calls the count for one. Behaviour is the same. Without the check for a lost member, a_gang_that_lost_a_member_to_an_evacuation_stops fails.

--- a/crates/coordination/src/jobs/capacity.rs
+++ b/crates/coordination/src/jobs/capacity.rs
@@ -245,8 +245,7 @@
 
 /// Returns the number of waiting tasks of a step.
 pub(super) fn waiting_tasks(job: &Job, step_key: StepKey) -> u32 {
-    let occurrence = job.occurrences.get(step_key.occurrence as usize);
-    let step = occurrence.and_then(|found| found.steps.get(usize::from(step_key.step)));
+    let step = job.step(step_key.occurrence, step_key.step);
     let tasks = step.into_iter().flat_map(|step| &step.tasks);
     let count = tasks.filter(|task| !task.done && task.assignments.is_empty()).count();
     u32::try_from(count).unwrap_or(u32::MAX)
--- a/crates/coordination/src/jobs/compatibility.rs
+++ b/crates/coordination/src/jobs/compatibility.rs
@@ -156,10 +156,9 @@
         if !step.rack_affinity {
             return true;
         }
-        let occurrence = job.occurrences.get(step_key.occurrence as usize);
-        let tasks = occurrence.and_then(|found| found.steps.get(usize::from(step_key.step)));
+        let step = job.step(step_key.occurrence, step_key.step);
         let mut incarnations =
-            tasks.into_iter().flat_map(|step| &step.tasks).flat_map(|t| &t.assignments);
+            step.into_iter().flat_map(|step| &step.tasks).flat_map(|t| &t.assignments);
         incarnations.all(|assignment| {
             self.runners.get(&assignment.incarnation).is_none_or(|r| r.rack == runner.rack)
         })
--- a/crates/coordination/src/jobs/gangs.rs
+++ b/crates/coordination/src/jobs/gangs.rs
@@ -73,11 +73,7 @@
     fn gang_starts(&self, now: Now, step_key: StepKey) -> Option<Vec<RunStart>> {
         let job = self.state.job(step_key.job)?;
         let spec = job.spec.steps.get(usize::from(step_key.step))?;
-        let step = job
-            .occurrences
-            .get(step_key.occurrence as usize)?
-            .steps
-            .get(usize::from(step_key.step))?;
+        let step = job.step(step_key.occurrence, step_key.step)?;
         let key = |index: usize| TaskKey {
             job: step_key.job,
             occurrence: step_key.occurrence,
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -229,9 +229,8 @@
         if !self.state.step_spec(task).is_some_and(|step| step.gang) {
             return false;
         }
-        let occurrence =
-            self.state.job(task.job).and_then(|job| job.occurrences.get(task.occurrence as usize));
-        let step = occurrence.and_then(|found| found.steps.get(usize::from(task.step)));
+        let job = self.state.job(task.job);
+        let step = job.and_then(|job| job.step(task.occurrence, task.step));
         let runs = |member: &Task| member.assignments.iter().any(|other| other.run == run);
         step.is_some_and(|step| step.tasks.iter().any(|member| !runs(member)))
     }
--- a/crates/coordination/src/jobs/ready.rs
+++ b/crates/coordination/src/jobs/ready.rs
@@ -6,6 +6,7 @@
 //! core-second left completes as many jobs as there is capacity for, and delays those
 //! that could not end on time anyway.
 
+use super::capacity;
 use super::estimate::{JobEstimate, Lateness};
 use super::interference::{ImageKey, Interference};
 use super::policy::Switch;
@@ -456,9 +457,7 @@
     /// Returns the number of waiting tasks in all steps.
     pub(super) fn waiting_tasks(&self, jobs: &CellState) -> usize {
         let waiting = |key: &StepKey| {
-            let occurrence = jobs.job(key.job)?.occurrences.get(key.occurrence as usize)?;
-            let step = occurrence.steps.get(usize::from(key.step))?;
-            Some(step.tasks.iter().filter(|task| !task.done && task.assignments.is_empty()).count())
+            jobs.job(key.job).map(|job| capacity::waiting_tasks(job, *key) as usize)
         };
         self.entries.keys().filter_map(waiting).sum()
     }
@@ -521,8 +520,7 @@
 
 /// Returns whether a step has a task that ran before and waits again.
 fn has_run_before(job: &Job, key: StepKey) -> bool {
-    let occurrence = job.occurrences.get(key.occurrence as usize);
-    let step = occurrence.and_then(|found| found.steps.get(usize::from(key.step)));
+    let step = job.step(key.occurrence, key.step);
     let mut tasks = step.into_iter().flat_map(|step| &step.tasks);
     tasks.any(|task| !task.done && task.assignments.is_empty() && task.last_run > 0)
 }
--- a/crates/coordination/src/jobs/suspects.rs
+++ b/crates/coordination/src/jobs/suspects.rs
@@ -142,8 +142,7 @@
             return false;
         }
         let Some(job) = self.state.job(task.job) else { return false };
-        let occurrence = job.occurrences.get(task.occurrence as usize);
-        let step = occurrence.and_then(|found| found.steps.get(usize::from(task.step)));
+        let step = job.step(task.occurrence, task.step);
         let works = |(index, state): (usize, &Task)| {
             let index = u16::try_from(index).unwrap_or(u16::MAX);
             state.done || self.is_listed(TaskKey { index, ..task }, state)
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -125,8 +125,8 @@
 
     /// The task with this key, if its occurrence was opened.
     pub fn task(&self, key: TaskKey) -> Option<&Task> {
-        let occurrence = self.jobs.get(&key.job)?.occurrences.get(key.occurrence as usize)?;
-        occurrence.steps.get(usize::from(key.step))?.tasks.get(usize::from(key.index))
+        let step = self.jobs.get(&key.job)?.step(key.occurrence, key.step)?;
+        step.tasks.get(usize::from(key.index))
     }
 
     /// The specification of a task's step.
@@ -466,6 +466,11 @@
         occurrence.steps.get_mut(usize::from(key.step))?.tasks.get_mut(usize::from(key.index))
     }
 
+    /// The tasks of a step, if its occurrence was opened.
+    pub fn step(&self, occurrence: u32, step: u16) -> Option<&Step> {
+        self.occurrences.get(occurrence as usize)?.steps.get(usize::from(step))
+    }
+
     /// Whether all steps that `step` depends on are done.
     ///
     /// ```
@@ -492,8 +497,7 @@
 
     /// Sums the failures of all tasks of a step, because a gang fails as a whole.
     fn failures_of_step(&self, key: TaskKey) -> u32 {
-        let occurrence = self.occurrences.get(key.occurrence as usize);
-        let step = occurrence.and_then(|found| found.steps.get(usize::from(key.step)));
+        let step = self.step(key.occurrence, key.step);
         step.into_iter().flat_map(|step| &step.tasks).map(|task| task.failures).sum()
     }
 
