Find a runner's incarnation by its name, not by a scan of all

A cell's replicas compared each new runner incarnation with all earlier ones: 6,000 registrations of the fleet's first seconds took 18 million comparisons on each of its 12 replicas, and the number grows with the square of the pool. Runs by incarnation are also listed without a set that is built ten times a second.

--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -12,7 +12,7 @@
 use crate::evacuation::Evacuations;
 use crate::snapshot;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Maximum number of runs of one speculative task that may be active at once.
 pub const COPIES_MAX: usize = 2;
@@ -85,6 +85,9 @@
     waves: BTreeMap<u64, WaveState>,
     #[serde(skip)]
     assigned_runs: Vec<BTreeMap<TaskKey, u32>>,
+    /// Incarnations by the name of their runner.
+    #[serde(skip)]
+    incarnations_by_id: HashMap<Box<str>, Vec<IncarnationKey>>,
     /// Behind the fields of earlier releases, so that their states can be read.
     #[serde(deserialize_with = "snapshot::added_field")]
     losses: Losses,
@@ -258,6 +261,11 @@
     /// Rebuilds the indexes, which are not written to snapshots.
     pub(crate) fn reindex(&mut self) {
         self.assigned_runs = vec![BTreeMap::new(); self.incarnations.len()];
+        self.incarnations_by_id.clear();
+        for (at, incarnation) in self.incarnations.iter().enumerate() {
+            let keys = self.incarnations_by_id.entry(incarnation.id.clone()).or_default();
+            keys.push(incarnation_key(at));
+        }
         let mut found = Vec::new();
         for (id, job) in &self.jobs {
             collect_assignments(*id, job, &mut found);
@@ -311,19 +319,23 @@
     }
 
     fn register(&mut self, incarnation: RunnerIncarnation) -> IncarnationKey {
-        let same = |known: &RunnerIncarnation| {
-            known.id == incarnation.id && known.started_ms == incarnation.started_ms
+        let of_runner = self.incarnations_by_id.get(&incarnation.id).into_iter().flatten();
+        let same = |key: &IncarnationKey| {
+            let known = self.incarnation(*key);
+            known.is_some_and(|known| known.started_ms == incarnation.started_ms)
         };
-        if let Some(at) = self.incarnations.iter().position(same) {
-            return incarnation_key(at);
+        if let Some(key) = of_runner.copied().find(same) {
+            return key;
         }
         let crashed = self.crashed_before(&incarnation);
         for task in self.losses.mark_crashed(&crashed) {
             self.fail_if_over_loss_limit(task);
         }
+        let key = incarnation_key(self.incarnations.len());
+        self.incarnations_by_id.entry(incarnation.id.clone()).or_default().push(key);
         self.incarnations.push(incarnation);
         self.assigned_runs.push(BTreeMap::new());
-        incarnation_key(self.incarnations.len() - 1)
+        key
     }
 
     /// Lost runner incarnations that are now known to have crashed: older ones with the same
@@ -441,11 +453,11 @@
     }
 
     /// Runner incarnations with runs that may still be running.
-    pub fn incarnations_with_runs(&self) -> BTreeSet<IncarnationKey> {
+    pub fn incarnations_with_runs(&self) -> impl Iterator<Item = IncarnationKey> {
         let with_runs = |(at, runs): (usize, &BTreeMap<TaskKey, u32>)| {
             (!runs.is_empty()).then(|| incarnation_key(at))
         };
-        self.assigned_runs.iter().enumerate().filter_map(with_runs).collect()
+        self.assigned_runs.iter().enumerate().filter_map(with_runs)
     }
 }
 
