Ask three processes for the leader instead of all

Callers saw 504 before the fleet's traffic began. An entry without a disk now asks three processes for a second, the same ones while disks are reported to it, then the next three.

Tests count links, per entry and per disk.

--- a/crates/coordination/src/peer_table.rs
+++ b/crates/coordination/src/peer_table.rs
@@ -7,12 +7,21 @@
 use crate::voters::Disk;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::time::Duration;
 use yuccalink_state::id::Name;
 
 /// Time without an answer after which the leader is dropped: three missed answers.
 pub const LEADER_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Longest interval between two `Hello` messages of a process without a disk to a leader whose
+/// answers show that it leads. The `Welcome` also reports the disks.
+pub const CONFIRMED_HELLO_INTERVAL: Duration = Duration::from_secs(2);
+/// Processes that a process without a disk asks for the leader at once. With all of them, each
+/// change of leader would bring every disk a connection from every process of the cell.
+const SEARCH_LINKS: usize = 3;
+/// Time after which a process that has not found the leader asks other processes.
+const SEARCH_ROUND: Duration = Duration::from_millis(1_000);
 /// Time without a report by or about a process after which it is removed from the table.
 const PEER_RETENTION: Duration = Duration::from_secs(30);
 
@@ -89,6 +98,11 @@
     bootstrapper: Option<ReplicaId>,
     /// Another process has reported a leader, so the cell exists.
     cell_exists: bool,
+    /// How often the search for the leader has moved on to other processes.
+    search_round: usize,
+    search_round_at: Moment,
+    /// The processes asked in this round.
+    asked: BTreeSet<SocketAddr>,
 }
 
 impl PeerTable {
@@ -105,6 +119,9 @@
             designated: None,
             bootstrapper: None,
             cell_exists: false,
+            search_round: 0,
+            search_round_at: Moment::ZERO,
+            asked: BTreeSet::new(),
         }
     }
 
@@ -165,6 +182,17 @@
         }
     }
 
+    /// Records that the leader answered a request, which shows that it leads, as a `Welcome` of
+    /// its own does.
+    pub fn confirm_leader(&mut self, peer: SocketAddr, now: Moment) {
+        if let Some((leader, at)) = &mut self.leader
+            && leader.peer == peer
+            && leader.serving
+        {
+            *at = now;
+        }
+    }
+
     /// Removes the leader if it is `peer`, because it does not answer or no longer leads.
     pub fn clear_leader(&mut self, peer: SocketAddr, why: &str) {
         if self.leader.is_some_and(|(leader, _)| leader.peer == peer) {
@@ -181,6 +209,14 @@
         {
             self.clear_leader(leader.peer, "silent");
         }
+        if self.leader.is_some() {
+            self.search_round_at = now;
+            self.asked.clear();
+        } else if now.since(self.search_round_at) > SEARCH_ROUND {
+            self.search_round += 1;
+            self.search_round_at = now;
+            self.asked.clear();
+        }
         self.known.retain(|_, known| now.since(known.last_reported) < PEER_RETENTION);
     }
 
@@ -233,9 +269,10 @@
         self.known.get(&peer).and_then(|known| known.info.control)
     }
 
-    /// The processes that this one keeps a connection to. Without a leader: every process that may
-    /// know one. With a leader: the leader and, if this process has a disk, every other disk.
-    pub fn wanted_links(&self, members: &[SocketAddr]) -> BTreeSet<SocketAddr> {
+    /// The processes that this one keeps a connection to. With a leader: the leader and, if this
+    /// process has a disk, every other disk. Without a leader: processes that may know one, all of
+    /// them if this process has a disk, else a few at a time.
+    pub fn wanted_links(&mut self, members: &[SocketAddr]) -> BTreeSet<SocketAddr> {
         let mut wanted = BTreeSet::new();
         let has_disk = self.me.replica.is_some();
         if let Some((leader, _)) = &self.leader {
@@ -250,7 +287,29 @@
             wanted.extend(&self.seeds);
         }
         wanted.remove(&self.me.peer);
-        wanted
+        match self.leader.is_none() && !has_disk {
+            true => self.few_to_ask(&wanted),
+            false => wanted,
+        }
+    }
+
+    /// A few of the processes that may know the leader, the same ones for one round of the search.
+    /// Each process starts at another one, so that the questions are spread.
+    fn few_to_ask(&mut self, candidates: &BTreeSet<SocketAddr>) -> BTreeSet<SocketAddr> {
+        self.asked.retain(|peer| candidates.contains(peer));
+        let mut hasher = DefaultHasher::new();
+        self.me.peer.hash(&mut hasher);
+        let count = candidates.len().max(1);
+        let own_start = hasher.finish() as usize % count;
+        let start = (own_start + self.search_round * SEARCH_LINKS) % count;
+        let from_start = candidates.iter().skip(start).chain(candidates.iter().take(start));
+        for peer in from_start {
+            if self.asked.len() >= SEARCH_LINKS {
+                break;
+            }
+            self.asked.insert(*peer);
+        }
+        self.asked.clone()
     }
 
     /// Whether this process is to bootstrap the cell: the cell is new, this process has an empty
--- a/crates/coordination/tests/peer_table.rs
+++ b/crates/coordination/tests/peer_table.rs
@@ -133,3 +133,58 @@
     peer_table.tick(now + Duration::from_millis(1));
     assert!(peer_table.lead().is_none());
 }
+
+fn table_without_disk(at: usize, disks: usize, now: Moment) -> PeerTable {
+    let mut peer_table = PeerTable::new(info(at, false), seeds(), false);
+    for disk in 0..disks {
+        peer_table.record_reported_peer(&info(disk, true), now);
+    }
+    peer_table
+}
+
+/// Guards against a storm of connections: each entry asked every disk whenever it lost its leader.
+#[test]
+fn an_entry_that_looks_for_the_leader_asks_a_few_processes_at_a_time() {
+    const DISKS: usize = 12;
+    const ENTRIES: usize = 100;
+    let now = Moment::from_millis(1_000);
+    let mut asked = std::collections::BTreeMap::new();
+    for at in 0..ENTRIES {
+        let links = table_without_disk(DISKS + at, DISKS, now).wanted_links(&[]);
+        assert!(links.len() <= 3, "{links:?}");
+        links.into_iter().for_each(|link| *asked.entry(link).or_insert(0) += 1);
+    }
+    let most = asked.values().max().copied().unwrap_or(0);
+    assert_eq!(asked.len(), DISKS, "every disk is asked by some");
+    assert!(most <= ENTRIES / 2, "one disk is asked by {most} of {ENTRIES}");
+}
+
+/// Guards against an entry that asks the same dead processes for ever.
+#[test]
+fn a_search_for_the_leader_reaches_every_disk() {
+    const DISKS: usize = 12;
+    let mut now = Moment::from_millis(1_000);
+    let mut peer_table = table_without_disk(DISKS, DISKS, now);
+    let mut asked = std::collections::BTreeSet::new();
+    for _ in 0..DISKS {
+        peer_table.tick(now);
+        asked.extend(peer_table.wanted_links(&[]));
+        now = now + Duration::from_millis(1_001);
+    }
+    assert_eq!(asked.len(), DISKS);
+}
+
+/// Guards against connections that are opened and closed again at the start, as disks are reported.
+#[test]
+fn disks_that_are_reported_during_a_search_change_nothing_about_it() {
+    let now = Moment::ZERO;
+    let mut peer_table = PeerTable::new(info(20, false), seeds(), false);
+    peer_table.tick(now);
+    let links = peer_table.wanted_links(&[]);
+    assert_eq!(links.len(), SEEDS);
+    for disk in 0..12 {
+        peer_table.record_reported_peer(&info(disk, true), now);
+    }
+    peer_table.tick(now + Duration::from_millis(100));
+    assert_eq!(peer_table.wanted_links(&[]), links);
+}
