Look for runners in an index of their free CPU

Callers saw 504 while the fleet's first long-running tasks were placed: each report of a runner scanned all 6,000 runners for each waiting serving task, to see whether one beside its image has room, and each search among the starts that wait for the log went through all of them. Waiting steps times runners times reports: the leader was busy for five seconds.

FreeIndex holds runners by free CPU, all and by serving image; Starting finds starts by task, job and runner. Runners kept free are looked for only where one can fit, a few fruitless scans a ranking. Ended incarnations are checked for runs only until these are given up.

--- a/crates/coordination/src/jobs/capacity.rs
+++ b/crates/coordination/src/jobs/capacity.rs
@@ -11,6 +11,10 @@
 use yuccalink_state::Resources;
 use yuccalink_state::jobs::{IncarnationKey, Job, TaskKey};
 
+/// Fruitless scans of all runners for one runner to keep free, per ranking. The steps behind get
+/// their turn at a later ranking.
+const FAILED_SCANS_MAX: u32 = 4;
+
 /// Keeps runners free for large long-running tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
@@ -83,8 +87,7 @@
         let mut taken: BTreeSet<(TaskKey, u32)> =
             self.state.assigned_runs(key).filter(|run| !ended.contains(run)).collect();
         taken.extend(runner.running.iter().map(|(task, view)| (*task, view.run)));
-        let starting = self.starting.values().filter(|start| start.incarnation == key);
-        taken.extend(starting.map(|start| (start.task, start.run)));
+        taken.extend(self.starting.on(key).map(|start| (start.task, start.run)));
         let mut free = saturating_sub(runner.capacity, self.withheld_after_return(now, runner));
         let mut long_running_millicores = 0;
         for (task, _) in taken {
@@ -142,6 +145,8 @@
             let step = self.ready.step(step_key.job, step_key.step);
             step.is_some_and(|step| step.long_running) && self.has_waited_for_runner(now, *step_key)
         };
+        let mut largest = None;
+        let mut failed_scans = 0;
         let step_keys: Vec<StepKey> =
             self.ready.order().filter(has_waited).take(runners_max).collect();
         for step_key in step_keys {
@@ -160,6 +165,11 @@
             };
             let Some(job) = self.state.job(step_key.job) else { continue };
             let Some(step) = job.spec.steps.get(usize::from(step_key.step)) else { continue };
+            let largest = largest.get_or_insert_with(|| self.largest_after_short_tasks(now));
+            let may_fit = largest.get(self.pool_of(job)).is_some_and(|free| free.covers(need));
+            if !may_fit || failed_scans >= FAILED_SCANS_MAX {
+                continue;
+            }
             let fits = |runner: &&Runner| {
                 runner.takes_tasks()
                     && &*runner.pool == self.pool_of(job)
@@ -171,6 +181,7 @@
                     && self.free_after_short_tasks(runner).covers(need)
             };
             let Some(key) = self.runners.values().find(fits).map(|runner| runner.key) else {
+                failed_scans += 1;
                 continue;
             };
             self.kept_free
@@ -178,6 +189,21 @@
         }
     }
 
+    /// Returns, for each pool, an upper bound of what is free on one runner once its short tasks
+    /// have ended.
+    fn largest_after_short_tasks(&self, now: Now) -> BTreeMap<Box<str>, Resources> {
+        let mut largest: BTreeMap<Box<str>, Resources> = BTreeMap::new();
+        let eligible = |runner: &&Runner| runner.takes_tasks() && runner.reported_recently(now.at);
+        for runner in self.runners.values().filter(eligible) {
+            let free = self.free_after_short_tasks(runner);
+            match largest.get_mut(&runner.pool) {
+                Some(most) => *most = component_max(*most, free),
+                None => drop(largest.insert(runner.pool.clone(), free)),
+            }
+        }
+        largest
+    }
+
     /// Returns the capacity that is free on a runner once its short tasks have ended.
     fn free_after_short_tasks(&self, runner: &Runner) -> Resources {
         let short = self.state.assigned_runs(runner.key).filter_map(|(task, _)| {
@@ -204,7 +230,11 @@
 
     /// Determines the pools that are at least half idle, and boosts jobs within the CPU
     /// of the pools.
-    pub(super) fn measure_pools(&mut self) {
+    pub(super) fn measure_pools(&mut self, now: Now) {
+        let runners = &self.runners;
+        self.free_index.retain(|key| {
+            runners.get(&key).is_some_and(|r| r.takes_tasks() && r.reported_recently(now.at))
+        });
         let mut sums: BTreeMap<&str, PoolCapacity> = BTreeMap::new();
         for runner in self.runners.values() {
             let sum = sums.entry(&runner.pool).or_default();
@@ -251,6 +281,14 @@
     u32::try_from(count).unwrap_or(u32::MAX)
 }
 
+fn component_max(a: Resources, b: Resources) -> Resources {
+    Resources {
+        millicores: a.millicores.max(b.millicores),
+        memory_mib: a.memory_mib.max(b.memory_mib),
+        accelerators: a.accelerators.max(b.accelerators),
+    }
+}
+
 /// Subtracts resources; no result is negative.
 pub(super) fn saturating_sub(free: Resources, need: Resources) -> Resources {
     Resources {
--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -81,7 +81,7 @@
             }
             JobCommand::Start(starts) => {
                 for start in starts {
-                    self.starting.remove(&start.task);
+                    self.starting.remove(start.task);
                 }
             }
             JobCommand::End { ends, .. } => {
--- a/crates/coordination/src/jobs/compatibility.rs
+++ b/crates/coordination/src/jobs/compatibility.rs
@@ -214,13 +214,14 @@
     /// task. Runners without serving tasks then stay free for background tasks that
     /// interfere.
     fn has_capacity_beside_image(&self, now: Now, step: &StepInfo) -> bool {
-        step.image.is_some()
-            && self.runners.values().any(|runner| {
-                runner.serving_image == step.image
-                    && runner.takes_tasks()
-                    && runner.reported_recently(now.at)
-                    && runner.free.covers(step.reserved)
-            })
+        let Some(image) = step.image else { return false };
+        let found = self.free_index.with_image(image, step.reserved.millicores);
+        found.filter_map(|key| self.runners.get(&key)).any(|runner| {
+            runner.serving_image == step.image
+                && runner.takes_tasks()
+                && runner.reported_recently(now.at)
+                && runner.free.covers(step.reserved)
+        })
     }
 
     /// Returns how many runs of a job are assigned to responsive runners or are about to
@@ -234,6 +235,6 @@
                 .get(&assignment.incarnation)
                 .is_some_and(|runner| runner.reported_recently(now.at))
         });
-        active.count() + self.starting.keys().filter(|task| task.job == id).count()
+        active.count() + self.starting.count_of_job(id)
     }
 }
--- a/crates/coordination/src/jobs/copies.rs
+++ b/crates/coordination/src/jobs/copies.rs
@@ -117,7 +117,7 @@
         let count_on_runner = self.task_count_on(runner.key, step_key) as usize + chosen_here;
         let fits = !state.done
             && original.incarnation != runner.key
-            && !self.starting.contains_key(&task)
+            && !self.starting.contains(task)
             // A failure of the copy after one of the original would end the job.
             && state.failures == 0
             && self.may_have_copy(task)
--- a/crates/coordination/src/jobs/due.rs
+++ b/crates/coordination/src/jobs/due.rs
@@ -25,7 +25,7 @@
         if now.at.since(self.last_ranked) >= RANK_INTERVAL {
             self.last_ranked = now.at;
             self.ready.rank_all(&self.state, now.at);
-            self.measure_pools();
+            self.measure_pools(now);
             self.count_moving_long_running();
             self.advance_evacuations(now);
             self.find_stragglers(now);
--- a/crates/coordination/src/jobs/evacuation.rs
+++ b/crates/coordination/src/jobs/evacuation.rs
@@ -182,7 +182,9 @@
         let (Some(runner), Some(step)) = (self.runners.get(key), self.ready.step_of(*task)) else {
             return;
         };
-        let capacity = self.capacity_elsewhere(now, runner, *task, step);
+        let most =
+            self.moving_long_running.saturating_add(u32::try_from(tasks.len()).unwrap_or(u32::MAX));
+        let capacity = self.capacity_elsewhere(now, runner, *task, step, most);
         let most = capacity.saturating_sub(self.moving_long_running) as usize;
         let mut stopping = BTreeSet::new();
         for (_, task) in tasks {
--- a/crates/coordination/src/jobs/gangs.rs
+++ b/crates/coordination/src/jobs/gangs.rs
@@ -52,7 +52,7 @@
                 );
                 for start in &starts {
                     self.reserve_on_runner(step_key, start.incarnation);
-                    self.starting.insert(start.task, *start);
+                    self.starting.add(*start);
                 }
                 self.counts.starts += starts.len() as u64;
                 self.propose(JobCommand::Start(starts), OnCommit::Nothing);
@@ -67,6 +67,7 @@
         };
         if let Some(runner) = self.runners.get_mut(&incarnation) {
             runner.free = runner.free.minus(need).unwrap_or(Resources::ZERO);
+            self.free_index.update(runner);
         }
     }
 
@@ -83,7 +84,7 @@
         let all_waiting = step.tasks.iter().enumerate().all(|(index, task)| {
             !task.done
                 && task.assignments.is_empty()
-                && !self.starting.contains_key(&key(index))
+                && !self.starting.contains(key(index))
                 && self.crash_suspicion(now, key(index)) != CrashSuspicion::HeldBack
         });
         if !all_waiting {
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -109,9 +109,13 @@
         self.incarnations.add(key, &self.state);
         log::info!("runner={} {key} registered: born={}", report.runner, report.started_ms);
         let mut ends = Vec::new();
-        for ended in self.incarnations.ended() {
+        for ended in self.incarnations.ended_with_runs() {
             self.collect_lost(now, ended, LossReason::NextLife, &mut ends);
-            self.runners.remove(&ended);
+            self.remove_runner(ended);
+            let assigned = self.state.assigned_runs(ended).next().is_some();
+            if !assigned && self.starting.on(ended).next().is_none() {
+                self.incarnations.runs_given_up(ended);
+            }
         }
         // Interrupted tasks come before tasks that never ran, but they wait only once the ends
         // proposed here are committed. Until then no other task may take their capacity.
@@ -153,6 +157,9 @@
             NewStarts::Allowed => self.pick(now, key, colocation),
             NewStarts::Deferred => Vec::new(),
         };
+        if let Some(runner) = self.runners.get(&key) {
+            self.free_index.update(runner);
+        }
         self.commit_report(now, token, key, report, all_ends, starts);
     }
 
@@ -301,7 +308,8 @@
             let Some(step) = self.ready.step_of(*task).filter(|step| step.long_running) else {
                 continue;
             };
-            if view.stopping || self.capacity_elsewhere(now, runner, *task, step) > moving {
+            let most = moving.saturating_add(1);
+            if view.stopping || self.capacity_elsewhere(now, runner, *task, step, most) > moving {
                 moving += u32::from(!view.stopping);
             } else {
                 tasks_to_keep.insert(*task);
@@ -311,17 +319,22 @@
         tasks_to_keep
     }
 
-    /// Number of tasks of a step that other runners have capacity for.
+    /// Number of tasks of a step that other runners have capacity for, counted up to `most`.
     pub(super) fn capacity_elsewhere(
         &self,
         now: Now,
         leaving: &Runner,
         task: TaskKey,
         step: &StepInfo,
+        most: u32,
     ) -> u32 {
         let step_key = StepKey::of(task);
         let mut slots_left = 0;
-        for runner in self.runners.values() {
+        let with_cpu = self.free_index.with_cpu(step.reserved.millicores);
+        for runner in with_cpu.filter_map(|key| self.runners.get(&key)) {
+            if slots_left >= most {
+                break;
+            }
             let may = runner.key != leaving.key
                 && runner.takes_tasks()
                 && runner.reported_recently(now.at)
@@ -336,6 +349,11 @@
         slots_left
     }
 
+    fn remove_runner(&mut self, key: IncarnationKey) {
+        self.runners.remove(&key);
+        self.free_index.remove(key);
+    }
+
     fn commit_report(
         &mut self,
         now: Now,
@@ -372,7 +390,7 @@
         self.heartbeats.insert(heartbeat, pending);
         self.propose_ends(now, ends, OnCommit::Heartbeat(heartbeat));
         if !starts.is_empty() {
-            self.starting.extend(starts.iter().map(|start| (start.task, *start)));
+            starts.iter().for_each(|start| self.starting.add(*start));
             self.counts.starts += starts.len() as u64;
             self.propose(JobCommand::Start(starts), OnCommit::Heartbeat(heartbeat));
         }
@@ -527,7 +545,7 @@
                     self.collect_lost(now, key, LossReason::Left, &mut ends);
                     self.propose_ends(now, ends, OnCommit::Nothing);
                     self.incarnations.mark_ended(key);
-                    self.runners.remove(&key);
+                    self.remove_runner(key);
                 }
                 // The message may be a delayed one of an earlier incarnation: no run is started
                 // there, but its runs are given up only when their lease has expired.
--- a/crates/coordination/src/jobs/incarnations.rs
+++ b/crates/coordination/src/jobs/incarnations.rs
@@ -13,6 +13,8 @@
     by_id: HashMap<Box<str>, IncarnationKey>,
     by_address: HashMap<Box<str>, IncarnationKey>,
     ended: BTreeSet<IncarnationKey>,
+    /// Ended incarnations that may still have runs.
+    ended_with_runs: BTreeSet<IncarnationKey>,
 }
 
 impl Incarnations {
@@ -33,10 +35,10 @@
         for rival in self.conflicting(key, incarnation) {
             let Some(known) = state.incarnation(rival) else { continue };
             if known.started_ms > newest.1.started_ms {
-                self.ended.insert(newest.0);
+                self.mark_ended(newest.0);
                 newest = (rival, known);
             } else {
-                self.ended.insert(rival);
+                self.mark_ended(rival);
             }
         }
         if newest.1.id == incarnation.id {
@@ -63,9 +65,10 @@
         self.by_id.get(id).copied()
     }
 
-    /// Marks an incarnation as ended because its runner has left.
+    /// Marks an incarnation as ended.
     pub(super) fn mark_ended(&mut self, key: IncarnationKey) {
         self.ended.insert(key);
+        self.ended_with_runs.insert(key);
     }
 
     /// Whether an incarnation has ended; a delayed report of it may still arrive.
@@ -73,8 +76,13 @@
         self.ended.contains(&key)
     }
 
-    /// All incarnations that have ended.
-    pub(super) fn ended(&self) -> impl Iterator<Item = IncarnationKey> {
-        self.ended.iter().copied()
+    /// Ended incarnations whose runs may not all be given up yet.
+    pub(super) fn ended_with_runs(&self) -> Vec<IncarnationKey> {
+        self.ended_with_runs.iter().copied().collect()
+    }
+
+    /// Records that an ended incarnation has no runs and gets none.
+    pub(super) fn runs_given_up(&mut self, key: IncarnationKey) {
+        self.ended_with_runs.remove(&key);
     }
 }
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -5,6 +5,7 @@
 use super::capacity::KeptFree;
 use super::evacuation::ZoneProgress;
 use super::external::{ExternalCall, ExternalCallId, ExternalReply};
+use super::free_index::FreeIndex;
 use super::incarnations::Incarnations;
 use super::interference::Interference;
 use super::margin_forecast::MarginForecasts;
@@ -13,6 +14,7 @@
 use super::ready::{ReadyQueue, StepKey};
 use super::routes::Routes;
 use super::runner::Runner;
+use super::starting::Starting;
 use super::suspects::Suspects;
 use super::telemetry::LeaderCounters;
 use super::waves::Waves;
@@ -20,9 +22,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use yuccalink_state::evacuation::ZoneOrder;
-use yuccalink_state::jobs::{
-    CellState, IncarnationKey, JobCommand, JobId, JobPhase, RunStart, TaskKey,
-};
+use yuccalink_state::jobs::{CellState, IncarnationKey, JobCommand, JobId, JobPhase, TaskKey};
 
 /// Current time on the clock of the leases and on the wall clock.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -92,13 +92,14 @@
     pub(super) started: Moment,
     pub(super) state: CellState,
     pub(super) runners: BTreeMap<IncarnationKey, Runner>,
+    pub(super) free_index: FreeIndex,
     pub(super) incarnations: Incarnations,
     pub(super) routes: Routes,
     pub(super) ready: ReadyQueue,
     pub(super) interference: Interference,
     pub(super) forecasts: MarginForecasts<StepKey>,
     /// Tasks whose start is proposed but not committed.
-    pub(super) starting: BTreeMap<TaskKey, RunStart>,
+    pub(super) starting: Starting,
     /// Runs whose end is proposed but not committed.
     pub(super) ending: BTreeSet<(TaskKey, u32)>,
     pub(super) heartbeats: BTreeMap<u64, PendingHeartbeat>,
@@ -151,12 +152,13 @@
             started: now.at,
             state,
             runners: BTreeMap::new(),
+            free_index: FreeIndex::default(),
             incarnations: Incarnations::default(),
             routes: Routes::default(),
             ready: ReadyQueue::new(cfg.policy.order, cfg.policy.sizes),
             interference: Interference::new(cfg.policy.interference),
             forecasts: MarginForecasts::new(cfg.policy.forecast),
-            starting: BTreeMap::new(),
+            starting: Starting::default(),
             ending: BTreeSet::new(),
             heartbeats: BTreeMap::new(),
             next_heartbeat: 0,
@@ -206,7 +208,8 @@
 
     /// Counters since this leader took over.
     pub fn counts(&self) -> LeaderCounters {
-        self.counts
+        let runners_scanned = self.counts.runners_scanned + self.free_index.scanned();
+        LeaderCounters { runners_scanned, ..self.counts }
     }
 
     /// Number of runners that have reported to this leader.
--- a/crates/coordination/src/jobs/place.rs
+++ b/crates/coordination/src/jobs/place.rs
@@ -116,10 +116,15 @@
         }
         let Some((job, step)) = self.may_host(now, runner, step_key) else { return };
         let mut slots_left = self.slots_left(runner, step_key, step);
+        let tasks = job.step(step_key.occurrence, step_key.step).map(|step| &*step.tasks);
         for index in 0..step.count {
             if chosen.starts.len() >= chosen.starts_max || slots_left == 0 {
                 return;
             }
+            let state = tasks.and_then(|tasks| tasks.get(index as usize));
+            if state.is_some_and(|state| state.done || !state.assignments.is_empty()) {
+                continue;
+            }
             let index = u16::try_from(index).unwrap_or(u16::MAX);
             let (occurrence, step_at) = (step_key.occurrence, step_key.step);
             let task = TaskKey { job: step_key.job, occurrence, step: step_at, index };
@@ -188,7 +193,7 @@
         incarnation: IncarnationKey,
         trust: Trust,
     ) -> Option<u32> {
-        if self.starting.contains_key(&task) {
+        if self.starting.contains(task) {
             return None;
         }
         // Tasks of an occurrence that has not begun have no state yet.
@@ -218,14 +223,9 @@
     }
 
     pub(super) fn task_count_on(&self, incarnation: IncarnationKey, step_key: StepKey) -> u32 {
-        let same = |task: TaskKey| {
-            (task.job, task.occurrence, task.step)
-                == (step_key.job, step_key.occurrence, step_key.step)
-        };
-        let assigned =
-            self.state.assigned_runs(incarnation).filter(|(task, _)| same(*task)).count();
-        let starting =
-            self.starting.values().filter(|s| s.incarnation == incarnation && same(s.task)).count();
+        let assigned = self.state.assigned_runs(incarnation);
+        let assigned = assigned.filter(|(task, _)| StepKey::of(*task) == step_key).count();
+        let starting = self.starting.count_of_step(incarnation, step_key);
         u32::try_from(assigned + starting).unwrap_or(u32::MAX)
     }
 }
--- a/crates/coordination/src/jobs/suspects.rs
+++ b/crates/coordination/src/jobs/suspects.rs
@@ -247,7 +247,7 @@
                 };
                 let waits =
                     self.state.task(task).is_some_and(|t| !t.done && t.assignments.is_empty())
-                        && !self.starting.contains_key(&task);
+                        && !self.starting.contains(task);
                 if waits && self.crash_suspicion(now, task) == CrashSuspicion::Suspect {
                     let losses = Reverse(self.state.losses().of(task).len());
                     found.push(WaitingSuspect { crashed_of_job, job: task.job, losses, task });
@@ -285,11 +285,8 @@
         if self.state.losses().is_empty() {
             return None;
         }
-        let starting = self.starting.values().filter(|start| start.incarnation == runner.key);
-        let assigned = self
-            .state
-            .assigned_runs(runner.key)
-            .chain(starting.map(|start| (start.task, start.run)));
+        let starting = self.starting.on(runner.key).map(|start| (start.task, start.run));
+        let assigned = self.state.assigned_runs(runner.key).chain(starting);
         let is_tried = |task: TaskKey, run: u32| match runner.view(task, run) {
             Some(view) => view.age < PROVEN_AFTER && self.is_last_trial(task),
             None => self.crash_suspicion(now, task) != CrashSuspicion::Clear,
--- a/crates/coordination/tests/scale.rs
+++ b/crates/coordination/tests/scale.rs
@@ -75,3 +75,40 @@
         );
     }
 }
+
+/// Runners scanned in one round of reports while serving tasks wait for a runner of their image.
+/// Half of the runners serve it and have too little left.
+fn runners_scanned_for_image(runners: usize) -> u64 {
+    let serving = |count, cores| StepSpec {
+        count,
+        long_running: true,
+        image: Some("served".into()),
+        tail_bound_ms: 20,
+        per_runner_max: 1,
+        ..step_spec(cores)
+    };
+    let behavior = TaskBehavior { long_running: true, ..TaskBehavior::default() };
+    let mut harness = LeaderHarness::new(runners, None, behavior);
+    harness.report_round();
+    harness.submit_job(JobId(1), vec![serving(runners as u32 / 2, 14)]);
+    for _ in 0..8 {
+        harness.report_round();
+        harness.advance(Duration::from_millis(300));
+    }
+    for id in 0..JOBS {
+        harness.submit_job(JobId(100 + id), vec![serving(1, 4)]);
+    }
+    let before = harness.leader.counts().runners_scanned;
+    harness.report_round();
+    harness.leader.counts().runners_scanned - before
+}
+
+/// Guards against a leader that scans all runners for each serving task in each report.
+#[test]
+fn waiting_serving_tasks_scan_no_runner_without_enough_cpu() {
+    for runners in [POOL_RUNNERS, POOL_RUNNERS * 4] {
+        let scanned = runners_scanned_for_image(runners);
+        let once_per_report = runners as u64;
+        assert!(scanned <= once_per_report, "{scanned} runners scanned in {runners} reports");
+    }
+}
