Handle what a busy leader can still answer in time

Load made time-outs and time-outs made load: requests waited in the order of arrival, so beyond the leader's capacity each was handled after its sender had given up; entries took a slow answer, or a lease that was out for a moment, for a lost leader, dropped it and looked for it; 5,083 leases expired and each expired run was work again.

- Requests wait by class (coordination/intake.rs): control and leaving runners, reports with ends, callers, other reports.
What has waited too long is answered as not run, with a spread time to return.
The messages of other replicas are handled between eight requests.
- A report that has waited 150 ms renews its lease only.
- The interval of the reports follows from the longest wait (report_rate.rs).
- A slow answer costs no leader: only its own word, a lost connection or silence.
A leader without its lease names itself, and requests wait for it.
- Answers of the leader stand for most Welcome messages: 2.5 Hello a second and entry before, 0.5 now.
- A lease that expires while this leader rejects reports is no evidence against the run.

--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -28,6 +28,7 @@
 mod place;
 pub mod policy;
 mod ready;
+mod report_rate;
 mod requests;
 mod routes;
 pub mod runner;
--- a/crates/coordination/src/jobs/due.rs
+++ b/crates/coordination/src/jobs/due.rs
@@ -40,6 +40,7 @@
             self.last_accounted = now.at;
             self.update_accounts(now);
         }
+        self.report_rate.tick(now.at, self.runners.len(), self.cfg.lease);
         self.answer_late_heartbeats(now);
         self.add_due_occurrences(now);
         if now.at.since(self.last_cleanup) >= CLEANUP_INTERVAL {
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -8,6 +8,7 @@
 };
 use super::policy::{Millis, Switch};
 use super::ready::{StepInfo, StepKey};
+use super::report_rate;
 use super::runner::{Runner, lease_expiry_bound};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -17,12 +18,6 @@
     RunnerIncarnation, Task, TaskKey,
 };
 
-/// Shortest and longest interval between reports of a runner with free capacity. Each report
-/// is a chance to start a task there, and costs the leader about 60 us.
-const REPORT_INTERVAL_MIN: Duration = Duration::from_millis(150);
-const REPORT_INTERVAL_MAX: Duration = Duration::from_millis(1_000);
-/// Interval per runner, so that all runners together report at most 250 times a second.
-const REPORT_INTERVAL_PER_RUNNER: Duration = Duration::from_millis(4);
 /// Interval for a runner without free capacity, which also reports after each run end.
 const REPORT_INTERVAL_FULL: Duration = Duration::from_millis(500);
 /// Interval for a runner that tries a suspect, to learn soon whether it survived the start.
@@ -87,6 +82,33 @@
         }
     }
 
+    /// Renews the lease of a known runner that reports no end, without looking for work for it.
+    pub(super) fn heartbeat_briefly(
+        &mut self,
+        now: Now,
+        token: RequestToken,
+        report: Box<RunnerReport>,
+    ) {
+        let known = self.incarnations.newest(&report.runner).filter(|key| {
+            let incarnation = self.state.incarnation(*key);
+            !self.incarnations.has_ended(*key)
+                && incarnation.is_some_and(|known| known.started_ms == report.started_ms)
+        });
+        let runner = known.and_then(|key| self.runners.get_mut(&key));
+        let Some(runner) = runner.filter(|runner| {
+            report.finished.is_empty()
+                && report.state == runner.state
+                && report.sequence > runner.sequence
+        }) else {
+            return self.heartbeat(now, token, report);
+        };
+        let key = runner.key;
+        runner.update(&report, now.at);
+        self.counts.heartbeats += 1;
+        self.counts.brief_heartbeats += 1;
+        self.send_orders(now, token, key);
+    }
+
     fn propose_incarnation(&mut self, token: RequestToken, report: Box<RunnerReport>) {
         let incarnation = RunnerIncarnation {
             id: report.runner.clone(),
@@ -444,6 +466,10 @@
         let has_capacity = runner.takes_tasks() && runner.free.millicores > 0;
         let retry =
             if has_capacity { report_interval } else { REPORT_INTERVAL_FULL.max(report_interval) };
+        let retry = match self.report_rate.is_slowed() {
+            true => report_rate::spread(retry, self.counts.heartbeats),
+            false => retry,
+        };
         let retry = retry.min(self.cfg.heartbeat);
         let retry = match self.trial_on(now, runner) {
             Some(_) => retry.min(REPORT_INTERVAL_TRIAL),
@@ -454,6 +480,7 @@
         runner.note_orders(start.iter().map(|order| (order.task, order.run)), now.at);
         let rates = runner.pace_orders(&self.ready);
         runner.lease_end = now.at + lease_expiry_bound(self.cfg.lease);
+        runner.expect_report(now.at, retry);
         let orders = RunnerOrders {
             lease_ms: millis(self.cfg.lease),
             token: self.term,
@@ -467,9 +494,9 @@
         self.answer(token, CellResponse::Orders(Box::new(orders)));
     }
 
-    fn report_interval(&self) -> Duration {
-        let count = u32::try_from(self.runners.len()).unwrap_or(u32::MAX);
-        (REPORT_INTERVAL_PER_RUNNER * count).clamp(REPORT_INTERVAL_MIN, REPORT_INTERVAL_MAX)
+    /// Interval between the reports of a runner with free capacity.
+    pub fn report_interval(&self) -> Duration {
+        self.report_rate.interval(self.runners.len(), self.cfg.lease)
     }
 
     /// Assigned runs that a runner has not listed and must not start any more: the runner takes
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -6,12 +6,16 @@
 use super::evacuation::ZoneProgress;
 use super::external::{ExternalCall, ExternalCallId, ExternalReply};
 use super::free_index::FreeIndex;
+use super::heartbeat::millis;
 use super::incarnations::Incarnations;
 use super::interference::Interference;
 use super::margin_forecast::MarginForecasts;
-use super::messages::{CellRequest, CellResponse, FinishedRun, RunnerReport};
+use super::messages::{
+    CellRequest, CellResponse, FinishedRun, RunnerOrders, RunnerReport, RunnerState,
+};
 use super::policy::Policy;
 use super::ready::{ReadyQueue, StepKey};
+use super::report_rate::{self, ReportRate};
 use super::routes::Routes;
 use super::runner::Runner;
 use super::starting::Starting;
@@ -24,6 +28,9 @@
 use yuccalink_state::evacuation::ZoneOrder;
 use yuccalink_state::jobs::{CellState, IncarnationKey, JobCommand, JobId, JobPhase, TaskKey};
 
+/// Mean retry delay after a request that expired while it waited.
+const EXPIRED_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Current time on the clock of the leases and on the wall clock.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Now {
@@ -128,6 +135,9 @@
     /// Name under which this process calls the platform.
     pub(super) node_name: Box<str>,
     pub(super) accounts: DelayAccounts,
+    pub(super) report_rate: ReportRate,
+    /// When a request last expired while it waited for this leader.
+    pub(super) last_expired: Option<Moment>,
     pub(super) last_ranked: Moment,
     pub(super) last_accounted: Moment,
     pub(super) last_cleanup: Moment,
@@ -179,6 +189,8 @@
             proposed_maintenance_ends: BTreeSet::new(),
             node_name: Box::default(),
             accounts: DelayAccounts::default(),
+            report_rate: ReportRate::default(),
+            last_expired: None,
             last_ranked: now.at,
             last_accounted: now.at,
             last_cleanup: now.at,
@@ -259,6 +271,41 @@
         }
     }
 
+    /// Handles a request of a leader that does not keep up. A report without news only renews
+    /// its runner's lease; any other request is handled like by [`Leader::handle_request`].
+    pub fn handle_briefly(&mut self, now: Now, token: RequestToken, request: CellRequest) {
+        match request {
+            CellRequest::Heartbeat(report) => self.heartbeat_briefly(now, token, report),
+            other => self.handle_other_request(now, token, other),
+        }
+    }
+
+    /// Response to a request that has waited too long to be handled.
+    pub fn reject(&mut self, now: Now, request: &CellRequest) -> CellResponse {
+        self.counts.expired += 1;
+        self.last_expired = Some(now.at);
+        // Spread, so that the senders do not return all at once.
+        let after_ms = report_rate::spread(EXPIRED_RETRY_AFTER, self.counts.expired);
+        let after_ms = millis(after_ms);
+        match request {
+            // A runner that leaves stops waiting once its report is acknowledged.
+            CellRequest::Heartbeat(report) if report.state == RunnerState::Ready => {
+                CellResponse::Orders(Box::new(RunnerOrders {
+                    token: self.term,
+                    retry_after_ms: after_ms,
+                    ..RunnerOrders::default()
+                }))
+            }
+            CellRequest::Submit { .. } => CellResponse::Refused { after_ms },
+            _ => CellResponse::NotServing { after_ms },
+        }
+    }
+
+    /// Records how long a request has waited before it was handled.
+    pub fn note_wait(&mut self, waited: Duration) {
+        self.report_rate.note_wait(waited);
+    }
+
     pub(super) fn answer(&mut self, token: RequestToken, answer: CellResponse) {
         self.answers.push((token, answer));
     }
--- a/crates/coordination/src/jobs/lost.rs
+++ b/crates/coordination/src/jobs/lost.rs
@@ -2,7 +2,7 @@
 //! of them.
 
 use super::leader::{Leader, Now};
-use super::runner::Runner;
+use super::runner::{Runner, lease_expiry_bound};
 use std::time::Duration;
 use yuccalink_state::jobs::{IncarnationKey, LossEvidence, RunEnd, RunOutcome, TaskKey};
 
@@ -35,6 +35,8 @@
         let runner = self.runners.get(&incarnation);
         // Runs that end because their runner drains or goes down for maintenance have not crashed.
         let leaves = runner.is_some_and(Runner::is_leaving);
+        // Nor does the silence of a runner say anything whose reports this leader rejected.
+        let excused = leaves || (why == LossReason::Lease && self.rejected_reports(now));
         for (task, run) in self.state.assigned_runs(incarnation) {
             if self.ending.contains(&(task, run)) {
                 continue;
@@ -43,7 +45,7 @@
             self.log_lost(now, incarnation, why, (task, run), evidence);
             let view = runner.and_then(|runner| runner.view(task, run));
             let checkpoint = view.map_or_else(Box::default, |view| view.checkpoint.clone());
-            let outcome = match (why, evidence.filter(|_| !leaves)) {
+            let outcome = match (why, evidence.filter(|_| !excused)) {
                 (LossReason::Left, _) | (_, None) => RunOutcome::Gone,
                 (LossReason::NextLife, Some(evidence)) => RunOutcome::Crashed(evidence),
                 (LossReason::Lease, Some(evidence)) => RunOutcome::Silent(evidence),
@@ -52,6 +54,13 @@
         }
     }
 
+    /// Whether this leader may have rejected reports that would have renewed a lease which expires
+    /// now.
+    fn rejected_reports(&self, now: Now) -> bool {
+        let lease = lease_expiry_bound(self.cfg.lease);
+        self.last_expired.is_some_and(|at| now.at.since(at) <= lease)
+    }
+
     fn log_lost(
         &self,
         now: Now,
--- a/crates/coordination/src/jobs/messages.rs
+++ b/crates/coordination/src/jobs/messages.rs
@@ -281,3 +281,16 @@
     /// A later order is in force; says which, and what to do.
     Conflict(Box<str>),
 }
+
+impl CellResponse {
+    /// Whether only a process that holds the lease of a leader sends this response.
+    ///
+    /// ```
+    /// use yuccalink_coordination::jobs::CellResponse;
+    /// assert!(CellResponse::Accepted.shows_leadership());
+    /// assert!(!CellResponse::NotLeader { leader: None }.shows_leadership());
+    /// ```
+    pub fn shows_leadership(&self) -> bool {
+        !matches!(self, Self::NotLeader { .. } | Self::NotServing { .. } | Self::Unknown)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/jobs/report_rate.rs
@@ -0,0 +1,91 @@
+//! How often runners report: as often as placement gains from it, and no more often than the
+//! leader can bear.
+
+use crate::moment::Moment;
+use std::time::Duration;
+
+/// Shortest interval between reports of a runner with free capacity. Each report is a chance to
+/// start a task there.
+const INTERVAL_MIN: Duration = Duration::from_millis(150);
+/// Longest interval while the leader keeps up.
+const INTERVAL_CALM_MAX: Duration = Duration::from_millis(1_000);
+/// Interval per runner, so that the runners of a small pool together report at most 250 times a
+/// second.
+const INTERVAL_PER_RUNNER: Duration = Duration::from_millis(4);
+/// Interval at which the factor is adjusted.
+const ADJUST_INTERVAL: Duration = Duration::from_millis(250);
+/// Wait of a request from which the leader counts as busy.
+const BUSY_WAIT: Duration = Duration::from_millis(60);
+/// Wait of all requests below which the leader counts as idle enough for more reports.
+const CALM_WAIT: Duration = Duration::from_millis(20);
+const SLOW_DOWN_FACTOR: f64 = 1.4;
+const SPEED_UP_FACTOR: f64 = 0.95;
+/// Reports that must fit into the duration of a lease, even if they are spread.
+const REPORTS_PER_LEASE: u32 = 3;
+
+/// Adjusts the interval of the reports to the longest wait of a request for the leader: it grows
+/// fast while requests wait, and shrinks slowly.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReportRate {
+    factor: f64,
+    longest_wait: Duration,
+    adjusted_at: Moment,
+}
+
+impl Default for ReportRate {
+    fn default() -> Self {
+        Self { factor: 1.0, longest_wait: Duration::ZERO, adjusted_at: Moment::ZERO }
+    }
+}
+
+impl ReportRate {
+    /// Records how long a request has waited for the leader.
+    pub(super) fn note_wait(&mut self, waited: Duration) {
+        self.longest_wait = self.longest_wait.max(waited);
+    }
+
+    /// Adjusts the interval if it is due.
+    pub(super) fn tick(&mut self, now: Moment, runners: usize, lease: Duration) {
+        if now.since(self.adjusted_at) < ADJUST_INTERVAL {
+            return;
+        }
+        self.adjusted_at = now;
+        let longest_wait = std::mem::take(&mut self.longest_wait);
+        if longest_wait > BUSY_WAIT {
+            let base = calm_interval(runners).as_secs_f64();
+            let factor_max = (interval_max(lease).as_secs_f64() / base).max(1.0);
+            self.factor = (self.factor * SLOW_DOWN_FACTOR).min(factor_max);
+        } else if longest_wait < CALM_WAIT {
+            self.factor = (self.factor * SPEED_UP_FACTOR).max(1.0);
+        }
+    }
+
+    /// Whether runners report less often than to a calm leader.
+    pub(super) fn is_slowed(&self) -> bool {
+        self.factor > 1.0
+    }
+
+    /// Interval between the reports of a runner with free capacity.
+    pub(super) fn interval(&self, runners: usize, lease: Duration) -> Duration {
+        let calm = calm_interval(runners);
+        calm.mul_f64(self.factor).min(interval_max(lease)).max(calm)
+    }
+}
+
+/// A delay between three and five quarters of `mean`, other for each number.
+pub(super) fn spread(mean: Duration, number: u64) -> Duration {
+    const STEPS: u64 = 64;
+    // Odd and near the golden section of the steps, so that close numbers get distant delays.
+    const STRIDE: u64 = 39;
+    let step = u32::try_from(number.wrapping_mul(STRIDE) % STEPS).unwrap_or(0);
+    mean * 3 / 4 + mean / 2 * step / (STEPS as u32)
+}
+
+fn calm_interval(runners: usize) -> Duration {
+    let count = u32::try_from(runners).unwrap_or(u32::MAX);
+    INTERVAL_PER_RUNNER.saturating_mul(count).clamp(INTERVAL_MIN, INTERVAL_CALM_MAX)
+}
+
+fn interval_max(lease: Duration) -> Duration {
+    lease / REPORTS_PER_LEASE
+}
--- a/crates/coordination/src/jobs/runner.rs
+++ b/crates/coordination/src/jobs/runner.rs
@@ -23,9 +23,13 @@
 /// Age after which a runner certainly drops an order: one second, plus slack for the two
 /// clocks.
 const ORDER_LIFETIME_MAX: Duration = Duration::from_millis(1_100);
-/// A runner whose last report is more recent than this is expected to report again soon.
+/// A runner whose last report is more recent than this is expected to report again soon, as is
+/// one that was asked to report later.
 const RECENT_REPORT_AGE_MAX: Duration = Duration::from_millis(1_500);
 
+/// Time by which a report may come later than asked for.
+const REPORT_SLACK: Duration = Duration::from_millis(500);
+
 /// Starts fewer tasks on runners whose runs fail or stall.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
@@ -169,6 +173,8 @@
     pub(super) terminates_at: Option<Moment>,
     pub(super) sequence: u64,
     pub(super) last_report_at: Moment,
+    /// Time by which the next report should have arrived.
+    pub(super) next_report_by: Moment,
     /// Time at which all leases that this leader granted have certainly expired.
     pub(super) lease_end: Moment,
     /// Run ends up to this number are committed.
@@ -213,6 +219,7 @@
             terminates_at: None,
             sequence: 0,
             last_report_at: now,
+            next_report_by: now,
             lease_end: now,
             acked_through: 0,
             proposed_through: 0,
@@ -311,9 +318,14 @@
         self.state == RunnerState::Draining || self.maintenance_pending
     }
 
+    /// Records that the runner was asked to report again after `retry`.
+    pub(super) fn expect_report(&mut self, now: Moment, retry: Duration) {
+        self.next_report_by = now + retry + REPORT_SLACK;
+    }
+
     /// Whether the runner reported recently, so that its next report is expected soon.
     pub(super) fn reported_recently(&self, now: Moment) -> bool {
-        now.since(self.last_report_at) < RECENT_REPORT_AGE_MAX
+        now < self.next_report_by.max(self.last_report_at + RECENT_REPORT_AGE_MAX)
     }
 
     /// A run as the runner last reported it, if it did.
--- a/crates/coordination/src/jobs/telemetry.rs
+++ b/crates/coordination/src/jobs/telemetry.rs
@@ -33,6 +33,10 @@
     pub zones_restored: u64,
     /// Heartbeats received.
     pub heartbeats: u64,
+    /// Heartbeats that only renewed a lease, because the leader did not keep up.
+    pub brief_heartbeats: u64,
+    /// Requests that expired while they waited for the leader.
+    pub expired: u64,
     /// Runners scanned other than the reporting ones. The work for one job, task or report
     /// must not grow with the size of the pool.
     pub runners_scanned: u64,
--- a/crates/coordination/tests/acknowledgement.rs
+++ b/crates/coordination/tests/acknowledgement.rs
@@ -112,3 +112,19 @@
     }
     assert_eq!(acked, 2, "the end of the short task and the expired run");
 }
+
+/// Guards against tasks that wait as suspects because a busy leader did not handle the reports.
+#[test]
+fn a_lease_that_expires_while_the_leader_rejects_reports_makes_no_suspect() {
+    for rejects in [false, true] {
+        let mut harness = completed_and_given_up();
+        if rejects {
+            let now = harness.now;
+            let report = Box::new(harness.runners[0].report(now));
+            let now = harness.leader_now();
+            harness.leader.reject(now, &CellRequest::Heartbeat(report));
+        }
+        harness.advance(SILENCE - RUN_TIME);
+        assert_eq!(harness.leader.state().losses().is_empty(), rejects);
+    }
+}
--- a/crates/daemon/src/cell.rs
+++ b/crates/daemon/src/cell.rs
@@ -12,6 +12,7 @@
 mod external;
 mod frame;
 mod http;
+mod intake;
 mod membership;
 mod metrics;
 mod native;
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -5,6 +5,10 @@
 use std::time::Duration;
 use yuccalink_coordination::jobs::Leader;
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Upper bounds of the histogram buckets.
 const BOUNDS_MS: [u64; 10] = [1, 2, 5, 10, 20, 50, 100, 250, 1_000, 2_500];
 
@@ -103,6 +107,9 @@
                 ("zones_restored", counts.zones_restored),
                 ("zones_under_evacuation", leader.state().evacuations().evacuated().count() as u64),
                 ("heartbeats", counts.heartbeats),
+                ("heartbeats_brief", counts.brief_heartbeats),
+                ("requests_expired", counts.expired),
+                ("report_interval_ms", millis(leader.report_interval())),
                 ("runners_looked_at", counts.runners_scanned),
                 ("runners", leader.runners_len() as u64),
                 ("steps_waiting", leader.waiting_len() as u64),
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -17,9 +17,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout_at};
 use yuccalink_coordination::Moment;
+use yuccalink_coordination::intake::{Intake, Next, RequestClass};
 use yuccalink_coordination::jobs::external::{ExternalCallId, ExternalReply};
 use yuccalink_coordination::jobs::policy::Policy;
 use yuccalink_coordination::jobs::{CellRequest, CellResponse, Now, RequestToken};
@@ -28,9 +29,8 @@
 
 /// Delay before a request without a reachable leader is tried again.
 const LEADER_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Time limit for one response of the leader before the request is tried again. A commit
-/// takes 15 ms, or 400 ms with a disk that is 25 times slower than usual.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Interval at which a request in flight is checked for a change of the leader.
+const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without a leader after which requests are refused at once. An election takes 1 s, and
 /// a longer outage is not likely to end soon.
 const LEADERLESS_REFUSE_AFTER: Duration = Duration::from_millis(1_500);
@@ -41,6 +41,42 @@
 /// occupies a 2 Mbit/s link for 0.13 s, during which all other messages on the link wait.
 const FORWARD_MAX_BYTES: usize = 32 * 1024;
 
+/// A request that waits for the leader in this process.
+struct WaitingRequest {
+    request: CellRequest,
+    reply_to: ReplyTo,
+}
+
+/// Where the response to a request goes.
+pub(crate) enum ReplyTo {
+    /// A task of this process.
+    Local(oneshot::Sender<CellResponse>),
+    /// Another process, which numbered its request.
+    Peer { id: u64, tx: mpsc::Sender<PeerMessage> },
+}
+
+impl ReplyTo {
+    /// Sends the response. For another process, a document above [`FORWARD_MAX_BYTES`] is
+    /// replaced by a redirect to `control`, so that the client fetches it from this process.
+    fn send(self, response: CellResponse, control: Option<SocketAddr>) {
+        // A receiver that is gone, or does not read, waits for no response any more.
+        match self {
+            Self::Local(tx) => drop(tx.send(response)),
+            Self::Peer { id, tx } => {
+                let response = match (&response, control) {
+                    (CellResponse::Document(text), Some(control))
+                        if text.len() > FORWARD_MAX_BYTES =>
+                    {
+                        CellResponse::AskLeader { control }
+                    }
+                    _ => response,
+                };
+                drop(tx.try_send(PeerMessage::Answer { id, response }));
+            }
+        }
+    }
+}
+
 /// How a request reaches the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LeaderRoute {
@@ -85,8 +121,10 @@
     pub(crate) peer_table: PeerTable,
     pub(crate) replica: Option<Replica>,
     connections: HashMap<SocketAddr, PeerConnection>,
+    /// Requests that wait for the leader in this process.
+    intake: Intake<WaitingRequest>,
     /// Requests to the leader in this process that have no response yet.
-    pending_responses: HashMap<RequestToken, oneshot::Sender<CellResponse>>,
+    pending_responses: HashMap<RequestToken, ReplyTo>,
     next_token: u64,
     /// When a leader was last known.
     leader_known_at: Moment,
@@ -102,6 +140,7 @@
 struct SharedInner {
     node: RefCell<Node>,
     disk_wake: Arc<Notify>,
+    intake_wake: Arc<Notify>,
     draining: Cell<bool>,
     failed: watch::Sender<Option<Arc<yuccalink_state::Error>>>,
 }
@@ -121,6 +160,7 @@
             peer_table,
             replica,
             connections: HashMap::new(),
+            intake: Intake::default(),
             pending_responses: HashMap::new(),
             next_token: 0,
             leader_known_at: clock.now(),
@@ -130,6 +170,7 @@
         Self(Rc::new(SharedInner {
             node: RefCell::new(node),
             disk_wake: Arc::default(),
+            intake_wake: Arc::default(),
             draining: Cell::new(false),
             failed: watch::Sender::new(None),
         }))
@@ -147,6 +188,10 @@
         self.0.disk_wake.clone()
     }
 
+    pub(crate) fn intake_wake(&self) -> Arc<Notify> {
+        self.0.intake_wake.clone()
+    }
+
     pub(crate) fn start_draining(&self) {
         self.0.draining.set(true);
     }
@@ -184,6 +229,7 @@
     pub(crate) fn tick(&self) {
         self.update_replica(Replica::tick);
         self.with(|node| node.tick(self));
+        self.0.intake_wake.notify_one();
     }
 
     pub(crate) fn handle_disk_event(&self, event: &DiskEvent) {
@@ -230,6 +276,22 @@
         });
     }
 
+    /// Handles the response of another process to a request.
+    pub(crate) fn note_response(&self, from: SocketAddr, response: &CellResponse) {
+        if response.shows_leadership() {
+            self.with(|node| node.peer_table.confirm_leader(from, node.clock.now()));
+        }
+    }
+
+    /// Whether the responses of `peer` make most `Hello` messages to it unnecessary: it leads, and
+    /// this process has no disk, whose presence a leader must hear of.
+    pub(crate) fn is_confirmed_by_responses(&self, peer: SocketAddr) -> bool {
+        self.with(|node| {
+            let leads = |leader: LeaderInfo| leader.peer == peer && leader.serving;
+            node.peer_table.me.replica.is_none() && node.peer_table.lead().is_some_and(leads)
+        })
+    }
+
     /// Handles a `Hello` of another process and returns the `Welcome` for it.
     pub(crate) fn handle_hello(&self, info: NodeInfo) -> PeerMessage {
         self.with(|node| {
@@ -244,24 +306,44 @@
         })
     }
 
-    /// Passes a request to the leader in this process; `None` if this process does not lead.
-    pub(crate) fn request_local_leader(
+    /// Queues a request for the leader in this process; `None` if this process does not lead.
+    fn request_local_leader(
         &self,
-        request: CellRequest,
+        request: &CellRequest,
     ) -> Option<oneshot::Receiver<CellResponse>> {
         self.with(|node| {
-            let now = node.now();
-            let token = RequestToken(node.next_token);
-            let leader = node.replica.as_mut()?.leader(now.at)?;
-            leader.handle_request(now, token, request);
-            node.next_token += 1;
+            if !node.is_leader() {
+                return None;
+            }
             let (tx, rx) = oneshot::channel();
-            node.pending_responses.insert(token, tx);
-            if let Some(replica) = &mut node.replica {
-                replica.propose(now);
+            let at = node.clock.now();
+            let waiting = WaitingRequest { request: request.clone(), reply_to: ReplyTo::Local(tx) };
+            node.intake.push(RequestClass::of(request), waiting, at);
+            self.0.intake_wake.notify_one();
+            Some(rx)
+        })
+    }
+
+    /// Queues a request of another process for the leader in this process, or tells it that this
+    /// process does not lead.
+    pub(crate) fn queue_request(&self, request: CellRequest, reply_to: ReplyTo) {
+        self.with(|node| {
+            if !node.is_leader() {
+                return reply_to.send(node.not_leader(), node.cfg.control);
             }
+            let at = node.clock.now();
+            let class = RequestClass::of(&request);
+            node.intake.push(class, WaitingRequest { request, reply_to }, at);
+            self.0.intake_wake.notify_one();
+        });
+    }
+
+    /// Handles up to `most` waiting requests. Returns whether there may be more to do now.
+    pub(crate) fn handle_waiting_requests(&self, most: usize) -> bool {
+        self.with(|node| {
+            let may_continue = node.handle_waiting_requests(most);
             node.flush(self);
-            Some(rx)
+            may_continue && !node.intake.is_empty()
         })
     }
 
@@ -275,7 +357,7 @@
         let deadline = Instant::now() + time_limit;
         let mut sent = false;
         while Instant::now() < deadline {
-            let attempt = match self.request_local_leader(request.clone()) {
+            let attempt = match self.request_local_leader(&request) {
                 Some(rx) => Some((None, rx)),
                 None if route == LeaderRoute::Redirect
                     && let Some(control) = self.leader_control() =>
@@ -292,15 +374,13 @@
                 continue;
             };
             sent = true;
-            let attempt_deadline = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
-            match timeout_at(attempt_deadline, rx).await {
-                Ok(Ok(CellResponse::NotLeader { .. })) => {
-                    self.clear_leader(peer, "it does not lead");
+            match self.await_response(peer, rx, deadline).await {
+                Some(CellResponse::NotLeader { leader }) => {
+                    self.correct_leader(peer, leader);
                     tokio::time::sleep(LEADER_POLL_INTERVAL).await;
                 }
-                Ok(Ok(response)) => return response,
-                Ok(Err(_)) => tokio::time::sleep(LEADER_POLL_INTERVAL).await,
-                Err(_) => self.clear_leader(peer, "no answer in time"),
+                Some(response) => return response,
+                None => tokio::time::sleep(LEADER_POLL_INTERVAL).await,
             }
         }
         match sent {
@@ -309,6 +389,30 @@
         }
     }
 
+    /// Waits for the response to an attempt. Returns `None` if none can come any more: the
+    /// connection is lost, or another process leads. A leader that is slow to respond is still
+    /// asked for nothing twice, and it is not given up: its answers to `Hello` show that it
+    /// leads.
+    async fn await_response(
+        &self,
+        peer: Option<SocketAddr>,
+        mut rx: oneshot::Receiver<CellResponse>,
+        deadline: Instant,
+    ) -> Option<CellResponse> {
+        loop {
+            let check_at = deadline.min(Instant::now() + LEADER_CHECK_INTERVAL);
+            match timeout_at(check_at, &mut rx).await {
+                Ok(response) => return response.ok(),
+                Err(_) if Instant::now() >= deadline => return None,
+                Err(_) => {}
+            }
+            let leader = self.with(|node| node.peer_table.lead().map(|leader| leader.peer));
+            if peer.is_some() && leader != peer {
+                return None;
+            }
+        }
+    }
+
     fn send_to_leader(
         &self,
         request: &CellRequest,
@@ -320,22 +424,17 @@
         })
     }
 
-    /// Prepares a response for another process. A document above [`FORWARD_MAX_BYTES`] is replaced
-    /// by a redirect, so that the client fetches it from this process.
-    pub(crate) fn redirect_if_too_large(&self, response: CellResponse) -> CellResponse {
-        let control = self.with(|node| node.cfg.control);
-        match (&response, control) {
-            (CellResponse::Document(text), Some(control)) if text.len() > FORWARD_MAX_BYTES => {
-                CellResponse::AskLeader { control }
+    /// Handles the statement of `peer` that it cannot serve as the leader, with the leader that
+    /// it knows.
+    fn correct_leader(&self, peer: Option<SocketAddr>, leader: Option<ReplicaId>) {
+        let Some(peer) = peer else { return };
+        self.with(|node| {
+            let named = leader.and_then(|id| node.address_of(id));
+            // A leader that names itself has only lost its lease for the moment.
+            if named != Some(peer) {
+                node.clear_leader(peer, "it does not lead");
             }
-            _ => response,
-        }
-    }
-
-    fn clear_leader(&self, peer: Option<SocketAddr>, why: &str) {
-        if let Some(peer) = peer {
-            self.with(|node| node.clear_leader(peer, why));
-        }
+        });
     }
 
     fn is_leaderless_too_long(&self) -> bool {
@@ -496,17 +595,84 @@
             let adapter = self.adapter.clone();
             tokio::task::spawn_local(external::perform(shared.clone(), adapter, id, call));
         }
-        if replica.leader.is_none() && !self.pending_responses.is_empty() {
-            self.pending_responses.clear();
-        }
+        let leads = replica.leader.is_some();
         for (token, response) in responses {
-            if let Some(tx) = self.pending_responses.remove(&token) {
-                let _ = tx.send(response);
+            if let Some(reply_to) = self.pending_responses.remove(&token) {
+                reply_to.send(response, self.cfg.control);
+            }
+        }
+        if !leads && !self.pending_responses.is_empty() {
+            // Whether these requests were executed is not known.
+            for (_, reply_to) in std::mem::take(&mut self.pending_responses) {
+                reply_to.send(self.not_leader(), self.cfg.control);
             }
         }
         self.send_raft_messages(outbox);
     }
 
+    fn is_leader(&self) -> bool {
+        self.replica.as_ref().is_some_and(Replica::is_leader)
+    }
+
+    /// Response of a process that cannot act as the leader, with the leader that it knows.
+    fn not_leader(&self) -> CellResponse {
+        let leader = self.replica.as_ref().and_then(|replica| replica.raft.leader());
+        CellResponse::NotLeader { leader }
+    }
+
+    /// Returns false if the remaining requests must wait, for example for the lease.
+    fn handle_waiting_requests(&mut self, most: usize) -> bool {
+        let now = self.now();
+        if !self.is_leader() {
+            while let Some(
+                Next::Handle(waiting, _) | Next::Brief(waiting, _) | Next::Expired(waiting),
+            ) = self.intake.pop(now.at)
+            {
+                waiting.reply_to.send(self.not_leader(), self.cfg.control);
+            }
+            return false;
+        }
+        for _ in 0..most {
+            let Some(leader) = self.replica.as_mut().and_then(|replica| replica.leader(now.at))
+            else {
+                self.reject_expired(now.at);
+                return false;
+            };
+            let token = RequestToken(self.next_token);
+            match self.intake.pop(now.at) {
+                None => break,
+                Some(Next::Expired(waiting)) => {
+                    let response = leader.reject(now, &waiting.request);
+                    waiting.reply_to.send(response, self.cfg.control);
+                    continue;
+                }
+                Some(Next::Handle(waiting, waited)) => {
+                    leader.note_wait(waited);
+                    leader.handle_request(now, token, waiting.request);
+                    self.pending_responses.insert(token, waiting.reply_to);
+                }
+                Some(Next::Brief(waiting, waited)) => {
+                    leader.note_wait(waited);
+                    leader.handle_briefly(now, token, waiting.request);
+                    self.pending_responses.insert(token, waiting.reply_to);
+                }
+            }
+            self.next_token += 1;
+        }
+        if let Some(replica) = &mut self.replica {
+            replica.propose(now);
+        }
+        true
+    }
+
+    /// Rejects the requests that have waited too long for a leader without its lease.
+    fn reject_expired(&mut self, now: Moment) {
+        while let Some(waiting) = self.intake.pop_expired(now) {
+            let response = CellResponse::NotServing { after_ms: LEADERLESS_RETRY_AFTER_MS };
+            waiting.reply_to.send(response, self.cfg.control);
+        }
+    }
+
     fn send_raft_messages(&mut self, outbox: Vec<Envelope>) {
         let mut by_peer: BTreeMap<SocketAddr, Vec<Envelope>> = BTreeMap::new();
         for envelope in outbox {
--- a/crates/daemon/src/cell/peer_connection.rs
+++ b/crates/daemon/src/cell/peer_connection.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 use yuccalink_coordination::jobs::{CellRequest, CellResponse};
+use yuccalink_coordination::peer_table::CONFIRMED_HELLO_INTERVAL;
 
 /// Interval between `Hello` messages, short enough to detect a lost leader within 2 s.
 const HELLO_INTERVAL: Duration = Duration::from_millis(400);
@@ -129,7 +130,7 @@
     let last_received = Rc::new(std::cell::Cell::new(Instant::now()));
     tokio::select! {
         result = read(node, to, from, pending_responses, &last_received) => result,
-        result = write(node, into, rx, &last_received) => result,
+        result = write(node, to, into, rx, &last_received) => result,
     }
 }
 
@@ -146,6 +147,7 @@
         last_received.set(Instant::now());
         match message {
             PeerMessage::Answer { id, response } => {
+                node.note_response(to, &response);
                 if let Some(tx) = pending_responses.borrow_mut().remove(&id) {
                     let _ = tx.send(response);
                 }
@@ -160,6 +162,7 @@
 
 async fn write(
     node: &SharedNode,
+    to: SocketAddr,
     mut into: OwnedWriteHalf,
     rx: &mut mpsc::Receiver<PeerMessage>,
     last_received: &std::cell::Cell<Instant>,
@@ -167,6 +170,7 @@
     let mut hello_interval = tokio::time::interval(HELLO_INTERVAL);
     hello_interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buf = Vec::new();
+    let mut hello_at: Option<Instant> = None;
     loop {
         tokio::select! {
             message = rx.recv() => match message {
@@ -174,9 +178,15 @@
                 None => return Ok(()),
             },
             _ = hello_interval.tick() => {
-                if last_received.get().elapsed() > SILENCE_TIMEOUT {
+                let silence = last_received.get().elapsed();
+                if silence > SILENCE_TIMEOUT {
                     return Err(timed_out("it is silent"));
                 }
+                let recent = hello_at.is_some_and(|at| at.elapsed() < CONFIRMED_HELLO_INTERVAL);
+                if recent && silence < HELLO_INTERVAL && node.is_confirmed_by_responses(to) {
+                    continue;
+                }
+                hello_at = Some(Instant::now());
                 frame::encode(&PeerMessage::Hello(node.info()), &mut buf);
             }
         }
--- a/crates/daemon/src/cell/peers.rs
+++ b/crates/daemon/src/cell/peers.rs
@@ -1,7 +1,7 @@
 //! Server for the other processes of the cell.
 
 use crate::cell::frame::{self, FrameReader, PeerMessage};
-use crate::cell::node::SharedNode;
+use crate::cell::node::{ReplyTo, SharedNode};
 use std::io;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -9,7 +9,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
-use yuccalink_coordination::jobs::{CellRequest, CellResponse};
 
 /// Time without a received message after which a connection is closed. The peer sends a
 /// `Hello` every 400 ms.
@@ -70,29 +69,13 @@
             }
             PeerMessage::Raft(envelopes) => node.handle_raft_messages(envelopes),
             PeerMessage::Ask { id, request } => {
-                tokio::task::spawn_local(handle_request(node.clone(), id, request, tx.clone()));
+                node.queue_request(request, ReplyTo::Peer { id, tx: tx.clone() });
             }
             PeerMessage::Welcome { .. } | PeerMessage::Answer { .. } => {}
         }
     }
 }
 
-async fn handle_request(
-    node: SharedNode,
-    id: u64,
-    request: CellRequest,
-    tx: mpsc::Sender<PeerMessage>,
-) {
-    let response = match node.request_local_leader(request) {
-        // The sender is dropped without a response when this process stops leading.
-        Some(rx) => {
-            node.redirect_if_too_large(rx.await.unwrap_or(CellResponse::NotLeader { leader: None }))
-        }
-        None => CellResponse::NotLeader { leader: None },
-    };
-    let _ = tx.send(PeerMessage::Answer { id, response }).await;
-}
-
 async fn write(mut into: OwnedWriteHalf, mut rx: mpsc::Receiver<PeerMessage>) -> io::Result<()> {
     let mut buf = Vec::new();
     while let Some(message) = rx.recv().await {
--- a/crates/daemon/src/cell/run.rs
+++ b/crates/daemon/src/cell/run.rs
@@ -7,7 +7,7 @@
 use crate::cell::node::SharedNode;
 use crate::cell::policy;
 use crate::cell::replica::Replica;
-use crate::cell::{disk, membership, peers};
+use crate::cell::{disk, intake, membership, peers};
 use crate::clock::BootClock;
 use crate::error::{Error, Result};
 use crate::journal::Journal;
@@ -28,6 +28,9 @@
 use yuccalink_coordination::raft::ReplicaId;
 use yuccalink_state::jobs::CellState;
 
+/// Tasks that run between two looks at the sockets. With more, the messages of other replicas
+/// would wait behind the requests of a busy leader.
+const IO_POLL_INTERVAL_TASKS: u32 = 16;
 /// Interval between clock ticks of a replica: a quarter of the Raft heartbeat interval.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval at which the seeds are read again; they may change without a signal.
@@ -51,6 +54,7 @@
 ) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
+        .event_interval(IO_POLL_INTERVAL_TASKS)
         .build()
         .map_err(Error::Thread)?;
     LocalSet::new().block_on(&runtime, serve(config, adapter, seed_source))
@@ -75,6 +79,7 @@
     if let Some(journal) = journal {
         tokio::task::spawn_local(disk::run(node.clone(), journal));
         tokio::task::spawn_local(run_ticks(node.clone()));
+        tokio::task::spawn_local(intake::run(node.clone()));
     }
     tokio::task::spawn_local(membership::run(node.clone()));
     log::info!(
