Split node, heartbeat and the emulated cell by what they do

node.rs keeps the state of a process, requests.rs the way of a request to the leader; heartbeat.rs handles a report, orders.rs answers it, leaving.rs stops runs.

--- /dev/null
+++ b/crates/coordination/src/jobs/orders.rs
@@ -0,0 +1,133 @@
+//! Orders to a runner, in the response to its report.
+
+use super::heartbeat::millis;
+use super::leader::{Leader, Now, RequestToken};
+use super::messages::{CellResponse, RunnerOrders, StartOrder};
+use super::ready::StepKey;
+use super::report_rate;
+use super::runner::{Runner, lease_expiry_bound};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use yuccalink_state::jobs::{IncarnationKey, TaskKey};
+
+/// Interval for a runner without free capacity, which also reports after each run end.
+const REPORT_INTERVAL_FULL: Duration = Duration::from_millis(500);
+/// Interval for a runner that tries a suspect, to learn soon whether it survived the start.
+const REPORT_INTERVAL_TRIAL: Duration = Duration::from_millis(150);
+impl Leader {
+    /// Answers a heartbeat with orders from the committed state.
+    pub(super) fn send_orders(&mut self, now: Now, token: RequestToken, key: IncarnationKey) {
+        let report_interval = self.report_interval();
+        let Some(runner) = self.runners.get(&key) else {
+            let answer = self.empty_orders();
+            return self.answer(token, answer);
+        };
+        let withheld = self.runs_to_withhold(now, runner);
+        let start = self.start_orders(now, runner, &withheld);
+        for order in &start {
+            log::info!(
+                "start task={} run={} runner={} rack={} resumes={} report={}",
+                order.task,
+                order.run,
+                runner.id,
+                runner.rack,
+                !order.checkpoint.is_empty(),
+                runner.sequence
+            );
+        }
+        let stop = self.stop_orders(runner);
+        let acked_through = runner.acked_through;
+        let has_capacity = runner.takes_tasks() && runner.free.millicores > 0;
+        let retry =
+            if has_capacity { report_interval } else { REPORT_INTERVAL_FULL.max(report_interval) };
+        let retry = match self.report_rate.is_slowed() {
+            true => report_rate::spread(retry, self.counts.heartbeats),
+            false => retry,
+        };
+        let retry = retry.min(self.cfg.heartbeat);
+        let retry = match self.trial_on(now, runner) {
+            Some(_) => retry.min(REPORT_INTERVAL_TRIAL),
+            None => retry,
+        };
+        let Some(runner) = self.runners.get_mut(&key) else { return };
+        runner.withhold(withheld, now.at);
+        runner.note_orders(start.iter().map(|order| (order.task, order.run)), now.at);
+        let rates = runner.pace_orders(&self.ready);
+        runner.lease_end = now.at + lease_expiry_bound(self.cfg.lease);
+        runner.expect_report(now.at, retry);
+        let orders = RunnerOrders {
+            lease_ms: millis(self.cfg.lease),
+            token: self.term,
+            acked_through,
+            start,
+            stop,
+            rates,
+            retry_after_ms: millis(retry),
+            report_to: None,
+        };
+        self.answer(token, CellResponse::Orders(Box::new(orders)));
+    }
+
+    /// Interval between the reports of a runner with free capacity.
+    pub fn report_interval(&self) -> Duration {
+        self.report_rate.interval(self.runners.len(), self.cfg.lease)
+    }
+
+    /// Assigned runs that a runner has not listed and must not start any more: the runner takes
+    /// no tasks or has no capacity for them, or their gang never gets together.
+    fn runs_to_withhold(&self, now: Now, runner: &Runner) -> BTreeSet<(TaskKey, u32)> {
+        let runs = self.state.assigned_runs(runner.key);
+        let unlisted = runs.filter(|(task, run)| runner.view(*task, *run).is_none());
+        if !runner.takes_tasks() {
+            return unlisted.collect();
+        }
+        let mut withheld = self.runs_over_capacity(now, runner);
+        withheld.extend(unlisted.filter(|(task, run)| self.has_lost_gang_member(*task, *run)));
+        withheld
+    }
+
+    /// Orders for runs that are assigned to the runner and that it does not list. If a
+    /// response was lost, the order is sent again with the same run number; a runner that has
+    /// ended that run refuses it.
+    fn start_orders(
+        &self,
+        now: Now,
+        runner: &Runner,
+        withheld: &BTreeSet<(TaskKey, u32)>,
+    ) -> Vec<StartOrder> {
+        let mut orders = Vec::new();
+        for (task, run) in self.state.assigned_runs(runner.key) {
+            if withheld.contains(&(task, run)) {
+                continue;
+            }
+            let listed = runner.view(task, run).is_some();
+            if listed || self.ending.contains(&(task, run)) || !self.is_wanted(task) {
+                continue;
+            }
+            let step_key = StepKey::of(task);
+            let ticket = self.advice.ticket(step_key, runner.key, now.at).map(Box::from);
+            if ticket.is_none() && self.needs_ticket(step_key) {
+                continue;
+            }
+            let (Some(job), Some(state)) = (self.state.job(task.job), self.state.task(task)) else {
+                continue;
+            };
+            let payload = job.spec.payload.as_ref().into();
+            let checkpoint = state.checkpoint.clone();
+            orders.push(StartOrder { task, run, payload, checkpoint, ticket });
+        }
+        orders
+    }
+
+    fn stop_orders(&self, runner: &Runner) -> Vec<(TaskKey, u32)> {
+        let unwanted = |task: TaskKey, run: u32, stopping: bool| {
+            stopping
+                || !self.state.is_assigned(runner.key, task, run)
+                || !self.is_wanted(task)
+                || self.has_lost_gang_member(task, run)
+        };
+        let running = runner.running.iter();
+        let stop = running.filter(|(task, view)| unwanted(**task, view.run, view.stopping));
+        stop.map(|(task, view)| (*task, view.run)).collect()
+    }
+}
--- a/crates/coordination/src/jobs/policy.rs
+++ b/crates/coordination/src/jobs/policy.rs
@@ -10,8 +10,8 @@
 pub use super::copies::CopiesPolicy;
 pub use super::evacuation::EvacuationPolicy;
 pub use super::gangs::GangsPolicy;
-pub use super::heartbeat::LeavingPolicy;
 pub use super::interference::InterferencePolicy;
+pub use super::leaving::LeavingPolicy;
 pub use super::margin_forecast::ForecastPolicy;
 pub use super::pace::{MovingPolicy, PacingPolicy, StandstillPolicy};
 pub use super::ready::{OrderBy, OrderPolicy};
--- a/crates/daemon/src/cell.rs
+++ b/crates/daemon/src/cell.rs
@@ -21,6 +21,7 @@
 mod peers;
 pub mod policy;
 mod replica;
+mod requests;
 mod run;
 
 pub use adapter::{ApiAdapter, ApiRequest, ApiResponse, ExternalRequest, SeedSource};
--- a/crates/daemon/src/cell/http.rs
+++ b/crates/daemon/src/cell/http.rs
@@ -3,7 +3,8 @@
 use crate::cell::adapter::{ApiAdapter, ApiRequest, ApiResponse};
 use crate::cell::connections::{Admission, ConnectionLimiter, ConnectionPermit};
 use crate::cell::native;
-use crate::cell::node::{LeaderRoute, SharedNode};
+use crate::cell::node::SharedNode;
+use crate::cell::requests::LeaderRoute;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming as Body;
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -8,6 +8,7 @@
 use crate::cell::peer_connection::PeerConnection;
 use crate::cell::policy;
 use crate::cell::replica::Replica;
+use crate::cell::requests::{ReplyTo, WaitingRequest};
 use crate::clock::{BootClock, unix_ms};
 use crate::journal::DiskEvent;
 use serde::Serialize;
@@ -16,86 +17,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::{Notify, watch};
 use yuccalink_coordination::Moment;
-use yuccalink_coordination::intake::{Intake, Next, RequestClass};
+use yuccalink_coordination::intake::Intake;
 use yuccalink_coordination::jobs::external::{ExternalCallId, ExternalReply};
 use yuccalink_coordination::jobs::policy::Policy;
-use yuccalink_coordination::jobs::{CellRequest, CellResponse, Now, RequestToken};
+use yuccalink_coordination::jobs::{CellResponse, Now, RequestToken};
 use yuccalink_coordination::peer_table::{LeaderInfo, NodeInfo, PeerTable};
 use yuccalink_coordination::raft::{Envelope, ReplicaId};
 
-/// Delay before a request without a reachable leader is tried again.
-const LEADER_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Interval at which a request in flight is checked for a change of the leader.
-const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Time without a leader after which requests are refused at once. An election takes 1 s, and
-/// a longer outage is not likely to end soon.
-const LEADERLESS_REFUSE_AFTER: Duration = Duration::from_millis(1_500);
-/// Retry delay sent to clients while no leader is known.
-const LEADERLESS_RETRY_AFTER_MS: u64 = 2_000;
-
-/// Largest operator request or response that is forwarded between an entry and the leader. It
-/// occupies a 2 Mbit/s link for 0.13 s, during which all other messages on the link wait.
-const FORWARD_MAX_BYTES: usize = 32 * 1024;
-
-/// A request that waits for the leader in this process.
-struct WaitingRequest {
-    request: CellRequest,
-    reply_to: ReplyTo,
-}
-
-/// Where the response to a request goes.
-pub(crate) enum ReplyTo {
-    /// A task of this process.
-    Local(oneshot::Sender<CellResponse>),
-    /// Another process, which numbered its request.
-    Peer { id: u64, tx: mpsc::Sender<PeerMessage> },
-}
-
-impl ReplyTo {
-    /// Sends the response. For another process, a document above [`FORWARD_MAX_BYTES`] is
-    /// replaced by a redirect to `control`, so that the client fetches it from this process.
-    fn send(self, response: CellResponse, control: Option<SocketAddr>) {
-        // A receiver that is gone, or does not read, waits for no response any more.
-        match self {
-            Self::Local(tx) => drop(tx.send(response)),
-            Self::Peer { id, tx } => {
-                let response = match (&response, control) {
-                    (CellResponse::Document(text), Some(control))
-                        if text.len() > FORWARD_MAX_BYTES =>
-                    {
-                        CellResponse::AskLeader { control }
-                    }
-                    _ => response,
-                };
-                drop(tx.try_send(PeerMessage::Answer { id, response }));
-            }
-        }
-    }
-}
-
-/// How a request reaches the leader.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum LeaderRoute {
-    /// This process forwards the request to the leader.
-    Forward,
-    /// The client is redirected to the leader, if the leader's address is known.
-    Redirect,
-}
-
-impl LeaderRoute {
-    /// Chooses the route of a request with a body of `size` bytes.
-    pub(crate) fn for_body_size(size: usize) -> Self {
-        match size <= FORWARD_MAX_BYTES {
-            true => Self::Forward,
-            false => Self::Redirect,
-        }
-    }
-}
-
 /// Status of one process of a cell, for operators.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -117,17 +47,17 @@
 
 pub(crate) struct Node {
     pub(crate) cfg: CellConfig,
-    clock: BootClock,
+    pub(super) clock: BootClock,
     pub(crate) peer_table: PeerTable,
     pub(crate) replica: Option<Replica>,
-    connections: HashMap<SocketAddr, PeerConnection>,
+    pub(super) connections: HashMap<SocketAddr, PeerConnection>,
     /// Requests that wait for the leader in this process.
-    intake: Intake<WaitingRequest>,
+    pub(super) intake: Intake<WaitingRequest>,
     /// Requests to the leader in this process that have no response yet.
-    pending_responses: HashMap<RequestToken, ReplyTo>,
-    next_token: u64,
+    pub(super) pending_responses: HashMap<RequestToken, ReplyTo>,
+    pub(super) next_token: u64,
     /// When a leader was last known.
-    leader_known_at: Moment,
+    pub(super) leader_known_at: Moment,
     pub(crate) metrics: Metrics,
     adapter: Rc<dyn ApiAdapter>,
 }
@@ -135,12 +65,12 @@
 /// Shared handle of the node's state. Only one thread uses it, and no borrow is held across an
 /// await.
 #[derive(Clone)]
-pub(crate) struct SharedNode(Rc<SharedInner>);
+pub(crate) struct SharedNode(pub(super) Rc<SharedInner>);
 
-struct SharedInner {
+pub(super) struct SharedInner {
     node: RefCell<Node>,
     disk_wake: Arc<Notify>,
-    intake_wake: Arc<Notify>,
+    pub(super) intake_wake: Arc<Notify>,
     draining: Cell<bool>,
     failed: watch::Sender<Option<Arc<yuccalink_state::Error>>>,
 }
@@ -306,141 +236,6 @@
         })
     }
 
-    /// Queues a request for the leader in this process; `None` if this process does not lead.
-    fn request_local_leader(
-        &self,
-        request: &CellRequest,
-    ) -> Option<oneshot::Receiver<CellResponse>> {
-        self.with(|node| {
-            if !node.is_leader() {
-                return None;
-            }
-            let (tx, rx) = oneshot::channel();
-            let at = node.clock.now();
-            let waiting = WaitingRequest { request: request.clone(), reply_to: ReplyTo::Local(tx) };
-            node.intake.push(RequestClass::of(request), waiting, at);
-            self.0.intake_wake.notify_one();
-            Some(rx)
-        })
-    }
-
-    /// Queues a request of another process for the leader in this process, or tells it that this
-    /// process does not lead.
-    pub(crate) fn queue_request(&self, request: CellRequest, reply_to: ReplyTo) {
-        self.with(|node| {
-            if !node.is_leader() {
-                return reply_to.send(node.not_leader(), node.cfg.control);
-            }
-            let at = node.clock.now();
-            let class = RequestClass::of(&request);
-            node.intake.push(class, WaitingRequest { request, reply_to }, at);
-            self.0.intake_wake.notify_one();
-        });
-    }
-
-    /// Handles up to `most` waiting requests. Returns whether there may be more to do now.
-    pub(crate) fn handle_waiting_requests(&self, most: usize) -> bool {
-        self.with(|node| {
-            let may_continue = node.handle_waiting_requests(most);
-            node.flush(self);
-            may_continue && !node.intake.is_empty()
-        })
-    }
-
-    /// Sends a request to the current leader and retries until `time_limit` has passed.
-    pub(crate) async fn request_leader(
-        &self,
-        request: CellRequest,
-        route: LeaderRoute,
-        time_limit: Duration,
-    ) -> CellResponse {
-        let deadline = Instant::now() + time_limit;
-        let mut sent = false;
-        while Instant::now() < deadline {
-            let attempt = match self.request_local_leader(&request) {
-                Some(rx) => Some((None, rx)),
-                None if route == LeaderRoute::Redirect
-                    && let Some(control) = self.leader_control() =>
-                {
-                    return CellResponse::AskLeader { control };
-                }
-                None => self.send_to_leader(&request),
-            };
-            let Some((peer, rx)) = attempt else {
-                if !sent && self.is_leaderless_too_long() {
-                    break;
-                }
-                tokio::time::sleep(LEADER_POLL_INTERVAL).await;
-                continue;
-            };
-            sent = true;
-            match self.await_response(peer, rx, deadline).await {
-                Some(CellResponse::NotLeader { leader }) => {
-                    self.correct_leader(peer, leader);
-                    tokio::time::sleep(LEADER_POLL_INTERVAL).await;
-                }
-                Some(response) => return response,
-                None => tokio::time::sleep(LEADER_POLL_INTERVAL).await,
-            }
-        }
-        match sent {
-            true => CellResponse::Unknown,
-            false => CellResponse::NotServing { after_ms: LEADERLESS_RETRY_AFTER_MS },
-        }
-    }
-
-    /// Waits for the response to an attempt. Returns `None` if none can come any more: the
-    /// connection is lost, or another process leads. A leader that is slow to respond is still
-    /// asked for nothing twice, and it is not given up: its answers to `Hello` show that it
-    /// leads.
-    async fn await_response(
-        &self,
-        peer: Option<SocketAddr>,
-        mut rx: oneshot::Receiver<CellResponse>,
-        deadline: Instant,
-    ) -> Option<CellResponse> {
-        loop {
-            let check_at = deadline.min(Instant::now() + LEADER_CHECK_INTERVAL);
-            match timeout_at(check_at, &mut rx).await {
-                Ok(response) => return response.ok(),
-                Err(_) if Instant::now() >= deadline => return None,
-                Err(_) => {}
-            }
-            let leader = self.with(|node| node.peer_table.lead().map(|leader| leader.peer));
-            if peer.is_some() && leader != peer {
-                return None;
-            }
-        }
-    }
-
-    fn send_to_leader(
-        &self,
-        request: &CellRequest,
-    ) -> Option<(Option<SocketAddr>, oneshot::Receiver<CellResponse>)> {
-        self.with(|node| {
-            let leader = node.peer_table.lead()?;
-            let connection = node.connections.get_mut(&leader.peer)?;
-            Some((Some(leader.peer), connection.request(request.clone())))
-        })
-    }
-
-    /// Handles the statement of `peer` that it cannot serve as the leader, with the leader that
-    /// it knows.
-    fn correct_leader(&self, peer: Option<SocketAddr>, leader: Option<ReplicaId>) {
-        let Some(peer) = peer else { return };
-        self.with(|node| {
-            let named = leader.and_then(|id| node.address_of(id));
-            // A leader that names itself has only lost its lease for the moment.
-            if named != Some(peer) {
-                node.clear_leader(peer, "it does not lead");
-            }
-        });
-    }
-
-    fn is_leaderless_too_long(&self) -> bool {
-        self.with(|node| node.clock.now().since(node.leader_known_at) > LEADERLESS_REFUSE_AFTER)
-    }
-
     /// Returns whether this process can serve callers now.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining() && self.with(|node| node.is_serving())
@@ -546,7 +341,7 @@
         }
     }
 
-    fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
+    pub(super) fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
         let reported = self.peer_table.address_of(id);
         let members = self.replica.as_ref().map(|replica| replica.raft.members());
         let listed = || members?.get(id)?.address.parse().ok();
@@ -578,7 +373,7 @@
     }
 
     /// Sends the replica's messages and the leader's responses, and starts its external calls.
-    fn flush(&mut self, shared: &SharedNode) {
+    pub(super) fn flush(&mut self, shared: &SharedNode) {
         let now = self.clock.now();
         let Some(replica) = &mut self.replica else { return };
         if replica.has_disk_task() {
@@ -610,69 +405,6 @@
         self.send_raft_messages(outbox);
     }
 
-    fn is_leader(&self) -> bool {
-        self.replica.as_ref().is_some_and(Replica::is_leader)
-    }
-
-    /// Response of a process that cannot act as the leader, with the leader that it knows.
-    fn not_leader(&self) -> CellResponse {
-        let leader = self.replica.as_ref().and_then(|replica| replica.raft.leader());
-        CellResponse::NotLeader { leader }
-    }
-
-    /// Returns false if the remaining requests must wait, for example for the lease.
-    fn handle_waiting_requests(&mut self, most: usize) -> bool {
-        let now = self.now();
-        if !self.is_leader() {
-            while let Some(
-                Next::Handle(waiting, _) | Next::Brief(waiting, _) | Next::Expired(waiting),
-            ) = self.intake.pop(now.at)
-            {
-                waiting.reply_to.send(self.not_leader(), self.cfg.control);
-            }
-            return false;
-        }
-        for _ in 0..most {
-            let Some(leader) = self.replica.as_mut().and_then(|replica| replica.leader(now.at))
-            else {
-                self.reject_expired(now.at);
-                return false;
-            };
-            let token = RequestToken(self.next_token);
-            match self.intake.pop(now.at) {
-                None => break,
-                Some(Next::Expired(waiting)) => {
-                    let response = leader.reject(now, &waiting.request);
-                    waiting.reply_to.send(response, self.cfg.control);
-                    continue;
-                }
-                Some(Next::Handle(waiting, waited)) => {
-                    leader.note_wait(waited);
-                    leader.handle_request(now, token, waiting.request);
-                    self.pending_responses.insert(token, waiting.reply_to);
-                }
-                Some(Next::Brief(waiting, waited)) => {
-                    leader.note_wait(waited);
-                    leader.handle_briefly(now, token, waiting.request);
-                    self.pending_responses.insert(token, waiting.reply_to);
-                }
-            }
-            self.next_token += 1;
-        }
-        if let Some(replica) = &mut self.replica {
-            replica.propose(now);
-        }
-        true
-    }
-
-    /// Rejects the requests that have waited too long for a leader without its lease.
-    fn reject_expired(&mut self, now: Moment) {
-        while let Some(waiting) = self.intake.pop_expired(now) {
-            let response = CellResponse::NotServing { after_ms: LEADERLESS_RETRY_AFTER_MS };
-            waiting.reply_to.send(response, self.cfg.control);
-        }
-    }
-
     fn send_raft_messages(&mut self, outbox: Vec<Envelope>) {
         let mut by_peer: BTreeMap<SocketAddr, Vec<Envelope>> = BTreeMap::new();
         for envelope in outbox {
--- a/crates/daemon/src/cell/peers.rs
+++ b/crates/daemon/src/cell/peers.rs
@@ -1,7 +1,8 @@
 //! Server for the other processes of the cell.
 
 use crate::cell::frame::{self, FrameReader, PeerMessage};
-use crate::cell::node::{ReplyTo, SharedNode};
+use crate::cell::node::SharedNode;
+use crate::cell::requests::ReplyTo;
 use std::io;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
--- a/crates/fakes/src/cell.rs
+++ b/crates/fakes/src/cell.rs
@@ -6,6 +6,7 @@
 //! one message that the leader has to handle), connections that fill up, and the entries' own
 //! processors.
 
+mod disturb;
 mod leader_process;
 mod load;
 mod report;
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -1,9 +1,9 @@
 //! The event loop of an emulated cell: runners, entries and the network around the leader.
 
+use super::CellSpec;
 use super::leader_process::{Input, LeaderProcess, Origin, Output};
 use super::load::{self, CAPACITY};
 use super::report::{CellReport, SecondReport};
-use super::{CellSpec, Disturbance};
 use crate::emulator::{EmulatedRunner, RunnerEvent};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -39,7 +39,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+pub(super) enum Event {
     LeaderFree,
     LeaderTick,
     Heartbeat,
@@ -59,16 +59,16 @@
     DisturbanceEnds(usize),
 }
 
-struct Entry {
+pub(super) struct Entry {
     table: PeerTable,
     links: BTreeSet<SocketAddr>,
-    cut: bool,
+    pub(super) cut: bool,
     hello_at: Option<Moment>,
     heard_at: Moment,
 }
 
-struct Slot {
-    runner: Option<EmulatedRunner>,
+pub(super) struct Slot {
+    pub(super) runner: Option<EmulatedRunner>,
     entry: usize,
     /// Number of the newest report; answers to earlier ones are ignored.
     attempt: u64,
@@ -84,16 +84,16 @@
 
 /// A cell in virtual time.
 pub struct EmulatedCell {
-    spec: CellSpec,
+    pub(super) spec: CellSpec,
     now: Moment,
     rng: Pcg64Mcg,
     events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
     next_event: u64,
-    leader: LeaderProcess,
+    pub(super) leader: LeaderProcess,
     leader_busy: bool,
-    entries: Vec<Entry>,
-    slots: Vec<Slot>,
-    running_on: BTreeMap<TaskKey, usize>,
+    pub(super) entries: Vec<Entry>,
+    pub(super) slots: Vec<Slot>,
+    pub(super) running_on: BTreeMap<TaskKey, usize>,
     /// Short tasks with an acknowledged end.
     completed: BTreeSet<TaskKey>,
     second: SecondReport,
@@ -194,7 +194,7 @@
         self.events.push(Reverse((at, self.next_event, event)));
     }
 
-    fn after(&mut self, delay: Duration, event: Event) {
+    pub(super) fn after(&mut self, delay: Duration, event: Event) {
         self.at(self.now + delay, event);
     }
 
@@ -268,7 +268,7 @@
 
     // ---- leader ----
 
-    fn leader_receives(&mut self, input: Input) {
+    pub(super) fn leader_receives(&mut self, input: Input) {
         self.leader.receive(input);
         self.run_leader();
     }
@@ -477,47 +477,4 @@
         }
         ended_any
     }
-
-    // ---- load and disturbances ----
-
-    fn submit(&mut self, long_running: bool, number: u64) {
-        let (long, batch) = (self.spec.long_running, self.spec.batch);
-        let (request, gap) = match long_running {
-            true => (load::long_running_job(&long, number), long.gap),
-            false => {
-                let gap = Duration::from_secs_f64(1.0 / batch.jobs_per_s);
-                (load::batch_job(&batch, number), gap)
-            }
-        };
-        let from = Origin::Caller { request: number };
-        self.leader_receives(Input::Request { from, request });
-        if !long_running || number + 1 < long.jobs {
-            self.after(gap, Event::Submit(long_running, number + 1));
-        }
-    }
-
-    fn disturb(&mut self, at: usize, starts: bool) {
-        let (_, _, disturbance) = self.spec.disturbances[at];
-        match disturbance {
-            Disturbance::EntriesCut(part) => {
-                let disks = self.spec.disks;
-                let count = (self.entries.len() as f64 * part) as usize;
-                self.entries.iter_mut().skip(disks).take(count).for_each(|e| e.cut = starts);
-            }
-            Disturbance::RunnersLost(part) if starts => {
-                let count = (self.slots.len() as f64 * part) as usize;
-                for slot in self.slots.iter_mut().take(count) {
-                    if let Some(runner) = slot.runner.take() {
-                        for task in runner.running() {
-                            self.running_on.remove(&task);
-                        }
-                    }
-                }
-            }
-            Disturbance::RunnersLost(_) => {}
-            Disturbance::DearMessages(factor) => {
-                self.leader.cost_factor = if starts { factor } else { 1.0 };
-            }
-        }
-    }
 }
