Handle requests for as long as reading them took

With 15 ms at once, messages waited unread in the sockets while the queue that knows their age was empty.

--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -56,6 +56,8 @@
     /// Requests to the leader in this process that have no response yet.
     pub(super) pending_responses: HashMap<RequestToken, ReplyTo>,
     pub(super) next_token: u64,
+    /// When this process last stopped handling waiting requests as the leader.
+    pub(super) requests_handled_at: Moment,
     /// Reports of runners that the leader did not answer in time.
     pub(super) unanswered_reports: u64,
     /// When a leader was last known.
@@ -95,6 +97,7 @@
             intake: Intake::default(),
             pending_responses: HashMap::new(),
             next_token: 0,
+            requests_handled_at: Moment::ZERO,
             unanswered_reports: 0,
             leader_known_at: clock.now(),
             metrics: Metrics::default(),
--- a/crates/daemon/src/cell/requests.rs
+++ b/crates/daemon/src/cell/requests.rs
@@ -16,6 +16,11 @@
 
 /// Delay before a request without a reachable leader is tried again.
 const LEADER_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Shortest and longest time for which requests are handled before other tasks run. In between it
+/// is as long as the other tasks have taken: if they got more, a busy leader would read requests
+/// that it never handles; if they got less, requests would wait unread, and nothing would show it.
+const BATCH_TIME_MIN: Duration = Duration::from_millis(1);
+const BATCH_TIME_MAX: Duration = Duration::from_millis(15);
 /// Interval at which a request in flight is checked for a change of the leader.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without a leader after which requests are refused at once. An election takes 1 s, and
@@ -127,10 +132,10 @@
         });
     }
 
-    /// Handles waiting requests for up to `span`. Returns whether there may be more to do now.
-    pub(crate) fn handle_waiting_requests(&self, span: Duration) -> bool {
+    /// Handles waiting requests for a while. Returns whether there may be more to do now.
+    pub(crate) fn handle_waiting_requests(&self) -> bool {
         self.with(|node| {
-            let may_continue = node.handle_waiting_requests(span);
+            let may_continue = node.handle_waiting_requests();
             node.flush(self);
             may_continue && !node.intake.is_empty()
         })
@@ -260,9 +265,10 @@
     }
 
     /// Returns false if the remaining requests must wait, for example for the lease.
-    fn handle_waiting_requests(&mut self, span: Duration) -> bool {
+    fn handle_waiting_requests(&mut self) -> bool {
         let mut now = self.now();
-        let until = now.at + span;
+        let others = now.at.since(self.requests_handled_at);
+        let until = now.at + others.clamp(BATCH_TIME_MIN, BATCH_TIME_MAX);
         if !self.is_leader() {
             while let Some(
                 Next::Handle(waiting, _) | Next::Brief(waiting, _) | Next::Expired(waiting),
@@ -300,6 +306,7 @@
             self.next_token += 1;
             now = self.now();
         }
+        self.requests_handled_at = now.at;
         if let Some(replica) = &mut self.replica {
             replica.propose(now);
         }
--- a/crates/fakes/src/cell/leader_process.rs
+++ b/crates/fakes/src/cell/leader_process.rs
@@ -10,9 +10,9 @@
 };
 use yuccalink_state::jobs::{CellState, JobCommand};
 
-/// Processor time, of the leader's share, spent on requests before newly arrived messages are
-/// read.
-const BATCH_TIME: Duration = Duration::from_millis(15);
+/// Shortest and longest time spent on requests before newly arrived messages are read.
+const BATCH_TIME_MIN: Duration = Duration::from_millis(1);
+const BATCH_TIME_MAX: Duration = Duration::from_millis(15);
 /// Messages of entries that are read before requests are handled again.
 const READ_MAX: usize = 64;
 /// Commands in one write of the log.
@@ -192,7 +192,10 @@
             cost += self.costs.ranking * runners / 4;
         }
         if now.since(self.last_quorum) < LEASE {
-            cost += self.handle_requests(now, &mut out);
+            // As long as the other tasks have taken, as in the daemon.
+            let others = cost.mul_f64(self.cost_factor / self.share);
+            cost +=
+                self.handle_requests(now, others.clamp(BATCH_TIME_MIN, BATCH_TIME_MAX), &mut out);
         }
         if self.writing.is_empty() {
             self.writing = self.leader.next_batch(COMMANDS_MAX);
@@ -248,9 +251,9 @@
         self.costs.read + cost
     }
 
-    fn handle_requests(&mut self, now: Moment, out: &mut Vec<Output>) -> Duration {
+    fn handle_requests(&mut self, now: Moment, span: Duration, out: &mut Vec<Output>) -> Duration {
         let mut cost = Duration::ZERO;
-        while cost.mul_f64(self.cost_factor / self.share) < BATCH_TIME {
+        while cost.mul_f64(self.cost_factor / self.share) < span {
             let next = match self.first_come.pop_front() {
                 Some((at, from, request)) => Some(Next::Handle((from, request), now.since(at))),
                 None => self.intake.pop(now),
