Refuse an expired submission only if its job is unknown

A caller that sent a submission again to a busy leader could get 429, which says that the job never runs, although the first copy had been accepted or was being committed; an entry could pass on such a refusal after an attempt whose outcome it did not know. Found by reading the change again. Now an accepted job is acknowledged, and an outcome that is not known is said to be so. The test names the orders of events. A counter of the intake that nothing read is removed.

--- a/crates/coordination/src/intake.rs
+++ b/crates/coordination/src/intake.rs
@@ -107,12 +107,11 @@
 #[derive(Debug)]
 pub struct Intake<T> {
     waiting: [VecDeque<(Moment, T)>; RequestClass::ALL.len()],
-    expired_total: u64,
 }
 
 impl<T> Default for Intake<T> {
     fn default() -> Self {
-        Self { waiting: Default::default(), expired_total: 0 }
+        Self { waiting: Default::default() }
     }
 }
 
@@ -148,7 +147,6 @@
             let waits_too_long =
                 queue.front().is_some_and(|(at, _)| now.since(*at) > class.wait_max());
             if over_full || waits_too_long {
-                self.expired_total += 1;
                 return queue.pop_front().map(|(_, request)| request);
             }
         }
@@ -164,9 +162,4 @@
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
-
-    /// Number of requests that expired while they waited.
-    pub fn expired_total(&self) -> u64 {
-        self.expired_total
-    }
 }
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -107,6 +107,8 @@
     pub(super) forecasts: MarginForecasts<StepKey>,
     /// Tasks whose start is proposed but not committed.
     pub(super) starting: Starting,
+    /// Jobs whose submission is proposed but not committed.
+    pub(super) submitting: BTreeSet<JobId>,
     /// Runs whose end is proposed but not committed.
     pub(super) ending: BTreeSet<(TaskKey, u32)>,
     pub(super) heartbeats: BTreeMap<u64, PendingHeartbeat>,
@@ -169,6 +171,7 @@
             interference: Interference::new(cfg.policy.interference),
             forecasts: MarginForecasts::new(cfg.policy.forecast),
             starting: Starting::default(),
+            submitting: BTreeSet::new(),
             ending: BTreeSet::new(),
             heartbeats: BTreeMap::new(),
             next_heartbeat: 0,
@@ -296,6 +299,11 @@
                     ..RunnerOrders::default()
                 }))
             }
+            // An earlier copy of the request may have been accepted.
+            CellRequest::Submit { id, .. } if self.state.job(*id).is_some() => {
+                CellResponse::Accepted
+            }
+            CellRequest::Submit { id, .. } if self.submitting.contains(id) => CellResponse::Unknown,
             CellRequest::Submit { .. } => CellResponse::Refused { after_ms },
             _ => CellResponse::NotServing { after_ms },
         }
--- a/crates/coordination/src/jobs/requests.rs
+++ b/crates/coordination/src/jobs/requests.rs
@@ -124,6 +124,7 @@
             at_ms: now.unix_ms,
             spec: JobSpec::clone(spec),
         };
+        self.submitting.insert(id);
         self.propose(JobCommand::Submit(Box::new(submit)), OnCommit::Submitted { id, token });
         None
     }
--- a/crates/coordination/tests/acknowledgement.rs
+++ b/crates/coordination/tests/acknowledgement.rs
@@ -10,9 +10,9 @@
 use harness::LeaderHarness;
 use std::time::Duration;
 use world::{key, step};
-use yuccalink_coordination::jobs::{CellRequest, CellResponse, RunnerOrders};
+use yuccalink_coordination::jobs::{CellRequest, CellResponse, RequestToken, RunnerOrders};
 use yuccalink_fakes::emulator::TaskBehavior;
-use yuccalink_state::jobs::{JobId, StepSpec};
+use yuccalink_state::jobs::{JobId, JobSpec, StepSpec};
 
 const RUN_TIME: Duration = Duration::from_millis(1_000);
 /// Longer than any lease.
@@ -128,3 +128,23 @@
         assert_eq!(harness.leader.state().losses().is_empty(), rejects);
     }
 }
+
+/// Guards against a refusal that says "not run" about a job that was accepted, or may be.
+#[test]
+fn an_expired_submission_is_refused_only_if_its_job_is_unknown() {
+    let mut harness = completed_and_given_up();
+    let spec = JobSpec { payload: "p".into(), steps: vec![step(1, 4, 1_000).0], schedule: None };
+    let submission = |id| CellRequest::Submit {
+        at: world::queue_address(),
+        id: JobId(id),
+        spec: std::sync::Arc::new(spec.clone()),
+    };
+    let now = harness.leader_now();
+    assert_eq!(harness.leader.reject(now, &submission(1)), CellResponse::Accepted);
+    let unknown = harness.leader.reject(now, &submission(2));
+    assert!(matches!(unknown, CellResponse::Refused { .. }));
+    harness.leader.handle_request(now, RequestToken(900), submission(2));
+    assert_eq!(harness.leader.reject(now, &submission(2)), CellResponse::Unknown);
+    harness.commit();
+    assert_eq!(harness.leader.reject(now, &submission(2)), CellResponse::Accepted);
+}
--- a/crates/daemon/src/cell/requests.rs
+++ b/crates/daemon/src/cell/requests.rs
@@ -167,12 +167,16 @@
                 tokio::time::sleep(LEADER_POLL_INTERVAL).await;
                 continue;
             };
-            sent = true;
+            let resent = std::mem::replace(&mut sent, true);
             match self.await_response(peer, rx, deadline).await {
                 Some(CellResponse::NotLeader { leader }) => {
                     self.correct_leader(peer, leader);
                     tokio::time::sleep(LEADER_POLL_INTERVAL).await;
                 }
+                // An earlier attempt without a response may have been executed.
+                Some(CellResponse::Refused { .. } | CellResponse::NotServing { .. }) if resent => {
+                    return CellResponse::Unknown;
+                }
                 Some(response) => return response,
                 None => tokio::time::sleep(LEADER_POLL_INTERVAL).await,
             }
