Tests: no run of a job is at work after its cancellation was answered

What callers saw: a cancellation answered 410 (Gone), and tasks of that job at work later.

Evidence: eleven tests drive a leader with control over its commits.

Change: `tests/cancellation.rs`; `LeaderHarness` can hold commits back. No code of the product changes.

--- /dev/null
+++ b/crates/coordination/tests/cancellation.rs
@@ -0,0 +1,247 @@
+//! Tests that no run of a job is at work after the answer to its cancellation, whatever arrives
+//! later in whatever order.
+
+#[path = "cell/harness.rs"]
+#[allow(dead_code)]
+mod harness;
+#[path = "cell/world.rs"]
+#[allow(dead_code)]
+mod world;
+
+use harness::LeaderHarness;
+use std::sync::Arc;
+use std::time::Duration;
+use world::{change_set, queue_address, step};
+use yuccalink_coordination::intake::{Intake, Next, RequestClass};
+use yuccalink_coordination::jobs::{
+    CellRequest, CellResponse, JobState, Leader, LeaderConfig, RequestToken,
+};
+use yuccalink_fakes::emulator::TaskBehavior;
+use yuccalink_state::jobs::{JobId, JobSpec, Queue, StepSpec};
+
+const RUNNERS: usize = 2;
+const JOB: JobId = JobId(1);
+/// Time between two reports of a runner.
+const ROUND: Duration = Duration::from_millis(200);
+/// Longest time from the answer to a cancellation until all runs of its job have stopped.
+const STOP_MAX: Duration = Duration::from_millis(4_400);
+
+fn harness() -> LeaderHarness {
+    let behavior = TaskBehavior { long_running: true, ..TaskBehavior::default() };
+    let mut harness = LeaderHarness::new(RUNNERS, None, behavior);
+    harness.report_round();
+    harness
+}
+
+fn spec() -> Arc<JobSpec> {
+    let steps = vec![StepSpec { long_running: true, ..step(2, 4, 60_000).0 }];
+    Arc::new(JobSpec { payload: "p".into(), steps, schedule: None })
+}
+
+fn submission() -> CellRequest {
+    CellRequest::Submit { at: queue_address(), id: JOB, spec: spec() }
+}
+
+fn cancellation() -> CellRequest {
+    CellRequest::Cancel { at: queue_address(), id: JOB }
+}
+
+/// A harness with a job that is at work.
+fn harness_with_runs() -> LeaderHarness {
+    let mut harness = harness();
+    assert_eq!(harness.request(submission()), CellResponse::Accepted);
+    run_for(&mut harness, ROUND * 3);
+    assert_eq!(runs_at_work(&harness), 2);
+    harness
+}
+
+fn run_for(harness: &mut LeaderHarness, duration: Duration) {
+    let until = harness.now + duration;
+    while harness.now < until {
+        harness.advance(ROUND);
+        harness.report_round();
+    }
+}
+
+fn runs_at_work(harness: &LeaderHarness) -> usize {
+    harness.runners.iter().map(|runner| runner.running().count()).sum()
+}
+
+/// Hands a request to the leader whose commands are not committed.
+fn propose(harness: &mut LeaderHarness, request: CellRequest) {
+    let now = harness.leader_now();
+    harness.leader.handle_request(now, RequestToken(u64::MAX), request);
+}
+
+/// Replaces the leader by one that knows what is committed; the rest is lost.
+fn lose_leader(harness: &mut LeaderHarness) {
+    let state = harness.leader.state().clone();
+    let term = harness.leader_term + 1;
+    harness.leader_term = term;
+    harness.leader = Leader::new(LeaderConfig::default(), term, state, harness.leader_now());
+}
+
+/// Puts queues with these names and prefixes into force.
+fn set_queues(harness: &mut LeaderHarness, version: u64, queues: &[(&str, &str)]) {
+    let mut set = change_set();
+    let like = set.queues.remove(0);
+    let queue = |(name, prefix): &(&str, &str)| Queue {
+        name: (*name).into(),
+        prefix: (*prefix).into(),
+        ..like.clone()
+    };
+    set.queues = queues.iter().map(queue).collect();
+    set.version = version;
+    assert_eq!(harness.request(CellRequest::Change(Arc::new(set))), CellResponse::Ok);
+}
+
+fn cancel(harness: &mut LeaderHarness) {
+    let answer = harness.request(cancellation());
+    assert!(matches!(answer, CellResponse::Ok | CellResponse::Gone), "{answer:?}");
+}
+
+/// Panics unless every run of the job stops in time and none starts, and the job is shown
+/// neither as queued nor as running.
+fn assert_stays_cancelled(harness: &mut LeaderHarness) {
+    let before = runs_at_work(harness);
+    for _ in 0..(STOP_MAX.as_millis() / ROUND.as_millis()) {
+        harness.advance(ROUND);
+        for orders in harness.report_round() {
+            assert!(orders.start.is_empty(), "ordered after the answer: {:?}", orders.start);
+        }
+        let state = harness.request(CellRequest::State { at: queue_address(), id: JOB });
+        let is_active = matches!(
+            state,
+            CellResponse::State(JobState::Queued) | CellResponse::State(JobState::Running)
+        );
+        assert!(!is_active, "shown after the answer: {state:?}");
+    }
+    assert_eq!(runs_at_work(harness), 0, "of {before} runs at the time of the answer");
+    let pending = harness.request(CellRequest::Pending { at: queue_address() });
+    assert_eq!(pending, CellResponse::Pending(0));
+}
+
+/// Guards against a job that runs because its submission is committed after the answer.
+#[test]
+fn a_submission_that_is_not_committed_yet_starts_nothing_after_its_cancellation() {
+    let mut harness = harness();
+    propose(&mut harness, submission());
+    cancel(&mut harness);
+    assert_stays_cancelled(&mut harness);
+}
+
+/// Guards against a job that runs because its submission is appended and committed later.
+#[test]
+fn a_submission_that_is_in_the_log_uncommitted_starts_nothing_after_its_cancellation() {
+    let mut harness = harness();
+    propose(&mut harness, submission());
+    harness.hold_commits();
+    propose(&mut harness, cancellation());
+    harness.release_commits();
+    let answers = harness.leader.take_answers();
+    let is_final = |(_, answer): &(RequestToken, CellResponse)| {
+        matches!(answer, CellResponse::Ok | CellResponse::Gone)
+    };
+    assert!(answers.iter().any(is_final), "{answers:?}");
+    assert_stays_cancelled(&mut harness);
+}
+
+/// Guards against a cancellation that is handled before the submission that waits in front of it.
+#[test]
+fn a_submission_that_its_cancellation_overtakes_starts_nothing() {
+    let mut harness = harness();
+    let mut intake = Intake::default();
+    for request in [submission(), cancellation()] {
+        intake.push(RequestClass::of(&request), request, harness.now);
+    }
+    while let Some(next) = intake.pop(harness.now) {
+        let Next::Handle(request, _) = next else { panic!("expired") };
+        harness.request(request);
+    }
+    assert_stays_cancelled(&mut harness);
+}
+
+/// Guards against a copy of a submission that the network delivers after the answer.
+#[test]
+fn a_copy_of_a_submission_that_arrives_after_its_cancellation_starts_nothing() {
+    let mut harness = harness();
+    cancel(&mut harness);
+    harness.advance(Duration::from_secs(3));
+    harness.request(submission());
+    assert_stays_cancelled(&mut harness);
+}
+
+/// Guards against a cancellation that only the leader that answered it remembers.
+#[test]
+fn a_copy_of_a_submission_that_arrives_at_the_next_leader_starts_nothing() {
+    let mut harness = harness();
+    cancel(&mut harness);
+    lose_leader(&mut harness);
+    harness.request(submission());
+    assert_stays_cancelled(&mut harness);
+}
+
+/// Guards against a submission that is lost with its leader and sent again after the answer.
+#[test]
+fn a_submission_lost_with_its_leader_and_sent_again_starts_nothing_after_its_cancellation() {
+    let mut harness = harness();
+    propose(&mut harness, submission());
+    lose_leader(&mut harness);
+    cancel(&mut harness);
+    harness.request(submission());
+    assert_stays_cancelled(&mut harness);
+}
+
+/// Guards against a cancelled job that a copy of its submission starts again.
+#[test]
+fn a_copy_of_the_submission_of_a_cancelled_job_starts_nothing() {
+    let mut harness = harness_with_runs();
+    cancel(&mut harness);
+    harness.request(submission());
+    lose_leader(&mut harness);
+    harness.request(submission());
+    assert_stays_cancelled(&mut harness);
+}
+
+/// Guards against a cancellation that is lost with its leader and taken for answered.
+#[test]
+fn a_cancellation_lost_with_its_leader_is_sent_again_and_stops_the_job() {
+    let mut harness = harness_with_runs();
+    propose(&mut harness, cancellation());
+    lose_leader(&mut harness);
+    cancel(&mut harness);
+    assert_stays_cancelled(&mut harness);
+}
+
+/// Guards against a job that runs on because its queue was renamed before its cancellation.
+#[test]
+fn a_job_of_a_renamed_queue_stops_after_its_cancellation() {
+    let mut harness = harness_with_runs();
+    set_queues(&mut harness, 2, &[("renamed", "/q/")]);
+    cancel(&mut harness);
+    assert_stays_cancelled(&mut harness);
+}
+
+/// Guards against a job that runs on because two queues swapped their names.
+#[test]
+fn a_job_of_a_queue_that_swapped_its_name_stops_after_its_cancellation() {
+    let mut harness = harness();
+    set_queues(&mut harness, 2, &[("q", "/q/"), ("other", "/other/")]);
+    assert_eq!(harness.request(submission()), CellResponse::Accepted);
+    run_for(&mut harness, ROUND * 3);
+    set_queues(&mut harness, 3, &[("other", "/q/"), ("q", "/other/")]);
+    cancel(&mut harness);
+    assert_stays_cancelled(&mut harness);
+}
+
+/// Guards against a job that runs on because its queue came back under another name.
+#[test]
+fn a_job_of_a_queue_that_came_back_under_another_name_stops_after_its_cancellation() {
+    let mut harness = harness_with_runs();
+    set_queues(&mut harness, 2, &[("other", "/other/")]);
+    assert_eq!(harness.request(cancellation()), CellResponse::NoQueue);
+    run_for(&mut harness, ROUND * 3);
+    set_queues(&mut harness, 3, &[("other", "/other/"), ("again", "/q/")]);
+    cancel(&mut harness);
+    assert_stays_cancelled(&mut harness);
+}
--- a/crates/coordination/tests/cell/harness.rs
+++ b/crates/coordination/tests/cell/harness.rs
@@ -15,10 +15,13 @@
 pub struct LeaderHarness {
     pub now: Moment,
     pub leader: Leader,
+    pub leader_term: u64,
     index: u64,
     last_token: u64,
     pub runners: Vec<EmulatedRunner>,
     behavior: TaskBehavior,
+    /// Commands that are in the log and not committed.
+    held_commands: Vec<JobCommand>,
 }
 
 impl LeaderHarness {
@@ -52,7 +55,8 @@
             jobs.apply(command);
         }
         let now = Moment::from_millis(1_000);
-        let mut leader = Leader::new(cfg, 3, jobs, Self::now_at(now));
+        let leader_term = 3;
+        let mut leader = Leader::new(cfg, leader_term, jobs, Self::now_at(now));
         leader.set_node_name("e1");
         let runner = |at| {
             let mut runner = EmulatedRunner::new(&format!("w{at}"), "r1", 5, CAPACITY, now);
@@ -60,7 +64,16 @@
             runner
         };
         let runners = (0..runners).map(runner).collect();
-        Self { now, leader, index: 0, last_token: 0, runners, behavior }
+        Self {
+            now,
+            leader,
+            leader_term,
+            index: 0,
+            last_token: 0,
+            runners,
+            behavior,
+            held_commands: Vec::new(),
+        }
     }
 
     fn now_at(at: Moment) -> Now {
@@ -95,6 +108,21 @@
         }
     }
 
+    /// Appends what waits to the log, without committing it.
+    pub fn hold_commits(&mut self) {
+        self.held_commands = self.leader.next_batch(100);
+        self.leader.batch_appended(self.index + 1);
+    }
+
+    /// Commits what `hold_commits` appended, and what waits behind it.
+    pub fn release_commits(&mut self) {
+        for command in std::mem::take(&mut self.held_commands) {
+            self.index += 1;
+            self.leader.apply_committed(Self::now_at(self.now), self.index, command);
+        }
+        self.commit();
+    }
+
     pub fn submit(&mut self, steps: Vec<StepSpec>) {
         self.submit_job(JobId(1), steps);
     }
