Log and count each cancellation with what it found and its answer

A cancellation that was answered with 410 left no line, so that an operator could not tell a job that was never cancelled from one that the leader did not know, whose submission was being committed, or whose queue had been renamed. A committed one left its number alone, and was logged as cancelled even if the job had ended meanwhile. Now one line says which queue the address names, what was found, how many runs are at work, the log index and the response; metrics count the outcomes. A change set that gives the address of a queue to another one, or takes it from a queue with active jobs, leaves a line for each such queue. Decisions are unchanged.

--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -6,6 +6,7 @@
 mod acknowledgement;
 mod admission;
 mod advice;
+mod cancellation;
 mod capacity;
 mod colocation;
 mod commits;
@@ -40,6 +41,7 @@
 mod telemetry;
 mod waves;
 
+pub use cancellation::CancelCounters;
 pub use leader::{Leader, LeaderConfig, Now, RequestToken};
 pub use messages::{
     CellRequest, CellResponse, FinishedRun, JobState, ReportedRun, RunnerOrders, RunnerReport,
--- /dev/null
+++ b/crates/coordination/src/jobs/cancellation.rs
@@ -0,0 +1,191 @@
+//! Cancellations as operators see them: what each one found, and how it was answered.
+//!
+//! Nothing here decides anything.
+
+use super::leader::Leader;
+use super::messages::{CellResponse, QueueAddress};
+use super::routes::Routes;
+use std::collections::BTreeMap;
+use std::fmt;
+use yuccalink_state::jobs::{CellState, Job, JobId, JobPhase, RunAssignment, TaskKey};
+
+/// Cancellations by outcome since the leader took over.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CancelCounters {
+    /// The job was active and is cancelled.
+    pub cancelled: u64,
+    /// The job had ended before.
+    pub ended_before: u64,
+    /// No job has this number.
+    pub unknown: u64,
+    /// No job has this number yet, because its submission is proposed and not committed.
+    pub under_way: u64,
+    /// The job is in a queue of another name than the one that the address names.
+    pub renamed: u64,
+    /// The address names no queue.
+    pub without_queue: u64,
+}
+
+/// What the leader knows of a job at a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub(super) enum Found {
+    #[display("unknown")]
+    Unknown,
+    /// The submission is proposed and not committed.
+    #[display("under-way")]
+    UnderWay,
+    #[display("queued")]
+    Queued,
+    #[display("running")]
+    Running,
+    #[display("completed")]
+    Completed,
+    #[display("failed")]
+    Failed,
+    #[display("cancelled")]
+    Cancelled,
+}
+
+impl Found {
+    fn of(job: &Job) -> Self {
+        match job.phase {
+            JobPhase::Active if job.begun => Self::Running,
+            JobPhase::Active => Self::Queued,
+            JobPhase::Completed => Self::Completed,
+            JobPhase::Failed => Self::Failed,
+            JobPhase::Cancelled => Self::Cancelled,
+        }
+    }
+}
+
+/// Text of an optional name, and `none` without one.
+struct OrNone<T>(Option<T>);
+
+impl<T> fmt::Display for OrNone<T>
+where
+    T: fmt::Display,
+{
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.0 {
+            Some(value) => value.fmt(f),
+            None => f.write_str("none"),
+        }
+    }
+}
+
+impl Leader {
+    pub(super) fn found(&self, id: JobId) -> Found {
+        match self.state.job(id) {
+            Some(job) => Found::of(job),
+            None if self.submitting.contains(&id) => Found::UnderWay,
+            None => Found::Unknown,
+        }
+    }
+
+    /// Records a cancellation that was answered from the leader's state, without the log.
+    pub(super) fn cancellation_answered(
+        &mut self,
+        at: &QueueAddress,
+        id: JobId,
+        response: &CellResponse,
+    ) {
+        let found = self.found(id);
+        let queue = self.routes.route(&at.host, &at.path).map(|queue| &*queue.name);
+        let job = self.state.job(id);
+        let own_queue = job.map(|job| &*job.queue);
+        let runs = job.map_or(0, |job| assignments(id, job).count());
+        log::info!(
+            "job={id} cancel queue={} found={found} own-queue={} runs={runs} response={}",
+            OrNone(queue),
+            OrNone(own_queue),
+            response_word(response)
+        );
+        let renamed = own_queue.is_some() && own_queue != queue;
+        let counts = &mut self.counts.cancels;
+        let count = match found {
+            _ if queue.is_none() => &mut counts.without_queue,
+            _ if renamed => &mut counts.renamed,
+            Found::UnderWay => &mut counts.under_way,
+            Found::Unknown => &mut counts.unknown,
+            _ => &mut counts.ended_before,
+        };
+        *count += 1;
+    }
+
+    /// Records a committed cancellation that found the job as `found`.
+    pub(super) fn cancellation_committed(&mut self, index: u64, id: JobId, found: Found) {
+        let counts = &mut self.counts.cancels;
+        let Some(job) = self.state.job(id) else {
+            counts.unknown += 1;
+            log::info!("job={id} cancel found={found} index={index} response=gone");
+            return;
+        };
+        let active = matches!(found, Found::Queued | Found::Running);
+        let (event, count) = match active {
+            true => ("cancelled", &mut counts.cancelled),
+            false => ("cancel", &mut counts.ended_before),
+        };
+        *count += 1;
+        log::info!(
+            "job={id} {event} queue={} found={found} runs={} index={index} response=ok",
+            job.queue,
+            assignments(id, job).count()
+        );
+    }
+
+    /// Logs one line for each queue whose address names another queue in the `next` change set,
+    /// or no queue while it has active jobs.
+    pub(super) fn log_moved_queues(&self, next: &Routes) {
+        let version = self.state.change_set().map_or(0, |change| change.version);
+        let jobs = active_by_queue(&self.state);
+        for old in self.routes.queues() {
+            let now = next.route(&old.host, &old.prefix).map(|queue| &*queue.name);
+            let active = jobs.get(&*old.name).copied().unwrap_or(0);
+            if now == Some(&*old.name) || (now.is_none() && active == 0) {
+                continue;
+            }
+            log::info!(
+                "change version={version} address={}{} queue={} now={} kept={} \
+                 active-jobs={active}",
+                old.host,
+                old.prefix,
+                old.name,
+                OrNone(now),
+                next.queue(&old.name).is_some()
+            );
+        }
+    }
+}
+
+fn active_by_queue(state: &CellState) -> BTreeMap<&str, u64> {
+    let mut jobs = BTreeMap::new();
+    for (_, job) in state.all().filter(|(_, job)| job.phase == JobPhase::Active) {
+        *jobs.entry(&*job.queue).or_default() += 1;
+    }
+    jobs
+}
+
+/// Runs of a job that may still be at work.
+fn assignments(id: JobId, job: &Job) -> impl Iterator<Item = (TaskKey, RunAssignment)> {
+    let steps = (0_u32..).zip(&job.occurrences).flat_map(|(occurrence, found)| {
+        (0_u16..).zip(&found.steps).map(move |(step, found)| (occurrence, step, found))
+    });
+    steps.flat_map(move |(occurrence, step, found)| {
+        (0_u16..).zip(&found.tasks).flat_map(move |(index, task)| {
+            let key = TaskKey { job: id, occurrence, step, index };
+            task.assignments.iter().map(move |assignment| (key, *assignment))
+        })
+    })
+}
+
+fn response_word(response: &CellResponse) -> &'static str {
+    match response {
+        CellResponse::Ok => "ok",
+        CellResponse::Gone => "gone",
+        CellResponse::NoQueue => "no-queue",
+        CellResponse::NotServing { .. } => "not-serving",
+        CellResponse::Refused { .. } => "refused",
+        CellResponse::Unknown => "unknown",
+        _ => "other",
+    }
+}
--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -49,9 +49,16 @@
             JobCommand::Meet(_) => self.state.losses().unconfirmed_incarnations(),
             _ => BTreeSet::new(),
         };
+        let cancelled = match &command {
+            JobCommand::Cancel { id, .. } => Some((*id, self.found(*id))),
+            _ => None,
+        };
         let outcome = self.state.apply(command);
         self.log_resolved_losses(now, &unconfirmed);
         self.update_after(now, &detail, &outcome);
+        if let Some((id, found)) = cancelled {
+            self.cancellation_committed(index, id, found);
+        }
         for id in open {
             self.log_ended(id, now);
             if !self.state.is_active(id) {
@@ -97,7 +104,9 @@
                 }
             }
             JobCommand::Change(_) => {
-                self.routes = Routes::new(self.state.change_set());
+                let routes = Routes::new(self.state.change_set());
+                self.log_moved_queues(&routes);
+                self.routes = routes;
                 self.ready.apply_change_set(&self.state, &self.routes);
             }
             JobCommand::UpkeepDone { wave, machine } => {
@@ -155,8 +164,7 @@
                 }
                 self.answer(token, CellResponse::Accepted);
             }
-            OnCommit::Cancelled { id, token } => {
-                log::info!("job={id} cancelled");
+            OnCommit::Cancelled(token) => {
                 let known = *outcome == JobOutcome::Cancelled(true);
                 self.answer(token, if known { CellResponse::Ok } else { CellResponse::Gone });
             }
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -71,7 +71,7 @@
 /// Action to take when a proposed command is committed.
 pub(super) enum OnCommit {
     Submitted { id: JobId, token: RequestToken },
-    Cancelled { id: JobId, token: RequestToken },
+    Cancelled(RequestToken),
     Changed { version: u64, token: RequestToken },
     Met { token: RequestToken, report: Box<RunnerReport> },
     Heartbeat(u64),
--- a/crates/coordination/src/jobs/requests.rs
+++ b/crates/coordination/src/jobs/requests.rs
@@ -25,7 +25,9 @@
                     .job_of(queue, id)
                     .map_or(CellResponse::Gone, |job| leader.state_response(id, job))
             })),
-            CellRequest::Cancel { at, id } => self.cancel(now, token, &at, id),
+            CellRequest::Cancel { at, id } => self
+                .cancel(now, token, &at, id)
+                .inspect(|answer| self.cancellation_answered(&at, id, answer)),
             CellRequest::Pending { at } => Some(
                 self.with_queue(&at, |leader, queue| CellResponse::Pending(leader.pending(queue))),
             ),
@@ -144,7 +146,7 @@
         match found {
             CellResponse::State(JobState::Queued | JobState::Running) => {
                 let command = JobCommand::Cancel { id, at_ms: now.unix_ms };
-                self.propose(command, OnCommit::Cancelled { id, token });
+                self.propose(command, OnCommit::Cancelled(token));
                 None
             }
             CellResponse::State(_) => Some(CellResponse::Ok),
--- a/crates/coordination/src/jobs/routes.rs
+++ b/crates/coordination/src/jobs/routes.rs
@@ -38,6 +38,13 @@
         self.has_change_set
     }
 
+    /// All queues, by name.
+    pub(super) fn queues(&self) -> Vec<&Queue> {
+        let mut queues: Vec<&Queue> = self.by_name.values().collect();
+        queues.sort_by_key(|queue| &queue.name);
+        queues
+    }
+
     /// The queue called `name`.
     pub(super) fn queue(&self, name: &str) -> Option<&Queue> {
         self.by_name.get(name)
--- a/crates/coordination/src/jobs/telemetry.rs
+++ b/crates/coordination/src/jobs/telemetry.rs
@@ -1,6 +1,7 @@
 //! Telemetry of the leader: counters for metrics, and log lines about the load of the cell
 //! and about accepted, ended and overdue jobs.
 
+use super::cancellation::CancelCounters;
 use super::leader::{Leader, Now};
 use yuccalink_state::jobs::{JobId, JobPhase, StepSpec};
 
@@ -40,6 +41,8 @@
     /// Runners scanned other than the reporting ones. The work for one job, task or report
     /// must not grow with the size of the pool.
     pub runners_scanned: u64,
+    /// Cancellations, and the stops of their runs.
+    pub cancels: CancelCounters,
 }
 
 /// Load of the runners.
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -3,7 +3,7 @@
 use crate::cell::connections::ConnectionLimiter;
 use std::fmt::Write;
 use std::time::Duration;
-use yuccalink_coordination::jobs::Leader;
+use yuccalink_coordination::jobs::{CancelCounters, Leader};
 
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
@@ -117,7 +117,22 @@
             for (name, value) in values {
                 let _ = writeln!(out, "yuccalink_{name} {value}");
             }
+            write_cancels(&counts.cancels, &mut out);
         }
         out
     }
 }
+
+fn write_cancels(counts: &CancelCounters, out: &mut String) {
+    let outcomes = [
+        ("cancelled", counts.cancelled),
+        ("ended-before", counts.ended_before),
+        ("unknown", counts.unknown),
+        ("under-way", counts.under_way),
+        ("renamed", counts.renamed),
+        ("no-queue", counts.without_queue),
+    ];
+    for (outcome, count) in outcomes {
+        let _ = writeln!(out, "yuccalink_cancels{{outcome=\"{outcome}\"}} {count}");
+    }
+}
