Find a job by its number under any queue

What callers saw: after a change set that gives the queue at an address another name, DELETE and GET of its earlier jobs are answered 410, and the jobs run on. A 410 counts as the answer to a cancellation.

Cause: `job_of` compared the name of the job's queue at its submission with the name that the address has now. A queue has no identity but its name, and a submission already treats a job's number as unique in the cell: sent again under another queue it is answered 200 and adds nothing.

Change: `State` and `Cancel` look the job up by its number alone, as `Submit` does. The queue that the request names must still exist. Whoever knows a number of 64 bits can name any queue's host anyway, so that nothing is less protected than before.

Left: `pending` still counts by the queue's name.

--- a/crates/coordination/src/jobs/cancellation.rs
+++ b/crates/coordination/src/jobs/cancellation.rs
@@ -20,7 +20,8 @@
     pub unknown: u64,
     /// No job has this number yet, because its submission is proposed and not committed.
     pub under_way: u64,
-    /// The job is in a queue of another name than the one that the address names.
+    /// The job is in a queue of another name than the one that the address names. Also counted
+    /// by its outcome.
     pub renamed: u64,
     /// The address names no queue.
     pub without_queue: u64,
@@ -100,11 +101,9 @@
             OrNone(own_queue),
             response_word(response)
         );
-        let renamed = own_queue.is_some() && own_queue != queue;
         let counts = &mut self.counts.cancels;
         let count = match found {
             _ if queue.is_none() => &mut counts.without_queue,
-            _ if renamed => &mut counts.renamed,
             Found::UnderWay => &mut counts.under_way,
             Found::Unknown => &mut counts.unknown,
             _ => &mut counts.ended_before,
@@ -112,6 +111,16 @@
         *count += 1;
     }
 
+    /// Records a cancellation whose address names the queue of the job by another name.
+    pub(super) fn note_renamed_queue(&mut self, at: &QueueAddress, id: JobId) {
+        let queue = self.routes.route(&at.host, &at.path);
+        let (Some(queue), Some(job)) = (queue, self.state.job(id)) else { return };
+        if job.queue != queue.name {
+            log::info!("job={id} cancel queue={} own-queue={}", queue.name, job.queue);
+            self.counts.cancels.renamed += 1;
+        }
+    }
+
     /// Records a committed cancellation that found the job as `found`.
     pub(super) fn cancellation_committed(&mut self, index: u64, id: JobId, found: Found) {
         let counts = &mut self.counts.cancels;
--- a/crates/coordination/src/jobs/requests.rs
+++ b/crates/coordination/src/jobs/requests.rs
@@ -20,10 +20,9 @@
     ) {
         let answer = match request {
             CellRequest::Submit { at, id, spec } => self.submit(now, token, &at, id, &spec),
-            CellRequest::State { at, id } => Some(self.with_queue(&at, |leader, queue| {
-                leader
-                    .job_of(queue, id)
-                    .map_or(CellResponse::Gone, |job| leader.state_response(id, job))
+            CellRequest::State { at, id } => Some(self.with_queue(&at, |leader, _| {
+                let job = leader.state.job(id);
+                job.map_or(CellResponse::Gone, |job| leader.state_response(id, job))
             })),
             CellRequest::Cancel { at, id } => self
                 .cancel(now, token, &at, id)
@@ -88,10 +87,6 @@
         }
     }
 
-    fn job_of(&self, queue: &Queue, id: JobId) -> Option<&Job> {
-        self.state.job(id).filter(|job| job.queue == queue.name)
-    }
-
     fn submit(
         &mut self,
         now: Now,
@@ -138,11 +133,11 @@
         at: &QueueAddress,
         id: JobId,
     ) -> Option<CellResponse> {
-        let found = self.with_queue(at, |leader, queue| {
-            leader
-                .job_of(queue, id)
-                .map_or(CellResponse::Gone, |job| CellResponse::State(state(job)))
+        let found = self.with_queue(at, |leader, _| {
+            let job = leader.state.job(id);
+            job.map_or(CellResponse::Gone, |job| CellResponse::State(state(job)))
         });
+        self.note_renamed_queue(at, id);
         match found {
             CellResponse::State(JobState::Queued | JobState::Running) => {
                 let command = JobCommand::Cancel { id, at_ms: now.unix_ms };
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -111,7 +111,7 @@
         self.change_set.as_deref()
     }
 
-    /// The job with this number.
+    /// The job with this number, whatever its queue is called now.
     pub fn job(&self, id: JobId) -> Option<&Job> {
         self.jobs.get(&id)
     }
