Put the cancellation of an unknown job into the log

What callers saw: a cancellation answered 410 (no such job), and the job running afterwards. A 410 counts as the answer to a cancellation.

Cause: `Leader::cancel` answered from the committed table while the submission could still be under way: proposed and not committed, waiting in the queue of callers' requests, which cancellations overtake by their class, on its way from an entry that tries again after a change of leader, or sent again by its caller. Nothing remembered that the number had been cancelled.

Change: such a cancellation becomes the command `CancelUnknown`. If the submission is before it in the log, it cancels the job (200).

--- a/crates/coordination/src/jobs/cancellation.rs
+++ b/crates/coordination/src/jobs/cancellation.rs
@@ -18,7 +18,8 @@
     pub ended_before: u64,
     /// No job has this number.
     pub unknown: u64,
-    /// No job has this number yet, because its submission is proposed and not committed.
+    /// No job had this number yet, because its submission was proposed and not committed. Also
+    /// counted by its outcome.
     pub under_way: u64,
     /// The job is in a queue of another name than the one that the address names. Also counted
     /// by its outcome.
@@ -104,8 +105,7 @@
         let counts = &mut self.counts.cancels;
         let count = match found {
             _ if queue.is_none() => &mut counts.without_queue,
-            Found::UnderWay => &mut counts.under_way,
-            Found::Unknown => &mut counts.unknown,
+            Found::Unknown | Found::UnderWay => &mut counts.unknown,
             _ => &mut counts.ended_before,
         };
         *count += 1;
@@ -121,12 +121,26 @@
         }
     }
 
+    /// Records a cancellation of a job that is not in the table.
+    pub(super) fn note_unknown_job(&mut self, id: JobId) {
+        let found = self.found(id);
+        log::info!("job={id} cancel found={found}");
+        self.counts.cancels.under_way += u64::from(found == Found::UnderWay);
+    }
+
     /// Records a committed cancellation that found the job as `found`.
-    pub(super) fn cancellation_committed(&mut self, index: u64, id: JobId, found: Found) {
+    pub(super) fn cancellation_committed(
+        &mut self,
+        index: u64,
+        id: JobId,
+        found: Found,
+        response: &CellResponse,
+    ) {
         let counts = &mut self.counts.cancels;
         let Some(job) = self.state.job(id) else {
             counts.unknown += 1;
-            log::info!("job={id} cancel found={found} index={index} response=gone");
+            let response = response_word(response);
+            log::info!("job={id} cancel found={found} index={index} response={response}");
             return;
         };
         let active = matches!(found, Found::Queued | Found::Running);
--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -8,6 +8,8 @@
 
 /// Commands that may wait for the log. Further requests are refused with "not run".
 const QUEUE_MAX: usize = 8 * 1024;
+/// Retry delay, in milliseconds, while no more cancellations can be stored.
+pub(super) const CANCELLATIONS_RETRY_AFTER_MS: u64 = 5_000;
 
 impl Leader {
     /// Whether so many commands wait for the log that new requests must be refused.
@@ -50,14 +52,16 @@
             _ => BTreeSet::new(),
         };
         let cancelled = match &command {
-            JobCommand::Cancel { id, .. } => Some((*id, self.found(*id))),
+            JobCommand::Cancel { id, .. } | JobCommand::CancelUnknown { id, .. } => {
+                Some((*id, self.found(*id)))
+            }
             _ => None,
         };
         let outcome = self.state.apply(command);
         self.log_resolved_losses(now, &unconfirmed);
         self.update_after(now, &detail, &outcome);
         if let Some((id, found)) = cancelled {
-            self.cancellation_committed(index, id, found);
+            self.cancellation_committed(index, id, found, &cancellation_response(&outcome));
         }
         for id in open {
             self.log_ended(id, now);
@@ -119,6 +123,7 @@
                 }
             }
             JobCommand::Cancel { .. }
+            | JobCommand::CancelUnknown { .. }
             | JobCommand::Meet(_)
             | JobCommand::Learn(_)
             | JobCommand::Wave(_)
@@ -165,8 +170,7 @@
                 self.answer(token, CellResponse::Accepted);
             }
             OnCommit::Cancelled(token) => {
-                let known = *outcome == JobOutcome::Cancelled(true);
-                self.answer(token, if known { CellResponse::Ok } else { CellResponse::Gone });
+                self.answer(token, cancellation_response(outcome));
             }
             OnCommit::Changed { version, token } => {
                 let now_in_force = *outcome == JobOutcome::Changed(true);
@@ -188,11 +192,21 @@
     }
 }
 
+fn cancellation_response(outcome: &JobOutcome) -> CellResponse {
+    match outcome {
+        JobOutcome::Cancelled(true) => CellResponse::Ok,
+        JobOutcome::Cancelled(false) => CellResponse::Gone,
+        _ => CellResponse::Refused { after_ms: CANCELLATIONS_RETRY_AFTER_MS },
+    }
+}
+
 /// Jobs whose state a command may change.
 fn affected_jobs(command: &JobCommand, state: &CellState) -> BTreeSet<JobId> {
     match command {
         JobCommand::Submit(submit) => BTreeSet::from([submit.id]),
-        JobCommand::Cancel { id, .. } => BTreeSet::from([*id]),
+        JobCommand::Cancel { id, .. } | JobCommand::CancelUnknown { id, .. } => {
+            BTreeSet::from([*id])
+        }
         JobCommand::Start(starts) => starts.iter().map(|start| start.task.job).collect(),
         JobCommand::End { ends, .. } => ends.iter().map(|end| end.task.job).collect(),
         // A new incarnation shows that the lost one crashed, which may end jobs.
--- a/crates/coordination/src/jobs/requests.rs
+++ b/crates/coordination/src/jobs/requests.rs
@@ -1,5 +1,6 @@
 //! Handling of requests from callers and operators.
 
+use super::commits::CANCELLATIONS_RETRY_AFTER_MS;
 use super::leader::{Leader, Now, OnCommit, RequestToken};
 use super::messages::{CellRequest, CellResponse, JobState, QueueAddress};
 use std::sync::Arc;
@@ -138,15 +139,25 @@
             job.map_or(CellResponse::Gone, |job| CellResponse::State(state(job)))
         });
         self.note_renamed_queue(at, id);
-        match found {
+        let at_ms = now.unix_ms;
+        let command = match found {
             CellResponse::State(JobState::Queued | JobState::Running) => {
-                let command = JobCommand::Cancel { id, at_ms: now.unix_ms };
-                self.propose(command, OnCommit::Cancelled(token));
-                None
+                JobCommand::Cancel { id, at_ms }
             }
-            CellResponse::State(_) => Some(CellResponse::Ok),
-            other => Some(other),
-        }
+            CellResponse::State(_) => return Some(CellResponse::Ok),
+            CellResponse::Gone if self.state.cancellations().contains(id) => return Some(found),
+            CellResponse::Gone if self.is_full() => {
+                return Some(CellResponse::Refused { after_ms: CANCELLATIONS_RETRY_AFTER_MS });
+            }
+            // The submission may be under way, or arrive once more.
+            CellResponse::Gone => {
+                self.note_unknown_job(id);
+                JobCommand::CancelUnknown { id, at_ms }
+            }
+            other => return Some(other),
+        };
+        self.propose(command, OnCommit::Cancelled(token));
+        None
     }
 
     fn pending(&self, queue: &Queue) -> u64 {
--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -6,6 +6,7 @@
 //! running. The end of a run is a command too, so an end that was acknowledged to
 //! its runner is never lost.
 
+mod cancellations;
 pub mod change;
 pub mod command;
 pub mod loss;
@@ -14,6 +15,7 @@
 pub mod task;
 mod wave;
 
+pub use cancellations::{CANCELLATIONS_MAX, Cancellations};
 pub use change::{ChangeSet, Limits, Pool, Queue};
 pub use command::{
     JobCommand, JobOutcome, JobSubmission, PairWeight, RunEnd, RunOutcome, RunStart,
--- a/crates/state/src/jobs/command.rs
+++ b/crates/state/src/jobs/command.rs
@@ -32,7 +32,7 @@
     },
     /// Record runs before their runners are ordered to start them.
     Start(Vec<RunStart>),
-    /// Remove jobs that ended long ago.
+    /// Remove jobs that ended long ago, and old cancellations of unknown jobs.
     Forget(Vec<JobId>),
     /// Store the learnt interference of pairs of images, with which a later leader
     /// begins.
@@ -66,6 +66,14 @@
         /// Time of the order, in Unix milliseconds.
         at_ms: u64,
     },
+    /// Cancel a job that its leader does not find in the table. If the job is still missing when
+    /// the command is applied, the cancellation holds for a later submission.
+    CancelUnknown {
+        /// The job to cancel.
+        id: JobId,
+        /// Time of the cancellation, in Unix milliseconds.
+        at_ms: u64,
+    },
 }
 
 /// A maintenance wave, as its operator ordered it.
@@ -190,8 +198,10 @@
         /// Whether this command added it.
         new: bool,
     },
-    /// Whether a job of that number exists.
+    /// Whether a job of that number exists. Either way, none starts from now on.
     Cancelled(bool),
+    /// The cancellation of an unknown job was not stored, because too many are remembered.
+    TooManyCancellations,
     /// The key of the registered runner incarnation.
     Met(IncarnationKey),
     /// The starts of the command that were made; the others were rejected.
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -1,5 +1,6 @@
 //! The table of jobs and runner incarnations.
 
+use super::cancellations::Cancellations;
 use super::change::ChangeSet;
 use super::command::{
     JobCommand, JobOutcome, JobSubmission, PairWeight, RunEnd, RunOutcome, RunStart,
@@ -91,9 +92,12 @@
     /// Behind the fields of earlier releases, so that their states can be read.
     #[serde(deserialize_with = "snapshot::added_field")]
     losses: Losses,
-    /// The last field, for the same reason.
+    /// Behind the losses, for the same reason.
     #[serde(deserialize_with = "snapshot::added_field")]
     evacuations: Evacuations,
+    /// The last field, for the same reason.
+    #[serde(deserialize_with = "snapshot::added_field")]
+    cancellations: Cancellations,
 }
 
 impl CellState {
@@ -169,6 +173,11 @@
         &self.evacuations
     }
 
+    /// Cancellations of jobs that are not in the table.
+    pub fn cancellations(&self) -> &Cancellations {
+        &self.cancellations
+    }
+
     /// Whether a task has lost too many runners to be started again.
     ///
     /// ```
@@ -197,6 +206,7 @@
             JobCommand::Change(change) => JobOutcome::Changed(self.set_change_set(change)),
             JobCommand::Submit(job) => JobOutcome::Accepted { new: self.submit(*job) },
             JobCommand::Cancel { id, at_ms } => JobOutcome::Cancelled(self.cancel(id, at_ms)),
+            JobCommand::CancelUnknown { id, at_ms } => self.cancel_unknown(id, at_ms),
             JobCommand::Meet(incarnation) => JobOutcome::Met(self.register(incarnation)),
             JobCommand::End { ends, at_ms } => {
                 for end in ends {
@@ -290,6 +300,7 @@
         if self.jobs.contains_key(&id) {
             return false;
         }
+        let was_cancelled = self.cancellations.remove(id);
         let mut job = Job {
             queue,
             pool,
@@ -302,11 +313,13 @@
             occurrences: Vec::new(),
             finished: 0,
         };
-        if job.spec.schedule.is_none() {
+        if was_cancelled {
+            job.finish(JobPhase::Cancelled, at_ms);
+        } else if job.spec.schedule.is_none() {
             job.open_occurrences(1);
         }
         self.jobs.insert(id, job);
-        true
+        !was_cancelled
     }
 
     fn cancel(&mut self, id: JobId, at_ms: u64) -> bool {
@@ -318,6 +331,15 @@
         true
     }
 
+    fn cancel_unknown(&mut self, id: JobId, at_ms: u64) -> JobOutcome {
+        let known = self.cancel(id, at_ms);
+        if known || self.cancellations.add(id, at_ms) {
+            JobOutcome::Cancelled(known)
+        } else {
+            JobOutcome::TooManyCancellations
+        }
+    }
+
     fn register(&mut self, incarnation: RunnerIncarnation) -> IncarnationKey {
         let of_runner = self.incarnations_by_id.get(&incarnation.id).into_iter().flatten();
         let same = |key: &IncarnationKey| {
@@ -436,6 +458,7 @@
     }
 
     fn forget(&mut self, id: JobId) {
+        self.cancellations.remove(id);
         let Some(job) = self.jobs.get(&id) else { return };
         let mut found = Vec::new();
         collect_assignments(id, job, &mut found);
@@ -445,11 +468,12 @@
         }
     }
 
-    /// Up to `limit` jobs that ended before `before_ms`. [`JobCommand::Forget`] removes those
-    /// without runs that may still be running.
+    /// Up to `limit` jobs that ended, or that were cancelled while unknown, before `before_ms`.
+    /// [`JobCommand::Forget`] removes those without runs that may still be running.
     pub fn forgettable(&self, before_ms: u64, limit: usize) -> Vec<JobId> {
         let old = |job: &Job| job.phase != JobPhase::Active && job.ended_ms < before_ms;
-        self.jobs.iter().filter(|(_, job)| old(job)).map(|(id, _)| *id).take(limit).collect()
+        let ended = self.jobs.iter().filter(|(_, job)| old(job)).map(|(id, _)| *id);
+        self.cancellations.older_than(before_ms).chain(ended).take(limit).collect()
     }
 
     /// Runner incarnations with runs that may still be running.
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -17,6 +17,9 @@
 /// Format version of a snapshot with evacuations. Releases that know none refuse it: they would
 /// read it without them, and give work to a zone under evacuation.
 pub const FORMAT_WITH_EVACUATIONS: u32 = 3;
+/// Format version of a snapshot with cancellations of unknown jobs. Releases that know none
+/// refuse it: they would run such a job if its submission arrived.
+pub const FORMAT_WITH_CANCELLATIONS: u32 = 4;
 
 const MAGIC: &[u8; 8] = b"YUCCASNP";
 /// Length of the header: magic, format version and CRC-32 of the body.
@@ -39,8 +42,15 @@
     /// Rebuilds the indexes, which are not written to snapshots.
     fn reindex(&mut self);
 
-    /// The zones under evacuation.
-    fn evacuations(&self) -> &Evacuations;
+    /// Oldest format version whose readers understand all that this state holds.
+    fn format(&self) -> u32;
+}
+
+fn format_with(evacuations: &Evacuations) -> u32 {
+    match evacuations.is_empty() {
+        true => FORMAT,
+        false => FORMAT_WITH_EVACUATIONS,
+    }
 }
 
 /// Reads a field that a release added at the end of a state, or its default if the bytes end
@@ -59,8 +69,8 @@
         StateMachine::reindex(self);
     }
 
-    fn evacuations(&self) -> &Evacuations {
-        StateMachine::evacuations(self)
+    fn format(&self) -> u32 {
+        format_with(self.evacuations())
     }
 }
 
@@ -69,8 +79,11 @@
         CellState::reindex(self);
     }
 
-    fn evacuations(&self) -> &Evacuations {
-        CellState::evacuations(self)
+    fn format(&self) -> u32 {
+        match self.cancellations().is_empty() {
+            true => format_with(self.evacuations()),
+            false => FORMAT_WITH_CANCELLATIONS,
+        }
     }
 }
 
@@ -103,8 +116,7 @@
         .map_err(|source| Error::Decode { what: "a snapshot", source })?;
     let mut buf = Vec::with_capacity(body.len() + HEADER_LEN);
     buf.extend_from_slice(MAGIC);
-    let format = if state.evacuations().is_empty() { FORMAT } else { FORMAT_WITH_EVACUATIONS };
-    buf.extend_from_slice(&format.to_le_bytes());
+    buf.extend_from_slice(&state.format().to_le_bytes());
     buf.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
     buf.extend_from_slice(&body);
     Ok(buf)
@@ -134,8 +146,8 @@
     }
     let read_u32 = |at: usize| buf[at..at + 4].try_into().map_or(0, u32::from_le_bytes);
     let found = read_u32(8);
-    if !matches!(found, FORMAT | FORMAT_WITH_EVACUATIONS) {
-        let known = FORMAT_WITH_EVACUATIONS;
+    if !(FORMAT..=FORMAT_WITH_CANCELLATIONS).contains(&found) {
+        let known = FORMAT_WITH_CANCELLATIONS;
         return Err(Error::Version { path: shown.into(), found, known });
     }
     let body = &buf[HEADER_LEN..];
--- a/crates/state/tests/jobs.rs
+++ b/crates/state/tests/jobs.rs
@@ -401,3 +401,74 @@
         }
     }
 }
+
+fn submission(id: JobId) -> JobCommand {
+    let spec = JobSpec { payload: "p".into(), steps: vec![step(1)], schedule: None };
+    let (queue, pool) = ("q".into(), "pool".into());
+    let submission = JobSubmission { id, queue, pool, attempts: ATTEMPTS, at_ms: 20, spec };
+    JobCommand::Submit(Box::new(submission))
+}
+
+fn cancel_unknown(id: JobId, at_ms: u64) -> JobCommand {
+    JobCommand::CancelUnknown { id, at_ms }
+}
+
+/// Guards against a job that runs because its cancellation came first.
+#[test]
+fn a_job_that_was_cancelled_before_its_submission_starts_nothing() {
+    let mut jobs = table(vec![]);
+    assert_eq!(jobs.apply(cancel_unknown(JobId(2), 7)), JobOutcome::Cancelled(false));
+    assert!(jobs.job(JobId(2)).is_none(), "nobody submitted it");
+    assert_eq!(jobs.apply(submission(JobId(2))), JobOutcome::Accepted { new: false });
+    assert_eq!(jobs.job(JobId(2)).expect("a job").phase, JobPhase::Cancelled);
+    assert!(!start(&mut jobs, TaskKey { job: JobId(2), ..key(0, 0) }, 1, 0));
+    assert!(jobs.cancellations().is_empty(), "the table holds the job now");
+    assert_eq!(jobs.apply(submission(JobId(2))), JobOutcome::Accepted { new: false });
+    assert!(!jobs.is_active(JobId(2)));
+}
+
+/// Guards against a cancellation that misses a job whose submission is committed just before it.
+#[test]
+fn a_cancellation_of_an_unknown_job_ends_one_that_was_submitted_meanwhile() {
+    let mut jobs = table(vec![step(1)]);
+    assert_eq!(jobs.apply(cancel_unknown(JobId(1), 7)), JobOutcome::Cancelled(true));
+    assert_eq!(phase(&jobs), JobPhase::Cancelled);
+    assert!(jobs.cancellations().is_empty());
+}
+
+/// Guards against cancellations that are remembered without end, or without bound.
+#[test]
+fn cancellations_of_unknown_jobs_are_bounded_and_forgotten() {
+    let mut jobs = CellState::new();
+    let most = CANCELLATIONS_MAX as u64;
+    for id in 0..most {
+        assert_eq!(jobs.apply(cancel_unknown(JobId(id), id)), JobOutcome::Cancelled(false));
+    }
+    assert_eq!(jobs.apply(cancel_unknown(JobId(0), 9)), JobOutcome::Cancelled(false));
+    assert_eq!(jobs.apply(cancel_unknown(JobId(most), 9)), JobOutcome::TooManyCancellations);
+    let old = jobs.forgettable(2, 10);
+    assert_eq!(old, [JobId(0), JobId(1)]);
+    jobs.apply(JobCommand::Forget(old));
+    assert_eq!(jobs.cancellations().len(), CANCELLATIONS_MAX - 2);
+    assert_eq!(jobs.apply(cancel_unknown(JobId(most), 9)), JobOutcome::Cancelled(false));
+}
+
+/// Guards against a cancellation that is lost with the log, after a snapshot, and against an
+/// earlier release that reads the snapshot without it.
+#[test]
+fn a_snapshot_keeps_the_cancellations_of_unknown_jobs() {
+    let mut jobs = table(vec![step(1)]);
+    let format = |jobs: &CellState| {
+        let bytes = snapshot::encode(&Meta::default(), jobs).expect("a snapshot");
+        u32::from_le_bytes(bytes[8..12].try_into().expect("four bytes"))
+    };
+    assert_eq!(format(&jobs), snapshot::FORMAT);
+    jobs.apply(cancel_unknown(JobId(2), 7));
+    assert_eq!(format(&jobs), snapshot::FORMAT_WITH_CANCELLATIONS);
+    let bytes = snapshot::encode(&Meta::default(), &jobs).expect("a snapshot");
+    let mut back = snapshot::decode_as::<CellState>(&bytes, "memory").expect("decoded").state;
+    assert_eq!(back, jobs);
+    back.apply(submission(JobId(2)));
+    assert!(!back.is_active(JobId(2)));
+    assert_eq!(format(&back), snapshot::FORMAT, "the table holds the job now");
+}
