Stop unwanted runs with every answer of the leader

Callers saw: a run of a cancelled job may go on until its runner's lease ends, 5.1 s after the last report that was handled before the cancellation was committed, if the later reports are not handled: they wait too long at a busy leader, come late, are of an earlier incarnation, or of a pool that a change set has removed just now. Such a report was answered without a lease and without stops.

Cause: stops were put together for handled reports only. Change: all orders without a lease carry stops for the listed runs that must not go on: the job is not active, the run is not assigned to the newest incarnation of that name, or its gang lost a member. Runners carry out stops without a lease (PROTOCOL.md: without lease_ttl_ms no lease is extended and nothing is started). A runner of an unknown pool still learns that its pool is unknown, unless it lists such a run.

--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -25,6 +25,10 @@
         let change = self.state.change_set();
         if change.is_some_and(|change| change.pool(&report.pool).is_none()) {
             log::info!("runner={} ignored: no pool {}", report.runner, report.pool);
+            let orders = self.orders_without_lease(&report);
+            if !orders.stop.is_empty() {
+                return self.answer(token, CellResponse::Orders(Box::new(orders)));
+            }
             let message = format!("there is no pool {}; correct the name", report.pool);
             return self.answer(token, CellResponse::Invalid(message.into()));
         }
@@ -42,8 +46,8 @@
                     report.runner,
                     report.started_ms
                 );
-                let answer = self.empty_orders();
-                self.answer(token, answer);
+                let orders = self.orders_without_lease(&report);
+                self.answer(token, CellResponse::Orders(Box::new(orders)));
             }
             _ => self.propose_incarnation(token, report),
         }
@@ -125,8 +129,8 @@
         let late = report.sequence <= runner.sequence && runner.sequence > 0;
         if late || self.incarnations.has_ended(key) {
             log::info!("runner={} late report {} ignored", report.runner, report.sequence);
-            let answer = self.empty_orders();
-            return self.answer(token, answer);
+            let orders = self.orders_without_lease(report);
+            return self.answer(token, CellResponse::Orders(Box::new(orders)));
         }
         if runner.state != report.state {
             log::info!("runner={} state={} was={}", report.runner, report.state, runner.state);
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -293,11 +293,8 @@
         match request {
             // A runner that leaves stops waiting once its report is acknowledged.
             CellRequest::Heartbeat(report) if report.state == RunnerState::Ready => {
-                CellResponse::Orders(Box::new(RunnerOrders {
-                    token: self.term,
-                    retry_after_ms: after_ms,
-                    ..RunnerOrders::default()
-                }))
+                let orders = self.orders_without_lease(report);
+                CellResponse::Orders(Box::new(RunnerOrders { retry_after_ms: after_ms, ..orders }))
             }
             // An earlier copy of the request may have been accepted.
             CellRequest::Submit { id, .. } if self.state.job(*id).is_some() => {
--- a/crates/coordination/src/jobs/orders.rs
+++ b/crates/coordination/src/jobs/orders.rs
@@ -1,7 +1,7 @@
 //! Orders to a runner, in the response to its report.
 
 use super::leader::{Leader, Now, RequestToken};
-use super::messages::{CellResponse, RunnerOrders, StartOrder};
+use super::messages::{CellResponse, RunnerOrders, RunnerReport, StartOrder};
 use super::ready::StepKey;
 use super::report_rate;
 use super::report_rate::millis;
@@ -119,6 +119,20 @@
         orders
     }
 
+    /// Orders for a report that renews no lease. They stop the listed runs that must not go on,
+    /// because no later report may be handled before the lease ends.
+    pub(super) fn orders_without_lease(&self, report: &RunnerReport) -> RunnerOrders {
+        // A run of an earlier incarnation is never assigned to the newest one.
+        let newest = self.incarnations.newest(&report.runner);
+        let unwanted = |task: TaskKey, run: u32| {
+            let given_up = newest.is_some_and(|key| !self.state.is_assigned(key, task, run));
+            given_up || !self.is_wanted(task) || self.has_lost_gang_member(task, run)
+        };
+        let listed = report.running.iter().map(|run| (run.task, run.run));
+        let stop = listed.filter(|(task, run)| unwanted(*task, *run)).collect();
+        RunnerOrders { token: self.term, stop, ..RunnerOrders::default() }
+    }
+
     fn stop_orders(&self, runner: &Runner) -> Vec<(TaskKey, u32)> {
         let unwanted = |task: TaskKey, run: u32, stopping: bool| {
             stopping
