Waves: a new leader keeps the limit of machines down at once

Operators saw: after a change of the leader during a wave, a machine goes down although as many as the wave allows are down already, and the wave is said to be completed too early.

Causes: (1) the list of machines counted as read after its first answer, whatever it was. After a refused call, or between two pages, all machines in maintenance counted as gone, and the end of their maintenance was committed. (2) A maintenance that the platform has begun for a leader which did not commit that was not counted by the next one. Change: a machine has left only if it is missing in a whole list; waiting machines that are away take a place of the wave. Evidence: three tests in tests/cell_external.rs took m1 down beside m0 before, and pass now. Not changed: if the answer to an order is lost and the machine is up again before the order is repeated, the wave does not see its end (the runner after it counts as the one before it).

--- a/crates/coordination/src/jobs/waves.rs
+++ b/crates/coordination/src/jobs/waves.rs
@@ -35,6 +35,8 @@
     page: Vec<Machine>,
     pending_read: Option<(ExternalCallId, Moment)>,
     last_read: Option<Moment>,
+    /// A whole list was read, so that a machine which is not in it has left the platform.
+    listed: bool,
     draining: BTreeMap<Box<str>, DrainingMachine>,
 }
 
@@ -90,7 +92,7 @@
                 let back = found.is_some_and(|m| m.state == MachineState::Up)
                     && self.waves.runner_of(machine) != wave.runner_before(machine);
                 // A machine that is no longer listed has left for good.
-                let left = self.waves.last_read.is_some() && found.is_none();
+                let left = self.waves.listed && found.is_none();
                 if back || left {
                     done.push((wave.wave.id, Box::from(machine)));
                 }
@@ -107,12 +109,19 @@
         let Some(wave) = self.state.wave(id) else { return };
         let in_maintenance = wave.in_maintenance().count();
         let draining = self.waves.draining.values().filter(|e| e.wave == id).count();
-        let mut slots = (wave.wave.at_once as usize).saturating_sub(in_maintenance + draining);
         let waiting: Vec<Box<str>> = wave
             .waiting()
             .filter(|machine| !self.waves.draining.contains_key(*machine))
             .map(Box::from)
             .collect();
+        // The platform may have begun the maintenance of these for an earlier leader, which did
+        // not commit it.
+        let is_away = |machine: &&Box<str>| {
+            self.waves.machines.get(*machine).is_some_and(|m| m.state == MachineState::Away)
+        };
+        let away = waiting.iter().filter(is_away).count();
+        let down = in_maintenance + draining + away;
+        let mut slots = (wave.wave.at_once as usize).saturating_sub(down);
         for machine in waiting {
             if slots == 0 {
                 return;
@@ -236,7 +245,6 @@
 
     fn handle_machine_page(&mut self, now: Now, reply: ExternalReply) {
         self.waves.pending_read = None;
-        self.waves.last_read = self.waves.last_read.or(Some(now.at));
         let ExternalReply::Machines { machines, next } = reply else {
             self.waves.last_read = Some(now.at);
             return;
@@ -249,6 +257,7 @@
         }
         let whole = std::mem::take(&mut self.waves.page);
         self.waves.machines = whole.into_iter().map(|m| (m.name.clone(), m)).collect();
+        self.waves.listed = true;
         self.waves.last_read = Some(now.at);
     }
 }
--- a/crates/coordination/tests/cell_external.rs
+++ b/crates/coordination/tests/cell_external.rs
@@ -15,7 +15,7 @@
 use yuccalink_coordination::jobs::{CellRequest, CellResponse};
 use yuccalink_fakes::emulator::{EmulatedRunner, TaskBehavior};
 use yuccalink_state::jobs::change::Advisor;
-use yuccalink_state::jobs::{StepSpec, Wave};
+use yuccalink_state::jobs::{JobCommand, StepSpec, Wave};
 
 const POLICY: Advisor = Advisor { decision_ms: 20, per_runner_ms: 1, validity_ms: 3_000 };
 
@@ -168,6 +168,77 @@
     assert_eq!(harness.request(CellRequest::WaveState(2)), CellResponse::Gone);
 }
 
+/// A leader elected during a wave of machines m0 and m1, one at a time.
+fn new_leader_during_a_wave(commands: Vec<JobCommand>) -> LeaderHarness {
+    let mut all = vec![JobCommand::Wave(wave(&["m0", "m1"], 1))];
+    all.extend(commands);
+    let mut harness = LeaderHarness::with_commands(2, None, TaskBehavior::default(), all);
+    harness.report_round();
+    harness.advance(TICK);
+    harness
+}
+
+/// Lets time pass and answers each listing of the machines with `reply`; returns the machines
+/// that went down.
+fn upkeeps<F>(harness: &mut LeaderHarness, reply: F) -> Vec<Box<str>>
+where
+    F: Fn(&LeaderHarness) -> ExternalReply,
+{
+    let mut begun = Vec::new();
+    for _ in 0..20 {
+        for (id, call) in harness.leader.take_calls() {
+            match call {
+                ExternalCall::Upkeep { machine, .. } => {
+                    begun.push(machine);
+                    harness.reply_to_call(id, ExternalReply::Done);
+                }
+                _ => harness.reply_to_call(id, reply(harness)),
+            }
+        }
+        harness.advance(TICK);
+    }
+    begun
+}
+
+fn begun_on_m0() -> JobCommand {
+    JobCommand::UpkeepBegun { wave: 1, machine: "m0".into(), runner: Some("w0".into()) }
+}
+
+/// Guards against two machines down at once after an election, because the list was not read yet.
+#[test]
+fn a_new_leader_ends_no_maintenance_before_it_has_read_all_machines() {
+    let mut harness = new_leader_during_a_wave(vec![begun_on_m0()]);
+    let refused = upkeeps(&mut harness, |_| ExternalReply::Later);
+    assert_eq!(refused, Vec::<Box<str>>::new());
+    assert_eq!(upkeeps(&mut harness, |harness| machines(harness, &[0])), Vec::<Box<str>>::new());
+    assert_eq!(harness.request(CellRequest::WaveState(1)), CellResponse::Wave { done: false });
+}
+
+/// Guards against two machines down at once after an election between two pages of the list.
+#[test]
+fn a_machine_on_a_later_page_has_not_left() {
+    let mut harness = new_leader_during_a_wave(vec![begun_on_m0()]);
+    let (id, _) = harness.take_call().expect("a call that lists the machines");
+    let ExternalReply::Machines { machines: mut all, .. } = machines(&harness, &[0]) else {
+        panic!("no machines")
+    };
+    let (first, second) = (all.remove(0), all);
+    let next = Some("p2".into());
+    harness.reply_to_call(id, ExternalReply::Machines { machines: second, next });
+    harness.advance(TICK);
+    let (id, _) = harness.take_call().expect("a call for the next page");
+    harness.reply_to_call(id, ExternalReply::Machines { machines: vec![first], next: None });
+    assert_eq!(upkeeps(&mut harness, |harness| machines(harness, &[0])), Vec::<Box<str>>::new());
+}
+
+/// Guards against two machines down at once because the first order was not committed.
+#[test]
+fn a_machine_that_is_away_counts_though_its_order_was_not_committed() {
+    let mut harness = new_leader_during_a_wave(Vec::new());
+    assert_eq!(upkeeps(&mut harness, |harness| machines(harness, &[0])), Vec::<Box<str>>::new());
+    assert_eq!(upkeeps(&mut harness, |harness| machines(harness, &[])).len(), 1);
+}
+
 /// A delayed report that arrives after newer ones does not list a run that began meanwhile. If
 /// the leader acted on it, it would order that run again and renew a lease by a report that is
 /// seconds old.
