Refuse no submission whose copy waits for the log

Callers saw: a submission that was sent again while the log's queue is full is refused with 429 (not run), although the first copy waits for the log, is accepted afterwards, and runs. Cause: the refusal looked at the committed table only. Change: the answer is that the outcome is not known (504), as for an expired one. Evidence: a_full_log_refuses_a_submission_only_if_its_job_is_unknown failed before (Refused), passes now.

--- a/crates/coordination/src/jobs/requests.rs
+++ b/crates/coordination/src/jobs/requests.rs
@@ -110,6 +110,10 @@
             return Some(CellResponse::Invalid(error.to_string().into()));
         }
         if let Some(after_ms) = self.overload_retry_ms() {
+            // An earlier copy of the request may be accepted after this one is refused.
+            if self.submitting.contains(&id) {
+                return Some(CellResponse::Unknown);
+            }
             log::info!("job={id} queue={} refused after-ms={after_ms}", queue.name);
             self.counts.refused += 1;
             return Some(CellResponse::Refused { after_ms });
--- a/crates/coordination/tests/acknowledgement.rs
+++ b/crates/coordination/tests/acknowledgement.rs
@@ -148,3 +148,24 @@
     harness.commit();
     assert_eq!(harness.leader.reject(now, &submission(2)), CellResponse::Accepted);
 }
+
+/// Guards against a refusal that says "not run" beside a copy of the job that is accepted later.
+#[test]
+fn a_full_log_refuses_a_submission_only_if_its_job_is_unknown() {
+    const COMMANDS_MAX: u64 = 8 * 1024;
+    let mut harness = completed_and_given_up();
+    let spec = JobSpec { payload: "p".into(), steps: vec![step(1, 4, 1_000).0], schedule: None };
+    let spec = std::sync::Arc::new(spec);
+    let now = harness.leader_now();
+    let mut submit = |id: u64| {
+        let at = world::queue_address();
+        let request = CellRequest::Submit { at, id: JobId(id), spec: spec.clone() };
+        harness.leader.handle_request(now, RequestToken(id), request);
+        harness.leader.take_answers()
+    };
+    for id in 0..COMMANDS_MAX {
+        assert_eq!(submit(1_000 + id), []);
+    }
+    assert_eq!(submit(1_000), [(RequestToken(1_000), CellResponse::Unknown)]);
+    assert!(matches!(&submit(900)[..], [(_, CellResponse::Refused { .. })]));
+}
