Histories: disks lost while all other VMs lose power

Not a fault: a gap in the tests.

Change: a second kind of history grows a cell from its one bootstrap voter by voters::next, as the daemon does (8 or 5 disks with a tolerance of 2, 4 or 3 with 1), and loses disks (half of the time the leader's) with all others dark, three times, right after an acknowledgement; of two losses one may come first, at any step of whose repair the rest follows. All start again in any order, while messages of before arrive or not.

--- a/crates/coordination/tests/raft.rs
+++ b/crates/coordination/tests/raft.rs
@@ -1,5 +1,6 @@
 //! Tests Raft under random histories: messages lost, delayed, duplicated and reordered, crashes
-//! that lose unsynced writes, one-way partitions, replaced disks and drifting clocks.
+//! that lose unsynced writes, one-way partitions, replaced disks, disks lost while all other VMs
+//! lose power, and drifting clocks.
 //! `YUCCALINK_SEED=n` runs one history, `YUCCALINK_HISTORIES=n` sets the number of histories.
 
 use rand::{RngExt as _, SeedableRng as _};
@@ -12,10 +13,15 @@
     Envelope, HardState, LogEntry, LogWrite, Member, Members, Payload, Raft, ReplicaId, Restored,
     Role, SnapshotMeta,
 };
+use yuccalink_coordination::voters::{self, MembershipView};
 use yuccalink_state::id::Name;
 
 const HISTORIES: u64 = 10_000;
 const STEPS: usize = 500;
+/// Histories in which disks are lost while all other VMs lose power.
+const DARK_HISTORIES: u64 = 2_000;
+/// Disks of a cell, and how many of them may be lost at once.
+const CELLS: [(usize, usize); 4] = [(8, 2), (5, 2), (4, 1), (3, 1)];
 
 /// Durable state of a replica, and writes that are not synced yet.
 #[derive(Clone, Default)]
@@ -65,10 +71,16 @@
     faults_off: bool,
     time_step: Duration,
     max_delay_us: u64,
+    /// Disk losses that the cell tolerates, if its members are chosen like by the daemon.
+    tolerance: Option<usize>,
 }
 
 fn member(id: ReplicaId, position: usize) -> Member {
-    Member { id, name: Name::new(&format!("e{position}")).expect("a name"), address: "".into() }
+    Member {
+        id,
+        name: Name::new(&format!("e{position}")).expect("a name"),
+        address: format!("a{position}").into(),
+    }
 }
 
 fn command_number(entry: &LogEntry) -> Option<u64> {
@@ -80,6 +92,10 @@
 
 impl World {
     fn new(seed: u64, replicas: usize) -> Self {
+        Self::with_tolerance(seed, replicas, None)
+    }
+
+    fn with_tolerance(seed: u64, replicas: usize, tolerance: Option<usize>) -> Self {
         // Half of the networks are fast, to expose rules that depend on time.
         let fast = seed % 2 == 1;
         let mut world = Self {
@@ -98,6 +114,7 @@
             faults_off: false,
             time_step: Duration::from_millis(if fast { 5 } else { 20 }),
             max_delay_us: if fast { 8_000 } else { 150_000 },
+            tolerance,
         };
         for _ in 0..replicas {
             let id = world.new_node();
@@ -112,8 +129,9 @@
         if self.nodes.values().any(|node| node.raft.as_ref().is_none_or(|raft| !raft.is_empty())) {
             return;
         }
-        let voters =
-            self.current_replicas.iter().enumerate().map(|(at, id)| member(*id, at)).collect();
+        let first_voters = if self.tolerance.is_some() { 1 } else { usize::MAX };
+        let all = self.current_replicas.iter().enumerate().take(first_voters);
+        let voters = all.map(|(at, id)| member(*id, at)).collect();
         let first = self.current_replicas[0];
         let at = self.clock(first);
         let bootstrapper = self.nodes.get_mut(&first).expect("a node").raft.as_mut().expect("up");
@@ -412,6 +430,9 @@
 
     /// Changes members after a disk was replaced, as the daemon of the leader does.
     fn repair(&mut self) {
+        if let Some(tolerance) = self.tolerance {
+            return self.repair_by_policy(tolerance);
+        }
         for (position, id) in self.current_replicas.clone().into_iter().enumerate() {
             let leaders: Vec<ReplicaId> = self.nodes.keys().copied().collect();
             for leader in leaders {
@@ -442,6 +463,137 @@
         }
     }
 
+    fn repair_by_policy(&mut self, tolerance: usize) {
+        let up = |(_, id): &(usize, &ReplicaId)| self.nodes[*id].raft.is_some();
+        let disk = |(at, id): (usize, &ReplicaId)| voters::Disk {
+            member: member(*id, at),
+            zone: format!("z{}", at % 3).into(),
+            silent: Duration::ZERO,
+        };
+        let disks: Vec<voters::Disk> =
+            self.current_replicas.iter().enumerate().filter(up).map(disk).collect();
+        let ids: Vec<ReplicaId> = self.nodes.keys().copied().collect();
+        for leader in ids {
+            let at = self.clock(leader);
+            let Some(raft) = &mut self.nodes.get_mut(&leader).expect("a node").raft else {
+                continue;
+            };
+            if !raft.has_committed_in_term() || !raft.members_committed() {
+                continue;
+            }
+            let members = raft.members().clone();
+            let ids = || members.all().map(|member| member.id);
+            let heard = |id| Some((id, at.since(raft.last_heard(id)?)));
+            let view = MembershipView {
+                own: leader,
+                silent: ids().filter_map(heard).collect(),
+                caught_up: ids().filter(|id| raft.is_caught_up(*id)).collect(),
+                disks: disks.iter().filter(|disk| disk.member.id != leader).cloned().collect(),
+                members: members.clone(),
+            };
+            if let Some((members, _)) = voters::next(&view, voters::wanted(tolerance)) {
+                let _ = raft.change_members(at, members);
+                self.process_output(leader);
+            }
+        }
+    }
+
+    /// Whether a leader has all voters that the tolerance requires, each with its disk.
+    fn is_whole(&self, tolerance: usize) -> bool {
+        let whole = |(id, node): (&ReplicaId, &Node)| {
+            let Some(raft) = &node.raft else { return false };
+            let voters = &raft.members().voters;
+            let sound = |voter: &Member| {
+                self.current_replicas.contains(&voter.id)
+                    && (voter.id == *id || raft.is_caught_up(voter.id))
+            };
+            raft.has_lease(self.clock(*id))
+                && raft.members_committed()
+                && voters.len() == voters::wanted(tolerance)
+                && voters.iter().all(sound)
+        };
+        self.nodes.iter().any(whole)
+    }
+
+    /// Ends all faults and waits until the voters are whole.
+    fn make_whole(&mut self, tolerance: usize) {
+        const STEPS_MAX: usize = 3_000;
+        self.faults_off = true;
+        self.blocked_links.clear();
+        self.start_all();
+        for _ in 0..STEPS_MAX {
+            self.step();
+            self.repair();
+            if self.is_whole(tolerance) {
+                self.faults_off = false;
+                return;
+            }
+        }
+        panic!("the voters are not whole: {}", self.describe());
+    }
+
+    fn start_all(&mut self) {
+        let down: Vec<ReplicaId> =
+            self.nodes.keys().copied().filter(|id| self.nodes[id].raft.is_none()).collect();
+        down.into_iter().for_each(|id| self.start(id));
+    }
+
+    /// The VM at this position gets an empty disk, and starts later.
+    fn lose_disk(&mut self, position: usize) {
+        self.nodes.remove(&self.current_replicas[position]);
+        let id = self.new_node();
+        self.nodes.get_mut(&id).expect("a node").raft = None;
+        self.current_replicas[position] = id;
+    }
+
+    /// Loses disks, the leader's or not, while all other VMs lose power; the VMs start again in
+    /// any order.
+    fn lose_disks_and_power(&mut self, disks: usize) {
+        let mut left: Vec<usize> = (0..self.current_replicas.len()).collect();
+        let leads = |at: &usize| {
+            let raft = self.nodes[&self.current_replicas[*at]].raft.as_ref();
+            raft.is_some_and(|raft| raft.role() == Role::Leader)
+        };
+        let leader = left.iter().position(leads);
+        for lost in 0..disks {
+            let at = match leader.filter(|_| lost == 0) {
+                Some(at) if self.rng.random_range(0..2) == 0 => at,
+                _ => self.rng.random_range(0..left.len()),
+            };
+            let position = left.swap_remove(at);
+            self.lose_disk(position);
+        }
+        for position in left {
+            self.crash(self.current_replicas[position]);
+        }
+        if self.rng.random_range(0..2) == 0 {
+            self.network.clear();
+        }
+        let ids: Vec<ReplicaId> = self.nodes.keys().copied().collect();
+        for _ in 0..self.rng.random_range(0..200) {
+            for id in &ids {
+                if self.nodes[id].raft.is_none() && self.rng.random_range(0..40) == 0 {
+                    self.start(*id);
+                }
+            }
+            self.step();
+            self.repair();
+        }
+    }
+
+    /// Proposes until something is acknowledged, for at most some steps.
+    fn acknowledge_one(&mut self) {
+        const STEPS_MAX: usize = 100;
+        let before = self.acknowledged.len();
+        for _ in 0..STEPS_MAX {
+            self.propose();
+            self.step();
+            if self.acknowledged.len() > before {
+                return;
+            }
+        }
+    }
+
     fn inject_fault(&mut self) {
         let ids: Vec<ReplicaId> = self.nodes.keys().copied().collect();
         let id = ids[self.rng.random_range(0..ids.len())];
@@ -591,6 +743,37 @@
     world.check_recovery();
 }
 
+/// Several times in a row, disks are lost while all other VMs lose power, right after an
+/// acknowledgement and at any step of the repair of an earlier loss.
+fn run_dark_history(seed: u64) {
+    const LOSSES: usize = 3;
+    const REPAIR_STEPS_MAX: usize = 60;
+    let (disks, tolerance) = CELLS[usize::try_from(seed % 4).expect("small")];
+    let mut world = World::with_tolerance(seed, disks, Some(tolerance));
+    for _ in 0..LOSSES {
+        world.make_whole(tolerance);
+        for _ in 0..world.rng.random_range(0..60) {
+            world.step();
+            world.repair();
+            world.propose();
+        }
+        let mut still_to_lose = tolerance;
+        if tolerance > 1 && world.is_whole(tolerance) && world.rng.random_range(0..2) == 0 {
+            still_to_lose -= 1;
+            let position = world.rng.random_range(0..disks);
+            world.lose_disk(position);
+            world.start_all();
+            for _ in 0..world.rng.random_range(0..REPAIR_STEPS_MAX) {
+                world.step();
+                world.repair();
+            }
+        }
+        world.acknowledge_one();
+        world.lose_disks_and_power(still_to_lose);
+    }
+    world.check_recovery();
+}
+
 fn env_number(name: &str) -> Option<u64> {
     std::env::var(name).ok().and_then(|text| text.parse().ok())
 }
@@ -601,16 +784,26 @@
 /// twice, and the group makes progress once the faults end.
 #[test]
 fn random_histories_violate_no_invariant() {
+    run_histories(HISTORIES, run_history);
+}
+
+/// Guards against an acknowledged command, or the cell, lost with disks while all else is dark.
+#[test]
+fn disks_lost_while_all_other_vms_lose_power_lose_nothing() {
+    run_histories(DARK_HISTORIES, run_dark_history);
+}
+
+fn run_histories(count: u64, run: fn(u64)) {
     if let Some(seed) = env_number("YUCCALINK_SEED") {
-        return run_history(seed);
+        return run(seed);
     }
-    let count = env_number("YUCCALINK_HISTORIES").unwrap_or(HISTORIES);
+    let count = env_number("YUCCALINK_HISTORIES").unwrap_or(count);
     let threads = std::thread::available_parallelism().map_or(2, usize::from) as u64;
     let handles: Vec<_> = (0..threads)
         .map(|thread| {
             std::thread::spawn(move || {
                 for seed in (0..count).filter(|seed| seed % threads == thread) {
-                    let run = std::panic::catch_unwind(|| run_history(seed));
+                    let run = std::panic::catch_unwind(|| run(seed));
                     assert!(run.is_ok(), "reproduce with YUCCALINK_SEED={seed}");
                 }
             })
