Tests: random histories whose callers cancel at every moment of a job's life

What callers saw: cancellations were not part of any history but through a leader that knew the job, and what ran after them was looked at once, counted from the request.

Change: a new profile `CANCELLING`. In each step the check looks at what runners do, from the answer on: no order is sent, no run starts later than 1.1 s, none is at work later than 4.4 s in touch, the job is shown neither as queued nor as running, and the counts of the queues leave it out. The field `cancels`, which no code read, now starts all that; it is off in the old profiles, whose histories stay the same.

Two checks become stricter: a completed scheduled job must have done all of its occurrences, and the failures of a scheduled job are looked for in all of them (only the first was looked at, so that a job failed by a later one was taken for a violation).

--- a/crates/coordination/tests/cancellation.rs
+++ b/crates/coordination/tests/cancellation.rs
@@ -11,13 +11,13 @@
 use harness::LeaderHarness;
 use std::sync::Arc;
 use std::time::Duration;
-use world::{change_set, queue_address, step};
+use world::{CallerCounts, CancelTime, FaultProfile, World, change_set, job, queue_address, step};
 use yuccalink_coordination::intake::{Intake, Next, RequestClass};
 use yuccalink_coordination::jobs::{
     CellRequest, CellResponse, JobState, Leader, LeaderConfig, RequestToken,
 };
 use yuccalink_fakes::emulator::TaskBehavior;
-use yuccalink_state::jobs::{JobId, JobSpec, Queue, StepSpec};
+use yuccalink_state::jobs::{JobId, JobSpec, Queue, Schedule, StepSpec};
 
 const RUNNERS: usize = 2;
 const JOB: JobId = JobId(1);
@@ -245,3 +245,99 @@
     cancel(&mut harness);
     assert_stays_cancelled(&mut harness);
 }
+
+/// Guards against runs of cancelled jobs in any order of requests, changes, losses and crashes.
+#[test]
+fn no_run_is_at_work_after_a_cancellation_in_random_histories() {
+    let mut failed = Vec::new();
+    for seed in 0..HISTORIES {
+        let violations = run_history(seed).cancelling_violations();
+        if !violations.is_empty() {
+            failed.push((seed, violations));
+        }
+    }
+    let seeds: Vec<u64> = failed.iter().map(|(seed, _)| *seed).collect();
+    let count = seeds.len();
+    assert!(failed.is_empty(), "{count} of {HISTORIES} seeds fail: {seeds:?}; {:#?}", failed[0]);
+}
+
+/// Guards against histories that don't cancel in every phase of a job any more.
+#[test]
+fn the_histories_cancel_in_every_phase_of_a_job() {
+    let counts: Vec<CallerCounts> = (0..20).map(|seed| run_history(seed).caller_counts()).collect();
+    for phase in PHASES {
+        let cancelled = counts.iter().filter_map(|counts| counts.cancelled_in.get(&phase));
+        assert!(cancelled.sum::<usize>() > 0, "no cancellation {phase:?}");
+    }
+    let has = |count: fn(&CallerCounts) -> usize| counts.iter().map(count).sum::<usize>() > 0;
+    assert!(has(|counts| counts.copies_after_answer), "no copies after an answer");
+    assert!(has(|counts| counts.of_renamed_queues), "no jobs of renamed queues");
+    assert!(has(|counts| counts.sent_again), "no requests of lost leaders");
+}
+
+const PHASES: [CancelTime; 7] = [
+    CancelTime::BeforeSubmission,
+    CancelTime::BesideSubmission,
+    CancelTime::Queued,
+    CancelTime::Begun,
+    CancelTime::GangIncomplete,
+    CancelTime::AtWork,
+    CancelTime::Ended,
+];
+
+/// Histories in each test run.
+const HISTORIES: u64 = 300;
+const JOBS: u64 = 25;
+
+fn run_history(seed: u64) -> World {
+    let mut world = World::new(seed, 6, FaultProfile::CANCELLING);
+    for id in 1..=JOBS {
+        let (spec, behaviors) = random_job(&mut world);
+        world.submit(JobId(id), spec, behaviors);
+        let pause = 100 + world.random_below(1_200);
+        world.run_for(Duration::from_millis(pause));
+    }
+    world.stop_faults();
+    world.run_for(Duration::from_secs(40));
+    world
+}
+
+fn random_job(world: &mut World) -> (JobSpec, Vec<TaskBehavior>) {
+    let kind = match world.random_below(8) {
+        0 | 1 => JobKind::LongRunning,
+        2 => JobKind::Scheduled,
+        3 | 4 => JobKind::Gang,
+        _ => JobKind::Batch,
+    };
+    let mut steps = Vec::new();
+    for at in 0..1 + world.random_below(2) {
+        let (count, cores) = (1 + world.random_below(6), 1 + world.random_below(5));
+        let work = 300 + world.random_below(4_000);
+        let (mut spec, mut behavior) = step(u32::try_from(count).unwrap_or(1), cores, work);
+        if at > 0 && world.random_below(2) == 0 && kind != JobKind::LongRunning {
+            spec.depends_on = vec![u16::try_from(at - 1).unwrap_or(0)];
+        }
+        spec.checkpointing = world.random_below(2) == 0;
+        spec.gang = kind == JobKind::Gang;
+        spec.speculative = kind == JobKind::Batch && world.random_below(3) == 0;
+        spec.long_running = kind == JobKind::LongRunning;
+        behavior.long_running = spec.long_running;
+        behavior.fails = !spec.long_running && world.random_below(20) == 0;
+        steps.push((spec, behavior));
+    }
+    let (mut spec, behaviors) = job(steps);
+    if kind == JobKind::Scheduled {
+        let first_ms = world.unix_ms() + world.random_below(2_000);
+        let interval_ms = 500 + world.random_below(3_000);
+        spec.schedule = Some(Schedule { first_ms, interval_ms, count: 4 });
+    }
+    (spec, behaviors)
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum JobKind {
+    Batch,
+    Gang,
+    LongRunning,
+    Scheduled,
+}
--- a/crates/coordination/tests/cell/checks.rs
+++ b/crates/coordination/tests/cell/checks.rs
@@ -156,11 +156,14 @@
             if job.phase != yuccalink_state::jobs::JobPhase::Completed {
                 continue;
             }
-            for (s, step) in job.spec.steps.iter().enumerate() {
+            let occurrences = 0..job.spec.occurrences();
+            for (occurrence, (s, step)) in
+                occurrences.flat_map(|k| job.spec.steps.iter().enumerate().map(move |s| (k, s)))
+            {
                 for index in 0..step.count {
                     let key = TaskKey {
                         job: id,
-                        occurrence: 0,
+                        occurrence,
                         step: u16::try_from(s).unwrap_or(u16::MAX),
                         index: u16::try_from(index).unwrap_or(u16::MAX),
                     };
@@ -181,8 +184,10 @@
             if job.phase != yuccalink_state::jobs::JobPhase::Failed {
                 continue;
             }
-            let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
-            let failed = steps.zip(&job.spec.steps).any(|(step, spec)| {
+            let occurrences = job.occurrences.iter();
+            let mut steps =
+                occurrences.flat_map(|occurrence| occurrence.steps.iter().zip(&job.spec.steps));
+            let failed = steps.any(|(step, spec)| {
                 let failures = step.tasks.iter().map(|task| task.failures);
                 let task_failures =
                     if spec.gang { failures.sum() } else { failures.max().unwrap_or(0) };
--- a/crates/coordination/tests/cell/world.rs
+++ b/crates/coordination/tests/cell/world.rs
@@ -1,9 +1,15 @@
 //! Simulates a job cell without a network: one leader at a time, a log that commits after a
 //! delay, emulated runners, and messages that are delayed, lost or duplicated.
 
+#[path = "callers.rs"]
+mod callers;
+#[path = "cancellations.rs"]
+mod cancellations;
 #[path = "checks.rs"]
 mod checks;
 
+use callers::Callers;
+pub use callers::{CallerCounts, CancelTime};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,6 +30,7 @@
 use yuccalink_state::jobs::{
     CellState, ChangeSet, JobCommand, JobId, JobSpec, Pool, Queue, RunOutcome, StepSpec, TaskKey,
 };
+use yuccalink_state::snapshot::{self, Meta};
 
 pub const TIME_STEP: Duration = Duration::from_millis(10);
 /// Unix time at the start of every history.
@@ -44,7 +51,11 @@
     pub leader_change_per_mille: u32,
     pub runner_crash_per_mille: u32,
     pub runner_faults: bool,
+    /// Callers cancel jobs, operators change queues and drain runners, and disks keep the state
+    /// for the next leader.
     pub cancels: bool,
+    /// The leader does not keep up: it handles reports briefly and rejects other requests.
+    pub busy_per_mille: u32,
     /// Capacity shrinks for some seconds and grows back.
     pub shrink_per_mille: u32,
     /// A restarted runner may have another name at the same address.
@@ -64,6 +75,7 @@
         runner_crash_per_mille: 0,
         runner_faults: false,
         cancels: false,
+        busy_per_mille: 0,
         shrink_per_mille: 0,
         runner_renames: false,
         late_last_report: false,
@@ -76,7 +88,8 @@
         leader_change_per_mille: 2,
         runner_crash_per_mille: 2,
         runner_faults: true,
-        cancels: true,
+        cancels: false,
+        busy_per_mille: 0,
         shrink_per_mille: 0,
         runner_renames: false,
         late_last_report: false,
@@ -84,6 +97,7 @@
     };
     pub const HARSHEST: Self =
         Self { shrink_per_mille: 2, runner_renames: true, delay_max_ms: 9_000, ..Self::HARSH };
+    pub const CANCELLING: Self = Self { cancels: true, busy_per_mille: 50, ..Self::HARSHEST };
 }
 
 enum Message {
@@ -101,6 +115,10 @@
     unacknowledged_ends: BTreeMap<u64, (TaskKey, u32, RunOutcome)>,
     end_count: u64,
     capacity_returns_at: Moment,
+    /// A message of the last report or its answer was lost or late.
+    exchange_broken: bool,
+    /// For how long no leader and no orders could reach the runner.
+    out_of_touch: Duration,
 }
 
 struct PendingBatch {
@@ -166,6 +184,9 @@
     /// Zones whose evacuation was acknowledged and not taken back, and since when.
     evacuated: BTreeMap<Box<str>, Moment>,
     pub zone_orders: usize,
+    callers: Callers,
+    /// By how much the wall clock of the leader is wrong, in milliseconds.
+    leader_clock_error_ms: i64,
     pub violations: Vec<String>,
 }
 
@@ -205,9 +226,14 @@
             zone_order: None,
             evacuated: BTreeMap::new(),
             zone_orders: 0,
+            callers: Callers::default(),
+            leader_clock_error_ms: 0,
             violations: Vec::new(),
         };
         world.committed.apply(JobCommand::Change(Box::new(change_set())));
+        if fault_profile.cancels {
+            world.add_queues();
+        }
         for at in 0..runners {
             let runner = Some(world.new_runner(at));
             let (unacknowledged_ends, end_count) = (BTreeMap::new(), 0);
@@ -222,6 +248,8 @@
                 unacknowledged_ends,
                 end_count,
                 capacity_returns_at,
+                exchange_broken: false,
+                out_of_touch: Duration::ZERO,
             });
         }
         world
@@ -247,12 +275,13 @@
         runner
     }
 
-    fn unix_ms(&self) -> u64 {
+    pub fn unix_ms(&self) -> u64 {
         EPOCH_MS + self.now.0 / 1_000
     }
 
     fn now(&self) -> Now {
-        Now { at: self.now, unix_ms: self.unix_ms() }
+        let unix_ms = self.unix_ms().saturating_add_signed(self.leader_clock_error_ms);
+        Now { at: self.now, unix_ms }
     }
 
     fn chance(&mut self, thousandths: u32) -> bool {
@@ -263,6 +292,9 @@
     pub fn submit(&mut self, id: JobId, spec: JobSpec, behaviors: Vec<TaskBehavior>) {
         self.specs.insert(id, Arc::new(spec));
         self.behaviors.insert(id, behaviors);
+        if self.fault_profile.cancels {
+            self.add_caller(id);
+        }
     }
 
     pub fn cancel(&mut self, id: JobId) {
@@ -324,10 +356,12 @@
         }
         self.submit_missing();
         self.operate_zones();
+        self.operate_callers();
         self.deliver_messages();
         self.advance_runners();
         self.commit();
         self.propose();
+        self.check_cancellations();
     }
 
     fn change_leader(&mut self) {
@@ -337,19 +371,32 @@
                 self.commit_now();
             }
             self.pending_batch = None;
-            self.leader = None;
-            self.pending_reports.clear();
+            self.lose_leader();
             let gap = self.rng.random_range(400..2_000);
             self.next_leader_at = self.now + Duration::from_millis(gap);
         }
         if self.leader.is_none() && self.now >= self.next_leader_at {
             self.term += 1;
-            let cfg = LeaderConfig { policy: self.policy, ..LeaderConfig::default() };
+            let mut cfg = LeaderConfig { policy: self.policy, ..LeaderConfig::default() };
+            if self.fault_profile.cancels {
+                cfg.job_retention = SHORT_RETENTION;
+                self.leader_clock_error_ms =
+                    self.rng.random_range(-CLOCK_ERROR_MAX_MS..=CLOCK_ERROR_MAX_MS);
+                self.committed = read_back(&self.committed);
+            }
             let jobs = self.committed.clone();
             self.leader = Some(Leader::new(cfg, self.term, jobs, self.now()));
         }
     }
 
+    fn lose_leader(&mut self) {
+        self.leader = None;
+        for (slot, ..) in std::mem::take(&mut self.pending_reports).into_values() {
+            self.slots[slot].exchange_broken = true;
+        }
+        self.callers.send_again(self.now);
+    }
+
     /// Orders an evacuation, or the end of one, again until it is acknowledged.
     pub fn order_zone(&mut self, zone: &str, action: ZoneAction, empty: bool) {
         if action == ZoneAction::Restore {
@@ -417,6 +464,7 @@
         let missing: Vec<JobId> = self
             .specs
             .keys()
+            .filter(|id| !self.callers.by_job.contains_key(id))
             .filter(|id| !self.accepted.contains(id) && self.committed.job(**id).is_none())
             .copied()
             .collect();
@@ -468,10 +516,14 @@
                 self.on_zone_order_answered(&response);
                 continue;
             }
+            if self.take_caller_answer(token, &response) {
+                continue;
+            }
             let Some((slot, started_ms, sent)) = self.pending_reports.remove(&token) else {
                 continue;
             };
             if let CellResponse::Orders(orders) = response {
+                self.check_order_sent(slot, &orders);
                 self.send(Message::Orders { slot, started_ms, sent, orders });
             }
         }
@@ -479,12 +531,15 @@
 
     fn send(&mut self, message: Message) {
         let (Message::Report { slot, .. } | Message::Orders { slot, .. }) = &message;
-        if self.slots[*slot].partitioned_until > self.now
+        let slot = *slot;
+        if self.slots[slot].partitioned_until > self.now
             || self.chance(self.fault_profile.loss_per_mille)
         {
+            self.slots[slot].exchange_broken = true;
             return;
         }
         let late = self.chance(self.fault_profile.delay_per_mille);
+        self.slots[slot].exchange_broken |= late;
         let wait = match late {
             true => self.rng.random_range(500..self.fault_profile.delay_max_ms),
             false => self.rng.random_range(1..30),
@@ -510,11 +565,19 @@
     fn receive_report(&mut self, slot: usize, sent: Moment, report: Box<RunnerReport>) {
         let now = self.now();
         let started_ms = report.started_ms;
-        let Some(leader) = &mut self.leader else { return };
+        let is_brief =
+            self.fault_profile.busy_per_mille > 0 && self.chance(self.fault_profile.busy_per_mille);
+        let Some(leader) = &mut self.leader else {
+            self.slots[slot].exchange_broken = true;
+            return;
+        };
         self.last_number += 1;
         let token = RequestToken(self.last_number);
         self.pending_reports.insert(token, (slot, started_ms, sent));
-        leader.handle_request(now, token, CellRequest::Heartbeat(report));
+        match is_brief {
+            true => leader.handle_briefly(now, token, CellRequest::Heartbeat(report)),
+            false => leader.handle_request(now, token, CellRequest::Heartbeat(report)),
+        }
         let responses = leader.take_answers();
         self.deliver(responses);
     }
@@ -593,6 +656,7 @@
                 slot.next_report = now + Duration::from_secs(1);
                 let Some(runner) = slot.runner.as_mut() else { continue };
                 let report = Box::new(runner.report(now));
+                self.slots[at].exchange_broken = false;
                 self.observe(at);
                 self.send(Message::Report { slot: at, sent: now, report });
             }
@@ -655,7 +719,8 @@
         for event in events {
             match event {
                 RunnerEvent::Started { task, run, at: when } => {
-                    self.on_run_started(at, task, run, when)
+                    self.on_run_started(at, task, run, when);
+                    self.check_start_after_answer(at, task);
                 }
                 RunnerEvent::Ended { task, run, outcome, at: when } => {
                     ended = true;
@@ -775,8 +840,7 @@
     /// Replaces the leader at once, after committing what is in flight.
     pub fn replace_leader(&mut self) {
         self.commit_now();
-        self.leader = None;
-        self.pending_reports.clear();
+        self.lose_leader();
         self.next_leader_at = self.now;
     }
 
@@ -793,6 +857,16 @@
     Resources { millicores: 16_000, memory_mib: 32_000, accelerators: 0 };
 pub const ATTEMPTS: u32 = 3;
 const ZONES: usize = 2;
+/// How long ended jobs are kept in histories whose callers cancel.
+const SHORT_RETENTION: Duration = Duration::from_secs(30);
+/// Largest error of the wall clock of a leader, in milliseconds.
+const CLOCK_ERROR_MAX_MS: i64 = 5_000;
+
+/// The state as the next leader reads it from its disk.
+fn read_back(state: &CellState) -> CellState {
+    let bytes = snapshot::encode(&Meta::default(), state).expect("a snapshot");
+    snapshot::decode_as(&bytes, "a snapshot").expect("the snapshot").state
+}
 
 /// The zone of the runner at this position.
 pub fn zone(at: usize) -> &'static str {
