--- a/crates/coordination/src/jobs/waves.rs
+++ b/crates/coordination/src/jobs/waves.rs
@@ -116,10 +116,8 @@
             .collect();
         // The platform may have begun the maintenance of these for an earlier leader, which did
         // not commit it.
-        let is_away = |machine: &&Box<str>| {
-            self.waves.machines.get(*machine).is_some_and(|m| m.state == MachineState::Away)
-        };
-        let away = waiting.iter().filter(is_away).count();
+        let known = waiting.iter().filter_map(|machine| self.waves.machines.get(machine));
+        let away = known.filter(|machine| machine.state == MachineState::Away).count();
         let down = in_maintenance + draining + away;
         let mut slots = (wave.wave.at_once as usize).saturating_sub(down);
         for machine in waiting {
