Log and measure the runs of cancelled jobs until they have ended

A stop that did not reach its runner showed nowhere: neither when it was first ordered, nor that the run was listed seconds later, nor that reports which listed it were answered without it. The leader now keeps an index of the cancelled jobs that have runs, and of no others; a report costs one look-up for each stop in its answer, and one for each listed run if it is rejected. Lines: the first stop of a run, a run at work 3 s after the commit (once for each run, with the age of its runner's last report), a stop that was not sent, a run listed after its end, and the end of a job's last run. Metrics count them, with a histogram from a commit to the end of the last run; a new leader takes over the index from the state. Entries count the reports that the leader did not answer in time. Decisions are unchanged.

--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod advice;
 mod cancellation;
+mod cancelled_runs;
 mod capacity;
 mod colocation;
 mod commits;
--- a/crates/coordination/src/jobs/cancellation.rs
+++ b/crates/coordination/src/jobs/cancellation.rs
@@ -2,14 +2,14 @@
 //!
 //! Nothing here decides anything.
 
-use super::leader::Leader;
+use super::leader::{Leader, Now};
 use super::messages::{CellResponse, QueueAddress};
 use super::routes::Routes;
 use std::collections::BTreeMap;
 use std::fmt;
 use yuccalink_state::jobs::{CellState, Job, JobId, JobPhase, RunAssignment, TaskKey};
 
-/// Cancellations by outcome since the leader took over.
+/// Cancellations by outcome, and the stops of their runs, since the leader took over.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CancelCounters {
     /// The job was active and is cancelled.
@@ -26,6 +26,18 @@
     pub renamed: u64,
     /// The address names no queue.
     pub without_queue: u64,
+    /// Runs of cancelled jobs that were ordered to stop.
+    pub stops_ordered: u64,
+    /// Further orders to stop such a run.
+    pub stops_repeated: u64,
+    /// Runs that were still at work long after the commit of their job's cancellation.
+    pub stops_late: u64,
+    /// Orders to stop a run of a cancelled job that its runner lists although the run's end is
+    /// committed.
+    pub stops_after_end: u64,
+    /// Reports that list a run of a cancelled job, and whose answer renewed no lease. It had the
+    /// stop.
+    pub reports_without_lease: u64,
 }
 
 /// What the leader knows of a job at a cancellation.
@@ -61,7 +73,7 @@
 }
 
 /// Text of an optional name, and `none` without one.
-struct OrNone<T>(Option<T>);
+pub(super) struct OrNone<T>(pub(super) Option<T>);
 
 impl<T> fmt::Display for OrNone<T>
 where
@@ -131,6 +143,7 @@
     /// Records a committed cancellation that found the job as `found`.
     pub(super) fn cancellation_committed(
         &mut self,
+        now: Now,
         index: u64,
         id: JobId,
         found: Found,
@@ -154,6 +167,9 @@
             job.queue,
             assignments(id, job).count()
         );
+        if active {
+            self.add_cancelled_runs(now, id);
+        }
     }
 
     /// Logs one line for each queue whose address names another queue in the `next` change set,
@@ -189,7 +205,7 @@
 }
 
 /// Runs of a job that may still be at work.
-fn assignments(id: JobId, job: &Job) -> impl Iterator<Item = (TaskKey, RunAssignment)> {
+pub(super) fn assignments(id: JobId, job: &Job) -> impl Iterator<Item = (TaskKey, RunAssignment)> {
     let steps = (0_u32..).zip(&job.occurrences).flat_map(|(occurrence, found)| {
         (0_u16..).zip(&found.steps).map(move |(step, found)| (occurrence, step, found))
     });
--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -61,7 +61,7 @@
         self.log_resolved_losses(now, &unconfirmed);
         self.update_after(now, &detail, &outcome);
         if let Some((id, found)) = cancelled {
-            self.cancellation_committed(index, id, found, &cancellation_response(&outcome));
+            self.cancellation_committed(now, index, id, found, &cancellation_response(&outcome));
         }
         for id in open {
             self.log_ended(id, now);
@@ -100,6 +100,7 @@
                 for end in ends {
                     self.ending.remove(&(end.task, end.run));
                     self.record_end(now, end);
+                    self.cancelled_run_ended(now, end);
                 }
             }
             JobCommand::Forget(ids) => {
--- a/crates/coordination/src/jobs/due.rs
+++ b/crates/coordination/src/jobs/due.rs
@@ -42,6 +42,7 @@
         }
         self.report_rate.tick(now.at, self.runners.len(), self.cfg.lease);
         self.answer_late_heartbeats(now);
+        self.log_late_runs(now);
         self.add_due_occurrences(now);
         if now.at.since(self.last_cleanup) >= CLEANUP_INTERVAL {
             self.last_cleanup = now.at;
--- a/crates/coordination/src/jobs/heartbeat.rs
+++ b/crates/coordination/src/jobs/heartbeat.rs
@@ -25,7 +25,7 @@
         let change = self.state.change_set();
         if change.is_some_and(|change| change.pool(&report.pool).is_none()) {
             log::info!("runner={} ignored: no pool {}", report.runner, report.pool);
-            let orders = self.orders_without_lease(&report);
+            let orders = self.orders_without_lease(&report, "its pool is gone");
             if !orders.stop.is_empty() {
                 return self.answer(token, CellResponse::Orders(Box::new(orders)));
             }
@@ -46,7 +46,7 @@
                     report.runner,
                     report.started_ms
                 );
-                let orders = self.orders_without_lease(&report);
+                let orders = self.orders_without_lease(&report, "an earlier incarnation");
                 self.answer(token, CellResponse::Orders(Box::new(orders)));
             }
             _ => self.propose_incarnation(token, report),
@@ -129,7 +129,8 @@
         let late = report.sequence <= runner.sequence && runner.sequence > 0;
         if late || self.incarnations.has_ended(key) {
             log::info!("runner={} late report {} ignored", report.runner, report.sequence);
-            let orders = self.orders_without_lease(report);
+            let why = "a late report, or of an ended incarnation";
+            let orders = self.orders_without_lease(report, why);
             return self.answer(token, CellResponse::Orders(Box::new(orders)));
         }
         if runner.state != report.state {
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -2,6 +2,7 @@
 
 use super::account::DelayAccounts;
 use super::advice::Advice;
+use super::cancelled_runs::CancelledRuns;
 use super::capacity::KeptFree;
 use super::evacuation::ZoneProgress;
 use super::external::{ExternalCall, ExternalCallId, ExternalReply};
@@ -140,6 +141,7 @@
     pub(super) report_rate: ReportRate,
     /// When a request last expired while it waited for this leader.
     pub(super) last_expired: Option<Moment>,
+    pub(super) cancelled_runs: CancelledRuns,
     pub(super) last_ranked: Moment,
     pub(super) last_accounted: Moment,
     pub(super) last_cleanup: Moment,
@@ -194,6 +196,7 @@
             accounts: DelayAccounts::default(),
             report_rate: ReportRate::default(),
             last_expired: None,
+            cancelled_runs: CancelledRuns::default(),
             last_ranked: now.at,
             last_accounted: now.at,
             last_cleanup: now.at,
@@ -201,6 +204,7 @@
         };
         leader.routes = Routes::new(leader.state.change_set());
         leader.incarnations = Incarnations::from_state(&leader.state);
+        leader.cancelled_runs = CancelledRuns::from_state(&leader.state, now);
         leader.interference.restore_weights(leader.state.learnt());
         let active: Vec<JobId> = leader.state.all().map(|(id, _)| id).collect();
         for id in active {
@@ -293,7 +297,7 @@
         match request {
             // A runner that leaves stops waiting once its report is acknowledged.
             CellRequest::Heartbeat(report) if report.state == RunnerState::Ready => {
-                let orders = self.orders_without_lease(report);
+                let orders = self.orders_without_lease(report, "the report waited too long");
                 CellResponse::Orders(Box::new(RunnerOrders { retry_after_ms: after_ms, ..orders }))
             }
             // An earlier copy of the request may have been accepted.
--- a/crates/coordination/src/jobs/orders.rs
+++ b/crates/coordination/src/jobs/orders.rs
@@ -55,6 +55,7 @@
         let rates = runner.pace_orders(&self.ready);
         runner.lease_end = now.at + lease_expiry_bound(self.cfg.lease);
         runner.expect_report(now.at, retry);
+        self.note_stops(now, key, &stop);
         let orders = RunnerOrders {
             lease_ms: millis(self.cfg.lease),
             token: self.term,
@@ -121,7 +122,11 @@
 
     /// Orders for a report that renews no lease. They stop the listed runs that must not go on,
     /// because no later report may be handled before the lease ends.
-    pub(super) fn orders_without_lease(&self, report: &RunnerReport) -> RunnerOrders {
+    pub(super) fn orders_without_lease(
+        &mut self,
+        report: &RunnerReport,
+        why: &str,
+    ) -> RunnerOrders {
         // A run of an earlier incarnation is never assigned to the newest one.
         let newest = self.incarnations.newest(&report.runner);
         let unwanted = |task: TaskKey, run: u32| {
@@ -129,7 +134,8 @@
             given_up || !self.is_wanted(task) || self.has_lost_gang_member(task, run)
         };
         let listed = report.running.iter().map(|run| (run.task, run.run));
-        let stop = listed.filter(|(task, run)| unwanted(*task, *run)).collect();
+        let stop: Vec<_> = listed.filter(|(task, run)| unwanted(*task, *run)).collect();
+        self.note_stops_without_lease(&report.runner, &stop, why);
         RunnerOrders { token: self.term, stop, ..RunnerOrders::default() }
     }
 
--- a/crates/coordination/tests/cancellation_counters.rs
+++ b/crates/coordination/tests/cancellation_counters.rs
@@ -13,7 +13,9 @@
 use std::time::Duration;
 use world::{change_set, queue_address, step};
 use yuccalink_coordination::jobs::messages::QueueAddress;
-use yuccalink_coordination::jobs::{CancelCounters, CellRequest, CellResponse, RequestToken};
+use yuccalink_coordination::jobs::{
+    CancelCounters, CellRequest, CellResponse, Leader, LeaderConfig, RequestToken, RunnerReport,
+};
 use yuccalink_fakes::emulator::TaskBehavior;
 use yuccalink_state::jobs::{ChangeSet, JobId, JobSpec};
 
@@ -109,3 +111,141 @@
     let expected = CancelCounters { renamed: 1, cancelled: 1, ..CancelCounters::default() };
     assert_eq!(counts(&harness), expected);
 }
+
+/// The next report of a runner, which gets no answer.
+fn report(harness: &mut LeaderHarness, at: usize) -> Box<RunnerReport> {
+    let now = harness.now;
+    Box::new(harness.runners[at].report(now))
+}
+
+/// Guards against the end of the first run that is taken for the end of the whole job.
+#[test]
+fn the_time_of_a_cancellation_lasts_until_its_last_run_has_ended() {
+    let mut harness = running();
+    cancel(&mut harness);
+    assert_eq!(harness.leader.cancelled_with_runs_len(), 1);
+    for (at, ended) in [(0, 0), (1, 1)] {
+        for wait in [300, 200] {
+            harness.advance(Duration::from_millis(wait));
+            let report = report(&mut harness, at);
+            let CellResponse::Orders(orders) = harness.request(CellRequest::Heartbeat(report))
+            else {
+                panic!("no orders")
+            };
+            let now = harness.now;
+            harness.runners[at].apply_orders(now, now, &orders, |_| None);
+        }
+        assert_eq!(harness.leader.cancellation_times().count(), ended);
+    }
+    let times = harness.leader.cancellation_times();
+    assert_eq!((times.count(), times.sum()), (1, Duration::from_millis(1_000)));
+    assert_eq!(harness.leader.cancelled_with_runs_len(), 0);
+    let counts = counts(&harness);
+    assert_eq!((counts.stops_ordered, counts.stops_repeated, counts.stops_late), (2, 0, 0));
+}
+
+/// Guards against memory that is kept, and times that are counted, for jobs without any run.
+#[test]
+fn a_cancelled_job_without_runs_leaves_nothing_behind() {
+    let mut harness = harness(0);
+    harness.submit_job(JOB, vec![step(2, 10, 1_000).0]);
+    cancel(&mut harness);
+    assert_eq!(harness.leader.cancelled_with_runs_len(), 0);
+    assert_eq!(harness.leader.cancellation_times().count(), 0);
+}
+
+/// Guards against a run that goes on after its cancellation and shows nowhere, or at each report.
+#[test]
+fn a_run_that_does_not_stop_is_counted_as_late_once() {
+    let mut harness = running();
+    cancel(&mut harness);
+    let mut late = Vec::new();
+    for _ in 0..8 {
+        harness.advance(Duration::from_millis(500));
+        for at in 0..2 {
+            let report = report(&mut harness, at);
+            harness.request(CellRequest::Heartbeat(report));
+        }
+        late.push(counts(&harness).stops_late);
+    }
+    assert_eq!(late, [0, 0, 0, 0, 0, 2, 2, 2]);
+    assert_eq!(counts(&harness).stops_ordered, 2);
+    assert_eq!(counts(&harness).stops_repeated, 14);
+}
+
+/// Guards against a silent runner of a cancelled job that shows only when its lease has expired.
+#[test]
+fn a_run_on_a_silent_runner_is_counted_as_late() {
+    let mut harness = running();
+    cancel(&mut harness);
+    harness.advance(Duration::from_millis(2_900));
+    assert_eq!(counts(&harness).stops_late, 0);
+    harness.advance(Duration::from_millis(100));
+    assert_eq!((counts(&harness).stops_late, counts(&harness).stops_ordered), (2, 0));
+}
+
+/// Guards against reports of cancelled runs that a busy leader rejects, unseen by operators.
+#[test]
+fn a_rejected_report_that_lists_a_cancelled_run_is_counted() {
+    let mut harness = running();
+    harness.submit_job(JobId(2), vec![step(1, 2, 1_000).0]);
+    let listed = CellRequest::Heartbeat(report(&mut harness, 0));
+    let now = harness.leader_now();
+    harness.leader.reject(now, &listed);
+    assert_eq!(counts(&harness).reports_without_lease, 0);
+    cancel(&mut harness);
+    harness.leader.reject(now, &listed);
+    harness.leader.reject(now, &listed);
+    assert_eq!(counts(&harness).reports_without_lease, 2);
+}
+
+/// Guards against late reports of cancelled runs that no operator sees.
+#[test]
+fn a_late_report_that_lists_a_cancelled_run_is_counted() {
+    let mut harness = running();
+    let overtaken = report(&mut harness, 0);
+    let latest = report(&mut harness, 0);
+    harness.request(CellRequest::Heartbeat(latest));
+    cancel(&mut harness);
+    let CellResponse::Orders(orders) = harness.request(CellRequest::Heartbeat(overtaken)) else {
+        panic!("no orders")
+    };
+    assert_eq!((orders.lease_ms, orders.stop.len()), (0, 1));
+    let counts = counts(&harness);
+    assert_eq!((counts.reports_without_lease, counts.stops_ordered), (1, 0));
+}
+
+/// Guards against runs of a cancelled job that nobody looks after once the leader has changed.
+#[test]
+fn a_new_leader_knows_the_cancelled_jobs_with_runs() {
+    let mut harness = running();
+    cancel(&mut harness);
+    harness.now = harness.now + Duration::from_millis(700);
+    let (now, state) = (harness.leader_now(), harness.leader.state().clone());
+    harness.leader = Leader::new(LeaderConfig::default(), 4, state, now);
+    assert_eq!(harness.leader.cancelled_with_runs_len(), 1);
+    harness.report_round();
+    harness.advance(Duration::from_millis(200));
+    harness.report_round();
+    assert_eq!(harness.leader.cancelled_with_runs_len(), 0);
+    assert_eq!(harness.leader.cancellation_times().sum(), Duration::from_millis(900));
+}
+
+/// Guards against a run that goes on after its lease was taken for expired and shows nowhere.
+#[test]
+fn a_run_that_is_listed_after_its_end_is_counted() {
+    let mut harness = running();
+    harness.report_round();
+    cancel(&mut harness);
+    let listed = report(&mut harness, 0);
+    for _ in 0..30 {
+        harness.advance(Duration::from_millis(200));
+    }
+    assert_eq!(harness.leader.cancelled_with_runs_len(), 0);
+    let CellResponse::Orders(orders) = harness.request(CellRequest::Heartbeat(listed)) else {
+        panic!("no orders")
+    };
+    assert_eq!(orders.stop.len(), 1);
+    let counts = counts(&harness);
+    assert_eq!((counts.stops_ordered, counts.stops_after_end), (0, 1));
+}
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -3,45 +3,13 @@
 use crate::cell::connections::ConnectionLimiter;
 use std::fmt::Write;
 use std::time::Duration;
+use yuccalink_coordination::histogram::Histogram;
 use yuccalink_coordination::jobs::{CancelCounters, Leader};
 
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Upper bounds of the histogram buckets.
-const BOUNDS_MS: [u64; 10] = [1, 2, 5, 10, 20, 50, 100, 250, 1_000, 2_500];
-
-/// Histogram of durations.
-#[derive(Debug, Default)]
-pub(crate) struct Histogram {
-    buckets: [u64; BOUNDS_MS.len()],
-    count: u64,
-    sum: Duration,
-}
-
-impl Histogram {
-    pub(crate) fn record(&mut self, took: Duration) {
-        let ms = took.as_millis();
-        if let Some(at) = BOUNDS_MS.iter().position(|bound| ms <= u128::from(*bound)) {
-            self.buckets[at] += 1;
-        }
-        self.count += 1;
-        self.sum += took;
-    }
-
-    fn write(&self, name: &str, out: &mut String) {
-        let mut cumulative = 0;
-        for (bound, count) in BOUNDS_MS.iter().zip(self.buckets) {
-            cumulative += count;
-            let _ = writeln!(out, "{name}_ms_bucket{{le=\"{bound}\"}} {cumulative}");
-        }
-        let _ = writeln!(out, "{name}_ms_bucket{{le=\"+Inf\"}} {}", self.count);
-        let _ = writeln!(out, "{name}_ms_sum {}", self.sum.as_millis());
-        let _ = writeln!(out, "{name}_ms_count {}", self.count);
-    }
-}
-
 /// Counters and histograms of one process.
 #[derive(Debug, Default)]
 pub(crate) struct Metrics {
@@ -55,6 +23,8 @@
     pub(crate) connections_lost: u64,
     /// Times when the known leader was dropped because it did not respond or no longer led.
     pub(crate) leaders_lost: u64,
+    /// Reports of runners that were not answered by the leader in time.
+    pub(crate) reports_unanswered: u64,
     /// Responses by status class: 2xx, 3xx, 4xx, 5xx.
     pub(crate) statuses: [u64; 4],
 }
@@ -79,13 +49,14 @@
             let class = class + 2;
             let _ = writeln!(out, "yuccalink_responses{{class=\"{class}xx\"}} {count}");
         }
-        self.callers.write("yuccalink_callers", &mut out);
-        self.control.write("yuccalink_control", &mut out);
-        self.changes.write("yuccalink_changes", &mut out);
+        write_histogram("yuccalink_callers", &self.callers, &mut out);
+        write_histogram("yuccalink_control", &self.control, &mut out);
+        write_histogram("yuccalink_changes", &self.changes, &mut out);
         let _ = writeln!(out, "yuccalink_connections {}", connections.open());
         let _ = writeln!(out, "yuccalink_connections_turned_away {}", connections.rejected_total());
         let _ = writeln!(out, "yuccalink_links_lost {}", self.connections_lost);
         let _ = writeln!(out, "yuccalink_leaders_lost {}", self.leaders_lost);
+        let _ = writeln!(out, "yuccalink_reports_unanswered {}", self.reports_unanswered);
         if let Some(version) = change_version {
             let _ = writeln!(out, "yuccalink_change_version {version}");
         }
@@ -112,17 +83,34 @@
                 ("report_interval_ms", millis(leader.report_interval())),
                 ("runners_looked_at", counts.runners_scanned),
                 ("runners", leader.runners_len() as u64),
+                ("cancelled_jobs_with_runs", leader.cancelled_with_runs_len() as u64),
+                ("cancel_stops_ordered", counts.cancels.stops_ordered),
+                ("cancel_stops_repeated", counts.cancels.stops_repeated),
+                ("cancel_stops_late", counts.cancels.stops_late),
+                ("cancel_stops_after_end", counts.cancels.stops_after_end),
+                ("cancel_reports_without_lease", counts.cancels.reports_without_lease),
                 ("steps_waiting", leader.waiting_len() as u64),
             ];
             for (name, value) in values {
                 let _ = writeln!(out, "yuccalink_{name} {value}");
             }
             write_cancels(&counts.cancels, &mut out);
+            let times = leader.cancellation_times();
+            write_histogram("yuccalink_cancelled_runs_ended", times, &mut out);
         }
         out
     }
 }
 
+fn write_histogram(name: &str, times: &Histogram, out: &mut String) {
+    for (bound_ms, count) in times.cumulative() {
+        let _ = writeln!(out, "{name}_ms_bucket{{le=\"{bound_ms}\"}} {count}");
+    }
+    let _ = writeln!(out, "{name}_ms_bucket{{le=\"+Inf\"}} {}", times.count());
+    let _ = writeln!(out, "{name}_ms_sum {}", times.sum().as_millis());
+    let _ = writeln!(out, "{name}_ms_count {}", times.count());
+}
+
 fn write_cancels(counts: &CancelCounters, out: &mut String) {
     let outcomes = [
         ("cancelled", counts.cancelled),
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -58,8 +58,6 @@
     pub(super) next_token: u64,
     /// When this process last stopped handling waiting requests as the leader.
     pub(super) requests_handled_at: Moment,
-    /// Reports of runners that the leader did not answer in time.
-    pub(super) unanswered_reports: u64,
     /// When a leader was last known.
     pub(super) leader_known_at: Moment,
     pub(crate) metrics: Metrics,
@@ -98,7 +96,6 @@
             pending_responses: HashMap::new(),
             next_token: 0,
             requests_handled_at: Moment::ZERO,
-            unanswered_reports: 0,
             leader_known_at: clock.now(),
             metrics: Metrics::default(),
             adapter,
--- a/crates/daemon/src/cell/requests.rs
+++ b/crates/daemon/src/cell/requests.rs
@@ -195,8 +195,8 @@
         match is_report && self.with(|node| node.peer_table.lead().is_some()) {
             true => CellResponse::Orders(Box::new(RunnerOrders {
                 retry_after_ms: self.with(|node| {
-                    node.unanswered_reports += 1;
-                    millis(spread(UNANSWERED_RETRY_AFTER, node.unanswered_reports))
+                    node.metrics.reports_unanswered += 1;
+                    millis(spread(UNANSWERED_RETRY_AFTER, node.metrics.reports_unanswered))
                 }),
                 ..RunnerOrders::default()
             })),
