--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod command;
 pub mod completions;
 mod error;
+mod job_history;
 pub mod losses;
 mod plot;
 pub mod render;
--- a/crates/operator/src/losses.rs
+++ b/crates/operator/src/losses.rs
@@ -263,7 +263,7 @@
 }
 
 /// Returns the value after `name=`.
-fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+pub(crate) fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
     let word = |word: &'a str| word.strip_prefix(name)?.strip_prefix('=');
     text.split_whitespace().find_map(word)
 }
--- a/crates/operator/src/why.rs
+++ b/crates/operator/src/why.rs
@@ -3,17 +3,18 @@
 
 use crate::command::{Output, read_text};
 use crate::error::{Error, Result};
+use crate::job_history::JobHistory;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
 /// A log line of the job, with the name of its file.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct LogLine {
+pub(crate) struct LogLine {
     /// Timestamp in the form of the log, whose text order is the order of time.
-    time: Box<str>,
-    file: Box<str>,
-    text: Box<str>,
+    pub(crate) time: Box<str>,
+    pub(crate) file: Box<str>,
+    pub(crate) text: Box<str>,
 }
 
 /// Prints the log lines of a job in order of time, with a summary.
@@ -41,11 +42,23 @@
     let shown: Vec<String> = outcomes.iter().map(|(how, count)| format!("{how} {count}")).collect();
     let state = last_state(&lines);
     let _ = writeln!(text, "{id}: {state}; runs ended: {}", or_none(&shown.join(", ")));
+    let history = JobHistory::read(id, &lines);
+    history.render(id, &mut text);
     let rows: Vec<_> = lines
         .iter()
         .map(|line| json!({ "time": line.time, "file": line.file, "text": line.text }))
         .collect();
-    Ok(Output { text, json: json!({ "job": id, "lines": rows, "ends": outcomes, "state": state }) })
+    let json = json!({
+        "job": id,
+        "lines": rows,
+        "ends": outcomes,
+        "state": state,
+        "cancelled": history.cancelled,
+        "cancelled_runs_ended_after": history.runs_ended_after,
+        "cancellations_without_effect": history.ineffective,
+        "not_ended": history.not_ended,
+    });
+    Ok(Output { text, json })
 }
 
 /// Parses a line of the form `[TIME LEVEL MODULE] TEXT`. A line of another form is kept as
--- a/crates/yuccalink/tests/cell.rs
+++ b/crates/yuccalink/tests/cell.rs
@@ -7,12 +7,14 @@
 use std::time::Duration;
 use support::daemon;
 use tempfile::TempDir;
+use yuccalink_fakes::Caller;
 
 struct Cell {
     child: Child,
     folder: TempDir,
     callers: SocketAddr,
     control: SocketAddr,
+    metrics: SocketAddr,
 }
 
 impl Cell {
@@ -33,11 +35,13 @@
             .args(["--peer", &at(8_082).to_string()])
             .args(["--callers", &at(8_080).to_string()])
             .args(["--control", &at(8_081).to_string()])
+            .args(["--metrics", &at(9_100).to_string()])
             .args(more)
             .stdout(Stdio::null())
             .spawn()
             .expect("the daemon");
-        Self { child, folder, callers: at(8_080), control: at(8_081) }
+        let (callers, control, metrics) = (at(8_080), at(8_081), at(9_100));
+        Self { child, folder, callers, control, metrics }
     }
 
     fn run(&self, to: SocketAddr, words: &[&str]) -> Output {
@@ -100,6 +104,15 @@
     let cancel = ["job", "cancel", ID, QUEUE[0], QUEUE[1]];
     assert_eq!(cell.run_ok(cell.callers, &cancel), "cancelled");
     assert_eq!(cell.run_ok(cell.callers, &get), r#"{"state":"cancelled"}"#);
+    let metrics = Caller::new(cell.metrics).get("/metrics").expect("the metrics");
+    let metrics = String::from_utf8_lossy(&metrics.body);
+    let shown = [
+        "yuccalink_cancels{outcome=\"cancelled\"} 1\n",
+        "yuccalink_cancels{outcome=\"unknown\"} 0\n",
+        "yuccalink_cancelled_jobs_with_runs 0\n",
+        "yuccalink_cancelled_runs_ended_ms_count 0\n",
+    ];
+    assert!(shown.iter().all(|line| metrics.contains(line)), "{metrics}");
 
     let (code, message) =
         cell.run_err(cell.callers, &["job", "get", "00000000000000aa", QUEUE[0], QUEUE[1]]);
@@ -157,6 +170,44 @@
     assert!(shown.contains("give the logs of all VMs"), "{shown}");
 }
 
+/// Guards against a job that runs on after its cancellation and that `why` shows as cancelled only.
+#[test]
+fn a_cancelled_job_is_explained_with_its_runs_that_have_no_end() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = folder.path().join("e1.log");
+    let id = "5c0e7a21d94b36f8";
+    let line =
+        |second: u32, text: &str| format!("[2026-01-02T03:04:{second:02}.0Z INFO  cell] {text}\n");
+    let lines = [
+        line(1, &format!("job={id} cancel queue=q found=unknown own-queue=none response=gone")),
+        line(2, &format!("job={id} accepted queue=q steps=[3x1m]")),
+        line(3, &format!("start task={id}.0.0.0 run=1 runner=w1 rack=r resumes=false report=1")),
+        line(3, &format!("start task={id}.0.0.1 run=1 runner=w2 rack=r resumes=false report=1")),
+        line(3, &format!("start task={id}.0.0.2 run=1 runner=w3 rack=r resumes=false report=1")),
+        line(4, &format!("job={id} cancelled queue=q found=running runs=3 index=7 response=ok")),
+        line(5, &format!("stop task={id}.0.0.0 run=1 runner=w1 why=cancelled")),
+        line(5, &format!("stop task={id}.0.0.1 run=1 runner=w2 why=cancelled")),
+        line(6, &format!("end task={id}.0.0.0 run=1 runner=w1 how=Stopped")),
+    ];
+    std::fs::write(&log, lines.concat()).expect("a log");
+    let why = |json: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_yuccalink"));
+        let output = command.args(["why", id]).arg(&log).args(json).output().expect("the command");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    };
+    let text = why(&[]);
+    let summary: Vec<&str> = text.lines().skip(lines.len() + 1).collect();
+    assert_eq!(summary.len(), 4, "{text}");
+    assert!(summary[0].ends_with("cancelled at 2026-01-02T03:04:04.0Z"), "{text}");
+    assert!(summary[1].ends_with("found unknown, answered gone"), "{text}");
+    assert!(summary[2].contains("run 1 on w2") && summary[2].ends_with("04:05.0Z"), "{text}");
+    assert!(summary[3].contains("run 1 on w3") && summary[3].ends_with("never"), "{text}");
+    let json: serde_json::Value = serde_json::from_str(&why(&["--json"])).expect("JSON");
+    assert_eq!(json["cancelled"], "2026-01-02T03:04:04.0Z");
+    assert_eq!(json["cancelled_runs_ended_after"], serde_json::Value::Null);
+    assert_eq!(json["not_ended"].as_array().map(Vec::len), Some(2));
+}
+
 /// `status` shows the settings that the policy file changes, and `status --json` the whole
 /// policy.
 #[test]
