Test: all processes find the leader after all were dark at once

Not a fault: recovery with two disks lost and all others dark, those without a disk among them, was tested for the log only, not for who finds whom. Nothing but the seeds is known to a process without a disk or with an empty one, and voters with a leader greet no seed. What closes the circle is the leader itself: its own table has no leader, so it greets the seeds for ever.

Evidence: 1,000 histories (20 processes, 8 with disks, seeds drawn from all, a tenth of the greetings lost, in every other history nobody starts before the voters have a leader): all find the leader, and the leader both empty disks, within 10 s of the last start; nobody bootstraps.

--- a/crates/coordination/tests/peer_table.rs
+++ b/crates/coordination/tests/peer_table.rs
@@ -1,6 +1,8 @@
 //! Tests which process bootstraps a cell, and which leader a process knows.
 
 use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
 use std::time::Duration;
 use yuccalink_coordination::Moment;
@@ -188,3 +190,145 @@
     peer_table.tick(now + Duration::from_millis(100));
     assert_eq!(peer_table.wanted_links(&[]), links);
 }
+
+/// A cell whose processes have all lost power, as they start again one by one.
+struct DarkCell {
+    rng: Pcg64Mcg,
+    now: Moment,
+    tables: Vec<Option<PeerTable>>,
+    seeds: Vec<SocketAddr>,
+    voters: Vec<usize>,
+    empty_disks: Vec<usize>,
+    leader: Option<usize>,
+}
+
+impl DarkCell {
+    const PROCESSES: usize = 20;
+    const DISKS: usize = 8;
+    const VOTERS: usize = 5;
+    const DISKS_LOST: usize = 2;
+    const HELLO_INTERVAL: Duration = Duration::from_millis(400);
+
+    /// The first processes have disks. Of the voters, the first ones have lost theirs.
+    fn new(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let seeds = (0..SEEDS).map(|_| address(rng.random_range(0..Self::PROCESSES))).collect();
+        Self {
+            rng,
+            now: Moment::from_millis(100_000),
+            tables: (0..Self::PROCESSES).map(|_| None).collect(),
+            seeds,
+            voters: (Self::DISKS_LOST..Self::VOTERS).collect(),
+            empty_disks: (0..Self::DISKS_LOST).collect(),
+            leader: None,
+        }
+    }
+
+    fn start(&mut self, at: usize) {
+        // A replaced disk has another identity than the voter that was there.
+        let mut info = info(at, at < Self::DISKS);
+        if self.empty_disks.contains(&at) {
+            info.replica = Some(ReplicaId(1_000 + at as u64));
+        }
+        info.may_bootstrap = false;
+        self.tables[at] = Some(PeerTable::new(info, self.seeds.clone(), false));
+    }
+
+    fn leader_known_to(&self, at: usize) -> Option<LeaderInfo> {
+        match self.leader == Some(at) {
+            true => Some(leader_info(at, 7)),
+            false => self.tables[at].as_ref()?.lead(),
+        }
+    }
+
+    /// `from` greets `to` and gets its answer.
+    fn greet(&mut self, from: usize, to: usize) {
+        let now = self.now;
+        let leader = self.leader_known_to(to);
+        let Some(me) = self.tables[from].as_ref().map(|table| table.me.clone()) else { return };
+        let Some(other) = &mut self.tables[to] else { return };
+        other.record_peer(me, now);
+        let (info, disks, designated) = (other.me.clone(), other.disks(now), other.designated());
+        let Some(own) = &mut self.tables[from] else { return };
+        own.record_peer(info, now);
+        disks.iter().for_each(|disk| own.record_reported_peer(disk, now));
+        own.record_bootstrapper(designated, address(to));
+        if let Some(leader) = leader {
+            own.record_leader(leader, address(to), now);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + Self::HELLO_INTERVAL;
+        // The voters whose disks are left know all members' addresses from their disks.
+        let members: Vec<SocketAddr> = (0..Self::VOTERS).map(address).collect();
+        for from in 0..Self::PROCESSES {
+            let knows_members = self.voters.contains(&from);
+            let Some(table) = &mut self.tables[from] else { continue };
+            table.tick(self.now);
+            assert!(!table.should_bootstrap(self.empty_disks.contains(&from)));
+            for to in table.wanted_links(if knows_members { &members } else { &[] }) {
+                let to = (0..Self::PROCESSES).find(|at| address(*at) == to).expect("a process");
+                if self.rng.random_range(0..10) > 0 {
+                    self.greet(from, to);
+                }
+            }
+        }
+        let all_up = self.voters.iter().all(|at| self.tables[*at].is_some());
+        if self.leader.is_none() && all_up && self.rng.random_range(0..4) == 0 {
+            let voter = self.rng.random_range(0..self.voters.len());
+            self.leader = Some(self.voters[voter]);
+        }
+    }
+
+    fn knows_all(&self) -> bool {
+        let Some(leader) = self.leader else { return false };
+        let now = self.now;
+        let find_leader = (0..Self::PROCESSES).all(|at| self.leader_known_to(at).is_some());
+        let candidates = self.tables[leader].as_ref().map(|table| table.candidates(now));
+        let is_candidate = |at: &usize| {
+            let id = ReplicaId(1_000 + *at as u64);
+            candidates.iter().flatten().any(|disk| disk.member.id == id)
+        };
+        find_leader && self.empty_disks.iter().all(is_candidate)
+    }
+}
+
+/// Starts all processes of a dark cell. In every other history the voters have a leader before
+/// any other process starts. Returns whether all find the leader in time.
+fn all_find_the_leader(seed: u64) -> bool {
+    const START_STEPS_MAX: usize = 40;
+    const STEPS_MAX: usize = 200;
+    const FIND_STEPS_MAX: usize = 25;
+    let mut cell = DarkCell::new(seed);
+    let voters_first = seed.is_multiple_of(2);
+    let mut start_in: Vec<usize> =
+        (0..DarkCell::PROCESSES).map(|_| cell.rng.random_range(0..START_STEPS_MAX)).collect();
+    let mut steps_left = STEPS_MAX;
+    while steps_left > 0 && !cell.knows_all() {
+        for (at, start_in) in start_in.iter_mut().enumerate() {
+            let waits = voters_first && cell.leader.is_none() && !cell.voters.contains(&at);
+            if waits || cell.tables[at].is_some() {
+                continue;
+            }
+            match *start_in {
+                0 => cell.start(at),
+                _ => *start_in -= 1,
+            }
+        }
+        cell.step();
+        steps_left -= 1;
+        if cell.leader.is_some() && cell.tables.iter().all(Option::is_some) {
+            steps_left = steps_left.min(FIND_STEPS_MAX);
+        }
+    }
+    cell.knows_all()
+}
+
+/// Guards against a cell whose processes do not find it again once all have been dark at once.
+#[test]
+fn all_processes_find_the_leader_after_all_were_dark() {
+    const HISTORIES: u64 = 1_000;
+    let lost: Vec<u64> = (0..HISTORIES).filter(|seed| !all_find_the_leader(*seed)).collect();
+    assert!(lost.is_empty(), "seeds {lost:?}");
+}
