Soak: callers cancel their jobs, and disks are lost in a blackout

Neither the soak nor any other test with real processes cancelled a job, so nobody checked what runs after the answer to a cancellation.

With `cancels`, a plan of its own random stream (the plans of existing seeds stay) cancels jobs promptly, seconds later, late with long-running tasks, beside the submission on another connection to another process, and before it; it resends the cancellation elsewhere and sends a copy of the submission 1 to 4 s after the answer. In one seed of three the change sets rename the queue at the same address. From the answer on, by what the runners see: no lease without the stop of a listed run, no start ordered, no start after the lifetime of an order, no run at work beyond a lease, and no read that shows the job as queued or running. A time without a leader or without a way to it needs no exception: without a response the lease ends the run, and a response must come with the stop.

The soak then ends with a blackout: disks are lost, as many as leave a majority, with all other processes killed together, before or after, right after a submission, a cancellation (of a job at work, just accepted, or unknown so far), a change set or an evacuation was acknowledged; the processes with and without a lost disk start together or one group first.

--- a/crates/fakes/src/emulator.rs
+++ b/crates/fakes/src/emulator.rs
@@ -211,6 +211,11 @@
         self.runs.keys().copied()
     }
 
+    /// Returns the running tasks, each with the number of its run.
+    pub fn runs(&self) -> impl Iterator<Item = (TaskKey, u32)> {
+        self.runs.iter().map(|(task, run)| (*task, run.run))
+    }
+
     /// Returns the resources that the running tasks actually use.
     pub fn resources_in_use(&self) -> Resources {
         let all = self.runs.values().map(|run| run.behavior.actual_usage);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -3,6 +3,7 @@
 //! them to observe what happens to requests and tasks.
 
 pub mod caller;
+pub mod cancel_checker;
 pub mod cell;
 pub mod emulator;
 pub mod runner;
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -1,6 +1,6 @@
 //! Runs soaks from the command line: `cargo run --release -p yuccalink-soak --example soak --
 //! PROGRAM [--from SEED] [--seeds N] [--seconds N] [--nodes N] [--disks N] [--runners N]
-//! [--crashes]`. If a seed violates a guarantee, its folder is kept and its path printed.
+//! [--crashes] [--cancels]`. If a seed violates a guarantee, its folder is kept and its path printed.
 
 use lexopt::{Arg, Parser, ValueExt};
 use std::process::ExitCode;
@@ -21,7 +21,7 @@
 fn soak() -> Result<u64, Box<dyn std::error::Error>> {
     let (mut from, mut seeds, mut seconds) = (1, 1, 20);
     let (mut nodes, mut disks, mut runners) = (5, 3, 8);
-    let (mut program, mut crashes) = (None, false);
+    let (mut program, mut crashes, mut cancels) = (None, false, false);
     let mut parser = Parser::from_env();
     while let Some(arg) = parser.next()? {
         match arg {
@@ -32,6 +32,7 @@
             Arg::Long("disks") => disks = parser.value()?.parse()?,
             Arg::Long("runners") => runners = parser.value()?.parse()?,
             Arg::Long("crashes") => crashes = true,
+            Arg::Long("cancels") => cancels = true,
             Arg::Value(value) => program = Some(value.into()),
             other => return Err(other.unexpected().into()),
         }
@@ -50,11 +51,12 @@
             runners,
             span: Duration::from_secs(seconds),
             crashes,
+            cancels,
         };
         let report = run(&settings)?;
         println!(
             "seed {seed}: {} jobs accepted, {} completed, {} given up ({} of them without crashes), {} runners crashed, {} evacuations, {} \
-             starts, {} faults, read back first {:?} last {:?}, {} violations",
+             starts, {} faults, {} cancelled ({} of them unknown), longest stop {:?}, read back first {:?} last {:?}, {} violations",
             report.accepted,
             report.completed,
             report.given_up,
@@ -63,13 +65,18 @@
             report.evacuations,
             report.starts,
             report.faults,
+            report.cancelled,
+            report.cancelled_unknown,
+            report.longest_stop,
             report.read_back.first(),
             report.read_back.last(),
             report.violations.len()
         );
         if !report.violations.is_empty() {
             failed_seeds += 1;
-            println!("  kept in {}", folder.keep().display());
+            let kept = folder.keep();
+            println!("  kept in {}", kept.display());
+            std::fs::write(kept.join("violations.txt"), report.violations.join("\n"))?;
             report.violations.iter().take(10).for_each(|violation| println!("  {violation}"));
         }
     }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -18,9 +18,10 @@
 const HOST: &str = "soak.example";
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 const BODY_MAX_BYTES: usize = 4 * 1024 * 1024;
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 const REDIRECTS_MAX: usize = 2;
 const CHANGE: &str = "/v1/change";
+const QUEUE: &str = "q";
 /// Additional queues of a large change set, about 350 KB of JSON.
 const LARGE_CHANGE_QUEUES: usize = 2_400;
 
@@ -37,7 +38,12 @@
     }
 
     /// Sends a request once to the next process, and follows its redirects.
-    async fn send(&mut self, method: Method, path: &str, body: Vec<u8>) -> Option<(u16, Vec<u8>)> {
+    pub(crate) async fn send(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Option<(u16, Vec<u8>)> {
         self.next += 1;
         let mut to = self.nodes[self.next % self.nodes.len()];
         let deadline = Instant::now() + RESPONSE_TIMEOUT;
@@ -95,12 +101,7 @@
         // Of the ids alone, how many jobs crash runners depends on how many are submitted in time.
         let id = if std::mem::take(&mut crashing_job) { as_crashing(id) } else { id };
         let count: u16 = rng.random_range(1..6);
-        let step = json!({
-            "count": count,
-            "need": { "millicores": 1_000, "memory-mib": 100 },
-            "estimate-ms": 400,
-        });
-        let body = json!({ "payload": "work", "steps": [step] }).to_string().into_bytes();
+        let body = job(count, false);
         loop {
             let sent = client.send(Method::POST, &format!("/q/{id}"), body.clone()).await;
             match sent {
@@ -118,44 +119,63 @@
     }
 }
 
+/// Returns the body of the submission of a job with one step.
+pub(crate) fn job(tasks: u16, long_running: bool) -> Vec<u8> {
+    let step = json!({
+        "count": tasks,
+        "need": { "millicores": 1_000, "memory-mib": 100 },
+        "estimate-ms": 400,
+        "long-running": long_running,
+    });
+    json!({ "payload": "work", "steps": [step] }).to_string().into_bytes()
+}
+
 /// Polls the states of the open jobs.
 pub(crate) async fn poll_states(mut client: Client, watch: Rc<RefCell<Watch>>) {
     loop {
         let open = watch.borrow().open_jobs();
         for id in open {
-            let asked = Instant::now();
-            let response = client.send(Method::GET, &format!("/q/{id}"), Vec::new()).await;
-            match response {
-                Some((200, body)) => {
-                    let state = serde_json::from_slice::<Value>(&body)
-                        .ok()
-                        .and_then(|view| serde_json::from_value(view["state"].clone()).ok());
-                    if let Some(state) = state {
-                        watch.borrow_mut().check_state(id, asked, Some::<JobState>(state));
-                    }
-                }
-                Some((410, _)) => watch.borrow_mut().check_state(id, asked, None),
-                _ => {}
-            }
+            read_state(&mut client, &watch, id).await;
         }
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
+/// Reads the state of a job from the next process and checks it. Returns whether the process
+/// answered.
+pub(crate) async fn read_state(client: &mut Client, watch: &Rc<RefCell<Watch>>, id: JobId) -> bool {
+    let asked = Instant::now();
+    let state = match client.send(Method::GET, &format!("/q/{id}"), Vec::new()).await {
+        Some((200, body)) => {
+            let view = serde_json::from_slice::<Value>(&body).ok();
+            let state = view.and_then(|view| serde_json::from_value(view["state"].clone()).ok());
+            let Some(state) = state else { return false };
+            Some::<JobState>(state)
+        }
+        Some((410, _)) => None,
+        _ => return false,
+    };
+    watch.borrow_mut().check_state(id, asked, state);
+    true
+}
+
 /// Applies one change set after the other, each retried until it is acknowledged, and reads the
-/// version in force in between. Once `closing` is set, applies one last change set and returns.
+/// version in force in between. With `renames`, the queue of the jobs gets another name with
+/// every second change set. Once `closing` is set, applies one last change set and returns.
 pub(crate) async fn operate(
     mut client: Client,
     watch: Rc<RefCell<Watch>>,
     gap: Duration,
     closing: Rc<Cell<bool>>,
+    renames: bool,
 ) {
     let mut version = 0_u64;
     loop {
         version += 1;
         let last = closing.get();
         let is_large = last || version.is_multiple_of(2);
-        let body = change_set(version, is_large).to_string().into_bytes();
+        let name = if renames && version % 4 >= 2 { "renamed" } else { QUEUE };
+        let body = change_set(version, is_large, name).to_string().into_bytes();
         loop {
             let sent = client.send(Method::PUT, CHANGE, body.clone()).await;
             if matches!(sent, Some((200, _))) {
@@ -178,16 +198,17 @@
     }
 }
 
-fn change_set(version: u64, is_large: bool) -> Value {
-    let queue = |name: &str| {
+/// The first queue has the address of [`QUEUE`], whatever its name is.
+fn change_set(version: u64, is_large: bool, first: &str) -> Value {
+    let queue = |name: &str, prefix: &str| {
         json!({
-            "name": name, "host": HOST, "prefix": format!("/{name}/"), "pool": "pool",
+            "name": name, "host": HOST, "prefix": format!("/{prefix}/"), "pool": "pool",
             "timeout-ms": 3_000, "objective-ms": 1_000, "slack": 2.0, "attempts": 3,
         })
     };
     let more = if is_large { LARGE_CHANGE_QUEUES } else { 0 };
-    let mut queues = vec![queue("q")];
-    queues.extend((0..more).map(|at| queue(&format!("more-{at}"))));
+    let mut queues = vec![queue(first, QUEUE)];
+    queues.extend((0..more).map(|at| format!("more-{at}")).map(|name| queue(&name, &name)));
     json!({ "version": version, "queues": queues, "pools": [{ "name": "pool" }] })
 }
 
--- a/crates/soak/src/final_fault.rs
+++ b/crates/soak/src/final_fault.rs
@@ -10,10 +10,10 @@
 use tokio::time::Instant;
 
 /// Time from the final fault until the processes are started again.
-const DOWNTIME: Duration = Duration::from_millis(700);
+pub(crate) const DOWNTIME: Duration = Duration::from_millis(700);
 /// Limit on the time from the restart of all processes until each has answered a read: the
 /// strictest limit that the users' platform sets.
-const READ_BACK_MAX: Duration = Duration::from_secs(12);
+pub(crate) const READ_BACK_MAX: Duration = Duration::from_secs(12);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Injects the final fault, starts all processes again, and reads the change set back.
@@ -28,6 +28,16 @@
     for at in 0..nodes {
         system.borrow_mut().launch(at, false)?;
     }
+    check_read_back(&format!("{final_fault:?}"), system, watch).await
+}
+
+/// Reads the newest acknowledged change set back at every process.
+pub(crate) async fn check_read_back(
+    after: &str,
+    system: &SharedSystem,
+    watch: &SharedWatch,
+) -> io::Result<()> {
+    let nodes = system.borrow().nodes();
     let Some((version, _)) = watch.borrow().version else { return Ok(()) };
     let began = Instant::now();
     let mut reads = JoinSet::new();
@@ -40,8 +50,7 @@
         match read {
             Ok(took) => watch.borrow_mut().report.read_back.push(took),
             Err(violation) => {
-                let violation =
-                    format!("{final_fault:?}: version {version} at process {at}: {violation}");
+                let violation = format!("{after}: version {version} at process {at}: {violation}");
                 watch.borrow_mut().report.violations.push(violation);
             }
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,8 +8,15 @@
 //! The kind, time and place of each fault are drawn from a seed. The processes run in real
 //! time, so a seed gives the same series of faults, but not the same interleaving. A soak
 //! signals only processes that it started, by their ids.
+//!
+//! With cancellations, callers also cancel jobs at every moment of the jobs' lives. After an
+//! answer 2xx or 410 to a cancellation, no run of the job may be at work for longer than it takes
+//! to stop it, whatever arrives later. Such a soak ends with a blackout: disks are lost while all
+//! other processes are killed, right after a request was acknowledged.
 
+mod blackout;
 mod callers;
+mod cancellers;
 mod final_fault;
 mod plan;
 mod proxy;
@@ -18,6 +25,9 @@
 mod system;
 mod watch;
 
-pub use plan::{FinalFault, InjectedFault, Plan};
+pub use plan::{
+    Blackout, CancelPlan, CancelTime, CancelledJob, FaultOrder, FinalFault, InjectedFault,
+    LastRequest, Plan, PlannedCancel,
+};
 pub use run::{SoakSettings, run};
 pub use watch::SoakReport;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -3,6 +3,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
+use yuccalink_state::jobs::JobId;
 
 /// Shortest and longest time between two faults, in ms.
 const FAULT_GAP_MS: std::ops::Range<u64> = 300..2_500;
@@ -128,3 +129,202 @@
         }
     }
 }
+
+/// Shortest and longest time between two jobs that are cancelled, in ms.
+const CANCEL_GAP_MS: std::ops::Range<u64> = 100..600;
+
+/// When a caller cancels its job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelTime {
+    /// Once the submission is accepted.
+    Promptly,
+    /// This time after the submission was accepted.
+    After(Duration),
+    /// This time after the submission was accepted; the tasks run until they are stopped.
+    LongRunning(Duration),
+    /// This time after the submission was sent, whether it is answered or not.
+    WhileSubmitting(Duration),
+    /// This time before the submission is sent, whether the cancellation is answered or not.
+    BeforeSubmitting(Duration),
+    /// The submission is sent once the cancellation is answered.
+    InsteadOfSubmitting,
+}
+
+/// A job that its caller cancels.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedCancel {
+    /// Time of the first request after the start of the traffic.
+    pub at: Duration,
+    /// Number of the job.
+    pub id: JobId,
+    /// Number of tasks of the job.
+    pub tasks: u16,
+    /// When the job is cancelled.
+    pub when: CancelTime,
+    /// Processes that get the submission and the cancellation first.
+    pub to: [usize; 2],
+    /// Whether the cancellation is sent again, to another process.
+    pub resent: bool,
+    /// Time from the answer to the cancellation until a copy of the submission is sent.
+    pub copy_after: Option<Duration>,
+}
+
+/// The jobs that are cancelled.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CancelPlan {
+    /// The jobs, in the order of their first requests.
+    pub cancels: Vec<PlannedCancel>,
+    /// Whether the operator gives the queue other names.
+    pub renames: bool,
+}
+
+impl CancelPlan {
+    /// Draws the jobs for `seed`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use yuccalink_soak::CancelPlan;
+    /// let span = Duration::from_secs(10);
+    /// assert_eq!(CancelPlan::draw(7, 5, span), CancelPlan::draw(7, 5, span));
+    /// assert_ne!(CancelPlan::draw(7, 5, span), CancelPlan::draw(8, 5, span));
+    /// ```
+    pub fn draw(seed: u64, nodes: usize, span: Duration) -> Self {
+        // A separate random stream, so that the series of faults of a seed stays the same.
+        const STREAM: u64 = 0x6361_6e63_656c;
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ STREAM);
+        let renames = rng.random_range(0..3) == 0;
+        let mut cancels = Vec::new();
+        let mut at = Duration::ZERO;
+        loop {
+            at += Duration::from_millis(rng.random_range(CANCEL_GAP_MS));
+            if at >= span {
+                return Self { cancels, renames };
+            }
+            let id = JobId(rng.random_range(1..u64::MAX));
+            let tasks = rng.random_range(1..4);
+            let when = CancelTime::draw(&mut rng);
+            let to = [rng.random_range(0..nodes), rng.random_range(0..nodes)];
+            let resent = rng.random_range(0..3) == 0;
+            let copy_after = Duration::from_millis(rng.random_range(1_000..4_000));
+            let copy_after = (rng.random_range(0..2) == 0).then_some(copy_after);
+            cancels.push(PlannedCancel { at, id, tasks, when, to, resent, copy_after });
+        }
+    }
+}
+
+impl CancelTime {
+    fn draw(rng: &mut Pcg64Mcg) -> Self {
+        let case = rng.random_range(0..12);
+        let mut draw = |range| Duration::from_millis(rng.random_range(range));
+        match case {
+            0..=1 => Self::Promptly,
+            2..=4 => Self::After(draw(100..4_000)),
+            5..=6 => Self::LongRunning(draw(2_000..7_000)),
+            7..=8 => Self::WhileSubmitting(draw(0..40)),
+            9..=10 => Self::BeforeSubmitting(draw(0..20)),
+            _ => Self::InsteadOfSubmitting,
+        }
+    }
+}
+
+/// The request that is acknowledged right before the final fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LastRequest {
+    /// The submission of a job.
+    Submission,
+    /// The cancellation of a job.
+    Cancellation,
+    /// A change set.
+    Change,
+    /// The evacuation of a zone.
+    ZoneOrder,
+}
+
+/// What the cancellation before the final fault finds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelledJob {
+    /// Long-running tasks at work.
+    Running,
+    /// A job that was accepted just before.
+    JustAccepted,
+    /// No job; its submission arrives after the final fault.
+    Unknown,
+}
+
+/// Which processes end first, or start first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultOrder {
+    /// All processes at the same moment.
+    Together,
+    /// Those that lose their disks, and the others after this time.
+    DisksFirst(Duration),
+    /// Those that lose their disks this time after the others.
+    DisksLast(Duration),
+}
+
+/// A final fault in which disks are lost and all other processes are killed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Blackout {
+    /// The first process that loses its disk.
+    pub first_lost: usize,
+    /// Number of disks that are lost.
+    pub disks_lost: usize,
+    /// The request that was acknowledged right before.
+    pub last: LastRequest,
+    /// The job whose cancellation was acknowledged.
+    pub cancelled: CancelledJob,
+    /// In which order the processes are killed.
+    pub kills: FaultOrder,
+    /// In which order the processes are started again.
+    pub starts: FaultOrder,
+}
+
+impl Blackout {
+    /// Draws the final fault for `seed`. As many disks are lost as leave a majority.
+    ///
+    /// ```
+    /// use yuccalink_soak::Blackout;
+    /// assert_eq!(Blackout::draw(7, 5), Blackout::draw(7, 5));
+    /// assert_eq!(Blackout::draw(7, 5).disks_lost, 2);
+    /// ```
+    pub fn draw(seed: u64, disks: usize) -> Self {
+        const STREAM: u64 = 0x6461_726b;
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ STREAM);
+        let last = match rng.random_range(0..5) {
+            0 => LastRequest::Submission,
+            1..=2 => LastRequest::Cancellation,
+            3 => LastRequest::Change,
+            _ => LastRequest::ZoneOrder,
+        };
+        let cancelled = match rng.random_range(0..3) {
+            0 => CancelledJob::Running,
+            1 => CancelledJob::JustAccepted,
+            _ => CancelledJob::Unknown,
+        };
+        Self {
+            first_lost: rng.random_range(0..disks),
+            disks_lost: (disks - 1) / 2,
+            last,
+            cancelled,
+            kills: FaultOrder::draw(&mut rng, 1..60),
+            starts: FaultOrder::draw(&mut rng, 50..1_500),
+        }
+    }
+
+    /// Whether the process loses its disk, if `disks` processes have one.
+    pub(crate) fn takes_disk_of(&self, node: usize, disks: usize) -> bool {
+        node < disks && (node + disks - self.first_lost) % disks < self.disks_lost
+    }
+}
+
+impl FaultOrder {
+    fn draw(rng: &mut Pcg64Mcg, gap_ms: std::ops::Range<u64>) -> Self {
+        let case = rng.random_range(0..3);
+        let gap = Duration::from_millis(rng.random_range(gap_ms));
+        match case {
+            0 => Self::Together,
+            1 => Self::DisksFirst(gap),
+            _ => Self::DisksLast(gap),
+        }
+    }
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,8 +1,10 @@
 //! The phases of a soak: traffic with faults, recovery, and a final fault.
 
+use crate::blackout;
 use crate::callers::{self, Client};
+use crate::cancellers;
 use crate::final_fault;
-use crate::plan::{FinalFault, InjectedFault, Plan, PlannedFault};
+use crate::plan::{Blackout, CancelPlan, FinalFault, InjectedFault, Plan, PlannedFault};
 use crate::runners;
 use crate::system::System;
 use crate::watch::{SoakReport, Watch};
@@ -11,7 +13,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::{JoinSet, LocalSet};
+use tokio::task::{JoinHandle, JoinSet, LocalSet};
 use tokio::time::Instant;
 
 /// Settings of a soak.
@@ -33,6 +35,16 @@
     pub span: Duration,
     /// Whether some tasks crash their runners, and the capacity of runners changes.
     pub crashes: bool,
+    /// Whether callers cancel jobs, and the soak ends with a blackout.
+    pub cancels: bool,
+}
+
+/// The operator that applies change sets.
+pub(crate) struct Operator {
+    /// Set to ask for the last change set.
+    pub(crate) change_next: Rc<Cell<bool>>,
+    /// Ends when the last change set is acknowledged.
+    pub(crate) task: JoinHandle<()>,
 }
 
 /// Longest wait until the first change set is acknowledged.
@@ -51,7 +63,7 @@
 /// Time for which a zone is evacuated, and then left in use.
 const EVACUATION_SPAN: Duration = Duration::from_millis(1_700);
 /// A zone without runners that is evacuated right before the final fault.
-const FINAL_ZONE: &str = "last-zone";
+pub(crate) const FINAL_ZONE: &str = "last-zone";
 const POLL: Duration = Duration::from_millis(50);
 /// Longest wait for a process to stop after it was asked to; it is killed afterwards.
 const STOP_MAX: Duration = Duration::from_secs(6);
@@ -68,13 +80,23 @@
 async fn soak(settings: &SoakSettings) -> io::Result<SoakReport> {
     let SoakSettings { program, folder, seed, nodes, disks, .. } = settings;
     let system = System::start(program, folder, *nodes, *disks).await?;
-    let watch = Rc::new(RefCell::new(Watch::default()));
+    let watch = Rc::new(RefCell::new(Watch::new()));
     let began = Instant::now();
     let client = |first| Client::new(system.callers(), first);
+    let cancel_plan = match settings.cancels {
+        true => CancelPlan::draw(*seed, *nodes, settings.span),
+        false => CancelPlan::default(),
+    };
     let operator = Client::new(system.control(), 0);
-    let last_change = Rc::new(Cell::new(false));
-    let operator = callers::operate(operator, watch.clone(), CHANGE_GAP, last_change.clone());
-    let operator = tokio::task::spawn_local(operator);
+    let change_next = Rc::new(Cell::new(false));
+    let operator = callers::operate(
+        operator,
+        watch.clone(),
+        CHANGE_GAP,
+        change_next.clone(),
+        cancel_plan.renames,
+    );
+    let operator = Operator { change_next, task: tokio::task::spawn_local(operator) };
     for at in 0..settings.runners {
         let control = system.control();
         let runner = runners::run(at, control, watch.clone(), began, settings.crashes);
@@ -106,6 +128,13 @@
         until,
     );
     let zones = tokio::task::spawn_local(zones);
+    let cancels = tokio::task::spawn_local({
+        let (nodes, watch) = (system.callers(), watch.clone());
+        async move { cancellers::start(&cancel_plan.cancels, nodes, watch).await }
+    });
+    if settings.cancels {
+        tokio::task::spawn_local(cancellers::poll_states(client(3), watch.clone()));
+    }
     let plan = Plan::draw(*seed, *nodes, *disks, settings.span);
     let system = Rc::new(RefCell::new(system));
     let fault_tasks = inject(&plan, &system, &watch).await;
@@ -114,18 +143,25 @@
     let (zones, ()) = tokio::join!(zones, recover(&system, &watch, recovery_max));
     zones.map_err(io::Error::other)?;
     fault_tasks.join_all().await;
+    let cancels = cancels.await.map_err(io::Error::other)?;
+    cancellers::finish(cancels, recovery_max, &watch).await;
     tokio::time::sleep(DISK_CATCH_UP).await;
+    if settings.cancels {
+        let blackout = Blackout::draw(*seed, *disks);
+        blackout::inject_and_check(blackout, &system, &watch, operator, recovery_max).await?;
+        return Ok(watch.borrow().report.clone());
+    }
     let mut zone_operator = Client::new(system.borrow().control(), 2);
-    last_change.set(true);
+    operator.change_next.set(true);
     callers::order_zone(&mut zone_operator, FINAL_ZONE, true).await;
-    operator.await.map_err(io::Error::other)?;
+    operator.task.await.map_err(io::Error::other)?;
     final_fault::inject_and_read_back(FinalFault::draw(*seed, *disks), &system, &watch).await?;
     check_final_zone(&mut zone_operator, &watch).await;
     Ok(watch.borrow().report.clone())
 }
 
 /// Checks that the evacuation before the final fault is still in force.
-async fn check_final_zone(operator: &mut Client, watch: &SharedWatch) {
+pub(crate) async fn check_final_zone(operator: &mut Client, watch: &SharedWatch) {
     let until = Instant::now() + RECOVERY_MAX;
     while Instant::now() < until {
         match operator.is_evacuated(FINAL_ZONE).await {
@@ -256,7 +292,7 @@
 }
 
 /// Starts the processes that are down and waits until every acknowledged job has ended.
-async fn recover(system: &SharedSystem, watch: &SharedWatch, recovery_max: Duration) {
+pub(crate) async fn recover(system: &SharedSystem, watch: &SharedWatch, recovery_max: Duration) {
     let until = Instant::now() + recovery_max;
     while Instant::now() < until && !watch.borrow().open_jobs().is_empty() {
         tokio::time::sleep(POLL).await;
--- a/crates/soak/src/runners.rs
+++ b/crates/soak/src/runners.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 use yuccalink_coordination::Moment;
 use yuccalink_coordination::jobs::RunnerOrders;
-use yuccalink_fakes::emulator::{Crash, EmulatedRunner, TaskBehavior};
+use yuccalink_fakes::emulator::{Crash, EmulatedRunner, RunnerEvent, TaskBehavior};
 use yuccalink_state::Resources;
 use yuccalink_state::jobs::{JobId, TaskKey};
 use yuccalink_transport::http::{Method, Request, header};
@@ -42,7 +42,7 @@
 }
 
 /// Returns the actual behavior of a task; its run time is derived from its key.
-fn behavior(task: TaskKey, crashes: bool) -> TaskBehavior {
+fn behavior(task: TaskKey, crashes: bool, long_running: bool) -> TaskBehavior {
     let run_time = Duration::from_millis(100 + (task.job.0 ^ u64::from(task.index)) % 900);
     let need = Resources { millicores: 1_000, memory_mib: 100, accelerators: 0 };
     let is_crashing = crashes && task.index == 0 && task.job.0.is_multiple_of(CRASHING_ONE_IN);
@@ -51,6 +51,7 @@
     TaskBehavior {
         run_time: if is_crashing { run_time + CRASHING_RUN_TIME_EXTRA } else { run_time },
         actual_usage: need,
+        long_running,
         crash,
         ..TaskBehavior::default()
     }
@@ -127,7 +128,7 @@
         if let Some(capacity_changer) = &mut capacity_changer {
             capacity_changer.change(&mut runner, now());
         }
-        let sent = now();
+        let (sent, sent_at) = (now(), Instant::now());
         let report = runner.report(sent);
         watch.borrow_mut().record_events(at, runner.take_events());
         let body = serde_json::to_vec(&report).ok()?;
@@ -138,7 +139,16 @@
             Some(orders) => {
                 report_to = orders.report_to;
                 let before = runner.resources_in_use();
-                runner.apply_orders(now(), sent, &orders, |task| Some(behavior(task, crashes)));
+                let listed: Vec<_> = runner.runs().collect();
+                runner.apply_orders(now(), sent, &orders, |task| {
+                    let long_running = watch.borrow().is_long_running(task.job);
+                    Some(behavior(task, crashes, long_running))
+                });
+                let events = runner.take_events();
+                if events.iter().any(|event| matches!(event, RunnerEvent::EndsAcknowledged(_))) {
+                    watch.borrow_mut().check_orders(at, sent_at, &listed, &orders);
+                }
+                watch.borrow_mut().record_events(at, events);
                 let filled = runner.resources_in_use().millicores > before.millicores;
                 if filled && !runner.is_within_capacity(now()) {
                     watch.borrow_mut().record_overcommit(at);
@@ -174,6 +184,7 @@
         let events = runner.take_events();
         let ended = !events.is_empty();
         watch.borrow_mut().record_events(at, events);
+        watch.borrow_mut().check_at_work(at, runner.running());
         if ended || runner.crashed_by().is_some() {
             return;
         }
--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -133,6 +133,16 @@
         }
     }
 
+    /// Kills processes at the same moment.
+    pub(crate) fn kill_together(&mut self, nodes: &[usize]) {
+        for at in nodes {
+            if let Some(child) = &mut self.children[*at] {
+                let _ = child.kill();
+            }
+        }
+        nodes.iter().for_each(|at| self.kill(*at));
+    }
+
     /// Sends a signal to a process that this soak started.
     pub(crate) fn signal(&self, at: usize, signal: &str) -> io::Result<()> {
         let Some(child) = &self.children[at] else { return Ok(()) };
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use tokio::time::Instant;
-use yuccalink_coordination::jobs::JobState;
+use yuccalink_coordination::Moment;
+use yuccalink_coordination::jobs::{JobState, RunnerOrders};
+use yuccalink_fakes::cancel_checker::CancelChecker;
 use yuccalink_fakes::emulator::RunnerEvent;
 use yuccalink_state::jobs::{JobId, RunOutcome, TaskKey};
 
@@ -34,6 +36,12 @@
     pub evacuations: usize,
     /// Number of injected faults.
     pub faults: usize,
+    /// Number of jobs whose cancellation was answered.
+    pub cancelled: usize,
+    /// Number of jobs in `cancelled` whose first answer was that there is no such job.
+    pub cancelled_unknown: usize,
+    /// Longest time from the answer to a cancellation to the end of a run of its job.
+    pub longest_stop: Duration,
     /// Times from the restart of all processes after the final fault until each process had
     /// answered a read of the change set, shortest first.
     pub read_back: Vec<Duration>,
@@ -61,8 +69,8 @@
 /// Ends of runs on one runner that are not acknowledged yet, by their number.
 type UnacknowledgedEnds = BTreeMap<u64, (TaskKey, RunOutcome)>;
 
-#[derive(Default)]
 pub(crate) struct Watch {
+    began: Instant,
     pub(crate) report: SoakReport,
     tasks: BTreeMap<TaskKey, Task>,
     unacknowledged: BTreeMap<usize, UnacknowledgedEnds>,
@@ -73,6 +81,8 @@
     pub(crate) version: Option<(u64, Instant)>,
     /// Zones whose evacuation was acknowledged and not taken back, and since when.
     evacuated: BTreeMap<&'static str, Instant>,
+    pub(crate) cancels: CancelChecker,
+    long_running: BTreeSet<JobId>,
 }
 
 /// The zone of a runner. There are two zones.
@@ -81,6 +91,31 @@
 }
 
 impl Watch {
+    pub(crate) fn new() -> Self {
+        Self {
+            began: Instant::now(),
+            report: SoakReport::default(),
+            tasks: BTreeMap::new(),
+            unacknowledged: BTreeMap::new(),
+            end_counts: BTreeMap::new(),
+            accepted: BTreeMap::new(),
+            completed: BTreeSet::new(),
+            given_up: BTreeSet::new(),
+            version: None,
+            evacuated: BTreeMap::new(),
+            cancels: CancelChecker::default(),
+            long_running: BTreeSet::new(),
+        }
+    }
+
+    fn moment(&self, at: Instant) -> Moment {
+        Moment::ZERO + at.saturating_duration_since(self.began)
+    }
+
+    fn now(&self) -> Moment {
+        self.moment(Instant::now())
+    }
+
     fn record_violation(&mut self, what: String) {
         self.report.violations.push(what);
     }
@@ -101,27 +136,80 @@
         self.report.accepted = self.accepted.len();
     }
 
+    /// Records a job whose tasks run until they are stopped.
+    pub(crate) fn record_long_running(&mut self, id: JobId) {
+        self.long_running.insert(id);
+    }
+
+    pub(crate) fn is_long_running(&self, id: JobId) -> bool {
+        self.long_running.contains(&id)
+    }
+
+    /// Whether a task of the job is at work.
+    pub(crate) fn is_at_work(&self, id: JobId) -> bool {
+        self.tasks.iter().any(|(key, task)| key.job == id && !task.running.is_empty())
+    }
+
+    /// Records an answer 2xx or 410 to a cancellation.
+    pub(crate) fn record_cancelled(&mut self, id: JobId, is_unknown: bool) {
+        if self.cancels.record_answered(id, is_unknown, self.now()) {
+            self.report.cancelled += 1;
+            self.report.cancelled_unknown += usize::from(is_unknown);
+        }
+    }
+
+    /// Checks the runs at work on a runner whose lease is valid.
+    pub(crate) fn check_at_work<T>(&mut self, runner: usize, running: T)
+    where
+        T: Iterator<Item = TaskKey>,
+    {
+        let now = self.now();
+        let late = running.filter_map(|key| self.cancels.check_at_work(runner, key, now));
+        self.report.violations.extend(late);
+    }
+
+    /// Checks orders that a runner applies, in the response to the report that listed `listed`
+    /// and was sent at `sent`.
+    pub(crate) fn check_orders(
+        &mut self,
+        runner: usize,
+        sent: Instant,
+        listed: &[(TaskKey, u32)],
+        orders: &RunnerOrders,
+    ) {
+        let (sent, now) = (self.moment(sent), self.now());
+        let violations = self.cancels.check_orders(runner, sent, now, listed, orders);
+        self.report.violations.extend(violations);
+    }
+
     pub(crate) fn open_jobs(&self) -> Vec<JobId> {
-        let ended = |id: &JobId| self.completed.contains(id) || self.given_up.contains(id);
+        let ended = |id: &JobId| {
+            self.completed.contains(id)
+                || self.given_up.contains(id)
+                || self.cancels.is_requested(*id)
+        };
         self.accepted.keys().filter(|id| !ended(id)).copied().collect()
     }
 
     /// Checks the response to a request for the state of a job that was sent at `asked`; `None`
     /// stands for an unknown job.
     pub(crate) fn check_state(&mut self, id: JobId, asked: Instant, state: Option<JobState>) {
+        let (asked_at, now) = (self.moment(asked), self.now());
+        let violation = state.and_then(|state| self.cancels.check_state(id, asked_at, now, state));
+        self.report.violations.extend(violation);
         let Some((at, tasks)) = self.accepted.get(&id).copied() else { return };
+        if self.cancels.is_requested(id) {
+            if state == Some(JobState::Completed) {
+                self.check_completed(id, tasks);
+            }
+            return;
+        }
         match state {
             None if asked.duration_since(at) > VISIBLE_AFTER => {
                 self.record_violation(format!("{id} was acknowledged but is unknown"));
             }
             Some(JobState::Completed) => {
-                let key = |index| TaskKey { job: id, occurrence: 0, step: 0, index };
-                let missing = (0..tasks).find(|i| self.tasks.get(&key(*i)).is_none_or(|t| !t.done));
-                if let Some(index) = missing {
-                    self.record_violation(format!(
-                        "{id} is completed but its task {index} is not done"
-                    ));
-                }
+                self.check_completed(id, tasks);
                 self.completed.insert(id);
                 self.report.completed = self.completed.len();
             }
@@ -142,6 +230,14 @@
         }
     }
 
+    fn check_completed(&mut self, id: JobId, tasks: u16) {
+        let key = |index| TaskKey { job: id, occurrence: 0, step: 0, index };
+        let missing = (0..tasks).find(|i| self.tasks.get(&key(*i)).is_none_or(|t| !t.done));
+        if let Some(index) = missing {
+            self.record_violation(format!("{id} is completed but its task {index} is not done"));
+        }
+    }
+
     /// Returns the highest number of runners that crashed under one task of the job.
     fn lost_runners_of_job(&self, id: JobId) -> usize {
         let of_job = self.tasks.iter().filter(|(key, _)| key.job == id);
@@ -192,6 +288,8 @@
 
     fn started(&mut self, runner: usize, key: TaskKey, run: u32) {
         self.report.starts += 1;
+        let late = self.cancels.check_start(runner, key, run, self.now());
+        self.report.violations.extend(late);
         let since = self.evacuated.get(zone(runner));
         if since.is_some_and(|since| since.elapsed() > ORDER_LIFETIME) {
             self.record_violation(format!(
@@ -225,6 +323,8 @@
     }
 
     fn ended(&mut self, runner: usize, key: TaskKey, outcome: RunOutcome) {
+        self.cancels.record_end(key, self.now());
+        self.report.longest_stop = self.cancels.longest_stop();
         let task = self.tasks.entry(key).or_default();
         task.running.remove(&runner);
         task.done |= outcome == RunOutcome::Done;
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -16,10 +16,29 @@
 }
 
 fn soak(seed: u64, seconds: u64, nodes: usize, runners: usize) -> SoakReport {
-    soak_with(seed, seconds, nodes, runners, false)
+    soak_with(seed, seconds, nodes, runners, Additions::default())
 }
 
-fn soak_with(seed: u64, seconds: u64, nodes: usize, runners: usize, crashes: bool) -> SoakReport {
+/// What a soak does beside its faults.
+#[derive(Clone, Copy, Default)]
+struct Additions {
+    crashes: bool,
+    cancels: bool,
+}
+
+impl Additions {
+    const CRASHES: Self = Self { crashes: true, cancels: false };
+    const CANCELS: Self = Self { crashes: false, cancels: true };
+}
+
+fn soak_with(
+    seed: u64,
+    seconds: u64,
+    nodes: usize,
+    runners: usize,
+    additions: Additions,
+) -> SoakReport {
+    let Additions { crashes, cancels } = additions;
     let folder = tempfile::tempdir().expect("a temporary folder");
     let settings = SoakSettings {
         program: program(),
@@ -30,6 +49,7 @@
         runners,
         span: Duration::from_secs(seconds),
         crashes,
+        cancels,
     };
     let report = run(&settings).expect("the soak runs");
     if !report.violations.is_empty() {
@@ -50,7 +70,7 @@
 /// the other.
 #[test]
 fn tasks_that_crash_their_runners_are_given_up_by_every_process() {
-    let report = soak_with(11, 12, 4, 10, true);
+    let report = soak_with(11, 12, 4, 10, Additions::CRASHES);
     assert!(report.given_up > 0, "{report:?}");
     assert_eq!(report.completed + report.given_up, report.accepted, "{report:?}");
 }
@@ -58,7 +78,7 @@
 /// Guards against a soak with crashes that has none on a slow machine, which submits few jobs.
 #[test]
 fn a_soak_of_few_jobs_has_a_task_that_crashes_its_runners() {
-    let report = soak_with(11, 1, 3, 6, true);
+    let report = soak_with(11, 1, 3, 6, Additions::CRASHES);
     assert!(report.given_up > 0, "{report:?}");
 }
 
@@ -79,3 +99,12 @@
         assert_eq!(report.read_back.len(), 5, "seed {seed}");
     }
 }
+
+/// Guards against a cancelled job that runs on, is shown as active, or starts after the answer.
+#[test]
+fn a_cancelled_job_does_not_run_whatever_arrives_or_is_lost_later() {
+    for seed in [1, 6] {
+        let report = soak_with(seed, 6, 5, 6, Additions::CANCELS);
+        assert!(report.cancelled > 0, "{report:?}");
+    }
+}
