Emulated cell: cancel jobs of short tasks, with the check of the soak

The cell that benches and tests use never cancelled a job. `CancelChecker` checks each start, order, lease and run at work from the answer on, in virtual time. Without cancellations a seed gives the same seconds as before.

--- a/crates/fakes/src/cell.rs
+++ b/crates/fakes/src/cell.rs
@@ -6,12 +6,14 @@
 //! one message that the leader has to handle), connections that fill up, and the entries' own
 //! processors.
 
+mod cancels;
 mod disturb;
 mod leader_process;
 mod load;
 mod report;
 mod world;
 
+pub use cancels::CancelLoad;
 pub use leader_process::MessageCosts;
 pub use load::{BatchLoad, LongRunningLoad};
 pub use report::{CellReport, SecondReport};
@@ -60,6 +62,8 @@
     pub long_running: LongRunningLoad,
     /// Jobs of short tasks.
     pub batch: BatchLoad,
+    /// Jobs of short tasks that are cancelled.
+    pub cancels: CancelLoad,
     /// Disturbances: their start, their duration, and what happens.
     pub disturbances: Vec<(Moment, Duration, Disturbance)>,
     /// Seed of all random choices.
@@ -85,6 +89,7 @@
             queueing: Queueing::default(),
             long_running: LongRunningLoad::for_runners(runners),
             batch: BatchLoad::for_runners(runners),
+            cancels: CancelLoad::default(),
             disturbances: Vec::new(),
             seed: 1,
         }
--- a/crates/fakes/src/cell/disturb.rs
+++ b/crates/fakes/src/cell/disturb.rs
@@ -9,20 +9,34 @@
 impl EmulatedCell {
     pub(super) fn submit(&mut self, long_running: bool, number: u64) {
         let (long, batch) = (self.spec.long_running, self.spec.batch);
-        let (request, gap) = match long_running {
-            true => (load::long_running_job(&long, number), long.gap),
+        let gap = match long_running {
+            true => {
+                let request = load::long_running_job(&long, number);
+                let from = Origin::Caller { request: number };
+                self.leader_receives(Input::Request { from, request });
+                long.gap
+            }
             false => {
-                let gap = Duration::from_secs_f64(1.0 / batch.jobs_per_s);
-                (load::batch_job(&batch, number), gap)
+                let delay = self.plan_cancel(number);
+                match delay.is_zero() {
+                    true => self.submit_batch(number),
+                    false => self.after(delay, Event::Submission(number)),
+                }
+                Duration::from_secs_f64(1.0 / batch.jobs_per_s)
             }
         };
-        let from = Origin::Caller { request: number };
-        self.leader_receives(Input::Request { from, request });
         if !long_running || number + 1 < long.jobs {
             self.after(gap, Event::Submit(long_running, number + 1));
         }
     }
 
+    /// Submits the job of short tasks with this number, perhaps again.
+    pub(super) fn submit_batch(&mut self, number: u64) {
+        let request = load::batch_job(&self.spec.batch, number);
+        let from = Origin::Caller { request: number };
+        self.leader_receives(Input::Request { from, request });
+    }
+
     pub(super) fn disturb(&mut self, at: usize, starts: bool) {
         let (_, _, disturbance) = self.spec.disturbances[at];
         match disturbance {
--- a/crates/fakes/src/cell/leader_process.rs
+++ b/crates/fakes/src/cell/leader_process.rs
@@ -84,6 +84,7 @@
 pub(super) enum Origin {
     Runner { slot: usize, attempt: u64 },
     Caller { request: u64 },
+    Canceller { number: u64 },
 }
 
 /// What the leader sends.
--- a/crates/fakes/src/cell/load.rs
+++ b/crates/fakes/src/cell/load.rs
@@ -116,6 +116,17 @@
     submission(BATCH_JOBS_FROM + number, step)
 }
 
+/// Number of the job of short tasks with this number of the load.
+pub(super) fn batch_id(number: u64) -> JobId {
+    JobId(BATCH_JOBS_FROM + number)
+}
+
+/// Cancels the job of short tasks with this number.
+pub(super) fn cancellation(number: u64) -> CellRequest {
+    let at = QueueAddress { host: "h".into(), path: "/q/".into() };
+    CellRequest::Cancel { at, id: batch_id(number) }
+}
+
 /// How the tasks of a job behave.
 pub(super) fn behavior(job: JobId, load: &BatchLoad) -> TaskBehavior {
     match job.0 < BATCH_JOBS_FROM {
--- a/crates/fakes/src/cell/report.rs
+++ b/crates/fakes/src/cell/report.rs
@@ -18,6 +18,8 @@
     pub failed: u64,
     /// Tasks that runners started.
     pub starts: u64,
+    /// Jobs whose cancellation was answered.
+    pub cancelled: u64,
     /// Runs that ended because the lease of their runner expired.
     pub lapsed: u64,
     /// Entries that dropped the leader.
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -1,5 +1,6 @@
 //! The event loop of an emulated cell: runners, entries and the network around the leader.
 
+use super::cancels::Cancels;
 use super::leader_process::{Input, LeaderProcess, Origin, Output};
 use super::load::{self, CAPACITY};
 use super::report::{CellReport, SecondReport};
@@ -59,6 +60,10 @@
     ReportUnanswered(usize, u64),
     Poll(usize),
     Submit(bool, u64),
+    /// A submission that was planned before, or a copy of one.
+    Submission(u64),
+    Cancel(u64),
+    CancelAnswered(u64),
     DisturbanceStarts(usize),
     DisturbanceEnds(usize),
 }
@@ -76,7 +81,7 @@
     entry: usize,
     /// Number of the newest report; answers to earlier ones are ignored.
     attempt: u64,
-    sent: Moment,
+    pub(super) sent: Moment,
     waits: bool,
     request: Option<CellRequest>,
     response: Option<CellResponse>,
@@ -89,8 +94,11 @@
 /// A cell in virtual time.
 pub struct EmulatedCell {
     pub(super) spec: CellSpec,
-    now: Moment,
+    pub(super) now: Moment,
     rng: Pcg64Mcg,
+    pub(super) cancels: Cancels,
+    /// Responses to cancellations on their way.
+    cancel_responses: BTreeMap<u64, CellResponse>,
     events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
     next_event: u64,
     pub(super) leader: LeaderProcess,
@@ -100,8 +108,8 @@
     pub(super) running_on: BTreeMap<TaskKey, usize>,
     /// Short tasks with an acknowledged end.
     completed: BTreeSet<TaskKey>,
-    second: SecondReport,
-    report: CellReport,
+    pub(super) second: SecondReport,
+    pub(super) report: CellReport,
 }
 
 fn address(at: usize) -> SocketAddr {
@@ -150,6 +158,8 @@
         let mut cell = Self {
             now,
             rng: Pcg64Mcg::seed_from_u64(spec.seed),
+            cancels: Cancels::new(spec.seed),
+            cancel_responses: BTreeMap::new(),
             events: BinaryHeap::new(),
             next_event: 0,
             leader: LeaderProcess::new(&spec, now),
@@ -266,6 +276,13 @@
             Event::ReportUnanswered(at, attempt) => self.return_later(at, attempt),
             Event::Poll(at) => self.poll_runner(at),
             Event::Submit(long_running, number) => self.submit(long_running, number),
+            Event::Submission(number) => self.submit_batch(number),
+            Event::Cancel(number) => self.cancel(number),
+            Event::CancelAnswered(number) => {
+                if let Some(response) = self.cancel_responses.remove(&number) {
+                    self.cancel_answered(number, &response);
+                }
+            }
             Event::DisturbanceStarts(at) => self.disturb(at, true),
             Event::DisturbanceEnds(at) => self.disturb(at, false),
         }
@@ -298,6 +315,10 @@
                         self.at(free_at + NETWORK_DELAY * 2, Event::Orders(slot, attempt));
                     }
                 }
+                Output::Response { to: Origin::Canceller { number }, response } => {
+                    self.cancel_responses.insert(number, response);
+                    self.at(free_at + NETWORK_DELAY * 2, Event::CancelAnswered(number));
+                }
                 Output::Response { to: Origin::Caller { .. }, .. } => {}
             }
         }
@@ -402,6 +423,9 @@
         slot.waits = false;
         let in_time = now.since(slot.sent) <= RESPONSE_TIMEOUT;
         self.second.answered += u64::from(in_time && orders.lease_ms > 0);
+        if in_time {
+            self.check_orders(at, &orders);
+        }
         self.apply_orders(at, &orders);
         let retry = Duration::from_millis(orders.retry_after_ms.max(50));
         self.after(retry, Event::Report(at, attempt));
@@ -452,6 +476,7 @@
         let Some(runner) = &mut slot.runner else { return };
         runner.advance(now);
         let ended = self.note_events(at);
+        self.check_at_work(at);
         if ended && !self.slots[at].waits {
             self.send_report(at, attempt);
         }
@@ -464,8 +489,9 @@
         let mut ended_any = false;
         for event in runner.take_events() {
             match event {
-                RunnerEvent::Started { task, at: when, .. } => {
+                RunnerEvent::Started { task, run, at: when } => {
                     self.second.starts += 1;
+                    self.check_start(at, task, run, when);
                     if let Some(other) = self.running_on.insert(task, at)
                         && other != at
                     {
@@ -478,8 +504,9 @@
                         self.report.violations.push(text);
                     }
                 }
-                RunnerEvent::Ended { task, outcome, .. } => {
+                RunnerEvent::Ended { task, outcome, at: when, .. } => {
                     ended_any = true;
+                    self.cancels.record_end(task, when);
                     self.running_on.remove(&task);
                     self.second.lapsed += u64::from(outcome == RunOutcome::Lapsed);
                     let slot = &mut self.slots[at];
--- a/crates/fakes/tests/cell.rs
+++ b/crates/fakes/tests/cell.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 use yuccalink_coordination::Moment;
-use yuccalink_fakes::cell::{CellReport, CellSpec, Disturbance, EmulatedCell, Queueing};
+use yuccalink_fakes::cell::{
+    CancelLoad, CellReport, CellSpec, Disturbance, EmulatedCell, Queueing,
+};
 
 const ENTRIES: usize = 60;
 const RUNNERS: usize = 600;
@@ -111,3 +113,17 @@
     let other = run(dear_messages(3.0));
     assert_eq!(one.seconds, other.seconds);
 }
+
+/// Guards against a cancelled job that runs on, or starts after the answer, whoever is behind.
+#[test]
+fn cancelled_jobs_do_not_run_beside_an_overload_and_entries_that_are_cut_off() {
+    let (from, span) = (Moment::from_millis(15_000), Duration::from_millis(4_300));
+    let overload = (from, span, Disturbance::DearMessages(4.0));
+    let cut = (from, span, Disturbance::EntriesCut(0.22));
+    for (seed, disturbances) in [(1, vec![]), (2, vec![overload]), (3, vec![cut])] {
+        let cancels = CancelLoad { share: 0.6 };
+        let report = run(CellSpec { cancels, disturbances, seed, ..spec() });
+        assert!(report.sum(0..SECONDS, |s| s.cancelled) > 0, "{report}");
+        assert_no_violations(&report);
+    }
+}
