--- a/crates/soak/src/blackout.rs
+++ b/crates/soak/src/blackout.rs
@@ -31,16 +31,28 @@
     operator: Operator,
     recovery_max: Duration,
 ) -> io::Result<()> {
-    send_requests(blackout, system, watch, operator).await?;
+    let name = format!("{blackout:?}");
+    let sent =
+        tokio::time::timeout(recovery_max, send_requests(blackout, system, watch, operator)).await;
+    let Ok(sent) = sent else {
+        let violation = format!("{name}: the last requests were not answered in {recovery_max:?}");
+        watch.borrow_mut().report.violations.push(violation);
+        return Ok(());
+    };
+    sent?;
     inject(blackout, system).await?;
     tokio::time::sleep(DOWNTIME).await;
     restart(blackout, system).await?;
-    let name = format!("{blackout:?}");
     check_read_back(&name, system, watch).await?;
     let mut zone_operator = Client::new(system.borrow().control(), 0);
     check_final_zone(&mut zone_operator, watch).await;
     let mut client = Client::new(system.borrow().callers(), blackout.first_lost);
-    submit(&mut client, CANCELLED, &cancelled_job(blackout)).await;
+    let body = cancelled_job(blackout);
+    let copy = submit(&mut client, CANCELLED, &body);
+    if tokio::time::timeout(READ_BACK_MAX, copy).await.is_err() {
+        let violation = format!("{name}: a submission was not answered in {READ_BACK_MAX:?}");
+        watch.borrow_mut().report.violations.push(violation);
+    }
     check_states(&name, system, watch).await;
     recover(system, watch, recovery_max).await;
     // A run at work in the blackout ends with its lease; a copy of it would start meanwhile.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -280,14 +280,14 @@
 }
 
 impl Blackout {
-    /// Draws the final fault for `seed`. As many disks are lost as leave a majority.
+    /// Draws the final fault for `seed`. As many disks are lost as the cell tolerates.
     ///
     /// ```
     /// use yuccalink_soak::Blackout;
-    /// assert_eq!(Blackout::draw(7, 5), Blackout::draw(7, 5));
-    /// assert_eq!(Blackout::draw(7, 5).disks_lost, 2);
+    /// assert_eq!(Blackout::draw(7, 5, 2), Blackout::draw(7, 5, 2));
+    /// assert_eq!(Blackout::draw(7, 5, 2).disks_lost, 2);
     /// ```
-    pub fn draw(seed: u64, disks: usize) -> Self {
+    pub fn draw(seed: u64, disks: usize, disks_lost: usize) -> Self {
         const STREAM: u64 = 0x6461_726b;
         let mut rng = Pcg64Mcg::seed_from_u64(seed ^ STREAM);
         let last = match rng.random_range(0..5) {
@@ -303,7 +303,7 @@
         };
         Self {
             first_lost: rng.random_range(0..disks),
-            disks_lost: (disks - 1) / 2,
+            disks_lost,
             last,
             cancelled,
             kills: FaultOrder::draw(&mut rng, 1..60),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -62,6 +62,8 @@
 const CHANGE_GAP: Duration = Duration::from_millis(1_500);
 /// Time for which a zone is evacuated, and then left in use.
 const EVACUATION_SPAN: Duration = Duration::from_millis(1_700);
+/// Number of disks from which two may be lost at the same time.
+const DISKS_FOR_TWO_LOSSES: usize = 5;
 /// A zone without runners that is evacuated right before the final fault.
 pub(crate) const FINAL_ZONE: &str = "last-zone";
 const POLL: Duration = Duration::from_millis(50);
@@ -79,7 +81,9 @@
 
 async fn soak(settings: &SoakSettings) -> io::Result<SoakReport> {
     let SoakSettings { program, folder, seed, nodes, disks, .. } = settings;
-    let system = System::start(program, folder, *nodes, *disks).await?;
+    // The blackout takes two disks at once if there are enough.
+    let tolerated_losses = if settings.cancels && *disks >= DISKS_FOR_TWO_LOSSES { 2 } else { 1 };
+    let system = System::start(program, folder, *nodes, *disks, tolerated_losses).await?;
     let watch = Rc::new(RefCell::new(Watch::new()));
     let began = Instant::now();
     let client = |first| Client::new(system.callers(), first);
@@ -147,7 +151,7 @@
     cancellers::finish(cancels, recovery_max, &watch).await;
     tokio::time::sleep(DISK_CATCH_UP).await;
     if settings.cancels {
-        let blackout = Blackout::draw(*seed, *disks);
+        let blackout = Blackout::draw(*seed, *disks, tolerated_losses);
         blackout::inject_and_check(blackout, &system, &watch, operator, recovery_max).await?;
         return Ok(watch.borrow().report.clone());
     }
--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -21,6 +21,8 @@
     network: [u8; 2],
     nodes: usize,
     disks: usize,
+    /// Disks that may be lost at the same time.
+    tolerated_losses: usize,
     children: Vec<Option<Child>>,
     /// Processes that were asked to stop, so that their end is expected.
     stopping: Vec<bool>,
@@ -33,6 +35,7 @@
         folder: &Path,
         nodes: usize,
         disks: usize,
+        tolerated_losses: usize,
     ) -> io::Result<Self> {
         let mut system = Self {
             program: program.into(),
@@ -40,6 +43,7 @@
             network: network(),
             nodes,
             disks,
+            tolerated_losses,
             children: (0..nodes).map(|_| None).collect(),
             stopping: vec![false; nodes],
             proxy_faults: (0..nodes).map(|_| Rc::default()).collect(),
@@ -103,6 +107,7 @@
             .args(["--control", &self.address(at, CONTROL).to_string()])
             .args(["--metrics", &self.address(at, METRICS).to_string()])
             .args(["--seeds", &seeds.join(","), "--drain", "1s"])
+            .args(["--losses", &self.tolerated_losses.to_string()])
             .args(["--found", if bootstrap { "yes" } else { "no" }])
             .stdin(Stdio::null())
             .stdout(log);
