Let jobs follow their queue when a change set renames it

What callers saw: the number of waiting jobs of a queue that was renamed is 0, and its jobs keep the priority and the objective that the name had before.

Cause: as for the lookup of a job: the name of the queue at the submission stands for the queue.

Evidence: jobs_of_a_renamed_queue_are_counted_as_pending failed before (0 instead of 1), passes now, with the names swapped as well. The tests of the state and coordination crates pass.

Change: when a change set gives the queue at an address another name, the jobs of the old name take the new one. A queue that is removed and comes back later under another name keeps its jobs under the old one; they are found by their number, and not counted as waiting. So is a submission that is under way while its queue is renamed.

--- a/crates/coordination/tests/cancellation.rs
+++ b/crates/coordination/tests/cancellation.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use world::{CallerCounts, CancelTime, FaultProfile, World, change_set, job, queue_address, step};
 use yuccalink_coordination::intake::{Intake, Next, RequestClass};
+use yuccalink_coordination::jobs::messages::QueueAddress;
 use yuccalink_coordination::jobs::{
     CellRequest, CellResponse, JobState, Leader, LeaderConfig, RequestToken,
 };
@@ -222,6 +223,20 @@
     assert_stays_cancelled(&mut harness);
 }
 
+/// Guards against waiting jobs that nobody counts once their queue was renamed.
+#[test]
+fn jobs_of_a_renamed_queue_are_counted_as_pending() {
+    let mut harness = harness();
+    let job = CellRequest::Submit { at: queue_address(), id: JOB, spec: spec() };
+    harness.runners.clear();
+    assert_eq!(harness.request(job), CellResponse::Accepted);
+    set_queues(&mut harness, 2, &[("renamed", "/q/"), ("q", "/other/")]);
+    let pending = |at| CellRequest::Pending { at };
+    assert_eq!(harness.request(pending(queue_address())), CellResponse::Pending(1));
+    let other = QueueAddress { path: "/other/".into(), ..queue_address() };
+    assert_eq!(harness.request(pending(other)), CellResponse::Pending(0));
+}
+
 /// Guards against a job that runs on because two queues swapped their names.
 #[test]
 fn a_job_of_a_queue_that_swapped_its_name_stops_after_its_cancellation() {
--- a/crates/state/src/jobs/change.rs
+++ b/crates/state/src/jobs/change.rs
@@ -2,7 +2,7 @@
 //! into force together or not at all.
 
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// All queues, pools and limits that operators configure, under one version.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -170,6 +170,28 @@
         self.queues.iter().filter(matches).max_by_key(|queue| queue.prefix.len())
     }
 
+    /// Former and present names of the queues that have another name here than in `former`, at
+    /// the same host and prefix.
+    ///
+    /// ```
+    /// use yuccalink_state::jobs::{ChangeSet, Queue};
+    /// let named = |name: &str| ChangeSet {
+    ///     queues: vec![Queue { name: name.into(), prefix: "/a/".into(), ..Queue::default() }],
+    ///     ..ChangeSet::default()
+    /// };
+    /// assert_eq!(named("b").renamed_since(&named("a"))["a"], "b");
+    /// assert!(named("a").renamed_since(&named("a")).is_empty());
+    /// ```
+    pub fn renamed_since<'a>(&'a self, former: &'a Self) -> BTreeMap<&'a str, &'a str> {
+        let address = |queue: &'a Queue| (&*queue.host, &*queue.prefix);
+        let names: BTreeMap<_, _> = self.queues.iter().map(|q| (address(q), &*q.name)).collect();
+        let renamed = former.queues.iter().filter_map(|queue| {
+            let now = *names.get(&address(queue))?;
+            (now != &*queue.name).then_some((&*queue.name, now))
+        });
+        renamed.collect()
+    }
+
     /// The queue called `name`.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|queue| &*queue.name == name)
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -35,7 +35,7 @@
 /// A job and its state.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Job {
-    /// Name of the job's queue.
+    /// Name of the job's queue; follows the queue when a change set renames it.
     pub queue: Box<str>,
     /// The queue's pool at submission.
     pub pool: Box<str>,
@@ -291,6 +291,15 @@
         if self.change_set.as_ref().is_some_and(|current| current.version >= change.version) {
             return false;
         }
+        if let Some(current) = &self.change_set {
+            let renamed = change.renamed_since(current);
+            let jobs = self.jobs.values_mut().filter(|_| !renamed.is_empty());
+            for job in jobs {
+                if let Some(name) = renamed.get(&*job.queue) {
+                    job.queue = (*name).into();
+                }
+            }
+        }
         self.change_set = Some(change);
         true
     }
