Tests: a cancelled run stops in time whatever answer its runner's reports get

What callers saw: nothing yet; found while tracing which answers to a report carry no stop. A cancellation is handled before reports by its class, so that it is answered while reports expire.

No code of the product changes.

--- a/crates/coordination/tests/cancellation.rs
+++ b/crates/coordination/tests/cancellation.rs
@@ -261,6 +261,65 @@
     assert_stays_cancelled(&mut harness);
 }
 
+/// Lets the runners report until all runs have stopped; returns the time that it took.
+fn time_to_stop<F>(harness: &mut LeaderHarness, mut answer: F) -> Duration
+where
+    F: FnMut(&mut LeaderHarness, Duration, CellRequest) -> CellResponse,
+{
+    const STEP: Duration = Duration::from_millis(50);
+    let begin = harness.now;
+    let mut next_reports = [begin; RUNNERS];
+    while runs_at_work(harness) > 0 {
+        harness.advance(STEP);
+        let now = harness.now;
+        for (at, next_report) in next_reports.iter_mut().enumerate() {
+            harness.runners[at].advance(now);
+            if now < *next_report {
+                continue;
+            }
+            let report = Box::new(harness.runners[at].report(now));
+            let response = answer(harness, now.since(begin), CellRequest::Heartbeat(report));
+            let CellResponse::Orders(orders) = response else {
+                *next_report = now + Duration::from_secs(1);
+                continue;
+            };
+            harness.runners[at].apply_orders(now, now, &orders, |_| None);
+            *next_report = now + Duration::from_millis(orders.retry_after_ms).max(STEP);
+        }
+    }
+    harness.now.since(begin)
+}
+
+/// Guards against a run that works until its lease ends because its runner's reports are rejected.
+#[test]
+fn a_cancelled_run_stops_in_time_though_reports_are_rejected() {
+    const REJECTED_FOR: Duration = Duration::from_secs(4);
+    let mut harness = harness_with_runs();
+    cancel(&mut harness);
+    let took = time_to_stop(&mut harness, |harness, passed, report| {
+        let now = harness.leader_now();
+        match passed < REJECTED_FOR {
+            true => harness.leader.reject(now, &report),
+            false => harness.request(report),
+        }
+    });
+    assert!(took <= STOP_MAX, "stopped after {took:?}");
+}
+
+/// Guards against a run that works until its lease ends because its runner's pool was removed.
+#[test]
+fn a_cancelled_run_stops_in_time_though_its_pool_was_removed() {
+    let mut harness = harness_with_runs();
+    let mut set = change_set();
+    set.version = 2;
+    set.pools[0].name = "other".into();
+    set.queues[0].pool = "other".into();
+    assert_eq!(harness.request(CellRequest::Change(Arc::new(set))), CellResponse::Ok);
+    cancel(&mut harness);
+    let took = time_to_stop(&mut harness, |harness, _, report| harness.request(report));
+    assert!(took <= STOP_MAX, "stopped after {took:?}");
+}
+
 /// Guards against runs of cancelled jobs in any order of requests, changes, losses and crashes.
 #[test]
 fn no_run_is_at_work_after_a_cancellation_in_random_histories() {
