Name the age of a late run so that it is not read as the job's state

yuccalink why took the line of a late run for the last state of its job, because the name of a field contained the word. Found by playing it with the real programs; the test of the summary has such a line now.

--- a/crates/coordination/src/jobs/cancelled_runs.rs
+++ b/crates/coordination/src/jobs/cancelled_runs.rs
@@ -230,7 +230,7 @@
         let last_report = self.runners.get(&entry.incarnation).map(|runner| runner.last_report_at);
         let millis_ago = |at: Moment| format!("{}ms", now.at.since(at).as_millis());
         log::info!(
-            "late stop task={task} run={run} runner={} cancelled-ago={} last-report-ago={} \
+            "late stop task={task} run={run} runner={} after={} last-report-ago={} \
              first-stop-ago={}",
             OrNone(name),
             millis_ago(job.since),
--- a/crates/yuccalink/tests/cell.rs
+++ b/crates/yuccalink/tests/cell.rs
@@ -188,6 +188,7 @@
         line(5, &format!("stop task={id}.0.0.0 run=1 runner=w1 why=cancelled")),
         line(5, &format!("stop task={id}.0.0.1 run=1 runner=w2 why=cancelled")),
         line(6, &format!("end task={id}.0.0.0 run=1 runner=w1 how=Stopped")),
+        line(7, &format!("late stop task={id}.0.0.1 run=1 runner=w2 after=3000ms")),
     ];
     std::fs::write(&log, lines.concat()).expect("a log");
     let why = |json: &[&str]| {
@@ -196,6 +197,8 @@
         String::from_utf8_lossy(&output.stdout).into_owned()
     };
     let text = why(&[]);
+    let state = text.lines().nth(lines.len()).unwrap_or_default();
+    assert!(state.contains("cancelled queue=q") && state.contains("Stopped 1"), "{text}");
     let summary: Vec<&str> = text.lines().skip(lines.len() + 1).collect();
     assert_eq!(summary.len(), 4, "{text}");
     assert!(summary[0].ends_with("cancelled at 2026-01-02T03:04:04.0Z"), "{text}");
