Tests: wait until the daemon of a cell accepts connections

a_job_is_submitted_read_and_cancelled failed once with "connection refused": three tests slept for 200 ms instead, which a daemon on a loaded machine exceeded.

--- a/crates/yuccalink/tests/cell.rs
+++ b/crates/yuccalink/tests/cell.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::process::{Child, Command, Output, Stdio};
 use std::time::Duration;
 use support::daemon;
@@ -41,7 +41,23 @@
             .spawn()
             .expect("the daemon");
         let (callers, control, metrics) = (at(8_080), at(8_081), at(9_100));
-        Self { child, folder, callers, control, metrics }
+        let cell = Self { child, folder, callers, control, metrics };
+        cell.wait_until_listening();
+        cell
+    }
+
+    /// Waits until the daemon accepts connections on all ports.
+    fn wait_until_listening(&self) {
+        const ATTEMPTS_MAX: u32 = 500;
+        const PAUSE: Duration = Duration::from_millis(20);
+        let accepts = |at: &SocketAddr| TcpStream::connect(at).is_ok();
+        for _ in 0..ATTEMPTS_MAX {
+            if [self.callers, self.control, self.metrics].iter().all(accepts) {
+                return;
+            }
+            std::thread::sleep(PAUSE);
+        }
+        panic!("the daemon does not listen");
     }
 
     fn run(&self, to: SocketAddr, words: &[&str]) -> Output {
@@ -91,7 +107,6 @@
     let cell = Cell::start();
     let change = cell.file("change.json", CHANGE);
     let job = cell.file("job.json", JOB);
-    std::thread::sleep(Duration::from_millis(200));
     assert_eq!(cell.run_ok(cell.control, &["change", "apply", &change]), "in force");
     assert_eq!(cell.run_ok(cell.control, &["change", "get"]), CHANGE);
     let submit = ["job", "submit", &job, "--id", ID, QUEUE[0], QUEUE[1]];
@@ -219,7 +234,6 @@
     let path = folder.path().join("policy.toml");
     std::fs::write(&path, "[copies]\nmode = \"off\"\n").expect("written");
     let cell = Cell::start_with(78, &["--policy", &path.display().to_string()]);
-    std::thread::sleep(Duration::from_millis(200));
     let shown = cell.run_ok(cell.control, &["status"]);
     assert!(shown.contains("copies.mode=off") && shown.contains("e1"), "{shown}");
     let json = cell.run_ok(cell.control, &["status", "--json"]);
@@ -231,7 +245,6 @@
 #[test]
 fn a_zone_is_evacuated_listed_and_restored() {
     let cell = Cell::start_with(79, &[]);
-    std::thread::sleep(Duration::from_millis(200));
     let text = cell.run_ok(cell.control, &["zone", "evacuate", "brno a", "--empty"]);
     assert!(text.contains("evacuated, emptying"), "{text}");
     assert!(text.contains("no target has reported zone brno a"), "{text}");
