Tests: a copy of an accepted submission whose queue was removed

Callers see: 404 (no such queue, not run) for a job that is accepted and runs. An entry that tries again after a change of leader returns this answer as the only one.

Cause: `Leader::submit` looks up the queue before the job, and `request_leader` turns only Refused and NotServing into an unknown outcome after a first attempt.

The product code is unchanged.

--- a/crates/coordination/tests/acknowledgement.rs
+++ b/crates/coordination/tests/acknowledgement.rs
@@ -169,3 +169,19 @@
     assert_eq!(submit(1_000), [(RequestToken(1_000), CellResponse::Unknown)]);
     assert!(matches!(&submit(900)[..], [(_, CellResponse::Refused { .. })]));
 }
+
+/// Guards against "no such queue, not run" for a copy of a submission that was accepted.
+#[test]
+fn a_copy_of_an_accepted_submission_is_accepted_after_its_queue_was_removed() {
+    let mut harness = completed_and_given_up();
+    let spec = JobSpec { payload: "p".into(), steps: vec![step(1, 4, 1_000).0], schedule: None };
+    let spec = std::sync::Arc::new(spec);
+    let submission = CellRequest::Submit { at: world::queue_address(), id: JobId(2), spec };
+    assert_eq!(harness.request(submission.clone()), CellResponse::Accepted);
+    let mut without_queue = world::change_set();
+    without_queue.queues.clear();
+    without_queue.version = 2;
+    let change = CellRequest::Change(std::sync::Arc::new(without_queue));
+    assert_eq!(harness.request(change), CellResponse::Ok);
+    assert_eq!(harness.request(submission), CellResponse::Accepted);
+}
