Tests: an ended job is forgettable beside many old cancellations

Cause: `forgettable` lists cancellations before jobs, and at most 256 entries are removed every two seconds, fewer than the 32,768 in 130 s that can be remembered.

The product code is unchanged.

--- a/crates/state/tests/jobs.rs
+++ b/crates/state/tests/jobs.rs
@@ -472,3 +472,15 @@
     assert!(!back.is_active(JobId(2)));
     assert_eq!(format(&back), snapshot::FORMAT, "the table holds the job now");
 }
+
+/// Guards against ended jobs that stay in the table while many cancellations are remembered.
+#[test]
+fn an_ended_job_is_forgettable_beside_many_old_cancellations() {
+    const LIMIT: usize = 256;
+    let mut jobs = table(vec![step(1)]);
+    for id in 0..2 * LIMIT as u64 {
+        jobs.apply(cancel_unknown(JobId(1_000 + id), 7));
+    }
+    jobs.apply(JobCommand::Cancel { id: JobId(1), at_ms: 7 });
+    assert!(jobs.forgettable(10, LIMIT).contains(&JobId(1)));
+}
