Count runs of runners that have not reported as busy in every zone

What operators saw: right after a change of the leader, `zone list` says that nothing runs in an evacuated zone, and the page tells them to take it down then.

Cause: the runs are counted from the reports to this leader, and none has come.

Evidence: tests/zones_after_takeover.rs failed before (busy 0 beside a run at work), passes now.

Change: committed runs whose runner has not reported to this leader count in each zone, since any may be there.

--- a/crates/coordination/src/jobs/evacuation.rs
+++ b/crates/coordination/src/jobs/evacuation.rs
@@ -117,8 +117,16 @@
 
     fn zone_view(&self, zone: &str) -> ZoneView {
         let runners = || self.runners.values().filter(|runner| &*runner.zone == zone);
-        let runs = runners().map(|runner| runner.running.len()).sum();
-        ZoneView::new(self.state.evacuations(), zone, runners().count(), runs)
+        let listed: usize = runners().map(|runner| runner.running.len()).sum();
+        let busy = listed + self.unreported_runs();
+        ZoneView::new(self.state.evacuations(), zone, runners().count(), busy)
+    }
+
+    /// Runs on runners that have not reported to this leader. Each may be in any zone.
+    fn unreported_runs(&self) -> usize {
+        let with_runs = self.state.incarnations_with_runs();
+        let silent = with_runs.filter(|incarnation| !self.runners.contains_key(incarnation));
+        silent.map(|incarnation| self.state.assigned_runs(incarnation).count()).sum()
     }
 
     /// The part of a runner's capacity that is withheld because its zone was restored just now.
