Refuse no copy of an accepted submission because its queue is gone

What callers saw: a submission answered 404 (no such queue), whose job runs. The first copy was accepted by a leader that was lost before it answered, a change set removed the queue, and the entry tried again.

Cause: the queue was looked up before the job.

Evidence: a_copy_of_an_accepted_submission_is_not_refused_after_its_queue_was_removed failed before (NoQueue), passes now. As first written by the reviewer it asked for 200; under a change set without the queue that would be an acceptance that only an older one allows, so that the answer is 504, not known.

--- a/crates/coordination/src/jobs/requests.rs
+++ b/crates/coordination/src/jobs/requests.rs
@@ -100,7 +100,9 @@
             return Some(CellResponse::NotServing { after_ms: NO_CHANGE_YET_MS });
         }
         let Some(queue) = self.routes.route(&at.host, &at.path) else {
-            return Some(CellResponse::NoQueue);
+            // An earlier copy was, or may be, accepted before its queue was removed.
+            let may_run = self.state.job(id).is_some() || self.submitting.contains(&id);
+            return Some(if may_run { CellResponse::Unknown } else { CellResponse::NoQueue });
         };
         if self.state.job(id).is_some() {
             // The caller sent the job again; the first response may have been lost.
