Let every cancellation of an inactive job hold from its last answer

A cancellation was remembered from its first answer on, by the wall clock, and only for unknown jobs. So a copy of the submission ran if it arrived shortly after a later answer: the first cancellation, or the ended job, was forgotten in between. The removal could also wait for the log while the answer was given from the table, and a jump of the wall clock removed all at once. Old cancellations were removed before ended jobs, 256 in 2 s, which kept the ended jobs in the table.

Change: a cancellation of any job that is not active goes through the log (`CancelInactive`, which replaces `CancelUnknown` of the same release) and is remembered, also beside an ended job. The leader measures its age by the clock that does not jump, from the last cancellation or its own election, and forgets it by a command of its own, which removes no job. The set in the state has no times. The leader refuses at the bound before it writes anything to the log.

--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -32,6 +32,7 @@
 mod place;
 pub mod policy;
 mod ready;
+mod remembered;
 pub mod report_rate;
 mod requests;
 mod routes;
--- a/crates/coordination/src/jobs/cancellation.rs
+++ b/crates/coordination/src/jobs/cancellation.rs
@@ -133,8 +133,8 @@
         }
     }
 
-    /// Records a cancellation of a job that is not in the table.
-    pub(super) fn note_unknown_job(&mut self, id: JobId) {
+    /// Records a cancellation of a job that is not active.
+    pub(super) fn note_inactive_job(&mut self, id: JobId) {
         let found = self.found(id);
         log::info!("job={id} cancel found={found}");
         self.counts.cancels.under_way += u64::from(found == Found::UnderWay);
--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -52,7 +52,7 @@
             _ => BTreeSet::new(),
         };
         let cancelled = match &command {
-            JobCommand::Cancel { id, .. } | JobCommand::CancelUnknown { id, .. } => {
+            JobCommand::Cancel { id, .. } | JobCommand::CancelInactive { id, .. } => {
                 Some((*id, self.found(*id)))
             }
             _ => None,
@@ -123,8 +123,13 @@
                     self.update_zones(now, order, *outcome);
                 }
             }
+            JobCommand::CancelInactive { id, .. } => {
+                if self.state.cancellations().contains(*id) {
+                    self.remembered.add(*id, now.at);
+                }
+            }
             JobCommand::Cancel { .. }
-            | JobCommand::CancelUnknown { .. }
+            | JobCommand::ForgetCancellations(_)
             | JobCommand::Meet(_)
             | JobCommand::Learn(_)
             | JobCommand::Wave(_)
@@ -205,7 +210,7 @@
 fn affected_jobs(command: &JobCommand, state: &CellState) -> BTreeSet<JobId> {
     match command {
         JobCommand::Submit(submit) => BTreeSet::from([submit.id]),
-        JobCommand::Cancel { id, .. } | JobCommand::CancelUnknown { id, .. } => {
+        JobCommand::Cancel { id, .. } | JobCommand::CancelInactive { id, .. } => {
             BTreeSet::from([*id])
         }
         JobCommand::Start(starts) => starts.iter().map(|start| start.task.job).collect(),
@@ -214,6 +219,7 @@
         JobCommand::Meet(_) => state.losses().jobs_with_unconfirmed_losses(),
         JobCommand::Change(_)
         | JobCommand::Forget(_)
+        | JobCommand::ForgetCancellations(_)
         | JobCommand::Learn(_)
         | JobCommand::Wave(_)
         | JobCommand::UpkeepBegun { .. }
--- a/crates/coordination/src/jobs/due.rs
+++ b/crates/coordination/src/jobs/due.rs
@@ -47,6 +47,7 @@
         if now.at.since(self.last_cleanup) >= CLEANUP_INTERVAL {
             self.last_cleanup = now.at;
             self.remove_ended_jobs(now);
+            self.forget_old_cancellations(now);
             self.remove_ended_forecasts();
             self.log_load(now);
             self.commit_learnt_weights();
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -15,6 +15,7 @@
 };
 use super::policy::Policy;
 use super::ready::{ReadyQueue, StepKey};
+use super::remembered::RememberedCancellations;
 use super::report_rate::millis;
 use super::report_rate::{self, ReportRate};
 use super::routes::Routes;
@@ -142,6 +143,7 @@
     /// When a request last expired while it waited for this leader.
     pub(super) last_expired: Option<Moment>,
     pub(super) cancelled_runs: CancelledRuns,
+    pub(super) remembered: RememberedCancellations,
     pub(super) last_ranked: Moment,
     pub(super) last_accounted: Moment,
     pub(super) last_cleanup: Moment,
@@ -197,6 +199,7 @@
             report_rate: ReportRate::default(),
             last_expired: None,
             cancelled_runs: CancelledRuns::default(),
+            remembered: RememberedCancellations::default(),
             last_ranked: now.at,
             last_accounted: now.at,
             last_cleanup: now.at,
@@ -205,6 +208,7 @@
         leader.routes = Routes::new(leader.state.change_set());
         leader.incarnations = Incarnations::from_state(&leader.state);
         leader.cancelled_runs = CancelledRuns::from_state(&leader.state, now);
+        leader.remembered = RememberedCancellations::from_state(&leader.state, now.at);
         leader.interference.restore_weights(leader.state.learnt());
         let active: Vec<JobId> = leader.state.all().map(|(id, _)| id).collect();
         for id in active {
--- a/crates/coordination/src/jobs/requests.rs
+++ b/crates/coordination/src/jobs/requests.rs
@@ -150,15 +150,13 @@
             CellResponse::State(JobState::Queued | JobState::Running) => {
                 JobCommand::Cancel { id, at_ms }
             }
-            CellResponse::State(_) => return Some(CellResponse::Ok),
-            CellResponse::Gone if self.state.cancellations().contains(id) => return Some(found),
-            CellResponse::Gone if self.is_full() => {
+            CellResponse::State(_) | CellResponse::Gone if self.is_full_of_cancellations(id) => {
                 return Some(CellResponse::Refused { after_ms: CANCELLATIONS_RETRY_AFTER_MS });
             }
             // The submission may be under way, or arrive once more.
-            CellResponse::Gone => {
-                self.note_unknown_job(id);
-                JobCommand::CancelUnknown { id, at_ms }
+            CellResponse::State(_) | CellResponse::Gone => {
+                self.note_inactive_job(id);
+                JobCommand::CancelInactive { id, at_ms }
             }
             other => return Some(other),
         };
@@ -166,6 +164,12 @@
         None
     }
 
+    /// Whether the cancellation of an inactive job cannot be stored now.
+    fn is_full_of_cancellations(&self, id: JobId) -> bool {
+        let cancellations = self.state.cancellations();
+        self.is_full() || (cancellations.is_full() && !cancellations.contains(id))
+    }
+
     fn pending(&self, queue: &Queue) -> u64 {
         let waits =
             |job: &Job| job.phase == JobPhase::Active && !job.begun && job.queue == queue.name;
--- a/crates/coordination/tests/zones_after_takeover.rs
+++ b/crates/coordination/tests/zones_after_takeover.rs
@@ -25,12 +25,8 @@
     harness.report_round();
     harness.advance(Duration::from_millis(500));
     harness.report_round();
-    let order = ZoneOrder {
-        zone: "z0".into(),
-        action: ZoneAction::Evacuate,
-        empty: false,
-        number: None,
-    };
+    let order =
+        ZoneOrder { zone: "z0".into(), action: ZoneAction::Evacuate, empty: false, number: None };
     let answer = harness.request(CellRequest::Zone(Box::new(order)));
     assert!(matches!(&answer, CellResponse::Zone(zone) if zone.busy == 1), "{answer:?}");
     let state = harness.leader.state().clone();
--- a/crates/state/src/jobs/command.rs
+++ b/crates/state/src/jobs/command.rs
@@ -32,7 +32,7 @@
     },
     /// Record runs before their runners are ordered to start them.
     Start(Vec<RunStart>),
-    /// Remove jobs that ended long ago, and old cancellations of unknown jobs.
+    /// Remove jobs that ended long ago.
     Forget(Vec<JobId>),
     /// Store the learnt interference of pairs of images, with which a later leader
     /// begins.
@@ -66,14 +66,16 @@
         /// Time of the order, in Unix milliseconds.
         at_ms: u64,
     },
-    /// Cancel a job that its leader does not find in the table. If the job is still missing when
-    /// the command is applied, the cancellation holds for a later submission.
-    CancelUnknown {
+    /// Cancel a job that its leader does not find active: it is unknown, or has ended. The
+    /// cancellation also holds for a submission that arrives later.
+    CancelInactive {
         /// The job to cancel.
         id: JobId,
         /// Time of the cancellation, in Unix milliseconds.
         at_ms: u64,
     },
+    /// Forget old cancellations of jobs that were not active.
+    ForgetCancellations(Vec<JobId>),
 }
 
 /// A maintenance wave, as its operator ordered it.
@@ -200,7 +202,7 @@
     },
     /// Whether a job of that number exists. Either way, none starts from now on.
     Cancelled(bool),
-    /// The cancellation of an unknown job was not stored, because too many are remembered.
+    /// The cancellation of an inactive job was not stored, because too many are remembered.
     TooManyCancellations,
     /// The key of the registered runner incarnation.
     Met(IncarnationKey),
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -173,7 +173,7 @@
         &self.evacuations
     }
 
-    /// Cancellations of jobs that are not in the table.
+    /// Cancellations of jobs that were not active.
     pub fn cancellations(&self) -> &Cancellations {
         &self.cancellations
     }
@@ -206,7 +206,13 @@
             JobCommand::Change(change) => JobOutcome::Changed(self.set_change_set(change)),
             JobCommand::Submit(job) => JobOutcome::Accepted { new: self.submit(*job) },
             JobCommand::Cancel { id, at_ms } => JobOutcome::Cancelled(self.cancel(id, at_ms)),
-            JobCommand::CancelUnknown { id, at_ms } => self.cancel_unknown(id, at_ms),
+            JobCommand::CancelInactive { id, at_ms } => self.cancel_inactive(id, at_ms),
+            JobCommand::ForgetCancellations(ids) => {
+                for id in ids {
+                    self.cancellations.remove(id);
+                }
+                JobOutcome::Done
+            }
             JobCommand::Meet(incarnation) => JobOutcome::Met(self.register(incarnation)),
             JobCommand::End { ends, at_ms } => {
                 for end in ends {
@@ -340,9 +346,9 @@
         true
     }
 
-    fn cancel_unknown(&mut self, id: JobId, at_ms: u64) -> JobOutcome {
+    fn cancel_inactive(&mut self, id: JobId, at_ms: u64) -> JobOutcome {
         let known = self.cancel(id, at_ms);
-        if known || self.cancellations.add(id, at_ms) {
+        if self.cancellations.add(id) || known {
             JobOutcome::Cancelled(known)
         } else {
             JobOutcome::TooManyCancellations
@@ -467,7 +473,6 @@
     }
 
     fn forget(&mut self, id: JobId) {
-        self.cancellations.remove(id);
         let Some(job) = self.jobs.get(&id) else { return };
         let mut found = Vec::new();
         collect_assignments(id, job, &mut found);
@@ -477,12 +482,11 @@
         }
     }
 
-    /// Up to `limit` jobs that ended, or that were cancelled while unknown, before `before_ms`.
-    /// [`JobCommand::Forget`] removes those without runs that may still be running.
+    /// Up to `limit` jobs that ended before `before_ms`. [`JobCommand::Forget`] removes those
+    /// without runs that may still be running.
     pub fn forgettable(&self, before_ms: u64, limit: usize) -> Vec<JobId> {
         let old = |job: &Job| job.phase != JobPhase::Active && job.ended_ms < before_ms;
-        let ended = self.jobs.iter().filter(|(_, job)| old(job)).map(|(id, _)| *id);
-        self.cancellations.older_than(before_ms).chain(ended).take(limit).collect()
+        self.jobs.iter().filter(|(_, job)| old(job)).map(|(id, _)| *id).take(limit).collect()
     }
 
     /// Runner incarnations with runs that may still be running.
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -17,7 +17,7 @@
 /// Format version of a snapshot with evacuations. Releases that know none refuse it: they would
 /// read it without them, and give work to a zone under evacuation.
 pub const FORMAT_WITH_EVACUATIONS: u32 = 3;
-/// Format version of a snapshot with cancellations of unknown jobs. Releases that know none
+/// Format version of a snapshot with cancellations of inactive jobs. Releases that know none
 /// refuse it: they would run such a job if its submission arrived.
 pub const FORMAT_WITH_CANCELLATIONS: u32 = 4;
 
--- a/crates/state/tests/cancellations.rs
+++ b/crates/state/tests/cancellations.rs
@@ -74,9 +74,9 @@
 
     /// Applies the command that a leader with this state proposes.
     fn cancel(&mut self) {
-        self.state.apply(match self.state.job(JOB) {
-            Some(_) => JobCommand::Cancel { id: JOB, at_ms: 9 },
-            None => JobCommand::CancelUnknown { id: JOB, at_ms: 9 },
+        self.state.apply(match self.state.is_active(JOB) {
+            true => JobCommand::Cancel { id: JOB, at_ms: 9 },
+            false => JobCommand::CancelInactive { id: JOB, at_ms: 9 },
         });
         self.cancelled = true;
     }
--- a/crates/state/tests/jobs.rs
+++ b/crates/state/tests/jobs.rs
@@ -409,15 +409,15 @@
     JobCommand::Submit(Box::new(submission))
 }
 
-fn cancel_unknown(id: JobId, at_ms: u64) -> JobCommand {
-    JobCommand::CancelUnknown { id, at_ms }
+fn cancel_inactive(id: JobId, at_ms: u64) -> JobCommand {
+    JobCommand::CancelInactive { id, at_ms }
 }
 
 /// Guards against a job that runs because its cancellation came first.
 #[test]
 fn a_job_that_was_cancelled_before_its_submission_starts_nothing() {
     let mut jobs = table(vec![]);
-    assert_eq!(jobs.apply(cancel_unknown(JobId(2), 7)), JobOutcome::Cancelled(false));
+    assert_eq!(jobs.apply(cancel_inactive(JobId(2), 7)), JobOutcome::Cancelled(false));
     assert!(jobs.job(JobId(2)).is_none(), "nobody submitted it");
     assert_eq!(jobs.apply(submission(JobId(2))), JobOutcome::Accepted { new: false });
     assert_eq!(jobs.job(JobId(2)).expect("a job").phase, JobPhase::Cancelled);
@@ -431,26 +431,25 @@
 #[test]
 fn a_cancellation_of_an_unknown_job_ends_one_that_was_submitted_meanwhile() {
     let mut jobs = table(vec![step(1)]);
-    assert_eq!(jobs.apply(cancel_unknown(JobId(1), 7)), JobOutcome::Cancelled(true));
+    assert_eq!(jobs.apply(cancel_inactive(JobId(1), 7)), JobOutcome::Cancelled(true));
     assert_eq!(phase(&jobs), JobPhase::Cancelled);
-    assert!(jobs.cancellations().is_empty());
+    jobs.apply(JobCommand::Forget(vec![JobId(1)]));
+    assert_eq!(jobs.apply(submission(JobId(1))), JobOutcome::Accepted { new: false });
 }
 
 /// Guards against cancellations that are remembered without end, or without bound.
 #[test]
-fn cancellations_of_unknown_jobs_are_bounded_and_forgotten() {
+fn cancellations_of_inactive_jobs_are_bounded_and_forgotten() {
     let mut jobs = CellState::new();
     let most = CANCELLATIONS_MAX as u64;
     for id in 0..most {
-        assert_eq!(jobs.apply(cancel_unknown(JobId(id), id)), JobOutcome::Cancelled(false));
+        assert_eq!(jobs.apply(cancel_inactive(JobId(id), id)), JobOutcome::Cancelled(false));
     }
-    assert_eq!(jobs.apply(cancel_unknown(JobId(0), 9)), JobOutcome::Cancelled(false));
-    assert_eq!(jobs.apply(cancel_unknown(JobId(most), 9)), JobOutcome::TooManyCancellations);
-    let old = jobs.forgettable(2, 10);
-    assert_eq!(old, [JobId(0), JobId(1)]);
-    jobs.apply(JobCommand::Forget(old));
+    assert_eq!(jobs.apply(cancel_inactive(JobId(0), 9)), JobOutcome::Cancelled(false));
+    assert_eq!(jobs.apply(cancel_inactive(JobId(most), 9)), JobOutcome::TooManyCancellations);
+    jobs.apply(JobCommand::ForgetCancellations(vec![JobId(0), JobId(1)]));
     assert_eq!(jobs.cancellations().len(), CANCELLATIONS_MAX - 2);
-    assert_eq!(jobs.apply(cancel_unknown(JobId(most), 9)), JobOutcome::Cancelled(false));
+    assert_eq!(jobs.apply(cancel_inactive(JobId(most), 9)), JobOutcome::Cancelled(false));
 }
 
 /// Guards against a cancellation that is lost with the log, after a snapshot, and against an
@@ -463,7 +462,7 @@
         u32::from_le_bytes(bytes[8..12].try_into().expect("four bytes"))
     };
     assert_eq!(format(&jobs), snapshot::FORMAT);
-    jobs.apply(cancel_unknown(JobId(2), 7));
+    jobs.apply(cancel_inactive(JobId(2), 7));
     assert_eq!(format(&jobs), snapshot::FORMAT_WITH_CANCELLATIONS);
     let bytes = snapshot::encode(&Meta::default(), &jobs).expect("a snapshot");
     let mut back = snapshot::decode_as::<CellState>(&bytes, "memory").expect("decoded").state;
@@ -479,7 +478,7 @@
     const LIMIT: usize = 256;
     let mut jobs = table(vec![step(1)]);
     for id in 0..2 * LIMIT as u64 {
-        jobs.apply(cancel_unknown(JobId(1_000 + id), 7));
+        jobs.apply(cancel_inactive(JobId(1_000 + id), 7));
     }
     jobs.apply(JobCommand::Cancel { id: JobId(1), at_ms: 7 });
     assert!(jobs.forgettable(10, LIMIT).contains(&JobId(1)));
