--- a/crates/coordination/tests/cancellation_answers.rs
+++ b/crates/coordination/tests/cancellation_answers.rs
@@ -68,3 +68,19 @@
     harness.request(cancellation());
     assert_eq!(harness.leader.waiting_len(), 0);
 }
+
+/// Guards against a log that cancellations of unknown jobs fill without end.
+#[test]
+fn a_full_log_refuses_the_cancellation_of_an_unknown_job() {
+    const COMMANDS_MAX: u64 = 8 * 1024;
+    let mut harness = harness();
+    let now = harness.leader_now();
+    for id in 0..COMMANDS_MAX {
+        let cancel = CellRequest::Cancel { at: queue_address(), id: JobId(1_000 + id) };
+        harness.leader.handle_request(now, RequestToken(id), cancel);
+    }
+    assert_eq!(harness.leader.take_answers(), []);
+    harness.leader.handle_request(now, RequestToken(COMMANDS_MAX), cancellation());
+    let answers = harness.leader.take_answers();
+    assert!(matches!(&answers[..], [(_, CellResponse::Refused { .. })]), "{answers:?}");
+}
