--- a/crates/coordination/tests/cancellation_answers.rs
+++ b/crates/coordination/tests/cancellation_answers.rs
@@ -38,7 +38,7 @@
     let mut state = harness.leader.state().clone();
     let at_ms = harness.leader_now().unix_ms;
     for id in 0..CANCELLATIONS_MAX as u64 {
-        state.apply(JobCommand::CancelUnknown { id: JobId(1_000 + id), at_ms });
+        state.apply(JobCommand::CancelInactive { id: JobId(1_000 + id), at_ms });
     }
     let now = harness.leader_now();
     harness.leader = Leader::new(LeaderConfig::default(), harness.leader_term, state, now);
