--- /dev/null
+++ b/review/stand_ins/main.rs
@@ -0,0 +1,56 @@
+//! The cases of the review as programs: `review-case N FOLDER`. Exits with 1 if the rule was
+//! broken, 0 if it held, and 2 if the case could not run. Trials are further findings, which are
+//! not among the three cases.
+
+mod case_1;
+mod cell;
+mod http;
+mod json;
+mod record;
+mod runner;
+mod watchdog;
+
+use record::Record;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = args.as_slice() else {
+        eprintln!("usage: review-case N FOLDER");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    let record = match Record::create(&Path::new(folder).join("record.txt")) {
+        Ok(record) => Arc::new(record),
+        Err(error) => {
+            eprintln!("cannot write the record: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    watchdog::start();
+    record.line(&format!("case {case} trouble={trouble}"));
+    let verdict = match case.as_str() {
+        "1" => case_1::play(&record, trouble),
+        _ => Err("no such case".into()),
+    };
+    match verdict {
+        Ok(broken) if broken.is_empty() => {
+            record.line("the rule held");
+            ExitCode::SUCCESS
+        }
+        Ok(broken) => {
+            for line in &broken {
+                record.line(&format!("BROKEN {line}"));
+                println!("BROKEN {line}");
+            }
+            ExitCode::FAILURE
+        }
+        Err(why) => {
+            record.line(&format!("could not run: {why}"));
+            eprintln!("could not run: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
