Review 2: a runner that was cut off for 5.5 s takes tasks and never ends them

Cause: the number up to which a runner's ends are acknowledged stays below a done run that was given up while the runner was cut off. Once 500 later ends wait behind it, reports show no other end, and the leader repeats starts of runs that ended long ago. Case: review/2, rule LOST. One runner of six is cut off once while a task ends on it.

--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -3,6 +3,7 @@
 //! not among the three cases.
 
 mod case_1;
+mod case_2;
 mod cell;
 mod http;
 mod json;
@@ -33,6 +34,7 @@
     record.line(&format!("case {case} trouble={trouble}"));
     let verdict = match case.as_str() {
         "1" => case_1::play(&record, trouble),
+        "2" => case_2::play(&record, trouble),
         _ => Err("no such case".into()),
     };
     match verdict {
