--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -4,6 +4,7 @@
 
 mod case_1;
 mod case_2;
+mod case_3;
 mod cell;
 mod http;
 mod json;
@@ -35,6 +36,7 @@
     let verdict = match case.as_str() {
         "1" => case_1::play(&record, trouble),
         "2" => case_2::play(&record, trouble),
+        "3" => case_3::play(&record, trouble),
         _ => Err("no such case".into()),
     };
     match verdict {
