Review: trials of further findings

Plays of findings that are not among the three cases: an upkeep whose answer is lost, retries of tasks and gangs, a count of pending submissions, and a cancellation after its route was dropped.

--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -10,6 +10,10 @@
 mod json;
 mod record;
 mod runner;
+mod trial_dropped_route;
+mod trial_pending;
+mod trial_retries;
+mod trial_upkeep;
 mod watchdog;
 
 use record::Record;
@@ -37,6 +41,10 @@
         "1" => case_1::play(&record, trouble),
         "2" => case_2::play(&record, trouble),
         "3" => case_3::play(&record, trouble),
+        "trial-upkeep" => trial_upkeep::play(&record, trouble),
+        "trial-dropped-route" => trial_dropped_route::play(&record, trouble),
+        "trial-pending" => trial_pending::play(&record, trouble),
+        "trial-retries" => trial_retries::play(&record, trouble),
         _ => Err("no such case".into()),
     };
     match verdict {
