--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -13,6 +13,7 @@
 mod trial_dropped_route;
 mod trial_pending;
 mod trial_retries;
+mod trial_stale_zone_order;
 mod trial_upkeep;
 mod watchdog;
 
@@ -41,6 +42,7 @@
         "1" => case_1::play(&record, trouble),
         "2" => case_2::play(&record, trouble),
         "3" => case_3::play(&record, trouble),
+        "trial-stale-zone-order" => trial_stale_zone_order::play(&record, trouble),
         "trial-upkeep" => trial_upkeep::play(&record, trouble),
         "trial-dropped-route" => trial_dropped_route::play(&record, trouble),
         "trial-pending" => trial_pending::play(&record, trouble),
--- a/review/stand_ins/trial_retries.rs
+++ b/review/stand_ins/trial_retries.rs
@@ -28,7 +28,7 @@
     let runs = Runs::default();
     let mut threads = Vec::new();
     let mut failing = Vec::new();
-    for number in 0..6 {
+    for number in 0..12 {
         let settings = Settings {
             id: format!("i-{number:02}"),
             address: cell.runner_address(number),
