--- a/review/stand_ins/trial_pending.rs
+++ b/review/stand_ins/trial_pending.rs
@@ -43,6 +43,8 @@
             cpu: 32_000,
             controls: cell.controls(),
             work,
+            need: |_| 2_000,
+            tickets: None,
         };
         let link = Arc::new(Link::default());
         links.push(link.clone());
--- a/review/stand_ins/trial_stale_zone_order.rs
+++ b/review/stand_ins/trial_stale_zone_order.rs
@@ -43,6 +43,8 @@
             // The runners report to nodes that are not frozen.
             controls: cell.controls()[..3].to_vec(),
             work,
+            need: |_| 6_000,
+            tickets: None,
         };
         let link = Arc::new(Link::default());
         let runner = Runner::new(settings, record.clone(), runs.clone(), link);
--- a/review/stand_ins/trial_upkeep.rs
+++ b/review/stand_ins/trial_upkeep.rs
@@ -64,6 +64,8 @@
             cpu: 32_000,
             controls: self.controls.clone(),
             work,
+            need: |_| 2_300,
+            tickets: None,
         };
         let runner = Runner::new(
             settings,
