--- a/review/play.sh
+++ b/review/play.sh
@@ -11,14 +11,12 @@
 target/review/review-case "$number" "review/$number" &
 play=$!
 end_all() {
-    kill -9 "$play" 2>/dev/null
-    wait "$play" 2>/dev/null
     while read -r id || [ -n "$id" ]; do
         kill -9 "$id" 2>/dev/null
     done <"$REVIEW_PIDS"
     rm -rf "$folder"
 }
-trap 'end_all; exit 2' INT TERM HUP
+trap 'kill -9 "$play"; wait "$play"; end_all; exit 2' INT TERM HUP
 wait "$play"
 result=$?
 end_all
