An order that a runner ignores is not repeated without end

Callers would see a task that never starts while its runner reports: its answers are lost, or it does nothing with the order. The leader repeated the order with each report, for ever. Change: after a whole lease without the run in a report, it is withheld, counted (orders_ignored), a failure in the runner's health, and given up once it certainly does not run. After: the task starts on the other runner.

--- a/crates/coordination/src/jobs/runners/orders.rs
+++ b/crates/coordination/src/jobs/runners/orders.rs
@@ -55,12 +55,14 @@
             || (runner.awaited_expiry.is_some() && !start.is_empty());
         let retry = if is_trial { retry.min(REPORT_INTERVAL_TRIAL) } else { retry };
         let lease = self.lease_with(runner, &start);
+        self.note_ignored_orders(now, key, &withheld);
         let Some(runner) = self.runners.get_mut(&key) else { return };
         runner.withhold(withheld, now.at);
         let first = start.first().map(|order| (order.task, order.run));
         let is_short = runner.note_short_lease(first);
         self.counts.short_leases += u64::from(is_short);
-        runner.note_orders(start.iter().map(|order| (order.task, order.run)), now.at);
+        let ordered = start.iter().map(|order| (order.task, order.run));
+        runner.note_orders(ordered, now.at, self.cfg.lease);
         let rates = runner.pace_orders(&self.ready);
         runner.lease_end = now.at + lease_expiry_bound(self.cfg.lease);
         runner.expect_report(now.at, retry);
@@ -98,11 +100,31 @@
         }
         let mut withheld = self.runs_over_capacity(now, runner);
         withheld.extend(unlisted.filter(|(task, run)| {
-            self.ready.is_held(task.job) || self.has_lost_gang_member(*task, *run)
+            self.ready.is_held(task.job)
+                || self.has_lost_gang_member(*task, *run)
+                || runner.has_ignored(*task, *run, now.at, self.cfg.lease)
         }));
         withheld
     }
 
+    /// Counts the runs that are withheld from now on because the runner ignores their orders.
+    fn note_ignored_orders(
+        &mut self,
+        now: Now,
+        key: IncarnationKey,
+        withheld: &BTreeSet<(TaskKey, u32)>,
+    ) {
+        let Some(runner) = self.runners.get_mut(&key) else { return };
+        for (task, run) in withheld {
+            let ignored = runner.has_ignored(*task, *run, now.at, self.cfg.lease);
+            if ignored && !runner.withholds(*task, *run) {
+                log::info!("task={task} run={run} runner={} ignores the order", runner.id);
+                runner.health.record_failure(now.at);
+                self.counts.orders_ignored += 1;
+            }
+        }
+    }
+
     /// Orders for runs that are assigned to the runner and that it does not list. If a
     /// response was lost, the order is sent again with the same run number; a runner that has
     /// ended that run refuses it.
--- a/crates/coordination/src/jobs/runners/runner.rs
+++ b/crates/coordination/src/jobs/runners/runner.rs
@@ -202,6 +202,8 @@
     pub(in crate::jobs) running: BTreeMap<TaskKey, RunView>,
     /// Runs that were ordered to start, and when the order was last sent.
     pub(in crate::jobs) ordered: BTreeMap<(TaskKey, u32), Moment>,
+    /// Runs that the runner has not listed since they were first ordered, and when that was.
+    ordered_since: BTreeMap<(TaskKey, u32), Moment>,
     /// Assigned runs that the runner must not start any more, and since when they are not
     /// ordered.
     withheld: BTreeMap<(TaskKey, u32), Moment>,
@@ -254,6 +256,7 @@
             may_hide_ends: false,
             running: BTreeMap::new(),
             ordered: BTreeMap::new(),
+            ordered_since: BTreeMap::new(),
             withheld: BTreeMap::new(),
             health: Health::default(),
             free: Resources::ZERO,
@@ -293,13 +296,39 @@
         self.sequence = report.sequence;
     }
 
-    /// Records when runs were ordered to start.
-    pub(in crate::jobs) fn note_orders<I>(&mut self, runs: I, now: Moment)
+    /// Records when runs were ordered to start. Runs whose order the runner has ignored for `most`
+    /// stay known while they are withheld.
+    pub(in crate::jobs) fn note_orders<I>(&mut self, runs: I, now: Moment, most: Duration)
     where
         I: Iterator<Item = (TaskKey, u32)>,
     {
         self.ordered.retain(|_, at| now.since(*at) < ORDER_LIFETIME_MAX);
-        self.ordered.extend(runs.map(|run| (run, now)));
+        let former = std::mem::take(&mut self.ordered_since);
+        for run in runs {
+            self.ordered.insert(run, now);
+            self.ordered_since.insert(run, former.get(&run).copied().unwrap_or(now));
+        }
+        let ignored = former
+            .into_iter()
+            .filter(|(run, at)| self.withheld.contains_key(run) && now.since(*at) > most);
+        self.ordered_since.extend(ignored);
+    }
+
+    /// Whether the order to start a run was repeated for more than `most` and the runner has
+    /// listed neither the run nor its end.
+    pub(in crate::jobs) fn has_ignored(
+        &self,
+        task: TaskKey,
+        run: u32,
+        now: Moment,
+        most: Duration,
+    ) -> bool {
+        self.ordered_since.get(&(task, run)).is_some_and(|at| now.since(*at) > most)
+    }
+
+    /// Whether a run is not ordered any more.
+    pub(in crate::jobs) fn withholds(&self, task: TaskKey, run: u32) -> bool {
+        self.withheld.contains_key(&(task, run))
     }
 
     /// Records the assigned runs that are not ordered any more.
@@ -309,7 +338,9 @@
             (Some(why), ..) => why,
             (None, true, _) => "its zone is evacuated",
             (None, false, false) => "it takes no tasks",
-            (None, false, true) => "no room, its queue is on hold, or its gang is incomplete",
+            (None, false, true) => {
+                "no room, its queue is on hold, its gang is incomplete, or its order was ignored"
+            }
         };
         for (task, run) in runs {
             self.withheld.entry((task, run)).or_insert_with(|| {
--- a/crates/coordination/src/jobs/telemetry.rs
+++ b/crates/coordination/src/jobs/telemetry.rs
@@ -52,6 +52,8 @@
     pub expiries_awaited: u64,
     /// Orders with a short lease, so that it expires while a task runs.
     pub short_leases: u64,
+    /// Runs whose order was repeated for a whole lease and that the runner never listed.
+    pub orders_ignored: u64,
     /// Bytes of what was told to later leaders.
     pub knowledge_bytes: u64,
     /// Margin models that this leader took over from an earlier one.
--- a/crates/coordination/tests/ends_given_up.rs
+++ b/crates/coordination/tests/ends_given_up.rs
@@ -231,3 +231,22 @@
     let acked = report(&mut harness, 0, behavior(false)).acked_through;
     assert_eq!((acked, harness.leader.blocked_runners().count()), (1, 0));
 }
+
+/// Guards against a start that is ordered for ever although the runner never lists it.
+#[test]
+fn a_task_whose_order_is_ignored_starts_elsewhere() {
+    let mut harness = LeaderHarness::new(2, None, behavior(false));
+    harness.report_round();
+    submit(&mut harness, 1, step(1, 4, 1_000).0, None);
+    let mut started = false;
+    for _ in 0..80 {
+        let now = harness.now;
+        // The answer is lost.
+        let unanswered = Box::new(harness.runners[0].report(now));
+        harness.request(CellRequest::Heartbeat(unanswered));
+        started |= !report(&mut harness, 1, behavior(false)).start.is_empty();
+        harness.advance(ROUND * 4);
+    }
+    assert!(started);
+    assert_eq!(harness.leader.counts().orders_ignored, 1);
+}
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -102,6 +102,7 @@
                 ("runners_hiding_ends", leader.runners_hiding_ends_len() as u64),
                 ("expiries_awaited", counts.expiries_awaited),
                 ("short_leases", counts.short_leases),
+                ("orders_ignored", counts.orders_ignored),
                 ("free_millicores", leader.free_millicores()),
                 ("knowledge_bytes", counts.knowledge_bytes),
                 ("margins_recalled", counts.margins_recalled),
