Schedules cost the leader what is unfinished, not what is declared

Cause: each 25 ms the leader listed all due occurrences, ranked them ten times a second, and looked each known one up in the list from its start: the square of 259,200 within one call, on the thread that answers the other voters. Each leader lost its lease and the next one inherited the work. A schedule that works cost in proportion to all occurrences ever begun. Change: the queue holds the first due occurrences, 256 steps of all schedules together and one occurrence of each in any case; what is due follows from the schedule. A command refreshes the occurrences that it touches. steps_looked_at counts the work.

--- a/crates/coordination/src/jobs/account.rs
+++ b/crates/coordination/src/jobs/account.rs
@@ -362,9 +362,8 @@
         id: JobId,
         job: &'a Job,
     ) -> impl Iterator<Item = (TaskKey, u32, &'a RunView)> {
-        let steps = job.occurrences.iter().enumerate().flat_map(move |(k, occurrence)| {
-            let at = u32::try_from(k).unwrap_or(u32::MAX);
-            occurrence.steps.iter().enumerate().map(move |(s, step)| (at, s, step))
+        let steps = job.unfinished().flat_map(move |(k, occurrence)| {
+            occurrence.steps.iter().enumerate().map(move |(s, step)| (k, s, step))
         });
         steps.flat_map(move |(occurrence, s, step)| {
             step.tasks.iter().enumerate().filter_map(move |(index, task)| {
--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -4,9 +4,9 @@
 use super::messages::CellResponse;
 use super::routes::Routes;
 use super::shares::QueueKey;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use yuccalink_state::jobs::{
-    CellState, JobCommand, JobId, JobOutcome, JobPhase, RunEnd, RunOutcome,
+    CellState, JobCommand, JobId, JobOutcome, JobPhase, RunEnd, RunOutcome, TaskKey,
 };
 
 /// Commands that may wait for the log. Further requests are refused with "not run".
@@ -46,10 +46,10 @@
 
     /// Applies a committed command and sends the response that waits for it.
     pub fn apply_committed(&mut self, now: Now, index: u64, command: JobCommand) {
-        let affected_jobs = affected_jobs(&command, &self.state);
+        let affected = affected_occurrences(&command, &self.state);
         let detail = command.clone();
         let open: Vec<JobId> =
-            affected_jobs.iter().copied().filter(|id| self.state.is_active(*id)).collect();
+            affected.keys().copied().filter(|id| self.state.is_active(*id)).collect();
         let unconfirmed = match &command {
             JobCommand::Meet(_) => self.state.losses().unconfirmed_incarnations(),
             _ => BTreeSet::new(),
@@ -80,8 +80,13 @@
                 }
             }
         }
-        for id in affected_jobs {
-            self.refresh(id, now.at);
+        for (id, occurrences) in affected {
+            match occurrences {
+                Affected::All => self.refresh(id, now.at),
+                Affected::Some(occurrences) => {
+                    self.refresh_occurrences(id, occurrences, now.at);
+                }
+            }
         }
         if self.committing.front().is_some_and(|(at, _)| *at == index)
             && let Some((_, then)) = self.committing.pop_front()
@@ -227,17 +232,26 @@
     }
 }
 
-/// Jobs whose state a command may change.
-fn affected_jobs(command: &JobCommand, state: &CellState) -> BTreeSet<JobId> {
+/// Occurrences of one job whose state a command may change.
+enum Affected {
+    All,
+    Some(BTreeSet<u32>),
+}
+
+/// Jobs and occurrences whose state a command may change.
+fn affected_occurrences(command: &JobCommand, state: &CellState) -> BTreeMap<JobId, Affected> {
     match command {
-        JobCommand::Submit(submit) => BTreeSet::from([submit.id]),
+        JobCommand::Submit(submit) => BTreeMap::from([(submit.id, Affected::All)]),
         JobCommand::Cancel { id, .. } | JobCommand::CancelInactive { id, .. } => {
-            BTreeSet::from([*id])
+            BTreeMap::from([(*id, Affected::All)])
         }
-        JobCommand::Start(starts) => starts.iter().map(|start| start.task.job).collect(),
-        JobCommand::End { ends, .. } => ends.iter().map(|end| end.task.job).collect(),
+        JobCommand::Start(starts) => by_job(starts.iter().map(|start| start.task)),
+        JobCommand::End { ends, .. } => by_job(ends.iter().map(|end| end.task)),
         // A new incarnation shows that the lost one crashed, which may end jobs.
-        JobCommand::Meet(_) => state.losses().jobs_with_unconfirmed_losses(),
+        JobCommand::Meet(_) => {
+            let jobs = state.losses().jobs_with_unconfirmed_losses();
+            jobs.into_iter().map(|id| (id, Affected::All)).collect()
+        }
         JobCommand::Change(_)
         | JobCommand::ChangeWithSettings(_)
         | JobCommand::Forget(_)
@@ -248,6 +262,17 @@
         | JobCommand::UpkeepBegun { .. }
         | JobCommand::UpkeepDone { .. }
         | JobCommand::Alive(_)
-        | JobCommand::Zone { .. } => BTreeSet::new(),
+        | JobCommand::Zone { .. } => BTreeMap::new(),
+    }
+}
+
+fn by_job<I>(tasks: I) -> BTreeMap<JobId, Affected>
+where
+    I: Iterator<Item = TaskKey>,
+{
+    let mut occurrences: BTreeMap<JobId, BTreeSet<u32>> = BTreeMap::new();
+    for task in tasks {
+        occurrences.entry(task.job).or_default().insert(task.occurrence);
     }
+    occurrences.into_iter().map(|(id, some)| (id, Affected::Some(some))).collect()
 }
--- a/crates/coordination/src/jobs/due.rs
+++ b/crates/coordination/src/jobs/due.rs
@@ -2,11 +2,11 @@
 
 use super::account::ACCOUNT_INTERVAL;
 use super::knowledge::TELL_INTERVAL;
-use super::leader::{Leader, Now, OnCommit, startable};
+use super::leader::{Leader, Now, OnCommit};
 use super::lost::LossReason;
 use super::messages::{CellResponse, RunnerOrders};
-use super::ready::StepKey;
 use super::runner::lease_expiry_bound;
+use std::ops::Range;
 use std::time::Duration;
 use yuccalink_state::jobs::{JobCommand, JobId, JobPhase, RunEnd};
 
@@ -15,6 +15,9 @@
 const HEARTBEAT_COMMIT_WAIT_MAX: Duration = Duration::from_millis(600);
 /// Interval at which waiting steps are ranked, well below the shortest objective.
 const RANK_INTERVAL: Duration = Duration::from_millis(100);
+/// Steps of due occurrences in the ready queue, of all scheduled jobs together; each job has
+/// those of one occurrence in any case. A report starts fewer tasks than this.
+const DUE_STEPS_MAX: usize = 256;
 /// Jobs removed by one command, so that no batch for the log becomes large.
 const REMOVED_JOBS_MAX: usize = 256;
 /// Interval at which ended jobs are checked for removal.
@@ -28,6 +31,7 @@
             let room = self.room(now);
             self.ready.set_room(room, self.leaving_runners());
             self.ready.rank_all(&self.state, now.at);
+            self.counts.steps_examined += self.ready.len() as u64;
             self.report_rate.note_longest_waiting(now.at, self.ready.longest_wait(now.at));
             self.measure_pools(now);
             self.update_reserves(now);
@@ -116,22 +120,35 @@
         self.propose(JobCommand::End { ends, at_ms: now.unix_ms }, then);
     }
 
-    /// Adds due occurrences of scheduled jobs to the ready queue.
+    /// Adds the first due occurrences of scheduled jobs to the ready queue. All of them together
+    /// have a bounded number of steps there, however many are due.
     fn add_due_occurrences(&mut self, now: Now) {
-        let due: Vec<JobId> = self.ready.scheduled();
-        for id in due {
-            let Some(job) = self.state.job(id) else { continue };
-            let keys = if job.phase == JobPhase::Active {
-                let mut keys = startable(id, job);
-                keys.extend(due_occurrences(id, job, now.unix_ms));
-                keys
-            } else {
-                Vec::new()
-            };
-            self.ready.set_waiting_steps(id, &keys, &self.state, now.at);
+        let scheduled = self.ready.scheduled().into_iter();
+        let due: Vec<(JobId, Range<u32>)> =
+            scheduled.map(|id| (id, self.due_occurrences(id, now.unix_ms))).collect();
+        let waiting = due.iter().filter(|(_, occurrences)| !occurrences.is_empty()).count();
+        for (id, occurrences) in due {
+            let steps = DUE_STEPS_MAX / waiting.max(1) / self.first_steps_len(id).max(1);
+            let most = u32::try_from(steps.max(1)).unwrap_or(u32::MAX);
+            let last = occurrences.end.min(occurrences.start.saturating_add(most));
+            let queued = occurrences.start..last;
+            let changed = self.ready.set_due_occurrences(id, queued, &self.state, now.at);
+            self.counts.steps_examined += 1 + u64::from(changed);
         }
     }
 
+    /// Occurrences of a scheduled job that are due and were not opened.
+    fn due_occurrences(&self, id: JobId, unix_ms: u64) -> Range<u32> {
+        let job = self.state.job(id).filter(|job| job.phase == JobPhase::Active);
+        let schedule = job.and_then(|job| Some((job.opened(), job.spec.schedule?)));
+        schedule.map_or(0..0, |(opened, schedule)| opened..schedule.due_through(unix_ms))
+    }
+
+    fn first_steps_len(&self, id: JobId) -> usize {
+        let steps = self.state.job(id).into_iter().flat_map(|job| &job.spec.steps);
+        steps.filter(|step| step.depends_on.is_empty()).count()
+    }
+
     /// Commits the learned interference weights for later leaders. To learn them again after
     /// each change of leader, serving tasks would exceed their bounds for some ten seconds.
     fn commit_learnt_weights(&mut self) {
@@ -160,23 +177,3 @@
         CellResponse::Orders(Box::new(RunnerOrders { token: self.term, ..RunnerOrders::default() }))
     }
 }
-
-/// Steps without dependencies of occurrences that are due and have not begun.
-fn due_occurrences(id: JobId, job: &yuccalink_state::jobs::Job, unix_ms: u64) -> Vec<StepKey> {
-    let Some(schedule) = job.spec.schedule else { return Vec::new() };
-    let begun = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
-    let mut keys = Vec::new();
-    for k in begun..schedule.count {
-        let due = schedule.first_ms + u64::from(k) * schedule.interval_ms;
-        if due > unix_ms {
-            break;
-        }
-        for (s, step) in job.spec.steps.iter().enumerate() {
-            if step.depends_on.is_empty() {
-                let s = u16::try_from(s).unwrap_or(u16::MAX);
-                keys.push(StepKey { job: id, occurrence: k, step: s });
-            }
-        }
-    }
-    keys
-}
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -36,7 +36,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use yuccalink_state::evacuation::ZoneOrder;
-use yuccalink_state::jobs::{CellState, IncarnationKey, JobCommand, JobId, JobPhase, TaskKey};
+use yuccalink_state::jobs::{CellState, IncarnationKey, Job, JobCommand, JobId, JobPhase, TaskKey};
 
 /// Mean retry delay after a request that expired while it waited.
 const EXPIRED_RETRY_AFTER: Duration = Duration::from_millis(1_000);
@@ -428,28 +428,45 @@
 
     /// Updates the steps of a job that have tasks to start in the ready queue.
     pub(super) fn refresh(&mut self, id: JobId, now: Moment) {
-        let keys = match self.state.job(id) {
-            Some(job) if job.phase == JobPhase::Active => startable(id, job),
-            _ => Vec::new(),
+        let Some(job) = self.state.job(id).filter(|job| job.phase == JobPhase::Active) else {
+            return self.ready.remove_waiting_steps(id);
         };
-        self.ready.set_waiting_steps(id, &keys, &self.state, now);
-        self.observe_start(id, &keys, now);
+        let occurrences: Vec<u32> = job.unfinished().map(|(k, _)| k).collect();
+        self.refresh_occurrences(id, occurrences, now);
+    }
+
+    /// Same as [`Self::refresh`], for some opened occurrences of a job.
+    pub(super) fn refresh_occurrences<I>(&mut self, id: JobId, occurrences: I, now: Moment)
+    where
+        I: IntoIterator<Item = u32>,
+    {
+        let Some(job) = self.state.job(id).filter(|job| job.phase == JobPhase::Active) else {
+            return self.ready.remove_waiting_steps(id);
+        };
+        let mut waiting = Vec::new();
+        for k in occurrences {
+            if k >= job.opened() {
+                continue;
+            }
+            let keys = startable(id, job, k);
+            self.counts.steps_examined += job.spec.steps.len() as u64;
+            self.ready.set_waiting_steps(id, k, &keys, &self.state, now);
+            waiting.extend(keys);
+        }
+        self.observe_start(id, &waiting, now);
     }
 }
 
-/// Steps of begun occurrences with tasks that are neither assigned nor done.
-pub(super) fn startable(id: JobId, job: &yuccalink_state::jobs::Job) -> Vec<StepKey> {
+/// Steps of an opened occurrence with tasks that are neither assigned nor done.
+fn startable(id: JobId, job: &Job, occurrence: u32) -> Vec<StepKey> {
     let mut keys = Vec::new();
-    for (k, occurrence) in job.occurrences.iter().enumerate() {
-        let k = u32::try_from(k).unwrap_or(u32::MAX);
-        for (s, step) in occurrence.steps.iter().enumerate() {
-            let s = u16::try_from(s).unwrap_or(u16::MAX);
-            let waits = step.left > 0
-                && step.tasks.iter().any(|task| !task.done && task.assignments.is_empty())
-                && job.may_run(k, s);
-            if waits {
-                keys.push(StepKey { job: id, occurrence: k, step: s });
-            }
+    let found = job.occurrences.get(occurrence as usize);
+    for (s, step) in (0_u16..).zip(found.into_iter().flat_map(|found| &found.steps)) {
+        let waits = step.left > 0
+            && step.tasks.iter().any(|task| !task.done && task.assignments.is_empty())
+            && job.may_run(occurrence, s);
+        if waits {
+            keys.push(StepKey { job: id, occurrence, step: s });
         }
     }
     keys
--- a/crates/coordination/src/jobs/order/ready.rs
+++ b/crates/coordination/src/jobs/order/ready.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Range;
 use std::time::Duration;
 use yuccalink_state::Resources;
 use yuccalink_state::jobs::{
@@ -236,7 +237,8 @@
     job_infos: HashMap<JobId, JobInfo>,
     mean_work: HashMap<Box<str>, f64>,
     queues: QueueNames,
-    scheduled: BTreeSet<JobId>,
+    /// Jobs with a schedule, with their due and unopened occurrences that are in the queue.
+    scheduled: BTreeMap<JobId, Range<u32>>,
     long_running: BTreeSet<JobId>,
     /// Jobs that were refused, returned when told, and have not ended.
     returned: BTreeSet<JobId>,
@@ -329,7 +331,7 @@
         let queue = routes.queue(&job.queue);
         let scheduled = job.spec.schedule.is_some();
         if scheduled {
-            self.scheduled.insert(id);
+            self.scheduled.insert(id, 0..0);
         }
         let key = self.queues.key(&job.queue);
         let long_running = job.spec.steps.iter().any(|step| step.long_running);
@@ -554,18 +556,22 @@
         }
     }
 
-    /// Replaces the known waiting steps of a job by the steps with these keys.
+    /// Replaces the known waiting steps of an occurrence of a job by the steps with these keys,
+    /// which are in order.
     pub(in crate::jobs) fn set_waiting_steps(
         &mut self,
         id: JobId,
+        occurrence: u32,
         keys: &[StepKey],
         jobs: &CellState,
         now: Moment,
     ) {
-        for key in self.keys_of(id) {
-            if !keys.contains(&key) {
-                self.remove(key);
-            }
+        let from = StepKey { job: id, occurrence, step: 0 };
+        let to = StepKey { job: id, occurrence, step: u16::MAX };
+        let known = self.entries.range(from..=to).map(|(key, _)| *key);
+        let ended: Vec<StepKey> = known.filter(|key| keys.binary_search(key).is_err()).collect();
+        for key in ended {
+            self.remove(key);
         }
         for key in keys {
             if !self.entries.contains_key(key) {
@@ -581,6 +587,46 @@
         }
     }
 
+    /// Removes the waiting steps of a job that has ended.
+    pub(in crate::jobs) fn remove_waiting_steps(&mut self, id: JobId) {
+        for key in self.keys_of(id) {
+            self.remove(key);
+        }
+    }
+
+    /// Replaces the due occurrences of a scheduled job that were not opened by those in `due`,
+    /// which begins at the first unopened one. Returns the number of occurrences that changed.
+    pub(in crate::jobs) fn set_due_occurrences(
+        &mut self,
+        id: JobId,
+        due: Range<u32>,
+        jobs: &CellState,
+        now: Moment,
+    ) -> u32 {
+        let Some(known) = self.scheduled.get_mut(&id) else { return 0 };
+        let former = std::mem::replace(known, due.clone());
+        if former == due {
+            return 0;
+        }
+        let removed = former.start.max(due.end)..former.end;
+        for occurrence in removed.clone() {
+            self.set_waiting_steps(id, occurrence, &[], jobs, now);
+        }
+        let added = due.start.max(former.end)..due.end;
+        for occurrence in added.clone() {
+            let keys = self.first_steps(jobs, id, occurrence);
+            self.set_waiting_steps(id, occurrence, &keys, jobs, now);
+        }
+        u32::try_from(removed.len() + added.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the steps of an occurrence that depend on no other.
+    fn first_steps(&self, jobs: &CellState, id: JobId, occurrence: u32) -> Vec<StepKey> {
+        let steps = jobs.job(id).into_iter().flat_map(|job| &job.spec.steps);
+        let first = (0_u16..).zip(steps).filter(|(_, step)| step.depends_on.is_empty());
+        first.map(|(step, _)| StepKey { job: id, occurrence, step }).collect()
+    }
+
     /// Recomputes the rank of every step, since ranks depend on time and on the work
     /// left.
     pub(in crate::jobs) fn rank_all(&mut self, jobs: &CellState, now: Moment) {
@@ -693,7 +739,7 @@
 
     /// Returns the jobs with a schedule.
     pub(in crate::jobs) fn scheduled(&self) -> Vec<JobId> {
-        self.scheduled.iter().copied().collect()
+        self.scheduled.keys().copied().collect()
     }
 
     fn has_interrupted(&self, jobs: &CellState, key: StepKey) -> bool {
@@ -796,8 +842,7 @@
     id: JobId,
     job: &Job,
 ) -> impl Iterator<Item = (TaskKey, &Task)> {
-    let occurrences = job.occurrences.iter().zip(0..);
-    let steps = occurrences.flat_map(|(occurrence, k)| {
+    let steps = job.unfinished().flat_map(|(k, occurrence)| {
         occurrence.steps.iter().zip(&job.spec.steps).zip(0..).map(move |(step, s)| (k, s, step))
     });
     let steps = steps.filter(|(_, _, (_, spec))| spec.long_running);
--- a/crates/coordination/src/jobs/placing/compatibility.rs
+++ b/crates/coordination/src/jobs/placing/compatibility.rs
@@ -236,9 +236,7 @@
     /// start.
     pub(in crate::jobs) fn active_runs(&self, now: Now, id: JobId) -> usize {
         let Some(job) = self.state.job(id) else { return 0 };
-        let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
-        let assignments = steps.flat_map(|step| &step.tasks).flat_map(|task| &task.assignments);
-        let active = assignments.filter(|assignment| {
+        let active = job.assignments(id).filter(|(_, assignment)| {
             self.runners
                 .get(&assignment.incarnation)
                 .is_some_and(|runner| runner.reported_recently(now.at))
--- a/crates/coordination/src/jobs/requests/callers.rs
+++ b/crates/coordination/src/jobs/requests/callers.rs
@@ -203,7 +203,7 @@
         for (id, job) in self.state.all() {
             let Some(view) = views.get_mut(&*job.queue) else { continue };
             view.jobs += u64::from(job.phase == JobPhase::Active);
-            view.tasks_running += runs(job);
+            view.tasks_running += job.assignments(id).count() as u64;
             let waiting = self.ready.keys_of(id).into_iter().map(|key| waiting_tasks(job, key));
             view.tasks_waiting += waiting.map(u64::from).sum::<u64>();
         }
@@ -284,9 +284,3 @@
         None
     }
 }
-
-/// Returns the number of runs of a job that may be running.
-fn runs(job: &Job) -> u64 {
-    let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
-    steps.flat_map(|step| &step.tasks).map(|task| task.assignments.len() as u64).sum()
-}
--- a/crates/coordination/src/jobs/requests/cancellation.rs
+++ b/crates/coordination/src/jobs/requests/cancellation.rs
@@ -7,7 +7,7 @@
 use crate::jobs::routes::Routes;
 use std::collections::BTreeMap;
 use std::fmt;
-use yuccalink_state::jobs::{CellState, Job, JobId, JobPhase, RunAssignment, TaskKey};
+use yuccalink_state::jobs::{CellState, JobId, JobPhase};
 
 /// Cancellations by outcome, and the stops of their runs, since the leader took over.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -87,7 +87,7 @@
         let queue = self.routes.route(&at.host, &at.path).map(|queue| &*queue.name);
         let job = self.state.job(id);
         let own_queue = job.map(|job| &*job.queue);
-        let runs = job.map_or(0, |job| assignments(id, job).count());
+        let runs = job.map_or(0, |job| job.assignments(id).count());
         log::info!(
             "job={id} cancel queue={} found={found} own-queue={} runs={runs} response={}",
             OrNone(queue),
@@ -145,7 +145,7 @@
         log::info!(
             "job={id} {event} queue={} found={found} runs={} index={index} response=ok",
             job.queue,
-            assignments(id, job).count()
+            job.assignments(id).count()
         );
         if active {
             self.add_cancelled_runs(now, id);
@@ -184,22 +184,6 @@
     jobs
 }
 
-/// Runs of a job that may still be at work.
-pub(in crate::jobs) fn assignments(
-    id: JobId,
-    job: &Job,
-) -> impl Iterator<Item = (TaskKey, RunAssignment)> {
-    let steps = (0_u32..).zip(&job.occurrences).flat_map(|(occurrence, found)| {
-        (0_u16..).zip(&found.steps).map(move |(step, found)| (occurrence, step, found))
-    });
-    steps.flat_map(move |(occurrence, step, found)| {
-        (0_u16..).zip(&found.tasks).flat_map(move |(index, task)| {
-            let key = TaskKey { job: id, occurrence, step, index };
-            task.assignments.iter().map(move |assignment| (key, *assignment))
-        })
-    })
-}
-
 fn response_word(response: &CellResponse) -> &'static str {
     match response {
         CellResponse::Ok => "ok",
--- a/crates/coordination/src/jobs/requests/cancelled_runs.rs
+++ b/crates/coordination/src/jobs/requests/cancelled_runs.rs
@@ -4,7 +4,7 @@
 //! Nothing here decides anything.
 
 use crate::histogram::Histogram;
-use crate::jobs::cancellation::{OrNone, assignments};
+use crate::jobs::cancellation::OrNone;
 use crate::jobs::leader::{Leader, Now};
 use crate::moment::Moment;
 use std::collections::{BTreeMap, BTreeSet};
@@ -73,7 +73,7 @@
             };
             ((task, run), entry)
         };
-        let runs: BTreeMap<_, _> = assignments(id, job).map(run).collect();
+        let runs: BTreeMap<_, _> = job.assignments(id).map(run).collect();
         if !runs.is_empty() {
             self.checks.insert((check_at, id));
             self.jobs.insert(id, CancelledJob { since, check_at, runs });
--- a/crates/coordination/src/jobs/telemetry.rs
+++ b/crates/coordination/src/jobs/telemetry.rs
@@ -54,6 +54,9 @@
     pub short_leases: u64,
     /// Runs whose order was repeated for a whole lease and that the runner never listed.
     pub orders_ignored: u64,
+    /// Steps looked at to keep the ready queue up to date and to rank it. The work must not grow
+    /// with the number of occurrences that are due or done.
+    pub steps_examined: u64,
     /// Bytes of what was told to later leaders.
     pub knowledge_bytes: u64,
     /// Margin models that this leader took over from an earlier one.
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -96,6 +96,7 @@
                 ("submissions_refused_stalled", counts.refused_stalled),
                 ("report_interval_ms", millis(leader.report_interval())),
                 ("runners_looked_at", counts.runners_scanned),
+                ("steps_looked_at", counts.steps_examined),
                 ("runners", leader.usable_runners_len() as u64),
                 ("runners_leaving", leader.leaving_runners_len() as u64),
                 ("runners_awaiting_expiry", leader.awaited_expiries_len() as u64),
--- a/crates/state/src/jobs/spec.rs
+++ b/crates/state/src/jobs/spec.rs
@@ -35,6 +35,24 @@
     pub count: u32,
 }
 
+impl Schedule {
+    /// Number of occurrences that are due at `unix_ms`, from the first on.
+    ///
+    /// ```
+    /// use yuccalink_state::jobs::Schedule;
+    /// let schedule = Schedule { first_ms: 1_000, interval_ms: 500, count: 10 };
+    /// assert_eq!(schedule.due_through(999), 0);
+    /// assert_eq!(schedule.due_through(1_500), 2);
+    /// assert_eq!(schedule.due_through(u64::MAX), 10);
+    /// ```
+    pub fn due_through(&self, unix_ms: u64) -> u32 {
+        let Some(passed) = unix_ms.checked_sub(self.first_ms) else { return 0 };
+        let later = passed.checked_div(self.interval_ms).unwrap_or(u64::MAX);
+        let due = u32::try_from(later.saturating_add(1)).unwrap_or(u32::MAX);
+        due.min(self.count)
+    }
+}
+
 /// A step: a number of identical tasks.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -56,6 +56,9 @@
     pub occurrences: Vec<Occurrence>,
     /// Number of occurrences that are done.
     pub finished: u32,
+    /// Opened occurrences with tasks that are not done or runs that may be running.
+    #[serde(skip)]
+    unfinished: BTreeSet<u32>,
 }
 
 /// One of the times that a job runs.
@@ -72,6 +75,9 @@
     pub left: u32,
     /// The tasks, in the order of their numbers.
     pub tasks: Vec<Task>,
+    /// Number of runs that may be running.
+    #[serde(skip)]
+    assigned: u32,
 }
 
 /// The replicated state of a job cell: its jobs, its runner incarnations, the change set in
@@ -312,12 +318,13 @@
             let keys = self.incarnations_by_id.entry(incarnation.id.clone()).or_default();
             keys.push(incarnation_key(at));
         }
-        let mut found = Vec::new();
-        for (id, job) in &self.jobs {
-            collect_assignments(*id, job, &mut found);
+        for job in self.jobs.values_mut() {
+            job.reindex();
         }
-        for (task, assignment) in found {
-            self.assigned_runs[assignment.incarnation.0 as usize].insert(task, assignment.run);
+        for (id, job) in &self.jobs {
+            for (task, assignment) in job.assignments(*id) {
+                self.assigned_runs[assignment.incarnation.0 as usize].insert(task, assignment.run);
+            }
         }
     }
 
@@ -362,11 +369,12 @@
             begun: false,
             occurrences: Vec::new(),
             finished: 0,
+            unfinished: BTreeSet::new(),
         };
         if was_cancelled {
             job.finish(JobPhase::Cancelled, at_ms);
         } else if job.spec.schedule.is_none() {
-            job.open_occurrences(1);
+            job.open_through(0);
         }
         self.jobs.insert(id, job);
         !was_cancelled
@@ -443,7 +451,7 @@
         if job.phase != JobPhase::Active || key.occurrence >= job.spec.occurrences() {
             return false;
         }
-        job.open_occurrences(key.occurrence + 1);
+        job.open_through(key.occurrence);
         if !job.may_run(key.occurrence, key.step) {
             return false;
         }
@@ -461,6 +469,7 @@
         }
         task.last_run = run;
         task.assignments.push(RunAssignment { run, incarnation });
+        job.count_assigned(key, 1);
         job.begun = true;
         self.assigned_runs[incarnation.0 as usize].insert(key, run);
         true
@@ -492,11 +501,13 @@
         if let Some(runs) = self.assigned_runs.get_mut(end.incarnation.0 as usize) {
             runs.remove(&end.task);
         }
+        job.count_assigned(end.task, -1);
         if job.phase != JobPhase::Active {
             return;
         }
         if end.outcome == RunOutcome::Done && !long_running {
             job.mark_done(end.task, gang, at_ms);
+            job.close_if_ended(end.task.occurrence);
             self.losses.remove(end.task);
         } else if failed {
             job.finish(JobPhase::Failed, at_ms);
@@ -509,9 +520,7 @@
 
     fn forget(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let mut found = Vec::new();
-        collect_assignments(id, job, &mut found);
-        if job.phase != JobPhase::Active && found.is_empty() {
+        if job.phase != JobPhase::Active && job.assignments(id).next().is_none() {
             self.jobs.remove(&id);
             self.losses.remove_job(id);
         }
@@ -533,15 +542,73 @@
     }
 }
 
+impl Occurrence {
+    /// Whether all tasks are done and no run may be running.
+    fn has_ended(&self) -> bool {
+        self.steps.iter().all(|step| step.left == 0 && step.assigned == 0)
+    }
+}
+
 impl Job {
-    /// Opens the first `count` occurrences: adds their steps and tasks.
-    fn open_occurrences(&mut self, count: u32) {
-        while self.occurrences.len() < count as usize {
+    /// Opens all occurrences up to `last`: adds their steps and tasks.
+    fn open_through(&mut self, last: u32) {
+        for occurrence in self.opened()..=last {
             let steps = self.spec.steps.iter().map(|spec| Step {
                 left: spec.count,
                 tasks: vec![Task::default(); spec.count as usize],
+                assigned: 0,
             });
             self.occurrences.push(Occurrence { steps: steps.collect() });
+            self.unfinished.insert(occurrence);
+        }
+    }
+
+    /// Number of occurrences that were opened, from the first on.
+    pub fn opened(&self) -> u32 {
+        u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX)
+    }
+
+    /// The opened occurrences with tasks that are not done or runs that may be running, by their
+    /// numbers.
+    pub fn unfinished(&self) -> impl Iterator<Item = (u32, &Occurrence)> {
+        self.unfinished.iter().filter_map(|k| Some((*k, self.occurrences.get(*k as usize)?)))
+    }
+
+    /// The runs that may be running, by their tasks.
+    pub fn assignments(&self, id: JobId) -> impl Iterator<Item = (TaskKey, RunAssignment)> {
+        let steps = self.unfinished().flat_map(|(occurrence, found)| {
+            (0_u16..).zip(&found.steps).map(move |(step, found)| (occurrence, step, found))
+        });
+        let assigned = steps.filter(|(_, _, step)| step.assigned > 0);
+        assigned.flat_map(move |(occurrence, step, found)| {
+            (0_u16..).zip(&found.tasks).flat_map(move |(index, task)| {
+                let key = TaskKey { job: id, occurrence, step, index };
+                task.assignments.iter().map(move |assignment| (key, *assignment))
+            })
+        })
+    }
+
+    fn reindex(&mut self) {
+        for step in self.occurrences.iter_mut().flat_map(|occurrence| &mut occurrence.steps) {
+            step.assigned = step.tasks.iter().map(|task| count_u32(&task.assignments)).sum();
+        }
+        let unfinished = (0..).zip(&self.occurrences).filter(|(_, found)| !found.has_ended());
+        self.unfinished = unfinished.map(|(k, _)| k).collect();
+    }
+
+    /// Counts a run of a task that was assigned or has ended.
+    fn count_assigned(&mut self, key: TaskKey, change: i32) {
+        let occurrence = self.occurrences.get_mut(key.occurrence as usize);
+        let step = occurrence.and_then(|found| found.steps.get_mut(usize::from(key.step)));
+        if let Some(step) = step {
+            step.assigned = step.assigned.saturating_add_signed(change);
+        }
+        self.close_if_ended(key.occurrence);
+    }
+
+    fn close_if_ended(&mut self, occurrence: u32) {
+        if self.occurrences.get(occurrence as usize).is_some_and(Occurrence::has_ended) {
+            self.unfinished.remove(&occurrence);
         }
     }
 
@@ -642,20 +709,8 @@
     Some(Loss { run: end.run, incarnation: end.incarnation, evidence, fate, at_ms })
 }
 
-fn collect_assignments(id: JobId, job: &Job, found: &mut Vec<(TaskKey, RunAssignment)>) {
-    for (k, occurrence) in job.occurrences.iter().enumerate() {
-        for (s, step) in occurrence.steps.iter().enumerate() {
-            for (i, task) in step.tasks.iter().enumerate() {
-                let key = TaskKey {
-                    job: id,
-                    occurrence: u32::try_from(k).unwrap_or(u32::MAX),
-                    step: u16::try_from(s).unwrap_or(u16::MAX),
-                    index: u16::try_from(i).unwrap_or(u16::MAX),
-                };
-                found.extend(task.assignments.iter().map(|assignment| (key, *assignment)));
-            }
-        }
-    }
+fn count_u32<T>(items: &[T]) -> u32 {
+    u32::try_from(items.len()).unwrap_or(u32::MAX)
 }
 
 fn incarnation_key(at: usize) -> IncarnationKey {
--- a/crates/state/tests/jobs.rs
+++ b/crates/state/tests/jobs.rs
@@ -294,6 +294,22 @@
     assert!(jobs.is_assigned(IncarnationKey(0), key(0, 0), 1), "the other copy still runs");
 }
 
+/// Guards against runs or occurrences that a restarted replica does not know of.
+#[test]
+fn a_snapshot_keeps_what_is_unfinished() {
+    let mut jobs = table(vec![step(2)]);
+    assert!(start(&mut jobs, key(0, 0), 1, 0) && start(&mut jobs, key(1, 0), 1, 1));
+    end(&mut jobs, key(0, 0), 1, 0, RunOutcome::Done);
+    let bytes = snapshot::encode(&Meta::default(), &jobs).expect("a snapshot");
+    let read: CellState = snapshot::decode_as(&bytes, "a snapshot").expect("the snapshot").state;
+    assert_eq!(read, jobs);
+    let runs = |jobs: &CellState| -> Vec<_> {
+        let job = jobs.job(JobId(1)).expect("a job");
+        job.assignments(JobId(1)).map(|(task, _)| task).collect()
+    };
+    assert_eq!(runs(&read), [key(1, 0)]);
+}
+
 #[test]
 fn a_cancelled_job_starts_nothing_and_is_kept_while_it_runs() {
     let mut jobs = table(vec![step(2)]);
