An occurrence is counted as done once, whatever else of it ends

Callers would see a scheduled submission as completed with occurrences to come, if its tasks may have copies or form a gang: each further done run of the occurrence counted it again. Change: the end of a task that is already done counts nothing.

--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -670,6 +670,10 @@
     fn mark_done(&mut self, key: TaskKey, gang: bool, at_ms: u64) {
         let Some(occurrence) = self.occurrences.get_mut(key.occurrence as usize) else { return };
         let Some(step) = occurrence.steps.get_mut(usize::from(key.step)) else { return };
+        if step.tasks.get(usize::from(key.index)).is_none_or(|task| task.done) {
+            // The end of another copy, or of another member of its gang, came first.
+            return;
+        }
         // When one member of a gang is done, the whole gang is done.
         let gang_len = if gang { step.tasks.len() } else { 0 };
         for (at, task) in step.tasks.iter_mut().enumerate() {
--- a/crates/state/tests/jobs.rs
+++ b/crates/state/tests/jobs.rs
@@ -294,6 +294,34 @@
     assert!(jobs.is_assigned(IncarnationKey(0), key(0, 0), 1), "the other copy still runs");
 }
 
+/// Guards against a scheduled job that is completed although occurrences are still to come.
+#[test]
+fn an_occurrence_is_counted_once_however_many_of_its_runs_are_done() {
+    let copies = StepSpec { speculative: true, ..step(1) };
+    let gang = StepSpec { gang: true, ..step(2) };
+    for (spec, second) in [(copies, key(0, 0)), (gang, key(1, 0))] {
+        let mut jobs = table(vec![spec.clone()]);
+        let schedule = Some(Schedule { first_ms: 0, interval_ms: 1, count: 2 });
+        let spec = JobSpec { payload: "p".into(), steps: vec![spec], schedule };
+        let (queue, pool) = ("q".into(), "pool".into());
+        let submit =
+            JobSubmission { id: JobId(2), queue, pool, attempts: ATTEMPTS, at_ms: 5, spec };
+        jobs.apply(JobCommand::Submit(Box::new(submit)));
+        let (first, second) =
+            (TaskKey { job: JobId(2), ..key(0, 0) }, TaskKey { job: JobId(2), ..second });
+        let run = if first == second { 2 } else { 1 };
+        assert!(start(&mut jobs, first, 1, 0) && start(&mut jobs, second, run, 1));
+        end(&mut jobs, first, 1, 0, RunOutcome::Done);
+        let unfinished =
+            |jobs: &CellState| jobs.job(JobId(2)).map_or(0, |job| job.unfinished().count());
+        assert_eq!(unfinished(&jobs), 1, "a run may still be running");
+        end(&mut jobs, second, run, 1, RunOutcome::Done);
+        let job = jobs.job(JobId(2)).expect("a job");
+        assert_eq!((job.finished, job.phase), (1, JobPhase::Active));
+        assert_eq!(unfinished(&jobs), 0);
+    }
+}
+
 /// Guards against runs or occurrences that a restarted replica does not know of.
 #[test]
 fn a_snapshot_keeps_what_is_unfinished() {
