--- a/crates/coordination/src/jobs/runners/heartbeat.rs
+++ b/crates/coordination/src/jobs/runners/heartbeat.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeSet;
 use yuccalink_state::jobs::{
     IncarnationKey, JobCommand, JobOutcome, JobPhase, RunEnd, RunOutcome, RunStart,
-    RunnerIncarnation, Task, TaskKey,
+    RunnerIncarnation, TaskKey,
 };
 
 /// Whether the response to a report may start runs.
@@ -248,8 +248,7 @@
         }
         let job = self.state.job(task.job);
         let step = job.and_then(|job| job.step(task.occurrence, task.step));
-        let runs = |member: &Task| member.assignments.iter().any(|other| other.run == run);
-        step.is_some_and(|step| step.tasks.iter().any(|member| !runs(member)))
+        step.is_some_and(|step| !step.runs_whole(run))
     }
 
     pub(in crate::jobs) fn remove_runner(&mut self, key: IncarnationKey) {
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -542,6 +542,15 @@
     }
 }
 
+impl Step {
+    /// Whether all tasks of a gang's step are assigned under one run.
+    pub fn runs_whole(&self, run: u32) -> bool {
+        let first = self.tasks.first().into_iter().flat_map(|task| &task.assignments);
+        // The members start together under one number, and none has a copy.
+        self.assigned == count_u32(&self.tasks) && first.into_iter().any(|first| first.run == run)
+    }
+}
+
 impl Occurrence {
     /// Whether all tasks are done and no run may be running.
     fn has_ended(&self) -> bool {
@@ -660,6 +669,10 @@
         else {
             return;
         };
+        if step.assigned > 0 {
+            // The first member to start has shared it.
+            return;
+        }
         let checkpoint = step.tasks.iter().find(|task| !task.checkpoint.is_empty());
         let Some(checkpoint) = checkpoint.map(|task| task.checkpoint.clone()) else { return };
         for task in &mut step.tasks {
--- a/crates/state/tests/jobs.rs
+++ b/crates/state/tests/jobs.rs
@@ -322,6 +322,19 @@
     }
 }
 
+/// Guards against a gang that goes on although a member of it has ended.
+#[test]
+fn a_gang_runs_whole_until_a_member_ends() {
+    let mut jobs = table(vec![StepSpec { gang: true, ..step(2) }]);
+    let is_whole = |jobs: &CellState, run: u32| {
+        jobs.job(JobId(1)).and_then(|job| job.step(0, 0)).is_some_and(|step| step.runs_whole(run))
+    };
+    assert!(start(&mut jobs, key(0, 0), 1, 0) && !is_whole(&jobs, 1));
+    assert!(start(&mut jobs, key(1, 0), 1, 1) && is_whole(&jobs, 1) && !is_whole(&jobs, 2));
+    end(&mut jobs, key(1, 0), 1, 1, RunOutcome::Stopped);
+    assert!(!is_whole(&jobs, 1));
+}
+
 /// Guards against runs or occurrences that a restarted replica does not know of.
 #[test]
 fn a_snapshot_keeps_what_is_unfinished() {
