Histories: schedules in the past and the future, and jobs that fit no runner

No history submitted a schedule or a task larger than every runner, so that neither the square of a backlog nor an early start could be found. Each such history has a schedule with a million due occurrences that no runner can hold, a job of that size, backlogs and schedules to come. Checked: no start before its time, all others end, the leader looks at a bounded number of steps a tick, all ends are acknowledged.

--- a/crates/coordination/tests/cell.rs
+++ b/crates/coordination/tests/cell.rs
@@ -9,7 +9,7 @@
 use world::{FaultProfile, World, job, key, step};
 use yuccalink_coordination::jobs::JobState;
 use yuccalink_fakes::emulator::{RunnerFault, TaskBehavior};
-use yuccalink_state::jobs::{JobId, JobSpec};
+use yuccalink_state::jobs::{JobId, JobSpec, Schedule};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -235,6 +235,72 @@
     }
 }
 
+/// Guards against schedules and hopeless jobs that keep others waiting, or that are served early,
+/// twice or not at all, in any order of events.
+#[test]
+fn random_histories_with_schedules_violate_no_invariant() {
+    for seed in 0..HISTORIES_WITH_SCHEDULES {
+        let violations = run_history_with_schedules(seed);
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
+/// Histories with schedules in each test run.
+const HISTORIES_WITH_SCHEDULES: u64 = 100;
+/// Jobs that no runner is large enough for: one with a schedule, one without.
+const HOPELESS: [JobId; 2] = [JobId(1), JobId(2)];
+
+fn run_history_with_schedules(seed: u64) -> Vec<String> {
+    /// Steps that the leader may look at in each of its ticks, in the mean.
+    const STEPS_PER_TICK_MAX: u64 = 200;
+    let mut world = World::new(seed, RUNNERS, FaultProfile::HARSH);
+    let now_ms = world.unix_ms();
+    let past = |count, interval_ms: u64| Schedule {
+        first_ms: now_ms - u64::from(count) * interval_ms,
+        interval_ms,
+        count,
+    };
+    let (mut spec, behaviors) = job(vec![step(1, 48, 800)]);
+    world.submit(HOPELESS[1], spec.clone(), behaviors.clone());
+    spec.schedule = Some(past(1_000_000, 60_000));
+    world.submit(HOPELESS[0], spec, behaviors);
+    for id in 3..=JOBS {
+        let (mut spec, behaviors) = random_job(&mut world);
+        let future = Schedule { first_ms: world.unix_ms() + 2_000, interval_ms: 400, count: 5 };
+        spec.schedule = match id % 8 {
+            3 => Some(past(8, 1_000)),
+            4 => Some(future),
+            _ => None,
+        };
+        if spec.schedule.is_some() {
+            spec.steps.iter_mut().for_each(|step| step.gang = false);
+        }
+        world.submit(JobId(id), spec, behaviors);
+        let pause = 100 + world.random_below(1_200);
+        world.run_for(Duration::from_millis(pause));
+    }
+    world.stop_faults();
+    world.run_for(SECOND * 60);
+    let mut violations = Vec::new();
+    if world.active_jobs() != HOPELESS.len() {
+        violations.push(format!("{} jobs are active", world.active_jobs()));
+    }
+    let leader = world.leader.as_ref().expect("a leader");
+    let (looked_at, before) = (leader.counts().steps_examined, world.now);
+    world.run_for(SECOND);
+    let leader = world.leader.as_ref().expect("a leader");
+    let ticks = world.now.since(before).div_duration_f64(world::TIME_STEP) as u64;
+    let looked_at = leader.counts().steps_examined - looked_at;
+    if looked_at > ticks * STEPS_PER_TICK_MAX {
+        violations.push(format!("{looked_at} steps looked at in {ticks} ticks"));
+    }
+    HOPELESS.into_iter().for_each(|id| world.cancel(id));
+    world.run_for(SECOND);
+    violations.extend(world.final_violations(JOBS));
+    violations.extend(ends_left_after_work(&mut world));
+    violations
+}
+
 /// Histories in each test run.
 const HISTORIES: u64 = 300;
 const JOBS: u64 = 25;
