--- a/crates/coordination/src/jobs/due.rs
+++ b/crates/coordination/src/jobs/due.rs
@@ -128,10 +128,15 @@
             scheduled.map(|id| (id, self.due_occurrences(id, now.unix_ms))).collect();
         let waiting = due.iter().filter(|(_, occurrences)| !occurrences.is_empty()).count();
         for (id, occurrences) in due {
-            let steps = DUE_STEPS_MAX / waiting.max(1) / self.first_steps_len(id).max(1);
-            let most = u32::try_from(steps.max(1)).unwrap_or(u32::MAX);
-            let last = occurrences.end.min(occurrences.start.saturating_add(most));
-            let queued = occurrences.start..last;
+            let queued = match occurrences.is_empty() {
+                true => occurrences,
+                false => {
+                    let steps = DUE_STEPS_MAX / waiting / self.first_steps_len(id);
+                    let most = u32::try_from(steps.max(1)).unwrap_or(u32::MAX);
+                    let last = occurrences.start.saturating_add(most);
+                    occurrences.start..occurrences.end.min(last)
+                }
+            };
             let changed = self.ready.set_due_occurrences(id, queued, &self.state, now.at);
             self.counts.steps_examined += 1 + u64::from(changed);
         }
@@ -144,9 +149,10 @@
         schedule.map_or(0..0, |(opened, schedule)| opened..schedule.due_through(unix_ms))
     }
 
+    /// Number of steps with which an occurrence of a job begins, at least 1.
     fn first_steps_len(&self, id: JobId) -> usize {
         let steps = self.state.job(id).into_iter().flat_map(|job| &job.spec.steps);
-        steps.filter(|step| step.depends_on.is_empty()).count()
+        steps.filter(|step| step.depends_on.is_empty()).count().max(1)
     }
 
     /// Commits the learned interference weights for later leaders. To learn them again after
--- a/crates/coordination/src/jobs/runners/expiry.rs
+++ b/crates/coordination/src/jobs/runners/expiry.rs
@@ -19,7 +19,7 @@
 /// First short lease: an order arrives within it, and few tasks end within it.
 const LEASE_FIRST: Duration = Duration::from_millis(100);
 const LEASE_MIN: Duration = Duration::from_millis(10);
-/// A response that takes longer is dropped by the runner.
+/// Runners drop a response that arrives a second after its report.
 const LEASE_MAX: Duration = Duration::from_millis(800);
 
 /// A lease that must expire while a task runs.
@@ -50,8 +50,8 @@
 }
 
 impl Leader {
-    /// Handles the ends in a report: whether the runner's lease must expire, and whether the
-    /// report may lack ends.
+    /// Determines from the ends in a report whether the runner's lease must expire, and whether
+    /// the report may lack ends.
     pub(in crate::jobs) fn note_unacknowledged_ends(
         &mut self,
         now: Now,
@@ -172,7 +172,7 @@
 }
 
 impl Runner {
-    /// Why the runner takes no tasks although it is ready, if so.
+    /// Why the runner takes no tasks although it is ready; `None` if it takes some.
     pub(in crate::jobs) fn blocked(&self) -> Option<&'static str> {
         if self.may_hide_ends {
             return Some("its report has no room for more ends");
@@ -190,7 +190,7 @@
             && self.running.is_empty()
     }
 
-    /// Records the run that is ordered with the short lease.
+    /// Records the run that is ordered, if its lease is short. Returns whether it is.
     pub(in crate::jobs) fn note_short_lease(&mut self, run: Option<(TaskKey, u32)>) -> bool {
         let Some(awaited) = &mut self.awaited_expiry else { return false };
         awaited.ordered = run.or(awaited.ordered);
