Soak: a job that can never be done, with a million due occurrences

No soak submitted a schedule or a task larger than every runner. Each one does now, first of all, so that every leader of the soak inherits it.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -155,6 +155,25 @@
     }
 }
 
+/// Submits a job that can never be done, again until it is accepted: no runner is large enough for
+/// its task, and a million of its occurrences are due.
+pub(crate) async fn submit_hopeless(mut client: Client) {
+    let step = json!({
+        "count": 1,
+        "need": { "millicores": 48_000, "memory-mib": 100 },
+        "estimate-ms": 400,
+    });
+    let schedule = json!({ "first-ms": 0, "interval-ms": 60_000, "count": 1_000_000 });
+    let body = json!({ "payload": "work", "steps": [step], "schedule": schedule }).to_string();
+    let path = format!("/{BURST_QUEUE}/{}", JobId(1));
+    while !matches!(
+        client.send(Method::POST, &path, body.clone().into_bytes()).await,
+        Some((200, _))
+    ) {
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
 /// Returns the body of the submission of a job with one step.
 pub(crate) fn job(tasks: u16, long_running: bool) -> Vec<u8> {
     let step = json!({
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -127,6 +127,7 @@
         }
         tokio::time::sleep(POLL).await;
     }
+    tokio::task::spawn_local(callers::submit_hopeless(client(0)));
     let until = Instant::now() + settings.span;
     for at in 0..2 {
         let seed = seed * 10 + at as u64;
