Tests: a run whose end a full report leaves out is not ordered again

The guard that keeps a runner with a full report from getting orders had no test of its own: with it removed, none failed. On the code before, the runs whose ends are left out are ordered again.

--- a/crates/coordination/tests/ends_given_up.rs
+++ b/crates/coordination/tests/ends_given_up.rs
@@ -214,6 +214,37 @@
     assert_eq!(harness.leader.blocked_runners().count(), 1);
 }
 
+/// Guards against orders for runs that have ended, because a report has no room for their ends.
+#[test]
+fn a_run_whose_end_a_full_report_leaves_out_is_not_ordered_again() {
+    let mut harness = LeaderHarness::new(1, None, behavior(false));
+    harness.report_round();
+    let need = Resources { millicores: 10, memory_mib: 10, accelerators: 0 };
+    let count = FINISHED_PER_REPORT_MAX + 140;
+    let tasks = u32::try_from(count).expect("a count");
+    submit(&mut harness, 1, StepSpec { need, ..step(tasks, 1, 1_000).0 }, None);
+    // The last tasks start before the first ones end.
+    while harness.runners[0].running().count() < count {
+        report(&mut harness, 0, behavior(false));
+        harness.advance(Duration::from_millis(20));
+    }
+    for _ in 0..30 {
+        harness.advance(ROUND);
+    }
+    let now = harness.now;
+    harness.runners[0].advance(now);
+    assert_eq!(harness.runners[0].unacknowledged().len(), count);
+    assert!(report(&mut harness, 0, behavior(false)).start.is_empty());
+    while !harness.runners[0].unacknowledged().is_empty() {
+        assert!(report(&mut harness, 0, behavior(false)).start.is_empty());
+        harness.advance(ROUND);
+    }
+    assert_eq!(
+        harness.leader.state().job(JobId(1)).map(|job| job.phase),
+        Some(JobPhase::Completed)
+    );
+}
+
 /// Guards against a failed run whose committed end a later leader holds back for ever.
 #[test]
 fn a_later_leader_acknowledges_a_committed_failure_of_a_task_that_started_again() {
