--- a/crates/coordination/tests/ends_given_up.rs
+++ b/crates/coordination/tests/ends_given_up.rs
@@ -11,10 +11,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 use world::{queue_address, step};
+use yuccalink_coordination::jobs::external::ExternalReply;
 use yuccalink_coordination::jobs::messages::FINISHED_PER_REPORT_MAX;
 use yuccalink_coordination::jobs::{CellRequest, CellResponse, HeardKnowledge, RunnerOrders};
 use yuccalink_fakes::emulator::{EmulatedRunner, TaskBehavior};
 use yuccalink_state::Resources;
+use yuccalink_state::jobs::change::Advisor;
 use yuccalink_state::jobs::{JobId, JobPhase, JobSpec, RunOutcome, Schedule, StepSpec};
 
 const RUN_TIME: Duration = Duration::from_millis(1_000);
@@ -245,6 +247,45 @@
     );
 }
 
+/// Guards against a task that runs twice because its end was left out of a full report when its
+/// ticket expired.
+#[test]
+fn a_run_whose_end_a_full_report_leaves_out_is_not_given_up() {
+    const POLICY: Advisor = Advisor { decision_ms: 20, per_runner_ms: 1, validity_ms: 3_000 };
+    let mut harness = LeaderHarness::new(1, Some(POLICY), behavior(false));
+    harness.report_round();
+    let need = Resources { millicores: 10, memory_mib: 10, accelerators: 0 };
+    let count = FINISHED_PER_REPORT_MAX + 140;
+    let tasks = u32::try_from(count).expect("a count");
+    submit(&mut harness, 1, StepSpec { need, ..step(tasks, 1, 1_000).0 }, None);
+    harness.advance(ROUND * 2);
+    let (call, _) = harness.take_call().expect("a query");
+    let allowed = vec![("w0".into(), "t".into())];
+    let validity_ms = POLICY.validity_ms;
+    harness.reply_to_call(call, ExternalReply::Advice { allowed, validity_ms });
+    while harness.runners[0].running().count() < count {
+        report(&mut harness, 0, behavior(false));
+        harness.advance(Duration::from_millis(20));
+    }
+    // All tasks have ended and all orders and tickets have expired before the next report.
+    for _ in 0..60 {
+        let now = harness.now;
+        harness.runners[0].advance(now);
+        harness.advance(ROUND);
+    }
+    assert_eq!(harness.runners[0].unacknowledged().len(), count);
+    for _ in 0..4 {
+        report(&mut harness, 0, behavior(false));
+        harness.advance(ROUND);
+    }
+    assert_eq!(
+        harness.leader.state().job(JobId(1)).map(|job| job.phase),
+        Some(JobPhase::Completed)
+    );
+    let counts = harness.leader.counts();
+    assert_eq!((counts.done, counts.lost), (u64::from(tasks), 0));
+}
+
 /// Guards against a failed run whose committed end a later leader holds back for ever.
 #[test]
 fn a_later_leader_acknowledges_a_committed_failure_of_a_task_that_started_again() {
