Review: large submissions end every process of the core, case 4

Job::open_through allocates every task of an accepted submission, and nothing bounds their sum. With 13 submissions of 64 steps of 4,096 tasks, which no runner is large enough for, all three processes are over 260 MB, and again after each start. With it come the stand-ins of all cases of this review.

--- /dev/null
+++ b/review/stand_ins_2/play.sh
@@ -0,0 +1,28 @@
+# Sourced by the scripts of the cases: plays one case in a temporary folder, for 115 s at most, and
+# ends the daemons that it started. Expects the folder of the case in $here.
+end_daemons() {
+    if [ -f "$folder/pids" ]; then
+        while read -r pid; do
+            kill -KILL "$pid" 2>/dev/null || true
+        done <"$folder/pids"
+    fi
+    rm -rf "$folder"
+}
+
+play() {
+    cd "$here/../.." || exit 2
+    program=target/review-2/stand_ins_2
+    if [ ! -x "$program" ] || [ ! -x target/release/yuccalinkd ]; then
+        echo "build first: the build of deploy/system.toml, then sh review/build-2.sh"
+        exit 2
+    fi
+    folder=$(mktemp -d) || exit 2
+    trap 'exit 2' INT TERM HUP
+    trap end_daemons EXIT
+    code=0
+    CASE_FOLDER=$folder timeout 115 "$program" "$1" "$here/record.txt" || code=$?
+    case $code in
+    0 | 1) exit "$code" ;;
+    *) exit 2 ;;
+    esac
+}
