--- a/review/stand_ins_2/platform.rs
+++ b/review/stand_ins_2/platform.rs
@@ -95,7 +95,8 @@
             ])
         };
         let rows = machines.iter().map(row).collect();
-        json::table(vec![("machines", Json::List(rows)), ("next_token", json::text(""))]).to_string()
+        json::table(vec![("machines", Json::List(rows)), ("next_token", json::text(""))])
+            .to_string()
     }
 
     fn upkeep(self: &Arc<Self>, request: &Request) -> Option<(u16, String)> {
@@ -160,7 +161,9 @@
 
     fn bring_back(&self, name: &str) {
         let mut machines = self.machines.lock().unwrap();
-        let Some(machine) = machines.iter_mut().find(|machine| machine.name == name) else { return };
+        let Some(machine) = machines.iter_mut().find(|machine| machine.name == name) else {
+            return;
+        };
         machine.lives += 1;
         machine.runner.id = format!("i-{}-{}", machine.name, machine.lives);
         machine.state = "up";
