--- a/review/stand_ins_2/cell.rs
+++ b/review/stand_ins_2/cell.rs
@@ -5,7 +5,6 @@
 use crate::json::Json;
 use crate::record::Record;
 use std::fs::{self, File};
-use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -85,11 +84,8 @@
             .stderr(log)
             .spawn()?;
         self.record.line(format!("daemon {node} started"));
-        // run.sh ends these if this program is ended itself.
-        let mut pids = File::options().create(true).append(true).open(self.folder.join("pids"))?;
-        writeln!(pids, "{}", child.id())?;
         self.children[node] = Some(child);
-        Ok(())
+        self.note_pids()
     }
 
     fn settings(&self, node: usize, bootstrap: bool) -> String {
@@ -138,11 +134,18 @@
         )
     }
 
+    /// Writes down the daemons that run, which run.sh ends if this program is ended itself.
+    fn note_pids(&self) -> std::io::Result<()> {
+        let pids = self.children.iter().flatten().map(|child| format!("{}\n", child.id()));
+        fs::write(self.folder.join("pids"), pids.collect::<String>())
+    }
+
     /// Kills a daemon at once.
     pub fn kill(&mut self, node: usize) {
         if let Some(mut child) = self.children[node].take() {
             let _ = child.kill();
             let _ = child.wait();
+            let _ = self.note_pids();
             self.record.line(format!("daemon {node} killed"));
         }
     }
@@ -184,7 +187,7 @@
         for attempt in 0..tries {
             let mut to = self.address(attempt % self.nodes, CONTROL);
             for _ in 0..3 {
-                let limit = Duration::from_secs(3);
+                let limit = Duration::from_secs(1);
                 let answer = http::call(to, method, path, "control", body, limit);
                 let status = answer.as_ref().map_or(0, |answer| answer.status);
                 match answer {
@@ -210,7 +213,8 @@
     /// A call of a consumer at one node.
     pub fn consume(&self, node: usize, method: &str, path: &str, body: &str) -> Option<Response> {
         let to = self.address(node % self.nodes, CALLERS);
-        http::call(to, method, path, HOST, body, Duration::from_millis(3_000))
+        let head = format!("Host: {HOST}\r\nX-Deadline-Ms: 3000\r\n");
+        http::call_with(to, method, path, &head, body, Duration::from_millis(3_000))
     }
 
     /// Hands a submission in until it gets a clear answer; returns the status of that answer.
--- a/review/stand_ins_2/gangs.rs
+++ b/review/stand_ins_2/gangs.rs
@@ -11,8 +11,8 @@
 const USUAL: &str = "/pufi791/";
 const RUNNERS: usize = 4;
 const HOPELESS: u64 = 8;
-/// Of all submissions, those that can never be done are one in twenty.
-const PLAIN: u64 = 151;
+/// Of the submissions of their queue, those that can never be done are one in twenty.
+const PLAIN: u64 = 152;
 const GANG: &str = "00000000000000ee";
 
 pub fn play(stage: &mut Stage) -> Result<Outcome, Outcome> {
@@ -31,7 +31,7 @@
     }
     for number in 0..PLAIN {
         let id = format!("{:016x}", 0xf000 + number);
-        submit(stage, USUAL, &id, &plain())?;
+        submit(stage, URGENT, &id, &plain())?;
     }
     submit(stage, USUAL, GANG, &gang(4, 500, 400))?;
     stage.record.line(format!("all were handed in within {:?}", started.elapsed()));
--- a/review/stand_ins_2/http.rs
+++ b/review/stand_ins_2/http.rs
@@ -74,6 +74,18 @@
     host: &str,
     body: &str,
     limit: Duration,
+) -> Option<Response> {
+    call_with(to, method, path, &format!("Host: {host}\r\n"), body, limit)
+}
+
+/// Same as [`call`], with these lines of the head.
+pub fn call_with(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    head: &str,
+    body: &str,
+    limit: Duration,
 ) -> Option<Response> {
     let until = Instant::now() + limit;
     let mut stream = TcpStream::connect_timeout(&to, limit).ok()?;
@@ -81,7 +93,7 @@
     stream.set_write_timeout(Some(limit)).ok()?;
     let length = body.len();
     let message = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\n\
+        "{method} {path} HTTP/1.1\r\n{head}Content-Type: application/json\r\n\
          Connection: close\r\nContent-Length: {length}\r\n\r\n{body}"
     );
     stream.write_all(message.as_bytes()).ok()?;
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -20,8 +20,9 @@
 use record::Record;
 use runner::{Gangs, Identity, Log, World};
 use std::path::PathBuf;
-use std::process::ExitCode;
+use std::process::{Command, ExitCode};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 
 /// What a case found.
@@ -102,6 +103,7 @@
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    thread::spawn(end_late);
     let outcome = match play(&case, &path, trouble) {
         Ok(outcome) => outcome,
         Err(error) => Outcome::NotRun(error.to_string()),
@@ -122,11 +124,26 @@
     }
 }
 
+/// Ends the daemons and this program if a case takes too long, also where run.sh is gone.
+fn end_late() {
+    thread::sleep(Duration::from_secs(110));
+    let pids = std::fs::read_to_string(case_folder().join("pids")).unwrap_or_default();
+    for pid in pids.lines() {
+        let _ = Command::new("kill").args(["-KILL", pid]).status();
+    }
+    println!("the case took too long");
+    std::process::exit(2);
+}
+
+fn case_folder() -> PathBuf {
+    std::env::var("CASE_FOLDER").map_or(std::env::temp_dir(), PathBuf::from)
+}
+
 fn play(case: &str, path: &str, trouble: bool) -> std::io::Result<Outcome> {
     let record = Record::create(path)?;
     record.line(format!("case {case}, with the disruption: {trouble}"));
-    let folder: PathBuf = std::env::var("CASE_FOLDER").map_or(std::env::temp_dir(), PathBuf::from);
-    let Some(mut cell) = Cell::new(record.clone(), folder, 3, case.ends_with("advice")) else {
+    let Some(mut cell) = Cell::new(record.clone(), case_folder(), 3, case.ends_with("advice"))
+    else {
         return Ok(Outcome::NotRun("no free ports".into()));
     };
     cell.start()?;
--- a/review/stand_ins_2/platform.rs
+++ b/review/stand_ins_2/platform.rs
@@ -84,6 +84,11 @@
         let machines = self.machines.lock().unwrap();
         let row = |machine: &Machine| {
             let me = &machine.runner;
+            let capacity = json::table(vec![
+                ("cpu", json::number(me.cpu)),
+                ("mem_mb", json::number(me.mem_mb)),
+                ("gpu", json::number(me.gpu)),
+            ]);
             let id = if machine.state == "up" { me.id.as_str() } else { "" };
             json::table(vec![
                 ("machine", json::text(&machine.name)),
@@ -91,6 +96,7 @@
                 ("state", json::text(machine.state)),
                 ("zone", json::text(&me.zone)),
                 ("labels", Json::List(vec![json::text(&me.kind), json::text(&me.rack)])),
+                ("capacity", capacity),
                 ("id", json::text(id)),
             ])
         };
--- a/review/stand_ins_2/runner.rs
+++ b/review/stand_ins_2/runner.rs
@@ -4,12 +4,13 @@
 //! What a task needs and how long it works stands in its `spec`, as `cpu=1000;mem=256;run=400`;
 //! with `lasts=1` it works until it is stopped, and with `gang=4` only together with the others.
 
-use crate::http;
+use crate::http::{self, Response};
 use crate::json::{self, Json};
 use crate::record::Record;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -49,9 +50,19 @@
     }
 }
 
-/// Which members of a gang's run are present, and since when all are.
+/// Each run of a gang, by its step and its number.
 #[derive(Default)]
-pub struct Gangs(HashMap<(String, u64), (BTreeMap<String, ()>, Option<Instant>)>);
+pub struct Gangs(HashMap<(String, u64), Members>);
+
+/// The members of one run of a gang.
+#[derive(Default)]
+struct Members {
+    present: BTreeSet<String>,
+    /// When the last of them came.
+    whole_since: Option<Instant>,
+    /// A member has ended, and not as done.
+    broken: bool,
+}
 
 #[derive(Clone)]
 pub struct World {
@@ -110,12 +121,21 @@
         };
         life.world.record.line(format!("runner {} up", life.me.id));
         let mut next_report = Instant::now();
+        let mut under_way: Option<(Receiver<Option<Response>>, Instant)> = None;
         while power.load(Ordering::SeqCst) {
             if life.work() {
                 next_report = next_report.min(Instant::now() + AFTER_END);
             }
-            if Instant::now() >= next_report {
-                next_report = Instant::now() + life.report(&power);
+            let answered = under_way.as_ref().and_then(|(answer, sent)| {
+                let answer = answer.try_recv().ok();
+                let is_over = answer.is_some() || sent.elapsed() >= ANSWER_LIMIT;
+                is_over.then(|| (answer.flatten(), *sent))
+            });
+            if let Some((answer, sent)) = answered {
+                under_way = None;
+                next_report = Instant::now() + life.handle_answer(answer, sent);
+            } else if under_way.is_none() && Instant::now() >= next_report {
+                under_way = Some(life.send_report());
             }
             thread::sleep(Duration::from_millis(5));
         }
@@ -145,6 +165,9 @@
                 Some(since) if !work.lasts && now >= since + work.length => {
                     over.push((task.clone(), "done"));
                 }
+                _ if work.gang > 0 && self.is_broken(task, work.run) => {
+                    over.push((task.clone(), "broken"));
+                }
                 None if now > work.since + GANG_TIMEOUT => over.push((task.clone(), "alone")),
                 _ => {}
             }
@@ -160,16 +183,27 @@
     fn together(&self, task: &str, run: u64, size: usize) -> Option<Instant> {
         let mut gangs = self.world.gangs.lock().ok()?;
         let key = (step_of(task), run);
-        let (members, since) = gangs.0.entry(key).or_default();
-        members.insert(task.into(), ());
-        if members.len() == size && since.is_none() {
-            *since = Some(Instant::now());
+        let members = gangs.0.entry(key).or_default();
+        members.present.insert(task.into());
+        if members.present.len() == size && members.whole_since.is_none() {
+            members.whole_since = Some(Instant::now());
         }
-        *since
+        members.whole_since
+    }
+
+    fn is_broken(&self, task: &str, run: u64) -> bool {
+        let Ok(gangs) = self.world.gangs.lock() else { return false };
+        gangs.0.get(&(step_of(task), run)).is_some_and(|members| members.broken)
     }
 
     fn end(&mut self, task: &str, how: &'static str) {
         let Some(work) = self.running.remove(task) else { return };
+        if work.gang > 0
+            && how != "done"
+            && let Ok(mut gangs) = self.world.gangs.lock()
+        {
+            gangs.0.entry((step_of(task), work.run)).or_default().broken = true;
+        }
         self.close(task, work.run, how);
     }
 
@@ -184,18 +218,23 @@
         }
     }
 
-    /// Sends one report and obeys its answer. Returns the time until the next report.
-    fn report(&mut self, power: &AtomicBool) -> Duration {
+    /// Sends a report; its answer comes while the work goes on.
+    fn send_report(&mut self) -> (Receiver<Option<Response>>, Instant) {
         self.sequence += 1;
         let sent = Instant::now();
         let body = self.body();
         let path = format!("/api/instances/{}/heartbeat", self.me.id);
         let controls = &self.world.controls;
         let to = self.report_to.unwrap_or(controls[self.next_node % controls.len()]);
-        let answer = http::call(to, "POST", &path, "control", &body, ANSWER_LIMIT);
-        if !power.load(Ordering::SeqCst) {
-            return HEARTBEAT;
-        }
+        let (answer, receiver) = channel();
+        thread::spawn(move || {
+            let _ = answer.send(http::call(to, "POST", &path, "control", &body, ANSWER_LIMIT));
+        });
+        (receiver, sent)
+    }
+
+    /// Obeys the answer to a report. Returns the time until the next report.
+    fn handle_answer(&mut self, answer: Option<Response>, sent: Instant) -> Duration {
         let answer = answer.filter(|answer| (200..300).contains(&answer.status));
         let Some(answer) = answer.filter(|_| sent.elapsed() < ANSWER_LIMIT) else {
             self.report_to = None;
--- a/review/stand_ins_2/wide.rs
+++ b/review/stand_ins_2/wide.rs
@@ -17,6 +17,8 @@
 /// Pause before an ended process is started again.
 const RESTART: Duration = Duration::from_millis(500);
 const SUBMISSIONS: u64 = 320;
+/// `for_s` of the site's `poison`: what is not handed in by then is left out.
+const HANDED_IN: Duration = Duration::from_secs(3);
 const ONE_IN: u64 = 20;
 /// The largest submission that the cell takes.
 const STEPS: usize = 64;
@@ -78,6 +80,9 @@
     let (mut accepted, mut wide_accepted, mut unanswered) = (Vec::new(), 0, 0);
     for number in 0..SUBMISSIONS {
         watch.look(stage)?;
+        if started.elapsed() > HANDED_IN {
+            break;
+        }
         let is_wide = number % ONE_IN == ONE_IN - 1;
         let id = format!("{:016x}", 0xf000 + number);
         let body = if is_wide && stage.trouble { wide() } else { usual() };
