--- a/crates/coordination/src/jobs.rs
+++ b/crates/coordination/src/jobs.rs
@@ -29,7 +29,7 @@
 pub use order::{scarcity, shares};
 pub use pace::ServingHarm;
 use placing::{advice, capacity, compatibility, copies, free_index, gangs, place, starting};
-pub use requests::{admission, forecast, messages, oversized, returning};
+pub use requests::{admission, forecast, messages, oversized, returning, room};
 use requests::{cancellation, cancelled_runs, refusal, remembered};
 use runners::{evacuation, expiry, incarnations, leaving, lost, suspects, waves};
 pub use runners::{external, report_rate, runner};
--- a/crates/coordination/src/jobs/account.rs
+++ b/crates/coordination/src/jobs/account.rs
@@ -12,7 +12,7 @@
 use std::fmt;
 use std::time::Duration;
 use yuccalink_state::Resources;
-use yuccalink_state::jobs::{DelaySummary, Job, JobId, JobPhase, StepSpec, TaskKey};
+use yuccalink_state::jobs::{DelaySummary, Job, JobId, JobPhase, StepSpec, TaskKey, Tasks};
 
 /// Interval at which jobs are checked; each check adds this time to the cause it finds.
 pub(super) const ACCOUNT_INTERVAL: Duration = Duration::from_millis(250);
@@ -349,8 +349,9 @@
         trust: Trust,
     ) -> bool {
         let StepKey { job: id, occurrence, step: at } = step_key;
-        (0..step.count).any(|index| {
-            let index = u16::try_from(index).unwrap_or(u16::MAX);
+        let unopened = Tasks::new(step.count);
+        let tasks = job.step(occurrence, at).map_or(&unopened, |step| &step.tasks);
+        tasks.waiting().any(|index| {
             let task = TaskKey { job: id, occurrence, step: at, index };
             self.next_run_unless_suspect(now, job, step, task, runner.key, trust).is_some()
         })
@@ -366,9 +367,8 @@
             occurrence.steps.iter().enumerate().map(move |(s, step)| (k, s, step))
         });
         steps.flat_map(move |(occurrence, s, step)| {
-            step.tasks.iter().enumerate().filter_map(move |(index, task)| {
+            step.tasks.assigned().filter_map(move |(index, task)| {
                 let step = u16::try_from(s).unwrap_or(u16::MAX);
-                let index = u16::try_from(index).unwrap_or(u16::MAX);
                 let key = TaskKey { job: id, occurrence, step, index };
                 let assignment = task.assignments.last()?;
                 let view = self.runners.get(&assignment.incarnation)?.running.get(&key)?;
--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -99,7 +99,7 @@
     fn update_after(&mut self, now: Now, command: &JobCommand, outcome: &JobOutcome) {
         match command {
             JobCommand::Submit(submit) => {
-                self.submitting.remove(&submit.id);
+                self.submitting.remove(submit);
                 if *outcome == (JobOutcome::Accepted { new: true }) {
                     self.add_job(submit.id, now);
                 }
--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -24,6 +24,7 @@
 use super::report_rate::millis;
 use super::report_rate::{self, ReportRate};
 use super::reserve::Reserve;
+use super::room::{JobRoom, PROCESS_MEMORY, Submitting};
 use super::routes::Routes;
 use super::runner::{Health, Runner};
 use super::scarcity::{Claim, Scarcity};
@@ -63,6 +64,8 @@
     pub job_retention: Duration,
     /// Longest interval between two reports of a runner.
     pub heartbeat: Duration,
+    /// Bounds on the memory of jobs.
+    pub room: JobRoom,
     /// Scheduling policy.
     pub policy: Policy,
 }
@@ -73,6 +76,7 @@
             lease: Duration::from_millis(5_000),
             job_retention: Duration::from_secs(130),
             heartbeat: Duration::from_millis(1_500),
+            room: JobRoom::of_process(PROCESS_MEMORY),
             policy: Policy::default(),
         }
     }
@@ -127,7 +131,7 @@
     /// Tasks whose start is proposed but not committed.
     pub(super) starting: Starting,
     /// Jobs whose submission is proposed but not committed.
-    pub(super) submitting: BTreeSet<JobId>,
+    pub(super) submitting: Submitting,
     /// Runs whose end is proposed but not committed.
     pub(super) ending: BTreeSet<(TaskKey, u32)>,
     pub(super) heartbeats: BTreeMap<u64, PendingHeartbeat>,
@@ -205,7 +209,7 @@
             job_harms: JobHarms::new(cfg.policy.job_harm),
             reserves: BTreeMap::new(),
             starting: Starting::default(),
-            submitting: BTreeSet::new(),
+            submitting: Submitting::default(),
             ending: BTreeSet::new(),
             heartbeats: BTreeMap::new(),
             next_heartbeat: 0,
@@ -384,7 +388,9 @@
             CellRequest::Submit { id, .. } if self.state.job(*id).is_some() => {
                 CellResponse::Accepted
             }
-            CellRequest::Submit { id, .. } if self.submitting.contains(id) => CellResponse::Unknown,
+            CellRequest::Submit { id, .. } if self.submitting.contains(*id) => {
+                CellResponse::Unknown
+            }
             CellRequest::Submit { .. } => CellResponse::Refused { after_ms },
             _ => CellResponse::NotServing { after_ms },
         }
@@ -394,7 +400,7 @@
     /// request is not new work, or an earlier copy of it may run.
     pub fn refuse_new_work(&mut self, request: &CellRequest) -> Option<CellResponse> {
         let CellRequest::Submit { id, .. } = request else { return None };
-        if self.state.job(*id).is_some() || self.submitting.contains(id) {
+        if self.state.job(*id).is_some() || self.submitting.contains(*id) {
             return None;
         }
         self.counts.refused_stalled += 1;
@@ -462,10 +468,7 @@
     let mut keys = Vec::new();
     let found = job.occurrences.get(occurrence as usize);
     for (s, step) in (0_u16..).zip(found.into_iter().flat_map(|found| &found.steps)) {
-        let waits = step.left > 0
-            && step.tasks.iter().any(|task| !task.done && task.assignments.is_empty())
-            && job.may_run(occurrence, s);
-        if waits {
+        if step.tasks.waiting_len() > 0 && job.may_run(occurrence, s) {
             keys.push(StepKey { job: id, occurrence, step: s });
         }
     }
--- a/crates/coordination/src/jobs/order/ready.rs
+++ b/crates/coordination/src/jobs/order/ready.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 use yuccalink_state::Resources;
 use yuccalink_state::jobs::{
-    CellState, IncarnationKey, Job, JobId, JobPhase, Queue, StepSpec, Task, TaskKey,
+    CellState, IncarnationKey, Job, JobId, JobPhase, Queue, Step, StepSpec, Task, TaskKey,
 };
 
 /// Weight of a new job in the running mean of the work of its queue's jobs.
@@ -837,16 +837,21 @@
     (density * raise * DENSITY_SCALE) as i64
 }
 
+/// Iterates over a job's long-running steps of unfinished occurrences, with their numbers.
+fn long_running_steps(job: &Job) -> impl Iterator<Item = (u32, u16, &Step)> {
+    let steps = job.unfinished().flat_map(|(k, occurrence)| {
+        occurrence.steps.iter().zip(&job.spec.steps).zip(0..).map(move |(step, s)| (k, s, step))
+    });
+    let steps = steps.filter(|(_, _, (_, spec))| spec.long_running);
+    steps.map(|(occurrence, s, (step, _))| (occurrence, s, step))
+}
+
 /// Iterates over a job's long-running tasks that are not done.
 pub(in crate::jobs) fn long_running_tasks(
     id: JobId,
     job: &Job,
 ) -> impl Iterator<Item = (TaskKey, &Task)> {
-    let steps = job.unfinished().flat_map(|(k, occurrence)| {
-        occurrence.steps.iter().zip(&job.spec.steps).zip(0..).map(move |(step, s)| (k, s, step))
-    });
-    let steps = steps.filter(|(_, _, (_, spec))| spec.long_running);
-    let tasks = steps.flat_map(move |(occurrence, step, (state, _))| {
+    let tasks = long_running_steps(job).flat_map(move |(occurrence, step, state)| {
         let key = move |index| TaskKey { job: id, occurrence, step, index };
         state.tasks.iter().zip(0..).map(move |(task, index)| (key(index), task))
     });
@@ -857,9 +862,12 @@
 /// are not in `leaving`.
 fn held_tasks(job: &Job, leaving: &BTreeSet<IncarnationKey>) -> (u32, u32) {
     let (mut tasks, mut held) = (0, 0);
-    for (_, task) in long_running_tasks(JobId(0), job) {
-        tasks += 1;
-        held += u32::from(task.assignments.iter().any(|a| !leaving.contains(&a.incarnation)));
+    for (_, _, step) in long_running_steps(job) {
+        tasks += step.left;
+        let stays =
+            |task: &Task| task.assignments.iter().any(|a| !leaving.contains(&a.incarnation));
+        let staying = step.tasks.assigned().filter(|(_, task)| !task.done && stays(task));
+        held += u32::try_from(staying.count()).unwrap_or(u32::MAX);
     }
     (tasks, held)
 }
@@ -867,8 +875,8 @@
 /// Returns whether a step has a task that ran before and waits again.
 fn has_run_before(job: &Job, key: StepKey) -> bool {
     let step = job.step(key.occurrence, key.step);
-    let mut tasks = step.into_iter().flat_map(|step| &step.tasks);
-    tasks.any(|task| !task.done && task.assignments.is_empty() && task.last_run > 0)
+    let mut begun = step.into_iter().flat_map(|step| step.tasks.begun());
+    begun.any(|(_, task)| task.is_waiting() && task.last_run > 0)
 }
 
 impl JobInfo {
--- a/crates/coordination/src/jobs/placing/capacity.rs
+++ b/crates/coordination/src/jobs/placing/capacity.rs
@@ -459,9 +459,7 @@
 /// Returns the number of waiting tasks of a step.
 pub(in crate::jobs) fn waiting_tasks(job: &Job, step_key: StepKey) -> u32 {
     let step = job.step(step_key.occurrence, step_key.step);
-    let tasks = step.into_iter().flat_map(|step| &step.tasks);
-    let count = tasks.filter(|task| !task.done && task.assignments.is_empty()).count();
-    u32::try_from(count).unwrap_or(u32::MAX)
+    step.map_or(0, |step| step.tasks.waiting_len())
 }
 
 fn component_max(a: Resources, b: Resources) -> Resources {
--- a/crates/coordination/src/jobs/placing/compatibility.rs
+++ b/crates/coordination/src/jobs/placing/compatibility.rs
@@ -165,8 +165,10 @@
             return true;
         }
         let step = job.step(step_key.occurrence, step_key.step);
-        let mut incarnations =
-            step.into_iter().flat_map(|step| &step.tasks).flat_map(|t| &t.assignments);
+        let mut incarnations = step
+            .into_iter()
+            .flat_map(|step| step.tasks.assigned())
+            .flat_map(|(_, t)| &t.assignments);
         incarnations.all(|assignment| {
             self.runners.get(&assignment.incarnation).is_none_or(|r| r.rack == runner.rack)
         })
--- a/crates/coordination/src/jobs/placing/gangs.rs
+++ b/crates/coordination/src/jobs/placing/gangs.rs
@@ -82,28 +82,27 @@
         let job = self.state.job(step_key.job)?;
         let spec = job.spec.steps.get(usize::from(step_key.step))?;
         let step = job.step(step_key.occurrence, step_key.step)?;
-        let key = |index: usize| TaskKey {
+        let key = |index: u16| TaskKey {
             job: step_key.job,
             occurrence: step_key.occurrence,
             step: step_key.step,
-            index: u16::try_from(index).unwrap_or(u16::MAX),
+            index,
         };
-        let all_waiting = step.tasks.iter().enumerate().all(|(index, task)| {
-            !task.done
-                && task.assignments.is_empty()
-                && !self.starting.contains(key(index))
+        let may_start = |index: u16| {
+            !self.starting.contains(key(index))
                 && self.crash_suspicion(now, key(index)) != CrashSuspicion::HeldBack
-        });
-        if !all_waiting {
+        };
+        let all_waiting = step.tasks.waiting_len() == step.tasks.len();
+        if !all_waiting || !step.tasks.waiting().all(may_start) {
             return None;
         }
-        let run = step.tasks.iter().map(|task| task.last_run).max().unwrap_or(0) + 1;
+        let run = step.tasks.begun().map(|(_, task)| task.last_run).max().unwrap_or(0) + 1;
         let candidates = self.gang_candidates(now, job, spec, step);
         let incarnations = match self.cfg.policy.gangs.one_rack {
             Switch::On => assign_in_one_rack(spec, &candidates)?,
             Switch::Off => assign_members(spec, &candidates)?,
         };
-        let starts = incarnations.into_iter().enumerate();
+        let starts = (0..).zip(incarnations);
         Some(
             starts
                 .map(|(index, incarnation)| RunStart { task: key(index), run, incarnation })
@@ -113,7 +112,7 @@
 
     fn gang_candidates(&self, now: Now, job: &Job, spec: &StepSpec, step: &Step) -> Vec<&Runner> {
         let failed_on =
-            |incarnation| step.tasks.iter().any(|task| task.failed_on.contains(&incarnation));
+            |incarnation| step.tasks.begun().any(|(_, task)| task.failed_on.contains(&incarnation));
         let pool = self.pool_of(job);
         let fits = |runner: &&Runner| {
             runner.takes_tasks()
--- a/crates/coordination/src/jobs/placing/place.rs
+++ b/crates/coordination/src/jobs/placing/place.rs
@@ -9,7 +9,7 @@
 use crate::jobs::shares::QueueKey;
 use crate::jobs::suspects::CrashSuspicion;
 use yuccalink_state::Resources;
-use yuccalink_state::jobs::{IncarnationKey, Job, RunStart, StepSpec, TaskKey};
+use yuccalink_state::jobs::{IncarnationKey, Job, RunStart, StepSpec, TaskKey, Tasks};
 
 /// Most starts ordered in one response, which keeps the message small.
 const STARTS_MAX: usize = 64;
@@ -190,16 +190,12 @@
             // The next task goes to the job with the smallest share at the next ranking.
             slots_left = slots_left.min(1);
         }
-        let tasks = job.step(step_key.occurrence, step_key.step).map(|step| &*step.tasks);
-        for index in 0..step.count {
+        let unopened = Tasks::new(step.count);
+        let opened = job.step(step_key.occurrence, step_key.step);
+        for index in opened.map_or(&unopened, |step| &step.tasks).waiting() {
             if chosen.starts.len() >= chosen.starts_max || slots_left == 0 {
                 return;
             }
-            let state = tasks.and_then(|tasks| tasks.get(index as usize));
-            if state.is_some_and(|state| state.done || !state.assignments.is_empty()) {
-                continue;
-            }
-            let index = u16::try_from(index).unwrap_or(u16::MAX);
             let (occurrence, step_at) = (step_key.occurrence, step_key.step);
             let task = TaskKey { job: step_key.job, occurrence, step: step_at, index };
             if self.must_yield(info, chosen) {
--- a/crates/coordination/src/jobs/requests.rs
+++ b/crates/coordination/src/jobs/requests.rs
@@ -11,3 +11,4 @@
 pub(super) mod refusal;
 pub(super) mod remembered;
 pub mod returning;
+pub mod room;
--- a/crates/coordination/src/jobs/requests/callers.rs
+++ b/crates/coordination/src/jobs/requests/callers.rs
@@ -116,7 +116,7 @@
         }
         let Some(queue) = self.routes.route(&at.host, &at.path).cloned() else {
             // An earlier copy was, or may be, accepted before its queue was removed.
-            let may_run = self.state.job(id).is_some() || self.submitting.contains(&id);
+            let may_run = self.state.job(id).is_some() || self.submitting.contains(id);
             return Some(if may_run { CellResponse::Unknown } else { CellResponse::NoQueue });
         };
         if self.state.job(id).is_some() {
@@ -126,13 +126,27 @@
         if let Err(error) = spec.check() {
             return Some(CellResponse::Invalid(error.to_string().into()));
         }
-        if let Some(after_ms) = self.overload_retry_ms() {
+        let memory = spec.memory();
+        let shortage = match self.overload_retry_ms() {
+            Some(after_ms) => Some((after_ms, "log")),
+            None => self.memory_retry_ms(&queue.name, memory).map(|ms| (ms, "memory")),
+        };
+        if let Some((after_ms, why)) = shortage {
             // An earlier copy of the request may be accepted after this one is refused.
-            if self.submitting.contains(&id) {
+            if self.submitting.contains(id) {
                 return Some(CellResponse::Unknown);
             }
-            log::info!("job={id} queue={} refused after-ms={after_ms}", queue.name);
             self.counts.refused += 1;
+            if self.refusal_log.may_log(now.at) {
+                log::info!(
+                    "job={id} queue={} refused after-ms={after_ms} why={why} memory={memory} \
+                     queue-memory={} jobs-memory={} limit={}",
+                    queue.name,
+                    self.state.memory().of_queue(&queue.name),
+                    self.state.memory().total(),
+                    self.memory_limit()
+                );
+            }
             return Some(CellResponse::Refused { after_ms });
         }
         if let Some(answer) = self.refuse(now, &queue, id, spec) {
@@ -146,7 +160,7 @@
             at_ms: now.unix_ms,
             spec: JobSpec::clone(spec),
         };
-        self.submitting.insert(id);
+        self.submitting.add(&submit);
         self.propose(JobCommand::Submit(Box::new(submit)), OnCommit::Submitted { id, token });
         None
     }
--- a/crates/coordination/src/jobs/requests/cancellation.rs
+++ b/crates/coordination/src/jobs/requests/cancellation.rs
@@ -71,7 +71,7 @@
     pub(in crate::jobs) fn found(&self, id: JobId) -> Found {
         match self.state.job(id) {
             Some(job) => Found::Job(JobState::of(job)),
-            None if self.submitting.contains(&id) => Found::UnderWay,
+            None if self.submitting.contains(id) => Found::UnderWay,
             None => Found::Unknown,
         }
     }
--- a/crates/coordination/src/jobs/requests/refusal.rs
+++ b/crates/coordination/src/jobs/requests/refusal.rs
@@ -32,7 +32,8 @@
 }
 
 impl RefusalLog {
-    fn refused(&mut self, now: Moment, queue: &str, id: JobId, refusal: &Refusal) {
+    /// Whether a refusal may be logged now.
+    pub(in crate::jobs) fn may_log(&mut self, now: Moment) -> bool {
         if now.since(self.since) >= LOG_INTERVAL {
             if self.left_out > 0 {
                 log::info!("refusals not logged={}", self.left_out);
@@ -41,9 +42,16 @@
         }
         if self.lines >= LOG_LINES_MAX {
             self.left_out += 1;
-            return;
+            return false;
         }
         self.lines += 1;
+        true
+    }
+
+    fn refused(&mut self, now: Moment, queue: &str, id: JobId, refusal: &Refusal) {
+        if !self.may_log(now) {
+            return;
+        }
         log::info!(
             "job={id} queue={queue} refused after-ms={} why=too-late wait={:?} least-wait={:?} \
              worthless-after={:?} outcomes={}",
@@ -71,7 +79,7 @@
         id: JobId,
         spec: &JobSpec,
     ) -> Option<CellResponse> {
-        if self.submitting.contains(&id) {
+        if self.submitting.contains(id) {
             // An earlier copy was admitted.
             return None;
         }
--- a/crates/coordination/src/jobs/runners/suspects.rs
+++ b/crates/coordination/src/jobs/runners/suspects.rs
@@ -143,11 +143,8 @@
         }
         let Some(job) = self.state.job(task.job) else { return false };
         let step = job.step(task.occurrence, task.step);
-        let works = |(index, state): (usize, &Task)| {
-            let index = u16::try_from(index).unwrap_or(u16::MAX);
-            state.done || self.is_listed(TaskKey { index, ..task }, state)
-        };
-        step.is_some_and(|step| !step.tasks.iter().enumerate().any(works))
+        let works = |(index, state): (u16, &Task)| self.is_listed(TaskKey { index, ..task }, state);
+        step.is_some_and(|step| !step.tasks.any_done() && !step.tasks.assigned().any(works))
     }
 
     /// Whether a runner lists a task as running.
--- a/crates/coordination/src/jobs/telemetry.rs
+++ b/crates/coordination/src/jobs/telemetry.rs
@@ -43,6 +43,9 @@
     pub brief_heartbeats: u64,
     /// Requests that expired while they waited for the leader.
     pub expired: u64,
+    /// Submissions for which there was no memory; also counted in `refused` unless an earlier copy
+    /// was under way.
+    pub refused_for_memory: u64,
     /// Submissions that were refused because commits stalled.
     pub refused_stalled: u64,
     /// Runners scanned other than the reporting ones. The work for one job, task or report
@@ -119,7 +122,7 @@
         }
         log::info!(
             "load runners={} leaving={} serving={} mixed={} paced={} runs={} filling-runners={:.1} \
-             free-cores={} over={} down={} evacuated={} waiting-steps={} waiting-tasks={}",
+             free-cores={} over={} down={} evacuated={} waiting-steps={} waiting-tasks={} jobs-memory={}",
             load.runners,
             load.leaving,
             load.serving,
@@ -132,7 +135,8 @@
             self.moving_long_running,
             load.evacuated,
             self.ready.len(),
-            self.ready.waiting_tasks(&self.state)
+            self.ready.waiting_tasks(&self.state),
+            self.state.memory().total()
         );
     }
 
@@ -192,8 +196,8 @@
             .occurrences
             .iter()
             .flat_map(|occurrence| &occurrence.steps)
-            .flat_map(|step| &step.tasks)
-            .map(|task| task.failures)
+            .flat_map(|step| step.tasks.begun())
+            .map(|(_, task)| task.failures)
             .sum();
         let losses = self.state.losses();
         let given_up = losses.of_job(id).any(|(task, _)| self.state.exceeds_loss_limit(task));
--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -49,6 +49,8 @@
 pub const SNAPSHOT_MAX_BYTES: usize = 1024 * 1024 * 1024;
 /// Log entries kept before the snapshot for followers that are slightly behind.
 pub const RETAINED_LOG_ENTRIES: u64 = 4_096;
+/// Maximum size of the log entries kept before the snapshot, in bytes.
+pub const RETAINED_LOG_BYTES: usize = 4 * 1024 * 1024;
 /// A learner may become a voter once it is at most this many entries behind.
 pub const CAUGHT_UP_ENTRIES: u64 = 64;
 
--- a/crates/coordination/src/raft/log.rs
+++ b/crates/coordination/src/raft/log.rs
@@ -137,6 +137,20 @@
         members.clone()
     }
 
+    /// First index before `index` such that the entries after it are at most `entries` and have at
+    /// most `bytes`.
+    pub(super) fn retained_from(&self, index: u64, entries: u64, bytes: usize) -> u64 {
+        let (mut base, mut size) = (index, 0);
+        while base > self.base && index - base < entries {
+            size += self.get(base).map_or(0, LogEntry::size);
+            if size > bytes {
+                break;
+            }
+            base -= 1;
+        }
+        base
+    }
+
     /// Removes all entries up to `index`.
     pub(super) fn compact(&mut self, index: u64) {
         let index = index.min(self.last());
--- a/crates/coordination/src/raft/snapshots.rs
+++ b/crates/coordination/src/raft/snapshots.rs
@@ -26,10 +26,11 @@
     }
 
     /// Removes entries that a durable snapshot at `index` contains, except the last `keep`, which
-    /// serve followers that are slightly behind; see [`RETAINED_LOG_ENTRIES`].
+    /// serve followers that are slightly behind; see [`RETAINED_LOG_ENTRIES`] and
+    /// [`RETAINED_LOG_BYTES`].
     pub fn compact(&mut self, index: u64, keep: u64) {
-        let base = index.min(self.delivered).saturating_sub(keep);
-        self.log.compact(base);
+        let index = index.min(self.delivered).min(self.log.last());
+        self.log.compact(self.log.retained_from(index, keep, RETAINED_LOG_BYTES));
     }
 
     pub(super) fn send_chunk(&mut self, now: Moment, to: ReplicaId, offset: u64) {
--- a/crates/coordination/tests/cell/harness.rs
+++ b/crates/coordination/tests/cell/harness.rs
@@ -108,6 +108,15 @@
         own.map(|(_, response)| response).expect("a response")
     }
 
+    /// Sends a request without committing anything; its response, if there is one already.
+    pub fn send(&mut self, request: CellRequest) -> Option<CellResponse> {
+        self.last_token += 1;
+        let token = RequestToken(self.last_token);
+        self.leader.handle_request(Self::now_at(self.now), token, request);
+        let responses = self.leader.take_answers();
+        responses.into_iter().find(|(of, _)| *of == token).map(|(_, response)| response)
+    }
+
     pub fn commit(&mut self) {
         loop {
             let commands = self.leader.next_batch(100);
--- a/crates/coordination/tests/raft_guards.rs
+++ b/crates/coordination/tests/raft_guards.rs
@@ -8,8 +8,8 @@
 use sync::sync_and_take_messages;
 use yuccalink_coordination::Moment;
 use yuccalink_coordination::raft::{
-    Envelope, HardState, LogEntry, Member, Members, Message, NotProposed, Payload, Raft, ReplicaId,
-    Restored, Role, SnapshotMeta,
+    Envelope, HardState, LogEntry, Member, Members, Message, NotProposed, Payload,
+    RETAINED_LOG_BYTES, RETAINED_LOG_ENTRIES, Raft, ReplicaId, Restored, Role, SnapshotMeta,
 };
 use yuccalink_state::id::Name;
 
@@ -377,3 +377,22 @@
     assert_eq!((leader.role(), leader.term()), (Role::Follower, term));
     assert!(!leader.has_lease(at(901)));
 }
+
+/// Guards against a log in memory that keeps a number of entries whatever their size.
+#[test]
+fn few_of_the_entries_before_a_snapshot_are_kept_if_they_are_large() {
+    const ENTRY_BYTES: usize = 256 * 1024;
+    const ENTRIES: u64 = 40;
+    let first = LogEntry { term: 1, payload: Payload::Members(members(&[A, B, C])) };
+    let large = LogEntry { term: 1, payload: Payload::Command(vec![0; ENTRY_BYTES].into()) };
+    let entries = std::iter::once(first).chain((1..ENTRIES).map(|_| large.clone())).collect();
+    let hard = HardState { term: 3, vote: None };
+    let mut leader = Raft::new(A, Restored { hard, entries, ..Restored::default() }, 7, START);
+    let term = elect(&mut leader, at(900));
+    let (index, echo) = (leader.last(), at(900));
+    step(&mut leader, at(901), B, Message::AppendReply { term, ok: true, index, echo });
+    assert_eq!(leader.commit(), index);
+    leader.compact(index, RETAINED_LOG_ENTRIES);
+    let kept = (1..=index).filter(|index| leader.term_at(*index).is_some()).count();
+    assert!((2..=RETAINED_LOG_BYTES / ENTRY_BYTES + 2).contains(&kept), "{kept} entries");
+}
--- a/crates/daemon/src/cell/config.rs
+++ b/crates/daemon/src/cell/config.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 use yuccalink_coordination::jobs::LeaderConfig;
 use yuccalink_coordination::jobs::policy::Policy;
+use yuccalink_coordination::jobs::room::{JobRoom, PROCESS_MEMORY};
 
 /// Default limit of concurrent connections. A process usually has 1,024 file descriptors, some
 /// of which are needed for other processes of the cell, files and the load balancer.
 const CONNECTIONS_MAX: usize = 800;
+/// Least memory that a process can work with, in bytes.
+const MEMORY_MIN: u64 = 32 << 20;
 
 /// Configuration of one process, created by [`CellConfigBuilder`].
 #[derive(Clone, Debug)]
@@ -29,6 +32,8 @@
     pub(crate) leader: LeaderConfig,
     pub(crate) drain: Duration,
     pub(crate) connections_max: usize,
+    /// Memory that the process may use, in bytes.
+    pub(crate) memory: u64,
 }
 
 /// Builds a [`CellConfig`].
@@ -62,6 +67,7 @@
             leader: LeaderConfig::default(),
             drain: Duration::from_millis(3_000),
             connections_max: CONNECTIONS_MAX,
+            memory: PROCESS_MEMORY,
         })
     }
 }
@@ -169,6 +175,14 @@
         self
     }
 
+    /// Sets the memory that this process may use, in bytes.
+    #[must_use]
+    pub fn memory(mut self, bytes: u64) -> Self {
+        self.0.memory = bytes;
+        self.0.leader.room = JobRoom::of_process(bytes);
+        self
+    }
+
     /// Sets the scheduling policy of the leader.
     #[must_use]
     pub fn policy(mut self, policy: Policy) -> Self {
@@ -210,6 +224,9 @@
                 "the process has no address for callers, runners or operators; set one",
             );
         }
+        if config.memory < MEMORY_MIN {
+            return invalid("memory-mb", "the process cannot work with so little; set at least 32");
+        }
         if config.connections_max == 0 {
             return invalid("connections-max", "0 allows no connection; set at least 1");
         }
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -72,6 +72,9 @@
             let values = [
                 ("jobs_accepted", counts.accepted),
                 ("jobs_refused", counts.refused),
+                ("jobs_refused_for_memory", counts.refused_for_memory),
+                ("jobs_memory_bytes", leader.state().memory().total()),
+                ("jobs_memory_limit_bytes", leader.memory_limit()),
                 ("jobs_refused_by_forecast", counts.admission.refused),
                 ("jobs_refused_again", counts.admission.repeated),
                 ("jobs_refused_oversized", counts.oversized),
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -14,6 +14,7 @@
 use yuccalink_coordination::jobs::JobState;
 use yuccalink_state::jobs::JobId;
 use yuccalink_state::jobs::settings::QueueView;
+use yuccalink_state::jobs::spec::{STEPS_MAX, TASKS_MAX};
 use yuccalink_transport::http::{Method, Request, Uri, header};
 use yuccalink_transport::pool::{Pool, PoolSettings};
 
@@ -26,6 +27,8 @@
 const QUEUE: &str = "q";
 /// Queue of the burst of jobs.
 const BURST_QUEUE: &str = "burst";
+/// Jobs of the most steps and tasks that can never be done.
+const WIDE_JOBS: u64 = 10;
 /// Additional queues of a large change set, about 350 KB of JSON.
 const LARGE_CHANGE_QUEUES: usize = 2_400;
 
@@ -155,17 +158,29 @@
     }
 }
 
-/// Submits a job that can never be done, again until it is accepted: no runner is large enough for
-/// its task, and a million of its occurrences are due.
+/// Submits jobs that can never be done, each again until it is accepted, because no runner is large
+/// enough for their tasks: one of which a million occurrences are due, and some of the most steps
+/// and tasks.
 pub(crate) async fn submit_hopeless(mut client: Client) {
-    let step = json!({
-        "count": 1,
-        "need": { "millicores": 48_000, "memory-mib": 100 },
-        "estimate-ms": 400,
-    });
+    let step = |count: u32| {
+        json!({
+            "count": count,
+            "need": { "millicores": 48_000, "memory-mib": 100 },
+            "estimate-ms": 400,
+        })
+    };
     let schedule = json!({ "first-ms": 0, "interval-ms": 60_000, "count": 1_000_000 });
-    let body = json!({ "payload": "work", "steps": [step], "schedule": schedule }).to_string();
-    let path = format!("/{BURST_QUEUE}/{}", JobId(1));
+    let due = json!({ "payload": "work", "steps": [step(1)], "schedule": schedule }).to_string();
+    submit_until_accepted(&mut client, JobId(1), due).await;
+    let steps: Vec<Value> = (0..STEPS_MAX).map(|_| step(TASKS_MAX)).collect();
+    let wide = json!({ "payload": "work", "steps": steps }).to_string();
+    for id in 2..2 + WIDE_JOBS {
+        submit_until_accepted(&mut client, JobId(id), wide.clone()).await;
+    }
+}
+
+async fn submit_until_accepted(client: &mut Client, id: JobId, body: String) {
+    let path = format!("/{BURST_QUEUE}/{id}");
     while !matches!(
         client.send(Method::POST, &path, body.clone().into_bytes()).await,
         Some((200, _))
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -166,6 +166,7 @@
     let cancels = cancels.await.map_err(io::Error::other)?;
     cancellers::finish(cancels, recovery_max, &watch).await;
     tokio::time::sleep(DISK_CATCH_UP).await;
+    check_memory(&system, &watch);
     if settings.cancels {
         let blackout = Blackout::draw(*seed, *disks, tolerated_losses);
         blackout::inject_and_check(blackout, &system, &watch, operator, recovery_max).await?;
@@ -204,6 +205,7 @@
     let began = Instant::now();
     for planned in &plan.0 {
         tokio::time::sleep_until(began + planned.at).await;
+        check_memory(system, watch);
         let ended_unexpectedly = system.borrow_mut().ended_unexpectedly();
         if !ended_unexpectedly.is_empty() {
             watch
@@ -218,6 +220,14 @@
     fault_tasks
 }
 
+fn check_memory(system: &SharedSystem, watch: &SharedWatch) {
+    let over_memory = system.borrow().over_memory();
+    if !over_memory.is_empty() {
+        let violation = format!("processes {over_memory:?} used more than their memory");
+        watch.borrow_mut().report.violations.push(violation);
+    }
+}
+
 async fn apply_fault(planned: PlannedFault, system: SharedSystem, watch: SharedWatch) {
     let PlannedFault { node, fault, .. } = planned;
     let proxy_faults = system.borrow().proxy_faults[node].clone();
--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -14,6 +14,8 @@
 const PEER: u16 = 8_082;
 const PROXY: u16 = 8_083;
 const METRICS: u16 = 8_084;
+/// Memory that each process may use.
+const MEMORY_MIB: u64 = 128;
 
 pub(crate) struct System {
     program: PathBuf,
@@ -107,6 +109,7 @@
             .args(["--control", &self.address(at, CONTROL).to_string()])
             .args(["--metrics", &self.address(at, METRICS).to_string()])
             .args(["--seeds", &seeds.join(","), "--drain", "1s"])
+            .args(["--memory-mb", &MEMORY_MIB.to_string()])
             .args(["--losses", &self.tolerated_losses.to_string()])
             .args(["--found", if bootstrap { "yes" } else { "no" }])
             .stdin(Stdio::null())
@@ -180,6 +183,22 @@
     }
 }
 
+impl System {
+    /// Returns the running processes that used more than their memory since they started.
+    pub(crate) fn over_memory(&self) -> Vec<usize> {
+        let running = self.children.iter().enumerate();
+        let over = |child: &Child| peak_mib(child.id()).is_some_and(|mib| mib > MEMORY_MIB);
+        running.filter_map(|(at, child)| child.as_ref().is_some_and(over).then_some(at)).collect()
+    }
+}
+
+/// Most memory that a process had resident; `None` if it has just ended.
+fn peak_mib(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    Some(line.split_whitespace().next()?.parse::<u64>().ok()? / 1_024)
+}
+
 impl Drop for System {
     fn drop(&mut self) {
         for at in 0..self.nodes {
--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -9,12 +9,15 @@
 mod cancellations;
 pub mod change;
 pub mod command;
+mod job;
 mod knowledge;
 pub mod loss;
+mod memory;
 pub mod settings;
 pub mod spec;
 mod table;
 pub mod task;
+mod tasks;
 mod wave;
 
 pub use cancellations::{CANCELLATIONS_MAX, Cancellations};
@@ -23,10 +26,13 @@
     JobCommand, JobOutcome, JobSubmission, PairWeight, RunEnd, RunOutcome, RunStart,
     RunnerIncarnation, Wave,
 };
+pub use job::{COPIES_MAX, Job, JobPhase, Occurrence, Step};
 pub use knowledge::{DelaySummary, DistrustSummary, Knowledge, MarginSummary, ReserveSummary};
 pub use loss::{Crashes, Loss, LossEvidence, Losses, RunnerFate};
+pub use memory::MemoryUse;
 pub use settings::{ConfiguredChangeSet, QueueSettings};
 pub use spec::{JobSpec, Schedule, StepSpec};
-pub use table::{CellState, Job, JobPhase, Occurrence, Step};
+pub use table::CellState;
 pub use task::{IncarnationKey, JobId, RunAssignment, Task, TaskKey};
+pub use tasks::Tasks;
 pub use wave::WaveState;
--- a/crates/state/src/jobs/table.rs
+++ b/crates/state/src/jobs/table.rs
@@ -6,80 +6,18 @@
     JobCommand, JobOutcome, JobSubmission, PairWeight, RunEnd, RunOutcome, RunStart,
     RunnerIncarnation,
 };
+use super::job::{Job, JobPhase};
 use super::loss::{Loss, LossEvidence, Losses, RunnerFate};
+use super::memory::MemoryUse;
 use super::settings::{ConfiguredChangeSet, QueueSettings};
-use super::spec::{JobSpec, StepSpec};
-use super::task::{IncarnationKey, JobId, RunAssignment, Task, TaskKey};
+use super::spec::StepSpec;
+use super::task::{IncarnationKey, JobId, Task, TaskKey};
 use super::wave::WaveState;
 use crate::evacuation::Evacuations;
 use crate::snapshot;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// Maximum number of runs of one speculative task that may be active at once.
-pub const COPIES_MAX: usize = 2;
-
-/// The phase of a job.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum JobPhase {
-    /// The job has tasks that are waiting, running or not yet due.
-    #[default]
-    Active,
-    /// All tasks of the job are done.
-    Completed,
-    /// A task of the job failed, or lost runners, too often.
-    Failed,
-    /// The job's caller cancelled it.
-    Cancelled,
-}
-
-/// A job and its state.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Job {
-    /// Name of the job's queue; follows the queue when a change set renames it.
-    pub queue: Box<str>,
-    /// The queue's pool at submission.
-    pub pool: Box<str>,
-    /// Number of failed runs of one task at which the job fails.
-    pub attempts: u32,
-    /// Time of the submission, in Unix milliseconds.
-    pub at_ms: u64,
-    /// The steps to run.
-    pub spec: JobSpec,
-    /// The job's phase.
-    pub phase: JobPhase,
-    /// Time at which the job ended, in Unix milliseconds; 0 while it is active.
-    pub ended_ms: u64,
-    /// Whether any task of the job was ever started.
-    pub begun: bool,
-    /// Occurrences that were opened, from the first on.
-    pub occurrences: Vec<Occurrence>,
-    /// Number of occurrences that are done.
-    pub finished: u32,
-    /// Opened occurrences with tasks that are not done or runs that may be running.
-    #[serde(skip)]
-    unfinished: BTreeSet<u32>,
-}
-
-/// One of the times that a job runs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Occurrence {
-    /// The steps, in the order of the job's specification.
-    pub steps: Vec<Step>,
-}
-
-/// The tasks of one step.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Step {
-    /// Number of tasks that are not done.
-    pub left: u32,
-    /// The tasks, in the order of their numbers.
-    pub tasks: Vec<Task>,
-    /// Number of runs that may be running.
-    #[serde(skip)]
-    assigned: u32,
-}
-
 /// The replicated state of a job cell: its jobs, its runner incarnations, the change set in
 /// force, the learnt interference of images and the maintenance waves.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -96,6 +34,8 @@
     /// Incarnations by the name of their runner.
     #[serde(skip)]
     incarnations_by_id: HashMap<Box<str>, Vec<IncarnationKey>>,
+    #[serde(skip)]
+    memory: MemoryUse,
     /// Behind the fields of earlier releases, so that their states can be read.
     #[serde(deserialize_with = "snapshot::added_field")]
     losses: Losses,
@@ -147,7 +87,7 @@
     /// The task with this key, if its occurrence was opened.
     pub fn task(&self, key: TaskKey) -> Option<&Task> {
         let step = self.jobs.get(&key.job)?.step(key.occurrence, key.step)?;
-        step.tasks.get(usize::from(key.index))
+        step.tasks.get(key.index)
     }
 
     /// The specification of a task's step.
@@ -177,6 +117,18 @@
             .map(|(task, run)| (*task, *run))
     }
 
+    /// Estimate of the memory that the jobs take.
+    pub fn memory(&self) -> &MemoryUse {
+        &self.memory
+    }
+
+    /// Whether each step is listed task by task in a snapshot, so that earlier releases can read
+    /// it.
+    pub(crate) fn lists_all_tasks(&self) -> bool {
+        let occurrences = self.jobs.values().flat_map(|job| &job.occurrences);
+        occurrences.flat_map(|occurrence| &occurrence.steps).all(|step| step.tasks.is_listed())
+    }
+
     /// Runs that ended because their runner was lost.
     pub fn losses(&self) -> &Losses {
         &self.losses
@@ -318,8 +270,10 @@
             let keys = self.incarnations_by_id.entry(incarnation.id.clone()).or_default();
             keys.push(incarnation_key(at));
         }
+        self.memory = MemoryUse::default();
         for job in self.jobs.values_mut() {
             job.reindex();
+            self.memory.replace(&job.queue, 0, job.memory());
         }
         for (id, job) in &self.jobs {
             for (task, assignment) in job.assignments(*id) {
@@ -343,7 +297,9 @@
             let jobs = self.jobs.values_mut().filter(|_| !renamed.is_empty());
             for job in jobs {
                 if let Some(name) = renamed.get(&*job.queue) {
+                    self.memory.replace(&job.queue, job.memory(), 0);
                     job.queue = (*name).into();
+                    self.memory.replace(&job.queue, 0, job.memory());
                 }
             }
         }
@@ -353,29 +309,18 @@
     }
 
     fn submit(&mut self, submission: JobSubmission) -> bool {
-        let JobSubmission { id, queue, pool, attempts, at_ms, spec } = submission;
+        let (id, at_ms) = (submission.id, submission.at_ms);
         if self.jobs.contains_key(&id) {
             return false;
         }
         let was_cancelled = self.cancellations.remove(id);
-        let mut job = Job {
-            queue,
-            pool,
-            attempts: attempts.max(1),
-            at_ms,
-            spec,
-            phase: JobPhase::Active,
-            ended_ms: 0,
-            begun: false,
-            occurrences: Vec::new(),
-            finished: 0,
-            unfinished: BTreeSet::new(),
-        };
+        let mut job = Job::new(submission);
         if was_cancelled {
             job.finish(JobPhase::Cancelled, at_ms);
         } else if job.spec.schedule.is_none() {
             job.open_through(0);
         }
+        self.memory.replace(&job.queue, 0, job.memory());
         self.jobs.insert(id, job);
         !was_cancelled
     }
@@ -443,74 +388,36 @@
     }
 
     fn start(&mut self, start: RunStart) -> bool {
-        let RunStart { task: key, run, incarnation } = start;
-        if self.assigned_runs.len() <= incarnation.0 as usize {
-            return false;
-        }
-        let Some(job) = self.jobs.get_mut(&key.job) else { return false };
-        if job.phase != JobPhase::Active || key.occurrence >= job.spec.occurrences() {
-            return false;
-        }
-        job.open_through(key.occurrence);
-        if !job.may_run(key.occurrence, key.step) {
-            return false;
-        }
-        let speculative =
-            job.spec.steps.get(usize::from(key.step)).is_some_and(|step| step.speculative);
-        let copies = if speculative { COPIES_MAX } else { 1 };
-        if job.spec.steps.get(usize::from(key.step)).is_some_and(|step| step.gang) {
-            job.share_checkpoint(key);
-        }
-        let Some(task) = job.task_mut(key) else { return false };
-        let already_here =
-            task.assignments.iter().any(|assignment| assignment.incarnation == incarnation);
-        if task.done || run <= task.last_run || task.assignments.len() >= copies || already_here {
+        let Some(runs) = self.assigned_runs.get_mut(start.incarnation.0 as usize) else {
             return false;
+        };
+        let Some(job) = self.jobs.get_mut(&start.task.job) else { return false };
+        let before = job.memory();
+        let started = job.start(start);
+        self.memory.replace(&job.queue, before, job.memory());
+        if started {
+            runs.insert(start.task, start.run);
         }
-        task.last_run = run;
-        task.assignments.push(RunAssignment { run, incarnation });
-        job.count_assigned(key, 1);
-        job.begun = true;
-        self.assigned_runs[incarnation.0 as usize].insert(key, run);
-        true
+        started
     }
 
     fn end(&mut self, end: &RunEnd, at_ms: u64) {
         let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
-        let Some(spec) = job.spec.steps.get(usize::from(end.task.step)) else { return };
-        let (long_running, gang) = (spec.long_running, spec.gang);
-        let attempts = job.attempts;
-        let Some(task) = job.task_mut(end.task) else { return };
-        let ended = RunAssignment { run: end.run, incarnation: end.incarnation };
-        let Some(at) = task.assignments.iter().position(|assignment| *assignment == ended) else {
+        let (was_active, before) = (job.phase == JobPhase::Active, job.memory());
+        let ended = job.end(end, at_ms);
+        self.memory.replace(&job.queue, before, job.memory());
+        if !ended {
             return;
-        };
-        task.assignments.swap_remove(at);
-        if !end.checkpoint.is_empty() {
-            task.checkpoint = end.checkpoint.clone();
-        }
-        let mut failed = false;
-        if end.outcome == RunOutcome::Failed {
-            task.failures += 1;
-            if !task.failed_on.contains(&end.incarnation) {
-                task.failed_on.push(end.incarnation);
-            }
-            let failures = if gang { job.failures_of_step(end.task) } else { task.failures };
-            failed = !long_running && failures >= attempts;
         }
         if let Some(runs) = self.assigned_runs.get_mut(end.incarnation.0 as usize) {
             runs.remove(&end.task);
         }
-        job.count_assigned(end.task, -1);
-        if job.phase != JobPhase::Active {
+        if !was_active {
             return;
         }
+        let long_running = self.step_spec(end.task).is_some_and(|step| step.long_running);
         if end.outcome == RunOutcome::Done && !long_running {
-            job.mark_done(end.task, gang, at_ms);
-            job.close_if_ended(end.task.occurrence);
             self.losses.remove(end.task);
-        } else if failed {
-            job.finish(JobPhase::Failed, at_ms);
         }
         if let Some(loss) = loss_of(end, at_ms) {
             self.losses.add(end.task, loss);
@@ -521,6 +428,7 @@
     fn forget(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         if job.phase != JobPhase::Active && job.assignments(id).next().is_none() {
+            self.memory.replace(&job.queue, job.memory(), 0);
             self.jobs.remove(&id);
             self.losses.remove_job(id);
         }
@@ -542,173 +450,6 @@
     }
 }
 
-impl Step {
-    /// Whether all tasks of a gang's step are assigned under one run.
-    pub fn runs_whole(&self, run: u32) -> bool {
-        let first = self.tasks.first().into_iter().flat_map(|task| &task.assignments);
-        // The members start together under one number, and none has a copy.
-        self.assigned == count_u32(&self.tasks) && first.into_iter().any(|first| first.run == run)
-    }
-}
-
-impl Occurrence {
-    /// Whether all tasks are done and no run may be running.
-    fn has_ended(&self) -> bool {
-        self.steps.iter().all(|step| step.left == 0 && step.assigned == 0)
-    }
-}
-
-impl Job {
-    /// Opens all occurrences up to `last`: adds their steps and tasks.
-    fn open_through(&mut self, last: u32) {
-        for occurrence in self.opened()..=last {
-            let steps = self.spec.steps.iter().map(|spec| Step {
-                left: spec.count,
-                tasks: vec![Task::default(); spec.count as usize],
-                assigned: 0,
-            });
-            self.occurrences.push(Occurrence { steps: steps.collect() });
-            self.unfinished.insert(occurrence);
-        }
-    }
-
-    /// Number of occurrences that were opened, from the first on.
-    pub fn opened(&self) -> u32 {
-        u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX)
-    }
-
-    /// The opened occurrences with tasks that are not done or runs that may be running, by their
-    /// numbers.
-    pub fn unfinished(&self) -> impl Iterator<Item = (u32, &Occurrence)> {
-        self.unfinished.iter().filter_map(|k| Some((*k, self.occurrences.get(*k as usize)?)))
-    }
-
-    /// The runs that may be running, by their tasks.
-    pub fn assignments(&self, id: JobId) -> impl Iterator<Item = (TaskKey, RunAssignment)> {
-        let steps = self.unfinished().flat_map(|(occurrence, found)| {
-            (0_u16..).zip(&found.steps).map(move |(step, found)| (occurrence, step, found))
-        });
-        let assigned = steps.filter(|(_, _, step)| step.assigned > 0);
-        assigned.flat_map(move |(occurrence, step, found)| {
-            (0_u16..).zip(&found.tasks).flat_map(move |(index, task)| {
-                let key = TaskKey { job: id, occurrence, step, index };
-                task.assignments.iter().map(move |assignment| (key, *assignment))
-            })
-        })
-    }
-
-    fn reindex(&mut self) {
-        for step in self.occurrences.iter_mut().flat_map(|occurrence| &mut occurrence.steps) {
-            step.assigned = step.tasks.iter().map(|task| count_u32(&task.assignments)).sum();
-        }
-        let unfinished = (0..).zip(&self.occurrences).filter(|(_, found)| !found.has_ended());
-        self.unfinished = unfinished.map(|(k, _)| k).collect();
-    }
-
-    /// Counts a run of a task that was assigned or has ended.
-    fn count_assigned(&mut self, key: TaskKey, change: i32) {
-        let occurrence = self.occurrences.get_mut(key.occurrence as usize);
-        let step = occurrence.and_then(|found| found.steps.get_mut(usize::from(key.step)));
-        if let Some(step) = step {
-            step.assigned = step.assigned.saturating_add_signed(change);
-        }
-        self.close_if_ended(key.occurrence);
-    }
-
-    fn close_if_ended(&mut self, occurrence: u32) {
-        if self.occurrences.get(occurrence as usize).is_some_and(Occurrence::has_ended) {
-            self.unfinished.remove(&occurrence);
-        }
-    }
-
-    fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
-        let occurrence = self.occurrences.get_mut(key.occurrence as usize)?;
-        occurrence.steps.get_mut(usize::from(key.step))?.tasks.get_mut(usize::from(key.index))
-    }
-
-    /// The tasks of a step, if its occurrence was opened.
-    pub fn step(&self, occurrence: u32, step: u16) -> Option<&Step> {
-        self.occurrences.get(occurrence as usize)?.steps.get(usize::from(step))
-    }
-
-    /// Whether all steps that `step` depends on are done.
-    ///
-    /// ```
-    /// use yuccalink_state::jobs::*;
-    /// let one = StepSpec { count: 1, ..StepSpec::default() };
-    /// let two = StepSpec { count: 1, depends_on: vec![0], ..StepSpec::default() };
-    /// let spec = JobSpec { steps: vec![one, two], ..JobSpec::default() };
-    /// let submission = JobSubmission {
-    ///     id: JobId(1), queue: "q".into(), pool: "p".into(), attempts: 2, at_ms: 0, spec,
-    /// };
-    /// let mut jobs = CellState::new();
-    /// jobs.apply(JobCommand::Submit(Box::new(submission)));
-    /// let job = jobs.job(JobId(1)).unwrap();
-    /// assert!(job.may_run(0, 0) && !job.may_run(0, 1));
-    /// ```
-    pub fn may_run(&self, occurrence: u32, step: u16) -> bool {
-        let Some(spec) = self.spec.steps.get(usize::from(step)) else { return false };
-        let Some(found) = self.occurrences.get(occurrence as usize) else {
-            return spec.depends_on.is_empty();
-        };
-        let done = |step: &u16| found.steps.get(usize::from(*step)).is_some_and(|s| s.left == 0);
-        spec.depends_on.iter().all(done)
-    }
-
-    /// Sums the failures of all tasks of a step, because a gang fails as a whole.
-    fn failures_of_step(&self, key: TaskKey) -> u32 {
-        let step = self.step(key.occurrence, key.step);
-        step.into_iter().flat_map(|step| &step.tasks).map(|task| task.failures).sum()
-    }
-
-    /// Gives all members of a gang the checkpoint of the first member that has one, because
-    /// they must resume from the same checkpoint.
-    fn share_checkpoint(&mut self, key: TaskKey) {
-        let occurrence = self.occurrences.get_mut(key.occurrence as usize);
-        let Some(step) = occurrence.and_then(|found| found.steps.get_mut(usize::from(key.step)))
-        else {
-            return;
-        };
-        if step.assigned > 0 {
-            // The first member to start has shared it.
-            return;
-        }
-        let checkpoint = step.tasks.iter().find(|task| !task.checkpoint.is_empty());
-        let Some(checkpoint) = checkpoint.map(|task| task.checkpoint.clone()) else { return };
-        for task in &mut step.tasks {
-            task.checkpoint.clone_from(&checkpoint);
-        }
-    }
-
-    fn mark_done(&mut self, key: TaskKey, gang: bool, at_ms: u64) {
-        let Some(occurrence) = self.occurrences.get_mut(key.occurrence as usize) else { return };
-        let Some(step) = occurrence.steps.get_mut(usize::from(key.step)) else { return };
-        if step.tasks.get(usize::from(key.index)).is_none_or(|task| task.done) {
-            // The end of another copy, or of another member of its gang, came first.
-            return;
-        }
-        // When one member of a gang is done, the whole gang is done.
-        let gang_len = if gang { step.tasks.len() } else { 0 };
-        for (at, task) in step.tasks.iter_mut().enumerate() {
-            if (at < gang_len || at == usize::from(key.index)) && !task.done {
-                task.done = true;
-                step.left -= 1;
-            }
-        }
-        if occurrence.steps.iter().all(|step| step.left == 0) {
-            self.finished += 1;
-            if self.finished == self.spec.occurrences() {
-                self.finish(JobPhase::Completed, at_ms);
-            }
-        }
-    }
-
-    fn finish(&mut self, phase: JobPhase, at_ms: u64) {
-        self.phase = phase;
-        self.ended_ms = at_ms;
-    }
-}
-
 /// The loss that a run's end stands for, if its runner was lost.
 fn loss_of(end: &RunEnd, at_ms: u64) -> Option<Loss> {
     let (evidence, fate): (LossEvidence, RunnerFate) = match end.outcome {
@@ -726,10 +467,6 @@
     Some(Loss { run: end.run, incarnation: end.incarnation, evidence, fate, at_ms })
 }
 
-fn count_u32<T>(items: &[T]) -> u32 {
-    u32::try_from(items.len()).unwrap_or(u32::MAX)
-}
-
 fn incarnation_key(at: usize) -> IncarnationKey {
     IncarnationKey(u32::try_from(at).unwrap_or(u32::MAX))
 }
--- a/crates/state/src/jobs/task.rs
+++ b/crates/state/src/jobs/task.rs
@@ -103,3 +103,28 @@
     /// Runner incarnations on which the task failed; later runs avoid them.
     pub failed_on: Vec<IncarnationKey>,
 }
+
+impl Task {
+    /// Whether the task is neither done nor assigned to a runner.
+    pub fn is_waiting(&self) -> bool {
+        !self.done && self.assignments.is_empty()
+    }
+
+    /// Whether the task is not done and has a run that may be running.
+    pub(super) fn is_busy(&self) -> bool {
+        !self.done && !self.assignments.is_empty()
+    }
+
+    /// Counts a failed run on a runner incarnation.
+    pub(super) fn record_failure(&mut self, incarnation: IncarnationKey) {
+        self.failures += 1;
+        if !self.failed_on.contains(&incarnation) {
+            self.failed_on.push(incarnation);
+        }
+    }
+
+    /// Number of runs that may be running.
+    pub(super) fn assigned_len(&self) -> u32 {
+        u32::try_from(self.assignments.len()).unwrap_or(u32::MAX)
+    }
+}
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -23,7 +23,12 @@
 /// Format version of a snapshot with settings of queues. Releases that know none refuse it: they
 /// would read it without them, and start work of a queue on hold.
 pub const FORMAT_WITH_QUEUE_SETTINGS: u32 = 5;
+/// Format version of a snapshot with a step that names only the tasks that have begun. Releases
+/// that know none refuse it: they would read a step without tasks.
+pub const FORMAT_WITH_SPARSE_TASKS: u32 = 6;
 
+/// Newest format version that this release reads.
+const FORMAT_MAX: u32 = FORMAT_WITH_SPARSE_TASKS;
 const MAGIC: &[u8; 8] = b"YUCCASNP";
 /// Length of the header: magic, format version and CRC-32 of the body.
 const HEADER_LEN: usize = 8 + 4 + 4;
@@ -83,6 +88,9 @@
     }
 
     fn format(&self) -> u32 {
+        if !self.lists_all_tasks() {
+            return FORMAT_WITH_SPARSE_TASKS;
+        }
         if !self.queue_settings().is_empty() {
             return FORMAT_WITH_QUEUE_SETTINGS;
         }
@@ -118,13 +126,15 @@
 where
     S: Replicated,
 {
-    let body = postcard::to_stdvec(&(meta, state))
-        .map_err(|source| Error::Decode { what: "a snapshot", source })?;
-    let mut buf = Vec::with_capacity(body.len() + HEADER_LEN);
+    let mut buf = Vec::with_capacity(HEADER_LEN);
     buf.extend_from_slice(MAGIC);
     buf.extend_from_slice(&state.format().to_le_bytes());
-    buf.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
-    buf.extend_from_slice(&body);
+    buf.extend_from_slice(&[0; 4]);
+    // The body is appended in place: a copy of a large state would double the memory for it.
+    let mut buf = postcard::to_extend(&(meta, state), buf)
+        .map_err(|source| Error::Decode { what: "a snapshot", source })?;
+    let checksum = crc32fast::hash(&buf[HEADER_LEN..]);
+    buf[HEADER_LEN - 4..HEADER_LEN].copy_from_slice(&checksum.to_le_bytes());
     Ok(buf)
 }
 
@@ -152,9 +162,8 @@
     }
     let read_u32 = |at: usize| buf[at..at + 4].try_into().map_or(0, u32::from_le_bytes);
     let found = read_u32(8);
-    if !(FORMAT..=FORMAT_WITH_QUEUE_SETTINGS).contains(&found) {
-        let known = FORMAT_WITH_QUEUE_SETTINGS;
-        return Err(Error::Version { path: shown.into(), found, known });
+    if !(FORMAT..=FORMAT_MAX).contains(&found) {
+        return Err(Error::Version { path: shown.into(), found, known: FORMAT_MAX });
     }
     let body = &buf[HEADER_LEN..];
     if crc32fast::hash(body) != read_u32(12) {
--- a/crates/yuccalinkd/src/cell.rs
+++ b/crates/yuccalinkd/src/cell.rs
@@ -8,7 +8,7 @@
 use yuccalink_daemon::cell::{CellConfig, CellConfigBuilder, SeedSource, policy};
 
 /// All settings in the order of the help.
-pub(crate) const SETTINGS: [Setting<CellConfigBuilder>; 15] = [
+pub(crate) const SETTINGS: [Setting<CellConfigBuilder>; 16] = [
     Setting {
         flag: "name",
         value: "NAME",
@@ -112,6 +112,18 @@
                the other processes of the cell and the data folder need some of them.",
         set: |config, text| Ok(config.connections_max(args::parse_number(text)?)),
     },
+    Setting {
+        flag: "memory-mb",
+        value: "N",
+        short: "memory that the process may use, in MiB [512]",
+        long: "Half of it is for jobs; a leader refuses new ones beyond, with status 429. Set the same \
+               on every VM with a disk, since all hold the same jobs.",
+        set: |config, text| {
+            let mib =
+                u64::try_from(args::parse_number(text)?).map_err(|error| error.to_string())?;
+            Ok(config.memory(mib.saturating_mul(1 << 20)))
+        },
+    },
     Setting {
         flag: "drain",
         value: "TIME",
