--- a/crates/coordination/src/jobs/placing/place.rs
+++ b/crates/coordination/src/jobs/placing/place.rs
@@ -285,8 +285,7 @@
         if state.done || !state.assignments.is_empty() {
             return None;
         }
-        let may_run =
-            step.long_running || self.may_retry_on(now, job, step, task, state, runner, trust);
+        let may_run = step.long_running || self.may_retry_on(now, job, task, state, runner, trust);
         may_run.then_some(state.last_run + 1)
     }
 
--- a/crates/coordination/src/jobs/placing/retry.rs
+++ b/crates/coordination/src/jobs/placing/retry.rs
@@ -52,7 +52,6 @@
         &self,
         now: Now,
         job: &Job,
-        step: &StepSpec,
         task: TaskKey,
         state: &Task,
         runner: &Runner,
@@ -68,6 +67,7 @@
         if waited < return_delay(state.failures).min(patience) || (risks_job && waited < patience) {
             return false;
         }
+        let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return false };
         let step_key = StepKey::of(task);
         let mut wait = Duration::ZERO;
         if failed_here {
