External calls: answers to an earlier leader of the same process are ignored

What callers saw: a wave may be shown as completed although a machine of it has not had its maintenance.

Cause: each leader numbered its calls from 0, and answers are passed to whoever leads in the process by then. A process that lost and regained leadership within 2.2 s took the answer to an old call for that of a new one: a confirmation for one machine counted for another, an advice for another step.

Change: the numbers of a leader's calls begin with its term. Test: `cell_external`.

--- a/crates/coordination/src/jobs/leader.rs
+++ b/crates/coordination/src/jobs/leader.rs
@@ -220,7 +220,8 @@
             committing: VecDeque::new(),
             answers: Vec::new(),
             calls: Vec::new(),
-            next_call: 0,
+            // Answers to calls of an earlier leader in this process must match none of these.
+            next_call: term << u32::BITS,
             advice: Advice::default(),
             waves: Waves::default(),
             zone_progress: ZoneProgress::default(),
--- a/crates/coordination/tests/cell_external.rs
+++ b/crates/coordination/tests/cell_external.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use world::{CAPACITY, step};
 use yuccalink_coordination::jobs::external::{ExternalCall, ExternalReply, Machine, MachineState};
-use yuccalink_coordination::jobs::{CellRequest, CellResponse};
+use yuccalink_coordination::jobs::{CellRequest, CellResponse, HeardKnowledge};
 use yuccalink_fakes::emulator::{EmulatedRunner, TaskBehavior};
 use yuccalink_state::jobs::change::Advisor;
 use yuccalink_state::jobs::{JobCommand, StepSpec, Wave};
@@ -280,3 +280,23 @@
     harness.report_round();
     assert_eq!(harness.report_round()[1].start.len() + harness.runners[1].running().count(), 1);
 }
+
+/// Guards against a machine that counts as maintained because an answer to an earlier leader of the
+/// same process comes late.
+#[test]
+fn an_answer_to_a_call_of_an_earlier_leader_is_ignored() {
+    let mut harness = LeaderHarness::new(1, None, TaskBehavior::default());
+    let calls_of = |harness: &mut LeaderHarness| {
+        harness.report_round();
+        harness.request(CellRequest::WaveStart(wave(&["m0"], 1)));
+        harness.advance(TICK);
+        let calls = harness.leader.take_calls();
+        let ids: Vec<_> = calls.into_iter().map(|(id, _)| id).collect();
+        ids
+    };
+    let earlier = calls_of(&mut harness);
+    harness.replace_leader(&HeardKnowledge::default());
+    let later = calls_of(&mut harness);
+    assert!(!earlier.is_empty() && !later.is_empty());
+    assert!(earlier.iter().all(|id| !later.contains(id)), "{earlier:?} {later:?}");
+}
