Waves: a machine that is back takes tasks, whatever became of the answer to its order

What callers saw: after one lost answer of the platform, the machine's new runner, up and idle, got no task any more, and the wave stayed running for ever, also after a restart of every process.

Cause, two: `maintenance_pending` was set on the incarnation that the newest list named while the order was repeated, so on the new runner, and cleared nowhere.

Change: the mark is derived at each tick from the machines that are drained or whose order was confirmed, and ends with the maintenance. The runner before is the one at the first order. A machine also counts as back when a list requested 2.5 s after the confirmation has it up; so does one that an earlier leader left with the wrong runner. A machine refused five times in a row gets tasks for 10 s before it is drained again. One log line an open wave says what it waits for; metrics `waves_open`, `maintenance_orders_failed`.

--- a/crates/coordination/src/jobs/due.rs
+++ b/crates/coordination/src/jobs/due.rs
@@ -67,6 +67,7 @@
             self.remove_ended_forecasts();
             self.log_load(now);
             self.log_lacks();
+            self.log_waves(now);
             self.log_forecasts(now);
             self.commit_learnt_weights();
         }
--- a/crates/coordination/src/jobs/runners/waves.rs
+++ b/crates/coordination/src/jobs/runners/waves.rs
@@ -18,6 +18,12 @@
 const DRAIN_TIME_MAX: Duration = Duration::from_millis(4_000);
 /// Delay before a refused maintenance order is retried.
 const MAINTENANCE_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+/// Refusals in a row after which a machine gets tasks again for [`RELEASE_DURATION`].
+const REFUSALS_MAX: u32 = 5;
+const RELEASE_DURATION: Duration = Duration::from_secs(10);
+/// A machine that is listed as up this long after its order was confirmed is back, whatever its
+/// runner is called. Earlier, the list may be older than the confirmation.
+const LIST_SETTLED_AFTER: Duration = Duration::from_millis(2_500);
 
 /// A machine that is drained before its maintenance.
 #[derive(Debug)]
@@ -26,6 +32,18 @@
     since: Moment,
     not_before: Moment,
     ordered: Option<(ExternalCallId, Moment)>,
+    /// The runner on the machine when its maintenance was first ordered. A repeated order may find
+    /// the runner that came after it.
+    runner_before: Option<Option<Box<str>>>,
+    refusals: u32,
+}
+
+/// A machine whose order for maintenance was confirmed.
+#[derive(Debug)]
+struct ConfirmedOrder {
+    at: Moment,
+    /// The incarnation that was on the machine at the order and may have ended by it.
+    incarnation: Option<IncarnationKey>,
 }
 
 /// State of machines and waves that the leader keeps outside of the replicated state.
@@ -35,9 +53,16 @@
     page: Vec<Machine>,
     pending_read: Option<(ExternalCallId, Moment)>,
     last_read: Option<Moment>,
+    /// When the list in `machines` was requested, or the one that is being read.
+    list_requested: Moment,
+    next_list_requested: Moment,
     /// A whole list was read, so that a machine which is not in it has left the platform.
     listed: bool,
     draining: BTreeMap<Box<str>, DrainingMachine>,
+    /// Confirmed orders of machines that are not back, by wave and machine.
+    confirmed: BTreeMap<(u64, Box<str>), ConfirmedOrder>,
+    /// Machines that get tasks although their maintenance is due, because it was refused.
+    released: BTreeMap<Box<str>, Moment>,
 }
 
 impl Waves {
@@ -66,16 +91,39 @@
         let open: Vec<u64> =
             self.state.waves().filter(|w| !w.is_done()).map(|w| w.wave.id).collect();
         if open.is_empty() {
+            self.waves.draining.clear();
+            self.waves.confirmed.clear();
+            self.mark_maintenance_pending();
             return;
         }
+        self.waves.released.retain(|_, until| now.at < *until);
         self.read_machines(now);
-        self.propose_maintenance_ends();
+        self.propose_maintenance_ends(now);
         for wave in open {
             self.choose_machines(now, wave);
         }
+        self.mark_maintenance_pending();
         self.drain_machines(now);
     }
 
+    /// Marks the runners whose machines go down for maintenance, and only those: a runner that came
+    /// back after it takes tasks.
+    fn mark_maintenance_pending(&mut self) {
+        let draining = self.waves.draining.keys();
+        let draining = draining.filter_map(|machine| {
+            self.waves.runner_of(machine).and_then(|id| self.incarnations.newest(id))
+        });
+        let confirmed = self.waves.confirmed.values().filter_map(|order| order.incarnation);
+        let pending: BTreeSet<IncarnationKey> = draining.chain(confirmed).collect();
+        for (key, runner) in &mut self.runners {
+            let was_pending =
+                std::mem::replace(&mut runner.maintenance_pending, pending.contains(key));
+            if was_pending && !runner.maintenance_pending {
+                log::info!("runner={} takes tasks again: its maintenance is over", runner.id);
+            }
+        }
+    }
+
     fn read_machines(&mut self, now: Now) {
         let waits = self.waves.pending_read.is_some_and(|(_, at)| now.at.since(at) < REPLY_TIMEOUT);
         let fresh = self.waves.last_read.is_some_and(|at| now.at.since(at) < LIST_INTERVAL);
@@ -83,20 +131,28 @@
             return;
         }
         self.waves.page.clear();
+        self.waves.next_list_requested = now.at;
         let call = self.call(ExternalCall::Machines { page: None });
         self.waves.pending_read = Some((call, now.at));
     }
 
     /// Proposes the end of maintenance for machines that are up again or have left the platform.
-    fn propose_maintenance_ends(&mut self) {
+    fn propose_maintenance_ends(&mut self, now: Now) {
         let mut done: Vec<(u64, Box<str>)> = Vec::new();
         for wave in self.state.waves() {
             for machine in wave.in_maintenance() {
                 let found = self.waves.machines.get(machine);
+                // An order of an earlier leader was confirmed before this one took over.
+                let order = self.waves.confirmed.entry((wave.wave.id, machine.into()));
+                let order = order.or_insert(ConfirmedOrder { at: now.at, incarnation: None });
+                let settled = self.waves.list_requested >= order.at + LIST_SETTLED_AFTER;
+                let runner = found.and_then(|machine| machine.runner.as_deref());
                 let back = found.is_some_and(|m| m.state == MachineState::Up)
-                    && self.waves.runner_of(machine) != wave.runner_before(machine);
+                    && self.waves.list_requested >= order.at
+                    && (settled || runner != wave.runner_before(machine));
                 // A machine that is no longer listed has left for good.
-                let left = self.waves.listed && found.is_none();
+                let left =
+                    self.waves.listed && found.is_none() && self.waves.list_requested >= order.at;
                 if back || left {
                     done.push((wave.wave.id, Box::from(machine)));
                 }
@@ -129,13 +185,20 @@
                 return;
             }
             let Some(found) = self.waves.machines.get(&machine) else { continue };
-            if found.state != MachineState::Up {
+            let is_released = self.waves.released.contains_key(&machine);
+            if found.state != MachineState::Up || is_released {
                 continue;
             }
             slots -= 1;
             log::info!("wave={id} emptying machine={machine}");
-            let draining =
-                DrainingMachine { wave: id, since: now.at, not_before: now.at, ordered: None };
+            let draining = DrainingMachine {
+                wave: id,
+                since: now.at,
+                not_before: now.at,
+                ordered: None,
+                runner_before: None,
+                refusals: 0,
+            };
             self.waves.draining.insert(machine, draining);
         }
     }
@@ -161,12 +224,14 @@
                 continue;
             }
             let wave = draining.wave;
+            let runner = self.waves.machines.get(&machine).and_then(|found| found.runner.clone());
             let holder = self.node_name.clone();
             let call =
                 ExternalCall::Upkeep { machine: machine.clone(), wave, holder, token: self.term };
             let call = self.call(call);
             if let Some(draining) = self.waves.draining.get_mut(&machine) {
                 draining.ordered = Some((call, now.at));
+                draining.runner_before.get_or_insert(runner);
             }
         }
     }
@@ -183,7 +248,6 @@
             }
         }
         let Some(runner) = self.runners.get_mut(&incarnation) else { return tasks.is_empty() };
-        runner.maintenance_pending = true;
         for task in stopping {
             if let Some(view) = runner.running.get_mut(&task) {
                 view.stopping = true;
@@ -240,12 +304,58 @@
         let Some((machine, wave)) = found.map(|(name, e)| (name.clone(), e.wave)) else { return };
         log::info!("wave={wave} machine={machine} upkeep reply: {reply:?}");
         if reply == ExternalReply::Done {
+            return self.confirm_maintenance(now, wave, machine);
+        }
+        self.counts.maintenance_orders_failed += 1;
+        let Some(draining) = self.waves.draining.get_mut(&machine) else { return };
+        draining.ordered = None;
+        draining.not_before = now.at + MAINTENANCE_RETRY_DELAY;
+        if reply == ExternalReply::Refused {
+            draining.refusals += 1;
+        }
+        if draining.refusals >= REFUSALS_MAX {
+            log::warn!(
+                "wave={wave} machine={machine} refused {REFUSALS_MAX} times: gets tasks again"
+            );
             self.waves.draining.remove(&machine);
-            let runner = self.waves.runner_of(&machine).map(Box::from);
-            self.propose(JobCommand::UpkeepBegun { wave, machine, runner }, OnCommit::Nothing);
-        } else if let Some(draining) = self.waves.draining.get_mut(&machine) {
-            draining.ordered = None;
-            draining.not_before = now.at + MAINTENANCE_RETRY_DELAY;
+            self.waves.released.insert(machine, now.at + RELEASE_DURATION);
+        }
+    }
+
+    fn confirm_maintenance(&mut self, now: Now, wave: u64, machine: Box<str>) {
+        let incarnation =
+            self.waves.runner_of(&machine).and_then(|id| self.incarnations.newest(id));
+        let draining = self.waves.draining.remove(&machine);
+        let runner = draining.and_then(|draining| draining.runner_before).flatten();
+        let order = ConfirmedOrder { at: now.at, incarnation };
+        self.waves.confirmed.insert((wave, machine.clone()), order);
+        self.propose(JobCommand::UpkeepBegun { wave, machine, runner }, OnCommit::Nothing);
+    }
+
+    /// Forgets the order of a machine that is back.
+    pub(in crate::jobs) fn maintenance_ended(&mut self, wave: u64, machine: &str) {
+        self.waves.confirmed.remove(&(wave, machine.into()));
+        self.mark_maintenance_pending();
+    }
+
+    /// Logs what each open wave waits for.
+    pub(in crate::jobs) fn log_waves(&self, now: Now) {
+        for wave in self.state.waves().filter(|wave| !wave.is_done()) {
+            let id = wave.wave.id;
+            let draining = self.waves.draining.iter().filter(|(_, draining)| draining.wave == id);
+            let draining: Vec<String> = draining
+                .map(|(machine, draining)| match draining.ordered {
+                    Some((_, at)) => format!("{machine}:answer-for={:?}", now.at.since(at)),
+                    None => format!("{machine}:empty-for={:?}", now.at.since(draining.since)),
+                })
+                .collect();
+            let away: Vec<&str> = wave.in_maintenance().collect();
+            log::info!(
+                "wave={id} waiting={} draining=[{}] in-maintenance=[{}]",
+                wave.waiting().count(),
+                draining.join(" "),
+                away.join(" ")
+            );
         }
     }
 
@@ -262,6 +372,7 @@
             return;
         }
         let whole = std::mem::take(&mut self.waves.page);
+        self.waves.list_requested = self.waves.next_list_requested;
         self.waves.machines = whole.into_iter().map(|m| (m.name.clone(), m)).collect();
         self.waves.listed = true;
         self.waves.last_read = Some(now.at);
--- a/crates/coordination/src/jobs/telemetry.rs
+++ b/crates/coordination/src/jobs/telemetry.rs
@@ -43,6 +43,8 @@
     pub brief_heartbeats: u64,
     /// Requests that expired while they waited for the leader.
     pub expired: u64,
+    /// Orders for maintenance that were refused or not answered.
+    pub maintenance_orders_failed: u64,
     /// Submissions for which there was no memory; also counted in `refused` unless an earlier copy
     /// was under way.
     pub refused_for_memory: u64,
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -72,6 +72,11 @@
             let values = [
                 ("jobs_accepted", counts.accepted),
                 ("jobs_refused", counts.refused),
+                (
+                    "waves_open",
+                    leader.state().waves().filter(|wave| !wave.is_done()).count() as u64,
+                ),
+                ("maintenance_orders_failed", counts.maintenance_orders_failed),
                 ("jobs_refused_for_memory", counts.refused_for_memory),
                 ("jobs_memory_bytes", leader.state().memory().total()),
                 ("jobs_memory_limit_bytes", leader.memory_limit()),
