Memory of jobs: room for 8,192 small submissions under way

The bound on uncommitted submissions refused the 7,311th small one with 512 MiB, before the log's own limit (`a_full_log_refuses_a_submission_only_if_its_job_is_unknown`, red since the bound came).

--- a/crates/coordination/src/jobs/requests/room.rs
+++ b/crates/coordination/src/jobs/requests/room.rs
@@ -15,7 +15,7 @@
 const JOBS_PART: u64 = 2;
 /// One part in this many is for submissions that are not committed. Each is also held encoded, by
 /// the log and by messages to other replicas.
-const UNCOMMITTED_PART: u64 = 32;
+const UNCOMMITTED_PART: u64 = 16;
 /// A queue takes at most this many times the memory that is left.
 const QUEUE_TO_FREE: u64 = 3;
 /// Mean retry delay. Memory becomes free as ended jobs are forgotten, some every second.
