--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -176,7 +176,9 @@
             RunOutcome::Done => self.counts.done += 1,
             RunOutcome::Failed => {
                 self.counts.failed += 1;
-                self.failure_times.add(end.task, now.at);
+                if self.state.is_active(end.task.job) {
+                    self.failure_times.add(end.task, now.at);
+                }
             }
             RunOutcome::Crashed(_) => {
                 self.counts.lost += 1;
