Waves: lines name at most eight machines, and nothing is marked without a wave

Each tick looked at all runners to clear marks, also without any wave; the line of a wave named all of its machines that are drained or away. Found by reading.

--- a/crates/coordination/src/jobs/runners/waves.rs
+++ b/crates/coordination/src/jobs/runners/waves.rs
@@ -18,6 +18,8 @@
 const DRAIN_TIME_MAX: Duration = Duration::from_millis(4_000);
 /// Delay before a refused maintenance order is retried.
 const MAINTENANCE_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+/// Machines named in each list of a line about a wave.
+const MACHINES_LOGGED: usize = 8;
 /// Refusals in a row after which a machine gets tasks again for [`RELEASE_DURATION`].
 const REFUSALS_MAX: u32 = 5;
 const RELEASE_DURATION: Duration = Duration::from_secs(10);
@@ -61,6 +63,8 @@
     draining: BTreeMap<Box<str>, DrainingMachine>,
     /// Confirmed orders of machines that are not back, by wave and machine.
     confirmed: BTreeMap<(u64, Box<str>), ConfirmedOrder>,
+    /// Whether a runner may be marked as going down for maintenance.
+    has_marked: bool,
     /// Machines that get tasks although their maintenance is due, because it was refused.
     released: BTreeMap<Box<str>, Moment>,
 }
@@ -115,6 +119,10 @@
         });
         let confirmed = self.waves.confirmed.values().filter_map(|order| order.incarnation);
         let pending: BTreeSet<IncarnationKey> = draining.chain(confirmed).collect();
+        if pending.is_empty() && !self.waves.has_marked {
+            return;
+        }
+        self.waves.has_marked = !pending.is_empty();
         for (key, runner) in &mut self.runners {
             let was_pending =
                 std::mem::replace(&mut runner.maintenance_pending, pending.contains(key));
@@ -344,12 +352,13 @@
             let id = wave.wave.id;
             let draining = self.waves.draining.iter().filter(|(_, draining)| draining.wave == id);
             let draining: Vec<String> = draining
+                .take(MACHINES_LOGGED)
                 .map(|(machine, draining)| match draining.ordered {
                     Some((_, at)) => format!("{machine}:answer-for={:?}", now.at.since(at)),
                     None => format!("{machine}:empty-for={:?}", now.at.since(draining.since)),
                 })
                 .collect();
-            let away: Vec<&str> = wave.in_maintenance().collect();
+            let away: Vec<&str> = wave.in_maintenance().take(MACHINES_LOGGED).collect();
             log::info!(
                 "wave={id} waiting={} draining=[{}] in-maintenance=[{}]",
                 wave.waiting().count(),
