Waves: a confirmed order counts at once, and ends with its machine's maintenance

What callers saw: nothing yet; found by reading. Between the confirmation of an order and its commit the machine counted as waiting and up, by a list that was older, so that it was ordered again and another machine could go down beside it (LIMIT). An order that was confirmed once more after the machine was done kept its runner marked until all waves ended.

Change: confirmed orders count as down and are not chosen again; orders of machines that are done are forgotten. Test: `a_confirmed_order_counts_before_it_is_committed`, which sees m0 ordered 59 times on the code before.

--- a/crates/coordination/src/jobs/commits.rs
+++ b/crates/coordination/src/jobs/commits.rs
@@ -132,7 +132,6 @@
                 }
             }
             JobCommand::UpkeepDone { wave, machine } => {
-                self.maintenance_ended(*wave, machine);
                 self.proposed_maintenance_ends.remove(&(*wave, machine.clone()));
             }
             JobCommand::Alive(incarnation) => self.clear_report_after_loss(*incarnation),
--- a/crates/coordination/src/jobs/runners/waves.rs
+++ b/crates/coordination/src/jobs/runners/waves.rs
@@ -101,6 +101,7 @@
             return;
         }
         self.waves.released.retain(|_, until| now.at < *until);
+        self.forget_ended_orders();
         self.read_machines(now);
         self.propose_maintenance_ends(now);
         for wave in open {
@@ -110,6 +111,16 @@
         self.drain_machines(now);
     }
 
+    /// Forgets the orders of machines whose maintenance has ended.
+    fn forget_ended_orders(&mut self) {
+        let state = &self.state;
+        let ended = |wave: u64, machine: &str| {
+            state.wave(wave).is_none_or(|wave| wave.is_machine_done(machine))
+        };
+        self.waves.draining.retain(|machine, draining| !ended(draining.wave, machine));
+        self.waves.confirmed.retain(|(wave, machine), _| !ended(*wave, machine));
+    }
+
     /// Marks the runners whose machines go down for maintenance, and only those: a runner that came
     /// back after it takes tasks.
     fn mark_maintenance_pending(&mut self) {
@@ -177,16 +188,20 @@
         let Some(wave) = self.state.wave(id) else { return };
         let in_maintenance = wave.in_maintenance().count();
         let draining = self.waves.draining.values().filter(|e| e.wave == id).count();
+        let is_confirmed =
+            |machine: &&str| self.waves.confirmed.contains_key(&(id, Box::from(*machine)));
+        let confirmed = wave.waiting().filter(is_confirmed).count();
         let waiting: Vec<Box<str>> = wave
             .waiting()
             .filter(|machine| !self.waves.draining.contains_key(*machine))
+            .filter(|machine| !is_confirmed(machine))
             .map(Box::from)
             .collect();
         // The platform may have begun the maintenance of these for an earlier leader, which did
         // not commit it.
         let known = waiting.iter().filter_map(|machine| self.waves.machines.get(machine));
         let away = known.filter(|machine| machine.state == MachineState::Away).count();
-        let down = in_maintenance + draining + away;
+        let down = in_maintenance + confirmed + draining + away;
         let mut slots = (wave.wave.at_once as usize).saturating_sub(down);
         for machine in waiting {
             if slots == 0 {
@@ -340,12 +355,6 @@
         self.propose(JobCommand::UpkeepBegun { wave, machine, runner }, OnCommit::Nothing);
     }
 
-    /// Forgets the order of a machine that is back.
-    pub(in crate::jobs) fn maintenance_ended(&mut self, wave: u64, machine: &str) {
-        self.waves.confirmed.remove(&(wave, machine.into()));
-        self.mark_maintenance_pending();
-    }
-
     /// Logs what each open wave waits for.
     pub(in crate::jobs) fn log_waves(&self, now: Now) {
         for wave in self.state.waves().filter(|wave| !wave.is_done()) {
--- a/crates/coordination/tests/cell_external.rs
+++ b/crates/coordination/tests/cell_external.rs
@@ -300,3 +300,35 @@
     assert!(!earlier.is_empty() && !later.is_empty());
     assert!(earlier.iter().all(|id| !later.contains(id)), "{earlier:?} {later:?}");
 }
+
+/// Guards against two machines that are down at once because the first one's order is confirmed and
+/// not committed yet.
+#[test]
+fn a_confirmed_order_counts_before_it_is_committed() {
+    let mut harness = LeaderHarness::new(2, None, TaskBehavior::default());
+    harness.report_round();
+    harness.request(CellRequest::WaveStart(wave(&["m0", "m1"], 1)));
+    let mut ordered = Vec::new();
+    for _ in 0..60 {
+        // Once an order is confirmed, no commit comes.
+        match ordered.is_empty() {
+            true => harness.advance(TICK),
+            false => {
+                harness.now = harness.now + TICK;
+                harness.leader.tick(harness.leader_now());
+            }
+        }
+        let now = harness.leader_now();
+        for (id, call) in harness.leader.take_calls() {
+            let reply = match call {
+                ExternalCall::Upkeep { machine, .. } => {
+                    ordered.push(machine);
+                    ExternalReply::Done
+                }
+                _ => machines(&harness, &[]),
+            };
+            harness.leader.handle_external_reply(now, id, reply);
+        }
+    }
+    assert_eq!(ordered, [Box::from("m0")]);
+}
--- a/crates/state/src/jobs/wave.rs
+++ b/crates/state/src/jobs/wave.rs
@@ -45,6 +45,11 @@
         self.wave.machines.iter().all(|machine| self.done.contains(machine))
     }
 
+    /// Whether a machine is up again or was removed.
+    pub fn is_machine_done(&self, machine: &str) -> bool {
+        self.done.contains(machine)
+    }
+
     /// Machines whose maintenance has not begun.
     pub fn waiting(&self) -> impl Iterator<Item = &str> {
         let waits = |m: &&str| !self.begun.contains_key(*m) && !self.done.contains(*m);
