Peer port of a cell: frames and connections are bounded together

Callers saw: nothing in calm; 70 connections with 14 of the 15 MiB of one frame took a process of 96 MiB to 995 MiB, and 2,000 silent ones took 2,018 descriptors.

Cause: any number of connections, each with a buffer of up to 16 MiB, before it had said what it is.

Before a valid Hello a frame has at most 64 KiB. Buffers are charged as they grow, and a message as what it may become when it is parsed: a request may be a list of empty texts, 32 times its size. A request stays charged until the leader takes it, so that those on their way are bounded in bytes and not only in number. A message that finds no memory waits, and its sender with it.

--- a/crates/daemon/src/cell.rs
+++ b/crates/daemon/src/cell.rs
@@ -13,6 +13,7 @@
 mod frame;
 mod http;
 mod intake;
+mod limits;
 mod membership;
 mod metrics;
 mod native;
--- a/crates/daemon/src/cell/config.rs
+++ b/crates/daemon/src/cell/config.rs
@@ -11,6 +11,8 @@
 /// Default limit of concurrent connections. A process usually has 1,024 file descriptors, some
 /// of which are needed for other processes of the cell, files and the load balancer.
 const CONNECTIONS_MAX: usize = 800;
+/// Default limit of concurrent connections from other processes of the cell.
+const PEERS_MAX: usize = 160;
 /// Least memory that a process can work with, in bytes.
 const MEMORY_MIN: u64 = 32 << 20;
 
@@ -32,6 +34,7 @@
     pub(crate) leader: LeaderConfig,
     pub(crate) drain: Duration,
     pub(crate) connections_max: usize,
+    pub(crate) peers_max: usize,
     /// Memory that the process may use, in bytes.
     pub(crate) memory: u64,
 }
@@ -67,6 +70,7 @@
             leader: LeaderConfig::default(),
             drain: Duration::from_millis(3_000),
             connections_max: CONNECTIONS_MAX,
+            peers_max: PEERS_MAX,
             memory: PROCESS_MEMORY,
         })
     }
@@ -204,6 +208,13 @@
         self
     }
 
+    /// Sets the limit of concurrent connections from other processes of the cell.
+    #[must_use]
+    pub fn peers_max(mut self, max: usize) -> Self {
+        self.0.peers_max = max;
+        self
+    }
+
     /// Checks that the settings are consistent.
     ///
     /// # Errors
@@ -230,6 +241,9 @@
         if config.connections_max == 0 {
             return invalid("connections-max", "0 allows no connection; set at least 1");
         }
+        if config.peers_max == 0 {
+            return invalid("peers-max", "0 allows no connection; set at least 1");
+        }
         Ok(config)
     }
 }
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -5,6 +5,7 @@
 use crate::cell::disk::DiskStep;
 use crate::cell::external;
 use crate::cell::frame::PeerMessage;
+use crate::cell::limits::{self, LimitsInForce};
 use crate::cell::metrics::Metrics;
 use crate::cell::peer_connection::PeerConnection;
 use crate::cell::policy;
@@ -27,6 +28,7 @@
 use yuccalink_coordination::peer_table::{LeaderInfo, NodeInfo, PeerTable};
 use yuccalink_coordination::raft::{Envelope, ReplicaId};
 use yuccalink_coordination::store_health::StoreState;
+use yuccalink_transport::account::ClientAccount;
 
 /// Most blocked runners in a status; metrics count all of them.
 const BLOCKED_RUNNERS_SHOWN: usize = 100;
@@ -78,6 +80,8 @@
     /// When a leader was last known.
     pub(super) leader_known_at: Moment,
     pub(crate) metrics: Metrics,
+    /// Limits of callers' requests, of the newest change set that this process knows.
+    limits: watch::Sender<LimitsInForce>,
     adapter: Rc<dyn ApiAdapter>,
 }
 
@@ -91,6 +95,8 @@
     disk_wake: Arc<Notify>,
     pub(super) intake_wake: Arc<Notify>,
     draining: Cell<bool>,
+    /// What clients make this process hold.
+    account: Arc<ClientAccount>,
     failed: watch::Sender<Option<Arc<yuccalink_state::Error>>>,
 }
 
@@ -103,6 +109,7 @@
         adapter: Rc<dyn ApiAdapter>,
     ) -> Self {
         let peer_table = PeerTable::new(info, cfg.seeds.clone(), cfg.bootstrap);
+        let account = ClientAccount::new(limits::account_bounds(&cfg));
         let node = Node {
             cfg,
             clock,
@@ -115,6 +122,7 @@
             requests_handled_at: Moment::ZERO,
             leader_known_at: clock.now(),
             metrics: Metrics::default(),
+            limits: watch::Sender::default(),
             adapter,
         };
         Self(Rc::new(SharedInner {
@@ -122,6 +130,7 @@
             disk_wake: Arc::default(),
             intake_wake: Arc::default(),
             draining: Cell::new(false),
+            account,
             failed: watch::Sender::new(None),
         }))
     }
@@ -142,6 +151,15 @@
         self.0.intake_wake.clone()
     }
 
+    pub(crate) fn account(&self) -> Arc<ClientAccount> {
+        self.0.account.clone()
+    }
+
+    /// Limits of callers' requests, as they change.
+    pub(crate) fn limits(&self) -> watch::Receiver<LimitsInForce> {
+        self.with(|node| node.limits.subscribe())
+    }
+
     pub(crate) fn start_draining(&self) {
         self.0.draining.set(true);
     }
@@ -272,6 +290,14 @@
         self.with(|node| {
             let now = node.clock.now();
             node.peer_table.record_peer(info, now);
+        });
+        self.welcome()
+    }
+
+    /// What this process tells another one about the cell.
+    pub(crate) fn welcome(&self) -> PeerMessage {
+        self.with(|node| {
+            let now = node.clock.now();
             PeerMessage::Welcome {
                 sender: node.info(),
                 leader: node.known_leader(),
--- a/crates/daemon/src/cell/peer_connection.rs
+++ b/crates/daemon/src/cell/peer_connection.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -17,6 +18,7 @@
 use tokio::time::{Instant, timeout};
 use yuccalink_coordination::jobs::{CellRequest, CellResponse};
 use yuccalink_coordination::peer_table::CONFIRMED_HELLO_INTERVAL;
+use yuccalink_transport::account::ClientClass;
 
 /// Interval between `Hello` messages, short enough to detect a lost leader within 2 s.
 const HELLO_INTERVAL: Duration = Duration::from_millis(400);
@@ -141,9 +143,10 @@
     pending_responses: &PendingResponses,
     last_received: &std::cell::Cell<Instant>,
 ) -> io::Result<()> {
-    let mut reader = FrameReader::new(from);
+    let client = Arc::new(node.account().open(ClientClass::Peers));
+    let mut reader = FrameReader::outgoing(from, client);
     loop {
-        let message = reader.next().await?;
+        let (message, _holding) = reader.next().await?;
         last_received.set(Instant::now());
         match message {
             PeerMessage::Answer { id, response } => {
--- a/crates/daemon/src/cell/peers.rs
+++ b/crates/daemon/src/cell/peers.rs
@@ -4,12 +4,14 @@
 use crate::cell::node::SharedNode;
 use crate::cell::requests::ReplyTo;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use yuccalink_transport::account::{Client, ClientClass};
 
 /// Time without a received message after which a connection is closed. The peer sends a
 /// `Hello` every 400 ms.
@@ -18,16 +20,22 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Messages that may wait to be sent on one connection.
 const QUEUE_MAX_MESSAGES: usize = 1_024;
+/// Bytes after which no further message is added to a write.
+const WRITE_BATCH_BYTES: usize = 256 * 1024;
 /// Delay after a failed accept, for example because no file descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Accepts connections until the process ends.
 pub(crate) async fn serve(node: SharedNode, listener: TcpListener) {
+    let account = node.account();
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(node.clone(), stream));
-            }
+            Ok((stream, from)) => match account.connect(ClientClass::Peers) {
+                Ok(client) => {
+                    tokio::task::spawn_local(serve_connection(node.clone(), stream, client));
+                }
+                Err(why) => log::debug!("connection of a daemon at {from} refused: {why}"),
+            },
             Err(error) => {
                 log::warn!("cannot accept a daemon's connection: {error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -36,15 +44,17 @@
     }
 }
 
-async fn serve_connection(node: SharedNode, stream: TcpStream) {
+async fn serve_connection(node: SharedNode, stream: TcpStream, client: Client) {
     if let Err(error) = stream.set_nodelay(true) {
         return log::warn!("cannot set TCP_NODELAY on a daemon's connection: {error}");
     }
     let (from, into) = stream.into_split();
     let (tx, rx) = mpsc::channel(QUEUE_MAX_MESSAGES);
+    let client = Arc::new(client);
     let result = tokio::select! {
-        result = read(&node, FrameReader::new(from), tx) => result,
+        result = read(&node, FrameReader::incoming(from, client.clone()), &client, tx) => result,
         result = write(into, rx) => result,
+        () = client.sent_away() => Err(io::ErrorKind::TimedOut.into()),
     };
     if let Err(error) = result {
         log::debug!("connection of a daemon failed: {error}");
@@ -54,34 +64,46 @@
 async fn read<R>(
     node: &SharedNode,
     mut reader: FrameReader<R>,
+    client: &Client,
     tx: mpsc::Sender<PeerMessage>,
 ) -> io::Result<()>
 where
     R: tokio::io::AsyncRead + Unpin,
 {
     loop {
-        let message = match timeout(SILENCE_TIMEOUT, reader.next()).await {
+        let (message, holding) = match timeout(SILENCE_TIMEOUT, reader.next()).await {
             Ok(message) => message?,
             Err(_) => return Err(io::ErrorKind::TimedOut.into()),
         };
         match message {
             PeerMessage::Hello(info) => {
+                reader.set_trusted();
+                client.set_known();
                 let _ = tx.try_send(node.handle_hello(info));
             }
             PeerMessage::Raft(envelopes) => node.handle_raft_messages(envelopes),
             PeerMessage::Ask { id, request } => {
-                node.queue_request(request, ReplyTo::Peer { id, tx: tx.clone() });
+                let reply_to = ReplyTo::Peer { id, tx: tx.clone() };
+                node.queue_request(request, reply_to, holding);
             }
             PeerMessage::Welcome { .. } | PeerMessage::Answer { .. } => {}
         }
     }
 }
 
-async fn write(mut into: OwnedWriteHalf, mut rx: mpsc::Receiver<PeerMessage>) -> io::Result<()> {
+async fn write(
+    mut into: OwnedWriteHalf,
+    mut rx: mpsc::Receiver<PeerMessage>,
+) -> io::Result<()> {
     let mut buf = Vec::new();
-    while let Some(message) = rx.recv().await {
-        frame::encode(&message, &mut buf);
-        while let Ok(message) = rx.try_recv() {
+    loop {
+        match rx.recv().await {
+            Some(message) => frame::encode(&message, &mut buf),
+            None => return Ok(()),
+        }
+        while buf.len() < WRITE_BATCH_BYTES
+            && let Ok(message) = rx.try_recv()
+        {
             frame::encode(&message, &mut buf);
         }
         match timeout(WRITE_TIMEOUT, into.write_all(&buf)).await {
@@ -90,5 +112,4 @@
         }
         buf = Vec::new();
     }
-    Ok(())
 }
--- a/crates/daemon/src/cell/requests.rs
+++ b/crates/daemon/src/cell/requests.rs
@@ -13,6 +13,7 @@
 use yuccalink_coordination::jobs::report_rate::{millis, spread};
 use yuccalink_coordination::jobs::{CellRequest, CellResponse, RequestToken, RunnerOrders};
 use yuccalink_coordination::raft::ReplicaId;
+use yuccalink_transport::request_body::Holding;
 
 /// Delay before a request without a reachable leader is tried again.
 const LEADER_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -39,6 +40,9 @@
 pub(crate) struct WaitingRequest {
     request: CellRequest,
     reply_to: ReplyTo,
+    /// What the request takes, if its connection is in another process. In this one, the client's
+    /// connection is charged until it is answered.
+    _holding: Option<Holding>,
 }
 
 /// Where the response to a request goes.
@@ -102,7 +106,8 @@
             }
             let (tx, rx) = oneshot::channel();
             let at = node.clock.now();
-            let waiting = WaitingRequest { request: request.clone(), reply_to: ReplyTo::Local(tx) };
+            let reply_to = ReplyTo::Local(tx);
+            let waiting = WaitingRequest { request: request.clone(), reply_to, _holding: None };
             node.intake.push(RequestClass::of(request), waiting, at);
             self.0.intake_wake.notify_one();
             Some(rx)
@@ -111,14 +116,15 @@
 
     /// Queues a request of another process for the leader in this process, or tells it that this
     /// process does not lead.
-    pub(crate) fn queue_request(&self, request: CellRequest, reply_to: ReplyTo) {
+    pub(crate) fn queue_request(&self, request: CellRequest, reply_to: ReplyTo, holding: Holding) {
         self.with(|node| {
             if !node.is_leader() {
                 return reply_to.send(node.not_leader(), node.cfg.control);
             }
             let at = node.clock.now();
             let class = RequestClass::of(&request);
-            node.intake.push(class, WaitingRequest { request, reply_to }, at);
+            let waiting = WaitingRequest { request, reply_to, _holding: Some(holding) };
+            node.intake.push(class, waiting, at);
             self.0.intake_wake.notify_one();
         });
     }
--- a/crates/yuccalinkd/src/cell.rs
+++ b/crates/yuccalinkd/src/cell.rs
@@ -8,7 +8,7 @@
 use yuccalink_daemon::cell::{CellConfig, CellConfigBuilder, SeedSource, policy};
 
 /// All settings in the order of the help.
-pub(crate) const SETTINGS: [Setting<CellConfigBuilder>; 16] = [
+pub(crate) const SETTINGS: [Setting<CellConfigBuilder>; 17] = [
     Setting {
         flag: "name",
         value: "NAME",
@@ -108,16 +108,26 @@
         flag: "connections-max",
         value: "N",
         short: "connections of callers, runners and operators held at once [800]",
-        long: "Further connections are refused with status 503. Keep it below the limit of open files: \
-               the other processes of the cell and the data folder need some of them.",
+        long: "Beyond them the slowest connection is closed, or else the new one refused with status \
+               503. Keep it below the limit of open files: the other processes of the cell and the \
+               data folder need some of them.",
         set: |config, text| Ok(config.connections_max(args::parse_number(text)?)),
     },
+    Setting {
+        flag: "peers-max",
+        value: "N",
+        short: "connections from other processes of the cell held at once [160]",
+        long: "More than the cell has processes. Beyond them the slowest connection is closed.",
+        set: |config, text| Ok(config.peers_max(args::parse_number(text)?)),
+    },
     Setting {
         flag: "memory-mb",
         value: "N",
         short: "memory that the process may use, in MiB [512]",
-        long: "Half of it is for jobs; a leader refuses new ones beyond, with status 429. Set the same \
-               on every VM with a disk, since all hold the same jobs.",
+        long: "Half of it is for jobs; a leader refuses new ones beyond, with status 429. Five \
+               sixteenths, or ten without a data folder, are for what clients send and have not \
+               been answered; requests beyond get status 503. Set the same on every VM with a disk, \
+               since all hold the same jobs.",
         set: |config, text| {
             let mib =
                 u64::try_from(args::parse_number(text)?).map_err(|error| error.to_string())?;
