Cell: bodies, heads, responses and connections of clients are bounded together

Callers saw: a process that was killed for its memory, and all requests on it lost. 780 connections with bodies just short of 256 KiB took a process of 96 MiB to 226 MiB, 65 with one-byte chunks to 109, 70 with change sets just short of 4 MiB to 305 (97 on the platform: 418), 97 that do not read a change set to 183 and 211; 2,000 silent connections to the readiness check or the metrics took 2,018 descriptors; 800 silent ones of callers turned a caller away.

Cause: each body was kept as received, by itself; the kernel's buffers had no bound; the balancer's check and the metrics took any number of connections; callers, runners and operators had one limit, and connections that say nothing kept their places for 15 s.

Each connection is a client of the account. Its buffers are charged when a message is larger than the first ones, its body as it grows, a response over 4 KiB until it is sent. Sockets have bounded buffers. Idle time, head and unread responses have a limit as a whole, whatever trickles in. Callers leave a quarter of the places to runners and operators, these a sixteenth to callers; observers have 64. A client that is refused while it sends may read the answer: the process reads on for 2 s or 4 MiB. A refused body gets 503 with Retry-After, and has not run.

--- a/crates/daemon/src/cell.rs
+++ b/crates/daemon/src/cell.rs
@@ -6,14 +6,16 @@
 //! other processes forward requests to it.
 
 mod adapter;
+mod admission;
+mod client_io;
 mod config;
-mod connections;
 mod disk;
 mod external;
 mod frame;
 mod http;
 mod intake;
 mod limits;
+mod listener;
 mod membership;
 mod metrics;
 mod native;
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -1,12 +1,12 @@
 //! Counters and latency histograms of one process, as text.
 
-use crate::cell::connections::ConnectionLimiter;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::Duration;
 use yuccalink_coordination::histogram::Histogram;
 use yuccalink_coordination::jobs::{CancelCounters, Leader};
 use yuccalink_coordination::store_health::StoreState;
+use yuccalink_transport::account::{ClientAccount, ClientClass};
 
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
@@ -45,7 +45,7 @@
         leader: Option<&Leader>,
         change_version: Option<u64>,
         store: Option<(StoreState, BTreeMap<StoreState, u64>)>,
-        connections: &ConnectionLimiter,
+        account: &ClientAccount,
     ) -> String {
         let mut out = String::new();
         for (class, count) in self.statuses.iter().enumerate() {
@@ -55,8 +55,7 @@
         write_histogram("yuccalink_callers", &self.callers, &mut out);
         write_histogram("yuccalink_control", &self.control, &mut out);
         write_histogram("yuccalink_changes", &self.changes, &mut out);
-        let _ = writeln!(out, "yuccalink_connections {}", connections.open());
-        let _ = writeln!(out, "yuccalink_connections_turned_away {}", connections.rejected_total());
+        write_clients(account, &mut out);
         let _ = writeln!(out, "yuccalink_links_lost {}", self.connections_lost);
         let _ = writeln!(out, "yuccalink_leaders_lost {}", self.leaders_lost);
         let _ = writeln!(out, "yuccalink_reports_unanswered {}", self.reports_unanswered);
@@ -151,6 +150,25 @@
     }
 }
 
+/// What clients hold and its bound, and how many were turned away, by class and reason.
+fn write_clients(account: &ClientAccount, out: &mut String) {
+    for class in ClientClass::ALL {
+        let usage = account.usage(class);
+        let values = [
+            ("connections", usage.open as u64),
+            ("clients_held_bytes", usage.held as u64),
+            ("clients_bound_bytes", usage.bound as u64),
+            ("connections_turned_away", usage.refused_connections),
+            ("requests_without_memory", usage.refused_requests),
+            ("clients_gave_way", usage.gave_way),
+            ("clients_timed_out", usage.timed_out),
+        ];
+        for (name, value) in values {
+            let _ = writeln!(out, "yuccalink_{name}{{clients=\"{}\"}} {value}", class.name());
+        }
+    }
+}
+
 fn write_histogram(name: &str, times: &Histogram, out: &mut String) {
     for (bound_ms, count) in times.cumulative() {
         let _ = writeln!(out, "{name}_ms_bucket{{le=\"{bound_ms}\"}} {count}");
--- a/crates/daemon/src/cell/run.rs
+++ b/crates/daemon/src/cell/run.rs
@@ -1,9 +1,10 @@
 //! Starts and stops one process of a cell.
 
 use crate::cell::adapter::{ApiAdapter, SeedSource};
+use crate::cell::admission::ClientAdmission;
 use crate::cell::config::CellConfig;
-use crate::cell::connections::ConnectionLimiter;
 use crate::cell::http::{self, Endpoint, HttpContext};
+use crate::cell::listener::{PEER_BUFFERS, bind};
 use crate::cell::node::SharedNode;
 use crate::cell::policy;
 use crate::cell::replica::Replica;
@@ -14,11 +15,9 @@
 use rand::TryRng as _;
 use rand::rngs::SysRng;
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -72,16 +71,19 @@
     let (node, journal) = recover(&config, &adapter)?;
     let (close, closing) = watch::channel(false);
     let in_flight = Cell::new(0);
-    let connections = ConnectionLimiter::new(config.connections_max);
+    let admission = ClientAdmission::new(node.account());
+    let limits = node.limits();
     let context =
-        Rc::new(HttpContext { node: node.clone(), adapter, connections, in_flight, closing });
-    listen_all(&config, &context).await?;
+        HttpContext { node: node.clone(), adapter, admission, limits, in_flight, closing };
+    let context = Rc::new(context);
+    listen_all(&config, &context)?;
     if let Some(journal) = journal {
         tokio::task::spawn_local(disk::run(node.clone(), journal));
         tokio::task::spawn_local(run_ticks(node.clone()));
         tokio::task::spawn_local(intake::run(node.clone()));
     }
     tokio::task::spawn_local(membership::run(node.clone()));
+    tokio::task::spawn_local(http::expire_connections(context.clone()));
     log::info!(
         "started name={} zone={} peer={} disk={} seeds={:?} policy=shipped{:?}",
         config.name,
@@ -217,8 +219,8 @@
     Ok((journal, replica))
 }
 
-async fn listen_all(config: &CellConfig, context: &Rc<HttpContext>) -> Result<()> {
-    let peer = bind(config.peer, "daemons", "peer").await?;
+fn listen_all(config: &CellConfig, context: &Rc<HttpContext>) -> Result<()> {
+    let peer = bind(config.peer, PEER_BUFFERS, "daemons", "peer")?;
     tokio::task::spawn_local(peers::serve(context.node.clone(), peer));
     let endpoints = [
         (Endpoint::Callers, config.callers, "callers", "callers"),
@@ -228,18 +230,13 @@
     ];
     for (endpoint, at, clients, flag) in endpoints {
         if let Some(at) = at {
-            let listener = bind(at, clients, flag).await?;
+            let listener = bind(at, endpoint.socket_buffers(), clients, flag)?;
             tokio::task::spawn_local(http::serve(context.clone(), endpoint, listener));
         }
     }
     Ok(())
 }
 
-async fn bind(at: SocketAddr, clients: &'static str, flag: &'static str) -> Result<TcpListener> {
-    let address = at.to_string().into();
-    TcpListener::bind(at).await.map_err(|source| Error::Listen { address, clients, flag, source })
-}
-
 fn listen_for_signal(kind: SignalKind) -> Result<Signal> {
     signal(kind).map_err(Error::Thread)
 }
