Limits of the change set are applied, in every process

Callers saw: a submission of 4,961 bytes accepted although body-bytes 4096 was in force. The limits of a change set were stored and applied nowhere.

Callers' heads, bodies, head and idle times follow the change set from the moment that a process knows it: with the state where it keeps it, else by the Welcome of another process, which is sent at once when the limits change and not only with the next Hello, 2 s later at most. The limits follow the message, where earlier releases do not look.

--- a/crates/daemon/src/cell/frame.rs
+++ b/crates/daemon/src/cell/frame.rs
@@ -1,6 +1,7 @@
 //! Messages between the processes of a cell. A frame is a 4-byte little-endian length and a
 //! postcard value.
 
+use crate::cell::limits::LimitsInForce;
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::sync::Arc;
@@ -45,6 +46,10 @@
         /// Replica that is to bootstrap the cell, chosen by the first seed if it has no disk.
         #[serde(rename = "founder")]
         bootstrapper: Option<ReplicaId>,
+        /// Limits of callers' requests. They follow the message, where earlier releases do not
+        /// look for them.
+        #[serde(skip)]
+        limits: Option<LimitsInForce>,
     },
     /// Raft messages.
     Raft(Vec<Envelope>),
@@ -64,7 +69,7 @@
 
 /// Appends a frame to `buf`.
 pub(crate) fn encode(message: &PeerMessage, buf: &mut Vec<u8>) {
-    let body = match postcard::to_stdvec(message) {
+    let body = match to_bytes(message) {
         Ok(body) => body,
         Err(error) => return log::error!("dropping a message to another daemon: {error}"),
     };
@@ -77,6 +82,24 @@
     }
 }
 
+fn to_bytes(message: &PeerMessage) -> postcard::Result<Vec<u8>> {
+    let body = postcard::to_stdvec(message)?;
+    match message {
+        PeerMessage::Welcome { limits: Some(limits), .. } => postcard::to_extend(limits, body),
+        _ => Ok(body),
+    }
+}
+
+fn from_bytes(bytes: &[u8]) -> postcard::Result<PeerMessage> {
+    let (mut message, rest) = postcard::take_from_bytes(bytes)?;
+    if let PeerMessage::Welcome { limits, .. } = &mut message
+        && !rest.is_empty()
+    {
+        *limits = Some(postcard::from_bytes(rest)?);
+    }
+    Ok(message)
+}
+
 /// Reads messages from a connection, and charges them to its client.
 pub(crate) struct FrameReader<R> {
     source: R,
@@ -194,7 +217,7 @@
 
     fn take_frame(&mut self, size: usize) -> io::Result<PeerMessage> {
         let start = self.consumed + HEADER_BYTES;
-        let message = postcard::from_bytes(&self.buf[start..start + size])
+        let message = from_bytes(&self.buf[start..start + size])
             .map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
         self.consumed = start + size;
         if self.consumed == self.buf.len() {
--- a/crates/daemon/src/cell/node.rs
+++ b/crates/daemon/src/cell/node.rs
@@ -28,6 +28,7 @@
 use yuccalink_coordination::peer_table::{LeaderInfo, NodeInfo, PeerTable};
 use yuccalink_coordination::raft::{Envelope, ReplicaId};
 use yuccalink_coordination::store_health::StoreState;
+use yuccalink_state::jobs::CellState;
 use yuccalink_transport::account::ClientAccount;
 
 /// Most blocked runners in a status; metrics count all of them.
@@ -255,9 +256,13 @@
         leader: Option<LeaderInfo>,
         disks: &[NodeInfo],
         bootstrapper: Option<ReplicaId>,
+        limits: Option<LimitsInForce>,
     ) {
         self.with(|node| {
             let now = node.clock.now();
+            if let Some(limits) = limits {
+                node.learn_limits(limits);
+            }
             node.peer_table.record_peer(sender, now);
             for disk in disks {
                 node.peer_table.record_reported_peer(disk, now);
@@ -303,6 +308,7 @@
                 leader: node.known_leader(),
                 disks: node.peer_table.disks(now),
                 bootstrapper: node.peer_table.designated(),
+                limits: Some(*node.limits.borrow()),
             }
         })
     }
@@ -414,6 +420,27 @@
         Some(change.version)
     }
 
+    /// Applies the limits of a change set, unless a newer one is known.
+    fn learn_limits(&mut self, learned: LimitsInForce) {
+        self.limits.send_if_modified(|limits| {
+            let is_newer = learned.version > limits.version;
+            if is_newer {
+                *limits = learned;
+            }
+            is_newer
+        });
+    }
+
+    /// Takes the limits from the change set that this process's replica has applied.
+    fn apply_limits(&mut self) {
+        let state = self.replica.as_ref().and_then(Replica::state);
+        let Some(change_set) = state.and_then(CellState::change_set) else { return };
+        if change_set.version > self.limits.borrow().version {
+            let limits = LimitsInForce::of(change_set);
+            self.learn_limits(limits);
+        }
+    }
+
     /// Takes the leader from Raft, which knows a new leader before the peers report it.
     fn learn_leader(&mut self) {
         let now = self.clock.now();
@@ -462,6 +489,7 @@
     /// Sends the replica's messages and the leader's responses, and starts its external calls.
     pub(super) fn flush(&mut self, shared: &SharedNode) {
         let now = self.clock.now();
+        self.apply_limits();
         let Some(replica) = &mut self.replica else { return };
         if replica.has_disk_task() {
             shared.0.disk_wake.notify_one();
--- a/crates/daemon/src/cell/peer_connection.rs
+++ b/crates/daemon/src/cell/peer_connection.rs
@@ -155,8 +155,8 @@
                     let _ = tx.send(response);
                 }
             }
-            PeerMessage::Welcome { sender, leader, disks, bootstrapper } => {
-                node.handle_welcome(to, sender, leader, &disks, bootstrapper);
+            PeerMessage::Welcome { sender, leader, disks, bootstrapper, limits } => {
+                node.handle_welcome(to, sender, leader, &disks, bootstrapper, limits);
             }
             PeerMessage::Hello(_) | PeerMessage::Raft(_) | PeerMessage::Ask { .. } => {}
         }
--- a/crates/daemon/src/cell/peers.rs
+++ b/crates/daemon/src/cell/peers.rs
@@ -53,7 +53,7 @@
     let client = Arc::new(client);
     let result = tokio::select! {
         result = read(&node, FrameReader::incoming(from, client.clone()), &client, tx) => result,
-        result = write(into, rx) => result,
+        result = write(&node, into, rx) => result,
         () = client.sent_away() => Err(io::ErrorKind::TimedOut.into()),
     };
     if let Err(error) = result {
@@ -92,14 +92,20 @@
 }
 
 async fn write(
+    node: &SharedNode,
     mut into: OwnedWriteHalf,
     mut rx: mpsc::Receiver<PeerMessage>,
 ) -> io::Result<()> {
+    let mut limits = node.limits();
     let mut buf = Vec::new();
     loop {
-        match rx.recv().await {
-            Some(message) => frame::encode(&message, &mut buf),
-            None => return Ok(()),
+        tokio::select! {
+            message = rx.recv() => match message {
+                Some(message) => frame::encode(&message, &mut buf),
+                None => return Ok(()),
+            },
+            // The next `Hello` may be seconds away.
+            _ = limits.changed() => frame::encode(&node.welcome(), &mut buf),
         }
         while buf.len() < WRITE_BATCH_BYTES
             && let Ok(message) = rx.try_recv()
