Cell: what a body becomes is charged before it is parsed

Callers saw: nothing in calm; four change sets of 4 MiB in the form {} took a process of 96 MiB to 964 MiB, 65 jobs of 256 KiB of empty steps to 375 and 772, reports of empty labels to 226.

Cause: a body of few bytes for each element becomes many times its size: {} in a list of queues is three bytes and a structure of some hundred, twice while the list grows.

An upper estimate from the body's braces, brackets and commas is charged first. What never fits is answered 413, what does not fit now 503.

--- a/crates/daemon/src/cell/http/request.rs
+++ b/crates/daemon/src/cell/http/request.rs
@@ -6,6 +6,7 @@
 use crate::cell::client_io::Connection;
 use crate::cell::native;
 use crate::cell::requests::LeaderRoute;
+use crate::json_size;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming as Body};
@@ -15,7 +16,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 use yuccalink_coordination::jobs::{CellRequest, CellResponse};
-use yuccalink_transport::account::Phase;
+use yuccalink_transport::account::{Exhausted, Phase};
 use yuccalink_transport::request_body::{BodyBounds, Holding, RequestBodyError, read_chunks};
 
 /// Time limit for the leader's response to a caller's request. Callers give up after 3 s, and
@@ -42,16 +43,20 @@
     HeadTooLarge(usize),
     /// {0}
     Body(RequestBodyError),
+    /// there is no memory for the request now; send it again later
+    NoRoom,
+    /// the request takes more memory than this process has for one; send less at once
+    TooLarge,
 }
 
 impl Refusal {
     fn status(self) -> u16 {
         match self {
             Self::HeadTooLarge(_) => 431,
-            Self::Body(RequestBodyError::TooLarge(_)) => 413,
+            Self::Body(RequestBodyError::TooLarge(_)) | Self::TooLarge => 413,
             Self::Body(RequestBodyError::TooSlow) => 408,
             Self::Body(RequestBodyError::Broken) => 400,
-            Self::Body(RequestBodyError::NoRoom) => 503,
+            Self::Body(RequestBodyError::NoRoom) | Self::NoRoom => 503,
         }
     }
 }
@@ -115,6 +120,10 @@
     let next = async || next_chunk(&mut body).await;
     let bounds = BodyBounds { bytes, time: BODY_TIMEOUT };
     let received = read_chunks(next, bounds, holding).await.map_err(Refusal::Body)?;
+    holding.charge(json_size::parsed_bytes(&received)).map_err(|why| match why {
+        Exhausted::TooLarge => Refusal::TooLarge,
+        Exhausted::Memory | Exhausted::Connections => Refusal::NoRoom,
+    })?;
     Ok(received)
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod entry;
 mod error;
 mod journal;
+mod json_size;
 mod leader;
 mod leader_client;
 mod logging;
