Daemon for services: bodies and responses are bounded together, by a memory setting

Callers saw: nothing in calm; 780 connections with bodies just short of 1 MiB took a daemon to 818 MiB, 97 with documents to 407, 390 that do not read their responses to 136; 2,000 silent connections to the control port took 2,041 descriptors.

A body's first chunk kept the buffer that it was read into, and a body was copied as a whole when its second chunk had come.

Bodies, what JSON and documents become, responses kept for a slow caller and the chunks of streamed ones are charged. A response that finds no memory is streamed, or waits, with its runner; it is not lost. Write buffers of connections have 16 KiB instead of 256, sockets 32 and 64 KiB. Gauges by class over StatsD.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,5 +1,6 @@
 //! The HTTP interface for targets, operators and the platform.
 
+use crate::json_size;
 use crate::leader::unacceptable_document;
 use crate::shared::Shared;
 use rand::{Rng as _, SeedableRng as _};
@@ -19,14 +20,21 @@
 use yuccalink_protocol::problem::{ExecutionStatus, Problem, ProblemKind};
 use yuccalink_protocol::request::{IDEMPOTENCY_KEY, check_key};
 use yuccalink_state::id::{BadTaskId, Name, TaskId};
+use yuccalink_transport::account::{ClientClass, Exhausted};
 use yuccalink_transport::http::{HeaderMap, Method, StatusCode, request::Parts};
 use yuccalink_transport::reply;
+use yuccalink_transport::request_body::{BodyBounds, Holding, RequestBodyError};
 use yuccalink_transport::server::{Handler, read_body};
 
 /// Maximum size of a request body on this interface, in bytes.
 const BODY_MAX_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum time for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Memory that a byte of a document may take while it is parsed, in bytes: an empty table in a
+/// list.
+const PARSED_DOCUMENT_FACTOR: usize = 64;
+/// Retry delay of a request that found no memory.
+const NO_ROOM_RETRY_AFTER_MS: u64 = 1_000;
 /// Maximum wait until an applied document is in force on all entries.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Request header that names the author of a document.
@@ -44,6 +52,8 @@
     query: &'a str,
     headers: &'a HeaderMap,
     body: RequestBody,
+    /// What the request takes, until it is answered.
+    holding: &'a mut Holding,
 }
 
 type AdminResult = Result<WebResponse, Problem>;
@@ -64,8 +74,9 @@
     async fn handle_request(&self, head: &Parts, body: RequestBody) -> AdminResult {
         let path: Vec<&str> = head.uri.path().split('/').skip(1).collect();
         let query = head.uri.query().unwrap_or_default();
-        let request =
-            AdminRequest { method: &head.method, path, query, headers: &head.headers, body };
+        let mut holding = Holding::new(self.shared.account.open(ClientClass::Control).into());
+        let (method, headers, holding) = (&head.method, &head.headers, &mut holding);
+        let request = AdminRequest { method, path, query, headers, body, holding };
         match request.path.as_slice() {
             ["livez"] => Ok(reply::text(StatusCode::OK, "alive\n")),
             ["readyz"] => Ok(self.readiness()),
@@ -102,14 +113,14 @@
         match (request.method.as_str(), path.as_slice()) {
             ("GET", ["v1", "targets"]) => self.ask_leader(LeaderRequest::Targets).await,
             ("POST", ["v1", "targets"]) => {
-                let announce: Announce = read_json(request.body).await?;
+                let announce: Announce = read_json(request).await?;
                 let (target, busy) = announce.into_parts();
                 check_target(&target)?;
                 self.ask_leader(LeaderRequest::Announce { target, busy }).await
             }
             ("POST", ["v1", "targets", name, "heartbeat"]) => {
                 let name = parse_name(name)?;
-                let heartbeat: Heartbeat = read_json(request.body).await?;
+                let heartbeat: Heartbeat = read_json(request).await?;
                 let held_count = heartbeat.held.as_ref().map_or(0, Vec::len);
                 if held_count > LIST_MAX || heartbeat.reports.len() > LIST_MAX {
                     let detail =
@@ -124,7 +135,7 @@
             }
             ("POST", ["v1", "targets", name, "leave"]) => {
                 let name = parse_name(name)?;
-                let leave: Leave = read_json(request.body).await?;
+                let leave: Leave = read_json(request).await?;
                 self.ask_leader(LeaderRequest::Leave { name, incarnation: leave.incarnation }).await
             }
             _ => Err(method_problem(&request)),
@@ -138,7 +149,7 @@
             ("PUT", ["v1", "zones", zone]) => {
                 // Targets of this daemon name their zones with these characters only.
                 let zone = parse_name(zone)?;
-                let change: ZoneChange = read_json(request.body).await?;
+                let change: ZoneChange = read_json(request).await?;
                 self.ask_leader(LeaderRequest::Zone(change.into_order(zone.as_str()))).await
             }
             _ => Err(method_problem(&request)),
@@ -154,7 +165,7 @@
             }
             ("PUT", ["v1", "services", name]) => self.apply(parse_name(name)?, request).await,
             ("POST", ["v1", "services", name, "check"]) => {
-                read_document(&parse_name(name)?, request.body).await?;
+                read_document(&parse_name(name)?, request).await?;
                 Ok(reply::json(StatusCode::OK, &serde_json::json!({ "ok": true })))
             }
             _ => Err(method_problem(&request)),
@@ -165,7 +176,7 @@
         let wait = !request.query.split('&').any(|part| part == "wait=false");
         let author = request.headers.get(AUTHOR).and_then(|value| value.to_str().ok());
         let author = author.filter(|text| text.len() <= 255).unwrap_or("unnamed").into();
-        let text = read_document(&name, request.body).await?;
+        let text = read_document(&name, request).await?;
         match self.shared.request_leader(LeaderRequest::Apply { text, author }).await {
             LeaderResponse::Applied(mut applied) => {
                 if wait {
@@ -205,11 +216,11 @@
             }
             ("POST", ["v1", "tasks"]) => {
                 let key = self.submission_key(request.headers)?;
-                let tasks: SubmitTasks = read_json(request.body).await?;
+                let tasks: SubmitTasks = read_json(request).await?;
                 self.ask_leader(LeaderRequest::Submit { key, tasks }).await
             }
             ("POST", ["v1", "tasks", "cancel"]) => {
-                let cancel: CancelTasks = read_json(request.body).await?;
+                let cancel: CancelTasks = read_json(request).await?;
                 self.ask_leader(LeaderRequest::Cancel(cancel.tasks)).await
             }
             ("GET", ["v1", "tasks", id]) => {
@@ -297,11 +308,12 @@
     })
 }
 
-async fn read_json<T>(body: RequestBody) -> Result<T, Problem>
+async fn read_json<T>(request: AdminRequest<'_>) -> Result<T, Problem>
 where
     T: DeserializeOwned,
 {
-    let bytes = read_bytes(body).await?;
+    let bytes = read_bytes(request.body, request.holding).await?;
+    charge(request.holding, json_size::parsed_bytes(&bytes))?;
     serde_json::from_slice(&bytes).map_err(|error| {
         let detail =
             format!("the body is not the JSON expected here: {error}; see docs/PROTOCOLS.md");
@@ -309,18 +321,43 @@
     })
 }
 
-async fn read_bytes(body: RequestBody) -> Result<bytes::Bytes, Problem> {
-    read_body(body, BODY_MAX_BYTES, BODY_TIMEOUT).await.map_err(|error| {
-        let kind = match error {
-            yuccalink_transport::server::RequestBodyError::TooLarge(_) => ProblemKind::TooLarge,
-            _ => ProblemKind::BadRequest,
-        };
-        Problem::new(kind, ExecutionStatus::NotRun, error.to_string())
+async fn read_bytes(body: RequestBody, holding: &mut Holding) -> Result<bytes::Bytes, Problem> {
+    let bounds = BodyBounds { bytes: BODY_MAX_BYTES, time: BODY_TIMEOUT };
+    read_body(body, bounds, holding).await.map_err(|error| body_problem(&error))
+}
+
+/// Problem of a request whose body was not read. It has not run.
+pub(crate) fn body_problem(error: &RequestBodyError) -> Problem {
+    let kind = match error {
+        RequestBodyError::TooLarge(_) => ProblemKind::TooLarge,
+        RequestBodyError::TooSlow | RequestBodyError::Broken => ProblemKind::BadRequest,
+        RequestBodyError::NoRoom => return no_room_problem(&error.to_string()),
+    };
+    Problem::new(kind, ExecutionStatus::NotRun, error.to_string())
+}
+
+fn no_room_problem(detail: &str) -> Problem {
+    Problem::new(ProblemKind::Overloaded, ExecutionStatus::NotRun, detail)
+        .retry_after(NO_ROOM_RETRY_AFTER_MS)
+}
+
+/// Charges what the parsed form of a request takes.
+fn charge(holding: &mut Holding, bytes: usize) -> Result<(), Problem> {
+    holding.charge(bytes).map_err(|why| match why {
+        Exhausted::TooLarge => {
+            let detail = "the request takes more memory than this daemon has for one; split it, or \
+                          raise --memory-mb";
+            Problem::new(ProblemKind::TooLarge, ExecutionStatus::NotRun, detail)
+        }
+        Exhausted::Memory | Exhausted::Connections => {
+            no_room_problem("there is no memory for the request now; send it again later")
+        }
     })
 }
 
-async fn read_document(name: &Name, body: RequestBody) -> Result<Box<str>, Problem> {
-    let bytes = read_bytes(body).await?;
+async fn read_document(name: &Name, request: AdminRequest<'_>) -> Result<Box<str>, Problem> {
+    let bytes = read_bytes(request.body, request.holding).await?;
+    charge(request.holding, bytes.len().saturating_mul(PARSED_DOCUMENT_FACTOR))?;
     let text = std::str::from_utf8(&bytes).map_err(|_| {
         Problem::new(
             ProblemKind::BadRequest,
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -5,6 +5,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use yuccalink_state::id::Name;
+use yuccalink_transport::account::{AccountBounds, ClassBounds, ClientClass};
+use yuccalink_transport::rpc::CONNECTIONS_MAX;
+use yuccalink_transport::server::CONNECTION_BYTES_MAX;
 
 /// Another daemon of the system.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +43,10 @@
     pub traffic_threads: usize,
     /// Maximum number of concurrent connections of callers.
     pub connections: usize,
+    /// Maximum number of concurrent connections of targets and operators.
+    pub control_connections: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
     /// Maximum size of a request body, in bytes.
     pub body_max: usize,
     /// Maximum time for receiving the head of a request.
@@ -89,6 +96,14 @@
     };
 }
 
+/// Default memory of the process, in bytes.
+const MEMORY: usize = 768 * 1024 * 1024;
+/// One part in this many of the memory is for open connections.
+const CONNECTIONS_PART: usize = 2;
+/// One part in this many of the memory is for requests, responses and messages of daemons.
+const CLIENTS_PART: usize = 4;
+/// One part in this many of the latter is kept for each of callers, control and daemons.
+const RESERVE_PART: usize = 8;
 const LOOPBACK: [u8; 4] = [127, 0, 0, 1];
 
 impl Config {
@@ -109,6 +124,8 @@
             peer_keys: None,
             traffic_threads: 2,
             connections: 4096,
+            control_connections: 4096,
+            memory: MEMORY,
             body_max: 1024 * 1024,
             head_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(10),
@@ -127,6 +144,21 @@
         self.callers_advertised.unwrap_or(self.callers)
     }
 
+    /// Bounds on what clients may make the process hold beside their connections.
+    pub(crate) fn account_bounds(&self) -> AccountBounds {
+        let bytes = self.memory / CLIENTS_PART;
+        let class = |class| match class {
+            ClientClass::Callers | ClientClass::Control => {
+                ClassBounds { connections: 0, reserve: bytes / RESERVE_PART }
+            }
+            ClientClass::Peers => {
+                ClassBounds { connections: CONNECTIONS_MAX, reserve: bytes / RESERVE_PART }
+            }
+            ClientClass::Observers => ClassBounds::default(),
+        };
+        AccountBounds { bytes, connections: 0, classes: ClientClass::ALL.map(class) }
+    }
+
     /// Whether this daemon stores the replicated state.
     pub fn is_voter(&self) -> bool {
         self.voters.is_empty() || self.voters.iter().any(|voter| voter.name == self.name)
@@ -151,6 +183,10 @@
         traffic_threads: usize;
         /// See [`Config::connections`].
         connections: usize;
+        /// See [`Config::control_connections`].
+        control_connections: usize;
+        /// See [`Config::memory`].
+        memory: usize;
         /// See [`Config::body_max`].
         body_max: usize;
         /// See [`Config::head_timeout`].
@@ -250,7 +286,18 @@
     }
     at_least_one("traffic-threads", config.traffic_threads)?;
     at_least_one("connections", config.connections)?;
+    at_least_one("control-connections", config.control_connections)?;
     at_least_one("body-max", config.body_max)?;
+    let connections = config.connections.saturating_add(config.control_connections);
+    let needed = connections.saturating_mul(CONNECTION_BYTES_MAX * CONNECTIONS_PART);
+    if needed > config.memory {
+        let detail = format!(
+            "{connections} connections need {} MiB; set that, or lower connections or \
+             control-connections",
+            needed.div_ceil(1024 * 1024)
+        );
+        return Err(setting_error("memory-mb", detail));
+    }
     let timeouts = [
         ("head-timeout", config.head_timeout),
         ("body-timeout", config.body_timeout),
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -25,6 +25,8 @@
 
 /// Interval of the periodic work of the replica and the leader.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which the metrics of the account for clients are sent.
+const CLIENT_METRICS_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait for all entries to renew their leases before the leadership is handed over.
 const LEASE_RENEWAL_TIMEOUT: Duration = Duration::from_millis(300);
 const LEASE_RENEWAL_POLL: Duration = Duration::from_millis(5);
@@ -90,6 +92,7 @@
     }
     let entry = Rc::new(RefCell::new(EntryControl::new(shared.clone(), incarnation)));
     tokio::task::spawn_local(leader_client.clone().forward_requests(requests));
+    let metrics_task = tokio::task::spawn_local(report_clients(shared.clone()));
     let sync_task = tokio::task::spawn_local(sync_with_leader(
         shared,
         entry.clone(),
@@ -97,6 +100,7 @@
         incarnation,
     ));
     let _ = stop.wait_for(|stop| *stop).await;
+    metrics_task.abort();
     sync_task.abort();
     if let Some(replica) = &replica {
         transfer_leadership(replica).await;
@@ -175,6 +179,15 @@
     });
 }
 
+/// Sends the metrics of the account for clients periodically.
+async fn report_clients(shared: Arc<Shared>) {
+    let mut interval = tokio::time::interval(CLIENT_METRICS_INTERVAL);
+    loop {
+        interval.tick().await;
+        shared.metrics.clients(&shared.account);
+    }
+}
+
 /// Synchronizes this entry with the leader, which also renews its lease.
 async fn sync_with_leader(
     shared: Arc<Shared>,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -22,8 +22,6 @@
 
 /// Threads that serve targets and operators.
 const CONTROL_THREADS: usize = 1;
-/// Largest number of concurrent connections of targets and operators.
-const CONTROL_CONNECTIONS: usize = 4096;
 /// Time to send the last responses once no request is in flight; then connections are closed.
 const RESPONSE_FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which a draining daemon checks whether requests are still in flight.
@@ -215,7 +213,7 @@
 fn serve_admin(shared: &Arc<Shared>, listener: TcpListener) -> Result<Server> {
     let limits = ServerLimits {
         threads: CONTROL_THREADS,
-        connections: CONTROL_CONNECTIONS,
+        connections: shared.config.control_connections,
         ..ServerLimits::default()
     };
     let shared = shared.clone();
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -4,6 +4,7 @@
 use cadence::{StatsdClient, Timed};
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
+use yuccalink_transport::account::{ClientAccount, ClientClass};
 
 const PREFIX: &str = "yuccalink";
 /// Maximum number of metrics in the send queue. Further metrics are dropped.
@@ -75,6 +76,26 @@
         }
     }
 
+    /// Sends what clients make the process hold, its bound, and how many were refused.
+    pub(crate) fn clients(&self, account: &ClientAccount) {
+        if !self.enabled {
+            return;
+        }
+        for class in [ClientClass::Callers, ClientClass::Control, ClientClass::Peers] {
+            let usage = account.usage(class);
+            let values = [
+                ("clients_held_bytes", usage.held as u64),
+                ("clients_bound_bytes", usage.bound as u64),
+                ("requests_without_memory", usage.refused_requests),
+                ("clients_gave_way", usage.gave_way),
+            ];
+            for (name, value) in values {
+                let gauge = self.client.gauge_with_tags(name, value);
+                let _ = gauge.with_tag("clients", class.name()).try_send();
+            }
+        }
+    }
+
     pub(crate) fn gauge(&self, name: &str, value: u64) {
         if self.enabled {
             let _ = self.client.gauge(name, value);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -22,6 +22,7 @@
 use yuccalink_state::document::Document;
 use yuccalink_state::id::Name;
 use yuccalink_state::target::RunnerSpec;
+use yuccalink_transport::account::ClientAccount;
 use yuccalink_transport::auth::Keys;
 use yuccalink_transport::pool::Destination;
 
@@ -81,6 +82,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) in_flight: AtomicUsize,
     pub(crate) keys: Keys,
+    /// What clients make this process hold.
+    pub(crate) account: Arc<ClientAccount>,
     routing: Mutex<Routing>,
     lease_until: AtomicU64,
     draining: AtomicBool,
@@ -99,11 +102,13 @@
         leader: mpsc::Sender<ToLeader>,
     ) -> Self {
         let router = Router::new(config.zone.clone());
+        let account = ClientAccount::new(config.account_bounds());
         Self {
             decisions: Decisions::new(config.name.clone()),
             metrics: Metrics::new(config.statsd),
             config,
             clock,
+            account,
             routing_table: ArcSwap::default(),
             in_flight: AtomicUsize::new(0),
             keys,
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod runner_attempt;
 
+use crate::admin::body_problem;
 use crate::clock::{millis, unix_ms};
 use crate::metrics;
 use crate::shared::{Admitted, Owner, RoutingTable, Shared};
@@ -30,15 +31,23 @@
 use yuccalink_state::document::{Document, RequestKind};
 use yuccalink_state::id::Name;
 use yuccalink_state::ledger::{ANSWER_MAX, RequestKey, RequestOutcome, StoredResponse, Verdict};
-use yuccalink_transport::body::{BodyChunk, streamed_body};
+use yuccalink_transport::account::{Client, ClientClass};
+use yuccalink_transport::body::{BodyChunk, held_body, streamed_body};
 use yuccalink_transport::http::{HeaderName, HeaderValue, Method, StatusCode, header};
 use yuccalink_transport::pool::{self, Pool, PoolSettings, UpstreamError};
 use yuccalink_transport::reply;
-use yuccalink_transport::server::{Handler, RequestBodyError, read_body};
+use yuccalink_transport::request_body::{BodyBounds, Holding};
+use yuccalink_transport::server::{Handler, read_body};
 
 /// Responses up to this size, in bytes, are read completely before they are passed
 /// on, so that a slow caller does not occupy the runner's slot.
 const BUFFERED_RESPONSE_MAX_BYTES: u64 = 64 * 1024;
+/// Maximum number of chunks of a streamed response that are buffered for a slow caller.
+const BUFFERED_CHUNKS_MAX: usize = 8;
+/// Largest chunk of a runner's response, in bytes: the read buffer of its connection.
+const CHUNK_BYTES_MAX: usize = 64 * 1024;
+/// Interval at which a response that finds no memory is tried again.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of other entries that one request is forwarded to.
 const MAX_FORWARD_ATTEMPTS: usize = 3;
 /// Delay before the ledger is asked again about a request with the same key that is
@@ -72,9 +81,15 @@
     /// have sent the request with this key before and the ledger has not said otherwise. A
     /// refusal of a later attempt does not tell that the request did not run.
     may_have_run: AtomicBool,
+    /// What the request takes, until it is answered.
+    holding: Holding,
 }
 
 impl InboundRequest {
+    fn client(&self) -> Arc<Client> {
+        self.holding.client().clone()
+    }
+
     fn may_have_run(&self) -> bool {
         self.may_have_run.load(Ordering::Relaxed)
     }
@@ -194,7 +209,9 @@
         let key = ledger_key(&document, &kind, head.headers.get(IDEMPOTENCY_KEY))?;
         let config = &self.shared.config;
         let (_, body) = body.replace_body(());
-        let body = read_body(body, config.body_max, config.body_timeout).await;
+        let bounds = BodyBounds { bytes: config.body_max, time: config.body_timeout };
+        let mut holding = Holding::new(self.shared.account.open(ClientClass::Callers).into());
+        let body = read_body(body, bounds, &mut holding).await;
         let body = body.map_err(|error| {
             let problem = body_problem(&error);
             if key.is_some() { without_not_run(problem) } else { problem }
@@ -203,7 +220,16 @@
         let request =
             CallerRequest { method: head.method, uri: head.uri, headers: head.headers, body };
         let may_have_run = AtomicBool::new(key.is_some());
-        Ok(InboundRequest { request, document, kind, deadline, is_forwarded, key, may_have_run })
+        Ok(InboundRequest {
+            request,
+            document,
+            kind,
+            deadline,
+            is_forwarded,
+            key,
+            may_have_run,
+            holding,
+        })
     }
 
     async fn dispatch(&self, inbound: InboundRequest) -> Result<WebResponse, Problem> {
@@ -353,11 +379,33 @@
     // ---- responses ----
 
     /// Creates a forwarder for the response body of this request.
-    fn body_forwarder(&self, inbound: &InboundRequest) -> BodyForwarder {
+    fn body_forwarder(&self, inbound: &InboundRequest, holding: Holding) -> BodyForwarder {
         BodyForwarder {
             stall_timeout: self.shared.config.stall_timeout,
             deadline: inbound.deadline,
             in_flight: InFlight::new(&self.shared),
+            holding,
+        }
+    }
+
+    /// Charges the buffers of a streamed response and returns how many chunks they may hold. Waits
+    /// for memory until the deadline of the request: the response is not lost meanwhile.
+    async fn charge_stream(&self, inbound: &InboundRequest) -> (Holding, usize) {
+        let mut holding = Holding::new(inbound.client());
+        for chunks in [BUFFERED_CHUNKS_MAX, 1] {
+            // One chunk is being sent, and one is in the connection to the runner.
+            if holding.try_charge((chunks + 2) * CHUNK_BYTES_MAX).is_ok() {
+                return (holding, chunks);
+            }
+        }
+        self.wait_for_room(inbound, &mut holding, 3 * CHUNK_BYTES_MAX).await;
+        (holding, 1)
+    }
+
+    /// Charges `bytes` for a response as soon as there is memory, at the latest at the deadline.
+    async fn wait_for_room(&self, inbound: &InboundRequest, holding: &mut Holding, bytes: usize) {
+        while holding.try_charge(bytes).is_err() && Instant::now() < inbound.deadline {
+            sleep(ROOM_POLL_INTERVAL).await;
         }
     }
 
@@ -422,6 +470,7 @@
     stall_timeout: Duration,
     deadline: Instant,
     in_flight: InFlight,
+    holding: Holding,
 }
 
 /// Is notified when a response body has ended, completely or not. Dropped afterwards, which
@@ -453,6 +502,7 @@
         H: ResponseObserver,
     {
         let _in_flight = self.in_flight;
+        let _holding = self.holding;
         if !prefix.is_empty() && tx.send(BodyChunk::Data(prefix)).await.is_err() {
             return;
         }
@@ -615,14 +665,6 @@
     Ok(Some(RequestKey { service: document.service.clone(), key: key.into() }))
 }
 
-fn body_problem(error: &RequestBodyError) -> Problem {
-    let kind = match error {
-        RequestBodyError::TooLarge(_) => ProblemKind::TooLarge,
-        RequestBodyError::TooSlow | RequestBodyError::Broken => ProblemKind::BadRequest,
-    };
-    Problem::new(kind, ExecutionStatus::NotRun, error.to_string())
-}
-
 fn not_found_problem(detail: String) -> Problem {
     Problem::new(ProblemKind::NotFound, ExecutionStatus::NotRun, detail)
 }
--- a/crates/daemon/src/traffic/forward.rs
+++ b/crates/daemon/src/traffic/forward.rs
@@ -33,7 +33,7 @@
                 }
                 Ok(upstream) if last || !was_refused(&upstream, inbound.key.is_some()) => {
                     self.shared.routing().router.earn_retry(&inbound.document.service);
-                    return Ok(self.relay_from_entry(inbound, upstream));
+                    return Ok(self.relay_from_entry(inbound, upstream).await);
                 }
                 Ok(_) => {}
                 Err(error) if error.is_unsent() && last => {
@@ -67,7 +67,7 @@
     }
 
     /// Streams another entry's response to the caller.
-    pub(super) fn relay_from_entry(
+    pub(super) async fn relay_from_entry(
         &self,
         inbound: &InboundRequest,
         upstream: pool::UpstreamResponse,
@@ -77,9 +77,11 @@
         if inbound.request.method == Method::HEAD {
             return response;
         }
-        let (tx, body) = streamed_body(size);
+        let (holding, chunks) = self.charge_stream(inbound).await;
+        let (tx, body) = streamed_body(size, chunks);
         *response.body_mut() = body;
-        tokio::task::spawn_local(self.body_forwarder(inbound).run(upstream, (), tx, Bytes::new()));
+        let forwarder = self.body_forwarder(inbound, holding);
+        tokio::task::spawn_local(forwarder.run(upstream, (), tx, Bytes::new()));
         response
     }
 
--- a/crates/daemon/src/traffic/runner_attempt.rs
+++ b/crates/daemon/src/traffic/runner_attempt.rs
@@ -59,8 +59,15 @@
         let must_record = recorded.is_some();
         let small = size.is_some_and(|size| size <= BUFFERED_RESPONSE_MAX_BYTES);
         let may_be_recorded = must_record && size.is_none_or(|size| size <= ANSWER_MAX as u64);
+        let limit = if must_record { ANSWER_MAX } else { BUFFERED_RESPONSE_MAX_BYTES as usize };
+        let bytes = size.map_or(limit, |size| usize::try_from(size).unwrap_or(limit).min(limit));
+        let mut holding = Holding::new(inbound.client());
+        if may_be_recorded {
+            self.wait_for_room(inbound, &mut holding, bytes).await;
+        }
+        // Without memory for a small response, it is streamed.
+        let small = small && (may_be_recorded || holding.try_charge(bytes).is_ok());
         if no_body || small || may_be_recorded {
-            let limit = if must_record { ANSWER_MAX } else { BUFFERED_RESPONSE_MAX_BYTES as usize };
             let prefix = read_prefix(&mut upstream, limit, inbound.deadline).await;
             let (prefix, complete) =
                 prefix.inspect_err(|_| slot.outcome = RunnerOutcome::Failed)?;
@@ -71,7 +78,7 @@
                     recorded.record_response(&response, &prefix).await;
                 }
                 if !no_body {
-                    *response.body_mut() = ResponseBody::bytes(prefix);
+                    *response.body_mut() = held_body(prefix, holding);
                 }
                 return Ok(response);
             }
@@ -99,9 +106,11 @@
         {
             self.record_end(&key, recorded.attempt, RequestOutcome::AnsweredTooLarge).await;
         }
-        let (tx, body) = streamed_body(size);
+        let (holding, chunks) = self.charge_stream(inbound).await;
+        let (tx, body) = streamed_body(size, chunks);
         *response.body_mut() = body;
-        tokio::task::spawn_local(self.body_forwarder(inbound).run(upstream, slot, tx, prefix));
+        let forwarder = self.body_forwarder(inbound, holding);
+        tokio::task::spawn_local(forwarder.run(upstream, slot, tx, prefix));
         response
     }
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cancel_checker;
 pub mod cell;
 pub mod emulator;
+mod request_body;
 pub mod runner;
 pub mod slow_link;
 mod target;
--- a/crates/fakes/src/runner.rs
+++ b/crates/fakes/src/runner.rs
@@ -6,6 +6,7 @@
 //! the request before it starts. The response repeats the request's `fake-tag` header, or else
 //! its body.
 
+use crate::request_body::read_whole;
 use crate::target::{AnnounceOutcome, Announcer, random_incarnation};
 use bytes::Bytes;
 use std::net::{SocketAddr, TcpListener};
@@ -24,10 +25,10 @@
 use yuccalink_transport::body::{BodyChunk, streamed_body};
 use yuccalink_transport::http::{HeaderMap, StatusCode};
 use yuccalink_transport::reply;
-use yuccalink_transport::server::{Handler, Server, ServerLimits, read_body};
+use yuccalink_transport::server::{Handler, Server, ServerLimits};
 
-const BODY_MAX_BYTES: usize = 64 * 1024 * 1024;
 const CHUNK_BYTES: usize = 64 * 1024;
+const BUFFERED_CHUNKS: usize = 8;
 /// Pause after a message that no entry accepted.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -261,8 +262,7 @@
             return refused;
         }
         let busy = BusyGuard::new(self, &head.headers);
-        let body =
-            read_body(body, BODY_MAX_BYTES, Duration::from_secs(30)).await.unwrap_or_default();
+        let body = read_whole(body, Duration::from_secs(30)).await;
         if let Some(ms) = header_number(&head.headers, "fake-delay-ms") {
             sleep(Duration::from_millis(ms)).await;
         }
@@ -290,7 +290,7 @@
     let cut = headers.contains_key("fake-cut");
     let announced = (!headers.contains_key("fake-chunked")).then_some(size);
     let delay = header_number(headers, "fake-chunk-delay-ms");
-    let (tx, body) = streamed_body(announced);
+    let (tx, body) = streamed_body(announced, BUFFERED_CHUNKS);
     tokio::task::spawn_local(async move {
         let until = if cut { size / 2 } else { size };
         let mut sent = 0;
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -4,6 +4,7 @@
 //! use 900 millicores, whatever was declared. Without `run=`, a task runs for its declared
 //! duration. Tasks write a checkpoint when they are ordered to.
 
+use crate::request_body::read_whole;
 use crate::runner::run_local;
 use crate::target::{AnnounceOutcome, Announcer, random_incarnation};
 use std::collections::{BTreeMap, HashMap};
@@ -26,9 +27,8 @@
 use yuccalink_state::worker::WorkerSpec;
 use yuccalink_transport::http::StatusCode;
 use yuccalink_transport::reply;
-use yuccalink_transport::server::{Handler, Server, ServerLimits, read_body};
+use yuccalink_transport::server::{Handler, Server, ServerLimits};
 
-const BODY_MAX_BYTES: usize = 64 * 1024 * 1024;
 /// Time between two checks of the running tasks.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Pause after a message that no entry accepted.
@@ -345,8 +345,7 @@
             // A worker that is cut off neither receives orders nor answers them.
             std::future::pending::<()>().await;
         }
-        let body =
-            read_body(body, BODY_MAX_BYTES, Duration::from_secs(5)).await.unwrap_or_default();
+        let body = read_whole(body, Duration::from_secs(5)).await;
         let Ok(orders) = serde_json::from_slice::<Orders>(&body) else {
             return reply::text(StatusCode::BAD_REQUEST, "the body is not a list of orders\n");
         };
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -1,5 +1,6 @@
 //! Response bodies that are forwarded while they are still being received.
 
+use crate::request_body::Holding;
 use bytes::Bytes;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -7,8 +8,38 @@
 use xitca_web::body::{Body, Frame, ResponseBody, SizeHint};
 use xitca_web::error::BodyError;
 
-/// Maximum number of chunks buffered for a slow caller.
-pub const BUFFERED_CHUNKS_MAX: usize = 8;
+/// A complete body, charged to its client until it is passed on.
+struct HeldBody {
+    bytes: Option<Bytes>,
+    size: usize,
+    _holding: Holding,
+}
+
+/// Creates a body that keeps `holding` until it is sent or dropped.
+pub fn held_body(bytes: Bytes, holding: Holding) -> ResponseBody {
+    let size = bytes.len();
+    ResponseBody::boxed(HeldBody { bytes: Some(bytes), size, _holding: holding })
+}
+
+impl Body for HeldBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Poll::Ready(self.bytes.take().map(|bytes| Ok(Frame::Data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::Exact(self.size as u64)
+    }
+}
 
 /// Why a streamed body ended early. The caller's connection is closed, so that a
 /// truncated response is never taken for a complete one.
@@ -40,9 +71,10 @@
     ended: bool,
 }
 
-/// Creates a body that is fed through the returned sender, of `size` bytes if that is known.
-pub fn streamed_body(size: Option<u64>) -> (mpsc::Sender<BodyChunk>, ResponseBody) {
-    let (tx, rx) = mpsc::channel(BUFFERED_CHUNKS_MAX);
+/// Creates a body that is fed through the returned sender, of `size` bytes if that is known. At
+/// most `chunks` are buffered for a slow caller.
+pub fn streamed_body(size: Option<u64>, chunks: usize) -> (mpsc::Sender<BodyChunk>, ResponseBody) {
+    let (tx, rx) = mpsc::channel(chunks.max(1));
     (tx, ResponseBody::boxed(StreamedBody { rx, size, ended: false }))
 }
 
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -1,9 +1,11 @@
 //! An HTTP/1.1 server on its own threads, with connection limits and timeouts.
 
+use crate::request_body::{BodyBounds, Holding, RequestBodyError, read_chunks};
 use bytes::Bytes;
 use socket2::SockRef;
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
@@ -22,7 +24,17 @@
 /// Maximum number of headers in a request; more get status 431.
 pub const HEADERS_MAX: usize = 64;
 /// Maximum size of the write buffer of a connection, in bytes.
-const WRITE_BUFFER_BYTES: usize = 256 * 1024;
+const WRITE_BUFFER_BYTES: usize = 16 * 1024;
+/// Sizes of the buffers of a socket, in bytes; the kernel may hold twice as much.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
+/// Time for which a refused client may go on sending before it is answered.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes that a refused client may go on sending.
+const DISCARD_BYTES_MAX: usize = 4 * 1024 * 1024;
+/// Memory that an open connection may take, in bytes, without its request bodies and the buffers
+/// of its socket.
+pub const CONNECTION_BYTES_MAX: usize = HEAD_MAX + WRITE_BUFFER_BYTES;
 /// Time to wait for the server's threads after a forced stop; after that they are left
 /// running.
 const FORCED_STOP_TIMEOUT: Duration = Duration::from_secs(1);
@@ -121,7 +133,10 @@
         // A caller that stops reading blocks a write, which the server's own timers do not
         // cover, so it could hold its connection without limit. TCP_USER_TIMEOUT makes the
         // kernel close the connection; accepted sockets inherit it from the listener.
-        SockRef::from(&listener).set_tcp_user_timeout(Some(limits.stall_timeout))?;
+        let socket = SockRef::from(&listener);
+        socket.set_tcp_user_timeout(Some(limits.stall_timeout))?;
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
         let permits = Arc::new(Semaphore::new(limits.connections.max(1)));
         let build = fn_build(async move |()| {
             Ok::<_, Infallible>(ThreadService {
@@ -178,63 +193,53 @@
     }
 }
 
-/// Why the body of a request cannot be read.
-#[derive(Debug, displaydoc::Display)]
-pub enum RequestBodyError {
-    /// the body is over {0} bytes; send less
-    TooLarge(usize),
-    /// the body was not received in time; send it without pauses
-    TooSlow,
-    /// the body ended early; send all of it
-    Broken,
-}
-
-impl std::error::Error for RequestBodyError {}
-
-/// Reads a complete body of at most `limit` bytes within `time`.
+/// Reads a complete body. What it takes stays charged to `holding`.
 ///
 /// # Errors
-/// [`RequestBodyError`] if the body is too large, too slow or truncated; the rest of it is not
-/// read.
+/// [`RequestBodyError`] if the body is too large, too slow, truncated or finds no memory; the rest
+/// of it is discarded for a while.
 pub async fn read_body(
     body: RequestBody,
-    limit: usize,
-    time: Duration,
+    bounds: BodyBounds,
+    holding: &mut Holding,
 ) -> Result<Bytes, RequestBodyError> {
-    use xitca_web::body::Body;
+    use xitca_web::body::{Body, SizeHint};
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let complete_body = collect_body(body, limit);
-    tokio::time::timeout(time, complete_body).await.unwrap_or(Err(RequestBodyError::TooSlow))
+    let announced = body.size_hint();
+    let mut body = std::pin::pin!(body);
+    let result = match announced {
+        SizeHint::Exact(size) if size > bounds.bytes as u64 => {
+            Err(RequestBodyError::TooLarge(bounds.bytes))
+        }
+        _ => read_chunks(async || next_chunk(body.as_mut()).await, bounds, holding).await,
+    };
+    if result.is_err() && !holding.client().is_sent_away() {
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard(body)).await;
+    }
+    result
 }
 
-async fn collect_body(body: RequestBody, limit: usize) -> Result<Bytes, RequestBodyError> {
+/// Reads on for a while, so that a client that is still sending receives the response: closed with
+/// bytes unread, the connection would be reset.
+async fn discard(mut body: Pin<&mut RequestBody>) {
+    let mut discarded = 0;
+    while discarded < DISCARD_BYTES_MAX
+        && let Some(Ok(chunk)) = next_chunk(body.as_mut()).await
+    {
+        discarded += chunk.len();
+    }
+}
+
+async fn next_chunk(mut body: Pin<&mut RequestBody>) -> Option<Result<Bytes, RequestBodyError>> {
     use xitca_web::body::{Body, Frame};
-    let mut body = std::pin::pin!(body);
-    let mut first: Option<Bytes> = None;
-    let mut rest = Vec::new();
     loop {
-        let frame = std::future::poll_fn(|cx| body.as_mut().poll_frame(cx)).await;
-        let chunk = match frame {
-            None => break,
-            Some(Ok(Frame::Data(chunk))) => chunk,
-            Some(Ok(Frame::Trailers(_))) => continue,
-            Some(Err(_)) => return Err(RequestBodyError::Broken),
-        };
-        let size = first.as_ref().map_or(0, Bytes::len) + rest.len() + chunk.len();
-        if size > limit {
-            return Err(RequestBodyError::TooLarge(limit));
-        }
-        match &first {
-            None => first = Some(chunk),
-            Some(_) => rest.extend_from_slice(&chunk),
+        match std::future::poll_fn(|cx| body.as_mut().poll_frame(cx)).await? {
+            Ok(Frame::Data(chunk)) => return Some(Ok(chunk)),
+            // Trailers are ignored.
+            Ok(Frame::Trailers(_)) => {}
+            Err(_) => return Some(Err(RequestBodyError::Broken)),
         }
     }
-    let first = first.unwrap_or_default();
-    // A body in one chunk is returned without a copy.
-    if rest.is_empty() {
-        return Ok(first);
-    }
-    Ok([first.as_ref(), &rest].concat().into())
 }
--- a/crates/yuccalinkd/src/args.rs
+++ b/crates/yuccalinkd/src/args.rs
@@ -55,7 +55,7 @@
 }
 
 /// All settings in the order of the help.
-pub(crate) const SETTINGS: [Setting; 19] = [
+pub(crate) const SETTINGS: [Setting; 21] = [
     Setting {
         flag: "name",
         value: "NAME",
@@ -135,6 +135,21 @@
         long: "Further connections wait to be accepted.",
         set: |config, text| Ok(config.connections(parse_number(text)?)),
     },
+    Setting {
+        flag: "control-connections",
+        value: "N",
+        short: "connections of targets and operators at once [4096]",
+        long: "Further connections wait to be accepted.",
+        set: |config, text| Ok(config.control_connections(parse_number(text)?)),
+    },
+    Setting {
+        flag: "memory-mb",
+        value: "N",
+        short: "memory that the process may use, in MiB [768]",
+        long: "Half of it is for open connections, a quarter for requests, responses and messages \
+               of daemons; requests beyond get status 503.",
+        set: |config, text| Ok(config.memory(parse_number(text)?.saturating_mul(1 << 20))),
+    },
     Setting {
         flag: "body-max",
         value: "SIZE",
--- a/crates/yuccalinkd/tests/crowds/calm.rs
+++ b/crates/yuccalinkd/tests/crowds/calm.rs
@@ -1,6 +1,6 @@
 //! Well-behaved clients at the limits, each alone: none is refused.
 
-use crate::crowd::in_calm;
+use crate::crowd::{in_calm, in_calm_with};
 use crate::exchange::{Framing, Request, exchange};
 use crate::process::{CONNECTIONS_MAX, JOB, Listener, PLATFORM_JOB, Process, Program};
 use std::fmt::Write;
@@ -223,3 +223,18 @@
         drop(silent);
     });
 }
+
+/// Guards against callers of the services' daemon that are turned away by silent connections.
+#[test]
+fn silent_connections_give_way_to_a_caller_of_the_services_daemon() {
+    // None of the silent connections is closed because it is idle for long.
+    let variables = [("YUCCALINK_HEAD_TIMEOUT", "10m"), ("YUCCALINK_IDLE_TIMEOUT", "10m")];
+    in_calm_with(Program::Services, &variables, |process| {
+        let to = process.at(Listener::Callers);
+        let silent: Vec<TcpStream> =
+            (0..CONNECTIONS_MAX).filter_map(|_| TcpStream::connect(to).ok()).collect();
+        let request = Request::new("GET", "/quotes/prices/x");
+        assert_eq!(status_of(process, Listener::Callers, &request), 200);
+        drop(silent);
+    });
+}
--- a/crates/yuccalinkd/tests/crowds/crowd.rs
+++ b/crates/yuccalinkd/tests/crowds/crowd.rs
@@ -64,8 +64,17 @@
 
 /// Runs `f` with a process and no crowd beside it.
 pub fn in_calm(program: crate::process::Program, f: impl FnOnce(&mut Process)) {
+    in_calm_with(program, &[], f);
+}
+
+/// Runs `f` with a process that has further settings.
+pub fn in_calm_with(
+    program: crate::process::Program,
+    variables: &[(&str, &str)],
+    f: impl FnOnce(&mut Process),
+) {
     let _alone = alone();
-    f(&mut Process::start(program));
+    f(&mut Process::start_with(program, variables));
 }
 
 fn play(process: &Process, crowd: &Crowd) -> Peak {
--- a/crates/yuccalinkd/tests/crowds/process.rs
+++ b/crates/yuccalinkd/tests/crowds/process.rs
@@ -102,6 +102,11 @@
 impl Process {
     /// Starts a process with a queue or service that ordinary requests can use.
     pub fn start(program: Program) -> Self {
+        Self::start_with(program, &[])
+    }
+
+    /// Starts a process with further settings, as variables.
+    pub fn start_with(program: Program, variables: &[(&str, &str)]) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let host = next_host();
         let mut command = Command::new(env!("CARGO_BIN_EXE_yuccalinkd"));
@@ -111,7 +116,7 @@
             Program::Platform => set_up_platform(&mut command, host, folder.path()),
             Program::Services => set_up_services(&mut command, host, folder.path()),
         }
-        let child = command.spawn().expect("the program");
+        let child = command.envs(variables.iter().copied()).spawn().expect("the program");
         let mut process = Self { program, child, host, runner: None, _folder: folder };
         process.put_change();
         process
