Daemon for services: messages of daemons are charged before they are received

Callers saw: nothing in calm; 70 connections with 14 of the 15 MiB of one message took a daemon to 1,166 MiB, before any had shown a key. 256 silent ones kept other daemons out.

Cause: a message's memory is allocated from the sizes in its header, up to 32 MiB for each of 256 connections.

The header is read first and what it announces charged; a message that finds no memory is not received until there is some. A message stays charged until the next one of its connection. Connections that say nothing give way to new ones.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -165,6 +165,7 @@
 fn serve_peers(shared: &Shared, listener: TcpListener, replica: Option<Rc<RefCell<Replica>>>) {
     let config = &shared.config;
     let keys = shared.keys.clone();
+    let account = shared.account.clone();
     let voters = config.voters.iter().map(|voter| voter.name.clone()).collect();
     let service: peer::Client =
         capnp_rpc::new_client(PeerService::new(config.name.clone(), voters, replica));
@@ -173,7 +174,7 @@
             .set_nonblocking(true)
             .and_then(|()| tokio::net::TcpListener::from_std(listener));
         match listener {
-            Ok(listener) => drop(rpc::accept(listener, service, keys).await),
+            Ok(listener) => rpc::accept(listener, service, keys, account).await,
             Err(error) => log::error!("cannot listen for daemons: {error}"),
         }
     });
--- a/crates/daemon/src/leader_client.rs
+++ b/crates/daemon/src/leader_client.rs
@@ -273,8 +273,9 @@
         &self,
         address: std::net::SocketAddr,
     ) -> Result<(rpc::RpcConnection, HelloResponse), CallError> {
-        let connection =
-            rpc::connect(address, &self.shared.keys).await.map_err(CallError::Connect)?;
+        let connection = rpc::connect(address, &self.shared.keys, &self.shared.account)
+            .await
+            .map_err(CallError::Connect)?;
         let response = send_hello(&self.shared, self.incarnation, &connection).await?;
         Ok((connection, response))
     }
--- a/crates/daemon/src/voters.rs
+++ b/crates/daemon/src/voters.rs
@@ -117,12 +117,13 @@
     fn connect(self: Rc<Self>, to: ReplicaId, address: SocketAddr) {
         self.connecting.borrow_mut().insert(address);
         tokio::task::spawn_local(async move {
-            let connected = match rpc::connect(address, &self.shared.keys).await {
-                Ok(connection) => send_hello(&self.shared, self.incarnation, &connection)
-                    .await
-                    .map(|_| Rc::new(connection)),
-                Err(error) => Err(CallError::Connect(error)),
-            };
+            let connected =
+                match rpc::connect(address, &self.shared.keys, &self.shared.account).await {
+                    Ok(connection) => send_hello(&self.shared, self.incarnation, &connection)
+                        .await
+                        .map(|_| Rc::new(connection)),
+                    Err(error) => Err(CallError::Connect(error)),
+                };
             match connected {
                 Ok(connection) => drop(self.connections.borrow_mut().insert(address, connection)),
                 Err(error) => {
@@ -216,8 +217,9 @@
     }
 
     async fn hello(&self, address: SocketAddr) -> Result<HelloResponse, CallError> {
-        let connection =
-            rpc::connect(address, &self.shared.keys).await.map_err(CallError::Connect)?;
+        let connection = rpc::connect(address, &self.shared.keys, &self.shared.account)
+            .await
+            .map_err(CallError::Connect)?;
         send_hello(&self.shared, self.incarnation, &connection).await
     }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod account;
 pub mod auth;
 pub mod body;
+mod peer_reader;
 pub mod pool;
 pub mod reply;
 pub mod request_body;
--- a/crates/transport/src/rpc.rs
+++ b/crates/transport/src/rpc.rs
@@ -1,28 +1,33 @@
 //! Cap'n Proto RPC connections between daemons.
 
+use crate::account::{Client, ClientAccount, ClientClass};
 use crate::auth::{AuthError, Keys};
+use crate::peer_reader::PeerReader;
 use capnp::message::ReaderOptions;
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
 use futures::io::{BufReader, BufWriter};
+use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 use yuccalink_protocol::peer_capnp::peer;
 
-/// Maximum number of open connections from other daemons; further ones wait to be accepted.
+/// Maximum number of open connections from other daemons.
 pub const CONNECTIONS_MAX: usize = 256;
+/// Receive buffer of a connection, in bytes; the kernel may hold twice as much.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum size of a message, in words of 8 bytes: 32 MiB.
 const MESSAGE_WORDS_MAX: usize = 4 * 1024 * 1024;
 /// Time limit for establishing a connection to another daemon.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-type Network = VatNetwork<BufReader<tokio_util::compat::Compat<tokio::net::tcp::OwnedReadHalf>>>;
+type Reader = tokio_util::compat::Compat<tokio::net::tcp::OwnedReadHalf>;
+type Network = VatNetwork<BufReader<PeerReader<Reader>>>;
 
 /// A connection to another daemon; dropping it closes it.
 pub struct RpcConnection {
@@ -37,12 +42,12 @@
     }
 }
 
-fn network(stream: TcpStream, side: Side) -> io::Result<Network> {
+fn network(stream: TcpStream, side: Side, client: Arc<Client>) -> io::Result<Network> {
     stream.set_nodelay(true)?;
     let (reader, writer) = stream.into_split();
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MESSAGE_WORDS_MAX));
-    let reader = BufReader::new(reader.compat());
+    let reader = BufReader::new(PeerReader::new(reader.compat(), client, side == Side::Server));
     let writer = BufWriter::new(writer.compat_write());
     Ok(VatNetwork::new(reader, writer, side, options))
 }
@@ -52,12 +57,19 @@
 /// # Errors
 /// [`AuthError`] if no connection is established within [`CONNECT_TIMEOUT`] or the
 /// handshake with `keys` fails.
-pub async fn connect(address: SocketAddr, keys: &Keys) -> Result<RpcConnection, AuthError> {
+pub async fn connect(
+    address: SocketAddr,
+    keys: &Keys,
+    account: &Arc<ClientAccount>,
+) -> Result<RpcConnection, AuthError> {
     let mut stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     keys.outgoing_handshake(&mut stream).await?;
-    let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)?), None);
+    let mut system = RpcSystem::new(
+        Box::new(network(stream, Side::Client, account.open(ClientClass::Peers).into())?),
+        None,
+    );
     let peer: peer::Client = system.bootstrap(Side::Server);
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = system.await {
@@ -67,9 +79,15 @@
     Ok(RpcConnection { peer, task: task.abort_handle() })
 }
 
-async fn serve(mut stream: TcpStream, service: peer::Client, keys: &Keys) -> Result<(), AuthError> {
+async fn serve(
+    mut stream: TcpStream,
+    service: peer::Client,
+    keys: &Keys,
+    client: Arc<Client>,
+) -> Result<(), AuthError> {
     keys.incoming_handshake(&mut stream).await?;
-    let system = RpcSystem::new(Box::new(network(stream, Side::Server)?), Some(service.client));
+    let network = network(stream, Side::Server, client)?;
+    let system = RpcSystem::new(Box::new(network), Some(service.client));
     if let Err(error) = system.await {
         log::debug!("a daemon's connection ended: {error}");
     }
@@ -77,14 +95,17 @@
 }
 
 /// Accepts connections from other daemons without end and serves each with a clone of
-/// `service`. Must run on a `LocalSet`.
-///
-/// # Errors
-/// Currently none: a failed accept is logged and retried after 100 ms.
-pub async fn accept(listener: TcpListener, service: peer::Client, keys: Keys) -> io::Result<()> {
-    let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+/// `service`. Must run on a `LocalSet`. A failed accept is logged and retried after 100 ms.
+pub async fn accept(
+    listener: TcpListener,
+    service: peer::Client,
+    keys: Keys,
+    account: Arc<ClientAccount>,
+) {
+    if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::warn!("cannot bound the buffers of daemons' connections: {error}");
+    }
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else { return Ok(()) };
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(error) => {
@@ -93,12 +114,23 @@
                 continue;
             }
         };
+        let client = match account.connect(ClientClass::Peers) {
+            Ok(client) => Arc::new(client),
+            Err(why) => {
+                log::debug!("connection from {from} refused: {why}");
+                continue;
+            }
+        };
         let (service, keys) = (service.clone(), keys.clone());
         tokio::task::spawn_local(async move {
-            if let Err(error) = serve(stream, service, &keys).await {
-                log::warn!("connection from {from}: {error}");
+            tokio::select! {
+                result = serve(stream, service, &keys, client.clone()) => {
+                    if let Err(error) = result {
+                        log::warn!("connection from {from}: {error}");
+                    }
+                }
+                () = client.sent_away() => log::debug!("connection from {from} gave way"),
             }
-            drop(permit);
         });
     }
 }
