--- a/crates/state/src/jobs/change.rs
+++ b/crates/state/src/jobs/change.rs
@@ -84,9 +84,10 @@
     pub head_bytes: u64,
     /// Maximum size of a request's body, in bytes.
     pub body_bytes: u64,
-    /// Maximum time to receive a request's head, in milliseconds.
+    /// Maximum time to receive a request's head, in milliseconds; 0 for the default.
     pub head_timeout_ms: u64,
-    /// Time without data after which an open connection is closed, in milliseconds.
+    /// Time without data after which an open connection is closed, in milliseconds; 0 for the
+    /// default.
     pub idle_timeout_ms: u64,
 }
 
