--- a/crates/yuccalinkd/tests/crowds/calm.rs
+++ b/crates/yuccalinkd/tests/crowds/calm.rs
@@ -2,7 +2,8 @@
 
 use crate::crowd::{in_calm, in_calm_with};
 use crate::exchange::{Framing, Request, exchange};
-use crate::process::{CONNECTIONS_MAX, JOB, Listener, PLATFORM_JOB, Process, Program};
+use crate::platform;
+use crate::process::{CONNECTIONS_MAX, JOB, Listener, Process, Program};
 use std::fmt::Write;
 use std::net::TcpStream;
 
@@ -14,37 +15,35 @@
 fn large_change_set(program: Program, queues: usize, version: u64) -> String {
     let mut text = format!("{{\"version\":{version},");
     text.push_str(match program {
-        Program::Platform => "\"services\":[{\"name\":\"duty\"}],\"routes\":[",
+        Program::Platform => platform::QUEUES_START,
         _ => "\"pools\":[{\"name\":\"duty\"}],\"queues\":[",
     });
     for number in 0..queues {
         let prefix = if number == 0 { "/returns/".into() } else { format!("/returns-{number}/") };
-        let comma = if number == 0 { "" } else { "," };
-        let _ = match program {
-            Program::Platform => write!(
-                text,
-                "{comma}{{\"name\":\"r-{number}\",\"host\":\"duty.example\",\"path_prefix\":\
-                 \"{prefix}\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\
-                 \"target_duration_ms\":1200,\"priority\":0,\"service\":\"duty\",\"attempts\":3,\
-                 \"slack_factor\":1.5}}"
-            ),
-            _ => write!(
-                text,
-                "{comma}{{\"name\":\"r-{number}\",\"host\":\"duty.example\",\"prefix\":\
-                 \"{prefix}\",\"pool\":\"duty\",\"timeout-ms\":3000,\"objective-ms\":1200,\
-                 \"slack\":1.5,\"priority\":0,\"attempts\":3,\"weight\":3}}"
-            ),
-        };
+        if number > 0 {
+            text.push(',');
+        }
+        if program == Program::Platform {
+            platform::push_queue(&mut text, number, &prefix);
+            continue;
+        }
+        let _ = write!(
+            text,
+            "{{\"name\":\"r-{number}\",\"host\":\"duty.example\",\"prefix\":\
+             \"{prefix}\",\"pool\":\"duty\",\"timeout-ms\":3000,\"objective-ms\":1200,\
+             \"slack\":1.5,\"priority\":0,\"attempts\":3,\"weight\":3}}"
+        );
     }
     text.push_str("]}");
     text
 }
 
 fn change_request(program: Program, text: &str) -> Request {
-    match program {
-        Program::Platform => Request::new("POST", "/api/config/replace").body(text.as_bytes()),
-        _ => Request::new("PUT", "/v1/change").body(text.as_bytes()),
-    }
+    let (method, path) = match program {
+        Program::Platform => platform::REPLACE,
+        _ => ("PUT", "/v1/change"),
+    };
+    Request::new(method, path).body(text.as_bytes())
 }
 
 pub fn put_large_change_set(process: &Process, queues: usize) {
@@ -56,7 +55,7 @@
 
 /// A job whose body has exactly `size` bytes.
 fn job_of(program: Program, size: usize) -> Vec<u8> {
-    let job = if program == Program::Platform { PLATFORM_JOB } else { JOB };
+    let job = if program == Program::Platform { platform::JOB } else { JOB };
     let mut body = job.trim_end().as_bytes().to_vec();
     body.resize(size, b' ');
     body
@@ -124,15 +123,8 @@
 #[test]
 fn a_report_of_500_ends_is_accepted() {
     in_calm(Program::Platform, |process| {
-        let rows: Vec<String> = (1..=REPORTED_ENDS)
-            .map(|n| format!("[{n},\"5c0e7a21d94b36f8.0.1.{n}\",1,\"done\",\"\"]"))
-            .collect();
-        let body = format!(
-            "{{\"service\":\"duty\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\
-             \"ready\",\"sequence\":1,\"finished\":[{}]}}",
-            rows.join(",")
-        );
-        let request = Request::new("POST", "/api/instances/i-1/heartbeat").body(body.as_bytes());
+        let body = platform::report_with_ends(REPORTED_ENDS);
+        let request = Request::new("POST", platform::REPORT_PATH).body(body.as_bytes());
         assert_eq!(status_of(process, Listener::Control, &request), 200);
     });
 }
--- a/crates/yuccalinkd/tests/crowds/main.rs
+++ b/crates/yuccalinkd/tests/crowds/main.rs
@@ -6,6 +6,8 @@
 mod calm;
 mod crowd;
 mod exchange;
+#[path = "../../../../platform/tests/messages/mod.rs"]
+mod platform;
 mod process;
 
 use crowd::{Crowd, LONG_STAY, STAY, check};
@@ -32,7 +34,7 @@
 fn operator_path(program: Program) -> (&'static str, &'static str) {
     match program {
         Program::Cell => ("PUT", "/v1/change"),
-        Program::Platform => ("POST", "/api/config/replace"),
+        Program::Platform => platform::REPLACE,
         Program::Services => ("PUT", "/v1/services/quotes"),
     }
 }
@@ -89,7 +91,7 @@
 fn unread_change_sets(process: &Process) -> Crowd {
     calm::put_large_change_set(process, QUEUES);
     let path = match process.program {
-        Program::Platform => "/api/config/get",
+        Program::Platform => platform::GET_PATH,
         _ => "/v1/change",
     };
     let bytes = format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").into_bytes();
@@ -118,7 +120,7 @@
 
 fn submissions_of_empty_steps(process: &Process) -> Crowd {
     let start = match process.program {
-        Program::Platform => r#"{"spec":"","steps":["#,
+        Program::Platform => platform::JOB_START,
         _ => r#"{"payload":"","steps":["#,
     };
     let body = list_of(start, "{}", "]}", 256 * KIB);
@@ -133,10 +135,8 @@
 }
 
 fn reports_of_empty_labels(_: &Process) -> Crowd {
-    let start = r#"{"service":"duty","address":"10.0.0.1:80","state":"ready","sequence":1,
-        "labels":["#;
-    let body = list_of(start, r#""""#, "]}", 4 * MIB);
-    let bytes = Request::new("POST", "/api/instances/i-1/heartbeat").body(&body).endless();
+    let body = list_of(platform::REPORT_START, r#""""#, "]}", 4 * MIB);
+    let bytes = Request::new("POST", platform::REPORT_PATH).body(&body).endless();
     Crowd { at: Listener::Control, connections: 16, bytes, reads: true, stay: STAY }
 }
 
--- a/crates/yuccalinkd/tests/crowds/process.rs
+++ b/crates/yuccalinkd/tests/crowds/process.rs
@@ -1,6 +1,7 @@
 //! One real process of each program, and what the kernel says that it holds.
 
 use crate::exchange::{Request, Response, exchange};
+use crate::platform;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -18,22 +19,10 @@
 pub const DESCRIPTORS_MAX: usize = 1_024;
 /// Connections of clients that each process is set to hold.
 pub const CONNECTIONS_MAX: usize = 800;
-/// Descriptors that the platform reserves; see its settings.
-const PLATFORM_RESERVED_FDS: usize = 1_000;
 /// Body of a caller's job in a native cell.
 pub const JOB: &str = include_str!("../../../../examples/job.json");
 const CHANGE: &str = include_str!("../../../../examples/change.json");
 const DOCUMENT: &str = include_str!("../../../../examples/quotes.toml");
-const PLATFORM_CHANGE: &str = r#"{"version":1,"routes":[{"name":"r","host":"duty.example",
-    "path_prefix":"/returns/","kind":"non_idempotent","timeout_ms":3000,
-    "target_duration_ms":1200,"priority":0,"service":"duty","attempts":3,"slack_factor":1.5}],
-    "services":[{"name":"duty","health_path":"/health","max_conns":64,"protocol":"h1",
-    "tls":false,"enforce_capacity":true,"standby":false}],
-    "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,
-    "idle_timeout_ms":15000}}"#;
-pub const PLATFORM_JOB: &str = r#"{"spec":"one return","steps":[{"count":4,"cpu":500,
-    "mem_mb":256,"estimate_ms":900},{"count":8,"cpu":2000,"mem_mb":1024,"estimate_ms":2200,
-    "after":[0],"checkpointing":true}]}"#;
 
 /// Which program a process runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -130,7 +119,7 @@
     fn put_change(&mut self) {
         let (method, path, body) = match self.program {
             Program::Cell => ("PUT", "/v1/change", CHANGE),
-            Program::Platform => ("POST", "/api/config/replace", PLATFORM_CHANGE),
+            Program::Platform => (platform::REPLACE.0, platform::REPLACE.1, platform::CHANGE),
             Program::Services => ("PUT", "/v1/services/quotes?wait=false", DOCUMENT),
         };
         wait_until(TIMEOUT, "a change in force", || {
@@ -169,7 +158,7 @@
                 Request::new("POST", &format!("/returns/{id:016x}")).body(JOB.as_bytes())
             }
             Program::Platform => {
-                Request::new("POST", &format!("/returns/{id:016x}")).body(PLATFORM_JOB.as_bytes())
+                Request::new("POST", &format!("/returns/{id:016x}")).body(platform::JOB.as_bytes())
             }
             Program::Services => Request::new("POST", "/quotes/invoices").body(b"one net"),
         }
@@ -221,23 +210,19 @@
 }
 
 fn set_up_platform(command: &mut Command, host: Ipv4Addr, folder: &Path) {
-    let at = |listener| address(host, listener);
-    let peer = Listener::Peer.port();
-    let settings = format!(
-        "node_name = 'e1'\nip = '{host}'\nzone = 'z'\nport_range = [{peer}, {peer}]\n\
-         seeds = []\nbootstrap = true\ndata_dir = '{}'\n\
-         [listen]\nfront = '{}'\nready = '{}'\ncontrol = '{}'\n\
-         [limits]\nmax_fds = {}\nmemory_mb = {}\n[fault_tolerance]\nmachines = 0\n",
-        folder.join("data").display(),
-        at(Listener::Callers),
-        at(Listener::Ready),
-        at(Listener::Control),
-        CONNECTIONS_MAX + PLATFORM_RESERVED_FDS,
-        MEMORY_MIB * (1 << 20) / 1_000_000,
-    );
+    let settings = platform::Settings {
+        host,
+        peer_port: Listener::Peer.port(),
+        callers: address(host, Listener::Callers),
+        control: address(host, Listener::Control),
+        ready: address(host, Listener::Ready),
+        data: &folder.join("data"),
+        connections: CONNECTIONS_MAX,
+        memory: MEMORY_MIB << 20,
+    };
     let file = folder.join("settings.toml");
-    std::fs::write(&file, settings).expect("its settings");
-    command.arg("platform").env("YUCCALINK_NODE_FILE", file);
+    std::fs::write(&file, settings.text()).expect("its settings");
+    command.arg("platform").env(platform::SETTINGS_FILE_VAR, file);
 }
 
 fn set_up_services(command: &mut Command, host: Ipv4Addr, folder: &Path) {
